Fix the seams: shared base and headers between the parts

Cause: the parts (state, serving, plumbing, stand-ins) go side by side and need fixed interfaces first.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,117 @@
+# Builds damasklug, its development programs and its tests.
+#
+#   make              everything (build/damasklug, build/dev/*, build/tests/*)
+#   make check        install what is missing, build, run all tests
+#   make demo         install what is missing, build, run the main job
+#   make fuzz         long property runs (RUNS=, SEED=)
+#   make lint format  linters; rewrite sources in house format
+#   SAN=address,undefined or SAN=thread builds under build-$(SAN)
+
+PACKAGES = gcc g++ make pkg-config clang-format clang-tidy cppcheck \
+	liburcu-dev libprotobuf-c-dev libcivetweb-dev libcurl4-openssl-dev \
+	libglib2.0-dev libjansson-dev libxxhash-dev libsodium-dev \
+	libtomlplusplus-dev libgtest-dev librapidcheck-dev curl jq
+
+comma := ,
+O := build$(if $(SAN),-$(subst $(comma),-,$(SAN)))
+CC ?= gcc
+CXX ?= g++
+PKGS = liburcu-memb libprotobuf-c libcurl glib-2.0 jansson libxxhash libsodium
+DEP_CFLAGS := $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
+DEP_LIBS := $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lcivetweb -lpthread -lm
+WARN = -Wall -Wextra -Werror -Wno-unused-parameter
+SANFLAGS = $(if $(SAN),-fsanitize=$(SAN) -fno-omit-frame-pointer)
+CFLAGS ?= -O2 -g
+ALL_CFLAGS = -std=gnu11 $(CFLAGS) $(WARN) -Wmissing-prototypes -Wstrict-prototypes \
+	$(SANFLAGS) -D_GNU_SOURCE -DURCU_INLINE_SMALL_FUNCTIONS -Isrc -Iproto -Idev $(DEP_CFLAGS) -MMD -MP
+ALL_CXXFLAGS = -std=gnu++17 $(CFLAGS) $(WARN) -Wno-missing-field-initializers \
+	$(SANFLAGS) -D_GNU_SOURCE -Isrc -Iproto -Idev $(DEP_CFLAGS) -MMD -MP
+
+# main.c holds only main(); all else goes into one archive that tests and
+# development programs link too.
+LIB_SRC = $(filter-out src/main.c,$(wildcard src/*.c)) $(wildcard src/*.cc) $(wildcard proto/*.c)
+LIB_OBJ = $(patsubst %,$(O)/%.o,$(LIB_SRC))
+LIB = $(O)/libdamasklug.a
+# dev/lib_*.c is shared by the development programs; each other dev/*.c is one.
+DEV_LIB_OBJ = $(patsubst %,$(O)/%.o,$(wildcard dev/lib_*.c))
+DEV_BIN = $(patsubst dev/%.c,$(O)/dev/%,$(filter-out dev/lib_%,$(wildcard dev/*.c)))
+# Each tests/NAME_test.cc is one GoogleTest program.
+TEST_BIN = $(patsubst tests/%.cc,$(O)/tests/%,$(wildcard tests/*_test.cc))
+# Each tests/NAME_fuzz.cc is a RapidCheck property program, run short by check.
+FUZZ_BIN = $(patsubst tests/%.cc,$(O)/tests/%,$(wildcard tests/*_fuzz.cc))
+
+FORMATTED = $(wildcard src/*.[ch] src/*.cc dev/*.[ch] tests/*.cc tests/*.h)
+
+.PHONY: all deps check test demo run fuzz scenarios capacity lint format format-check clean
+all: $(O)/damasklug $(DEV_BIN) $(TEST_BIN) $(FUZZ_BIN)
+
+$(O)/%.c.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(ALL_CFLAGS) $(if $(filter proto/%,$<),-w) -c $< -o $@
+
+$(O)/%.cc.o: %.cc
+	@mkdir -p $(@D)
+	$(CXX) $(ALL_CXXFLAGS) -c $< -o $@
+
+$(LIB): $(LIB_OBJ)
+	rm -f $@
+	ar rcs $@ $^
+
+$(O)/damasklug: $(O)/src/main.c.o $(LIB)
+	$(CXX) $(SANFLAGS) -o $@ $^ $(DEP_LIBS)
+
+$(DEV_BIN): $(O)/dev/%: $(O)/dev/%.c.o $(DEV_LIB_OBJ) $(LIB)
+	$(CXX) $(SANFLAGS) -o $@ $^ $(DEP_LIBS)
+
+$(TEST_BIN) $(FUZZ_BIN): $(O)/tests/%: $(O)/tests/%.cc.o $(DEV_LIB_OBJ) $(LIB)
+	$(CXX) $(SANFLAGS) -o $@ $^ -lrapidcheck -lgtest -lgtest_main $(DEP_LIBS)
+
+# Regenerates the committed protobuf-c code; needs protobuf-c-compiler.
+proto:
+	cd proto && protoc-c --c_out=. *.proto
+
+deps:
+	@.ci/deps $(PACKAGES)
+
+check: deps
+	$(MAKE) --no-print-directory all
+	@O=$(O) tests/run
+
+# As check, without looking for packages.
+test: all
+	@O=$(O) tests/run
+
+fuzz: all
+	@O=$(O) RUNS=$(or $(RUNS),2000) SEED=$(SEED) tests/fuzz
+
+scenarios: all
+	@O=$(O) tests/scenarios/run
+
+capacity: all
+	@$(O)/dev/capacity
+
+demo: deps
+	$(MAKE) --no-print-directory all
+	@O=$(O) dev/demo $(or $(DEPLOYMENT),estate-rounds)
+
+run: deps
+	$(MAKE) --no-print-directory all
+	@O=$(O) dev/demo --keep $(or $(DEPLOYMENT),estate-rounds)
+
+format:
+	clang-format -i $(FORMATTED)
+
+format-check:
+	clang-format --dry-run -Werror $(FORMATTED)
+
+lint:
+	cppcheck --quiet --std=c11 --language=c --error-exitcode=1 --inline-suppr \
+		--enable=warning,performance,portability --suppress=missingIncludeSystem \
+		--suppress=nullPointerOutOfMemory --suppress=normalCheckLevelMaxBranches \
+		-j 8 -D__GNUC__ -Isrc -Iproto $(wildcard src/*.c dev/*.c)
+
+clean:
+	rm -rf build build-*
+
+-include $(shell find $(O) -name '*.d' 2>/dev/null)
+.SECONDARY:
--- /dev/null
+++ b/src/counter.h
@@ -0,0 +1,84 @@
+/*
+ * counter.h - counters of the process, sharded by thread, read as Prometheus
+ * text. Refusals and retries have one counter for each reason.
+ */
+#ifndef DK_COUNTER_H
+#define DK_COUNTER_H
+
+#include "reason.h"
+#include "util.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/* X(NAME, "name", "help") - monotonic; exported as damasklug_<name>_total. */
+#define COUNTERS_HTTP(X)                                                    \
+	X(HTTP_REQUESTS, "http_requests", "Requests received from callers") \
+	X(HTTP_ADDRESS_ANSWERS, "address_answers", "Address answers given")
+
+#define COUNTERS_SERVE(X)                                                      \
+	X(ACCEPTED, "accepted", "Requests accepted")                           \
+	X(ANSWERED, "answered", "Requests answered whole")                     \
+	X(ANSWERED_LATE, "answered_late", "Answered whole after the deadline") \
+	X(FORWARDED, "forwarded", "Requests forwarded to another daemon")      \
+	X(LATE_DROPPED, "late_dropped", "Answers of older attempts dropped")   \
+	X(LOADS, "loads", "Adapter loads started")                             \
+	X(LOADS_FAILED, "loads_failed", "Adapter loads failed")                \
+	X(EVICTIONS, "evictions", "Adapters evicted from a slot")              \
+	X(STALL_US, "load_stall_us", "Microseconds requests waited for loads")
+
+#define COUNTERS_STATE(X)                                                    \
+	X(ELECTIONS, "elections", "Elections started by this daemon")        \
+	X(LOG_SYNCS, "log_syncs", "Syncs of the log to disk")                \
+	X(CHANGES_DECIDED, "changes_decided", "Changes decided")             \
+	X(CHANGES_RESENT, "changes_resent", "Resent changes answered again") \
+	X(CHANGES_CONFLICT, "changes_conflict",                              \
+	  "Changes refused: base revision is not the current one")           \
+	X(CLAIMS, "claims", "Claims decided")
+
+#define COUNTERS_LINK(X)                                                       \
+	X(LINK_DIALS, "link_dials", "Connections dialed to peers")             \
+	X(LINK_CUT_SECRET, "link_cut_secret", "Peers cut: wrong secret")       \
+	X(LINK_CUT_CLUSTER, "link_cut_cluster", "Peers cut: other cluster id") \
+	X(LINK_CUT_UNKNOWN, "link_cut_unknown_peer",                           \
+	  "Peers cut: not a known host")                                       \
+	X(LINK_CUT_VERSION, "link_cut_version",                                \
+	  "Peers cut: other protocol version")                                 \
+	X(LINK_CUT_OVERSIZE, "link_cut_oversize",                              \
+	  "Peers cut: frame too large")                                        \
+	X(LINK_CUT_MALFORMED, "link_cut_malformed", "Peers cut: bad frame")    \
+	X(LINK_CUT_SLOW, "link_cut_slow_reader", "Peers cut: queue full")      \
+	X(LINK_CUT_SILENT, "link_cut_silent", "Peers cut: no heartbeat")       \
+	X(LINK_BYTES_IN, "link_bytes_in", "Bytes received from peers")         \
+	X(LINK_BYTES_OUT, "link_bytes_out", "Bytes sent to peers")
+
+#define COUNTERS(X)       \
+	COUNTERS_HTTP(X)  \
+	COUNTERS_SERVE(X) \
+	COUNTERS_STATE(X) \
+	COUNTERS_LINK(X)
+
+typedef enum counter {
+#define X(name, str, help) CTR_##name,
+	COUNTERS(X)
+#undef X
+	CTR_COUNT,
+} counter_t;
+
+void counter_add(counter_t c, uint64_t n);
+void counter_refused(reason_t r);
+void counter_retried(retry_reason_t r);
+/* Sums over all shards; a moment's view, not a transaction. */
+uint64_t counter_get(counter_t c);
+uint64_t counter_get_refused(reason_t r);
+uint64_t counter_get_retried(retry_reason_t r);
+/* Appends all counters as Prometheus text. */
+void counter_write(buf_t *out);
+const char *counter_name(counter_t c);
+const char *counter_help(counter_t c);
+
+#ifdef __cplusplus
+}
+#endif
+#endif
--- /dev/null
+++ b/src/lease.h
@@ -0,0 +1,32 @@
+/*
+ * lease.h - what the state core tells serving about this daemon's leases.
+ */
+#ifndef DK_LEASE_H
+#define DK_LEASE_H
+
+#include "decided.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/*
+ * The standing of this daemon. A holder counts its lease from the moment it
+ * sent the renewal; the leader waits the lease plus clock drift out before it
+ * assigns the daemon's targets to another.
+ */
+typedef struct standing {
+	int64_t lease_until_us; /* may send work and orders to owned targets */
+	int64_t fresh_until_us; /* may accept new requests: tables confirmed */
+	host_id_t leader;	/* 0 while unknown */
+	uint64_t term;
+	bool is_leader; /* this daemon leads, and a quorum confirmed it */
+	/* Hosts with a session, ascending; valid during the call only. */
+	const host_id_t *live;
+	size_t n_live;
+} standing_t;
+
+#ifdef __cplusplus
+}
+#endif
+#endif
--- /dev/null
+++ b/src/wal.h
@@ -0,0 +1,99 @@
+/*
+ * wal.h - port between the log and its disk: an append-only file of
+ * checksummed records, a small file for term and vote, snapshots. The real
+ * one is a folder (wal.c); the fuzz disk of the tests loses what was not
+ * synced.
+ */
+#ifndef DK_WAL_H
+#define DK_WAL_H
+
+#include "util.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/* X(NAME, "text") */
+#define WAL_ERRORS(X)                                                    \
+	X(OK, "no error")                                                \
+	X(IO, "reading or writing the data folder failed")               \
+	X(FULL, "the disk is full")                                      \
+	X(SYNC, "syncing the data folder failed")                        \
+	X(CORRUPT, "a record inside the log is corrupt")                 \
+	X(SNAPSHOT, "the snapshot is corrupt")                           \
+	X(FOREIGN, "the data folder belongs to another cluster or host") \
+	X(LOCKED, "another process uses the data folder")                \
+	X(VERSION, "the data folder has an unknown format version")
+
+typedef enum wal_code {
+#define X(name, text) WAL_##name,
+	WAL_ERRORS(X)
+#undef X
+} wal_code_t;
+
+typedef struct wal_err {
+	wal_code_t code;
+	int sys_errno;
+	char detail[160]; /* file and offset */
+} wal_err_t;
+
+const char *wal_code_text(wal_code_t code);
+
+/* One log record. data is not owned. */
+typedef struct wal_rec {
+	uint64_t index;
+	uint64_t term;
+	uint32_t kind;
+	str_t data;
+} wal_rec_t;
+
+typedef struct wal wal_t;
+
+/*
+ * Operations of a disk. All return 0, or -1 with *err filled. append, cut and
+ * set_vote are durable only once sync has returned 0.
+ */
+typedef struct wal_ops {
+	int (*append)(void *ctx, const wal_rec_t *recs, size_t n,
+		      wal_err_t *err);
+	/* Drops all records with an index of from or more. */
+	int (*cut)(void *ctx, uint64_t from, wal_err_t *err);
+	int (*set_vote)(void *ctx, uint64_t term, uint32_t voted_for,
+			wal_err_t *err);
+	int (*sync)(void *ctx, wal_err_t *err);
+	/*
+	 * Replaces the snapshot, synced before it returns, and drops records
+	 * up to index where they are no longer needed.
+	 */
+	int (*snapshot)(void *ctx, uint64_t index, uint64_t term, str_t data,
+			wal_err_t *err);
+	/* Calls each for all records after the snapshot, in order. */
+	int (*replay)(void *ctx, int (*each)(void *arg, const wal_rec_t *rec),
+		      void *arg, wal_err_t *err);
+} wal_ops_t;
+
+/* What was found when the log was opened. */
+typedef struct wal_found {
+	uint64_t term;
+	uint32_t voted_for;
+	uint64_t snapshot_index;
+	uint64_t snapshot_term;
+	str_t snapshot;	     /* owned by the wal until the first snapshot() */
+	bool empty;	     /* a new or emptied folder */
+	uint64_t torn_bytes; /* cut from the tail */
+} wal_found_t;
+
+struct wal {
+	const wal_ops_t *ops;
+	void *ctx;
+	wal_found_t found;
+};
+
+/* Opens, or makes, a data folder for one host of one cluster; locks it. */
+wal_t *wal_open(str_t folder, str_t cluster, uint32_t host, wal_err_t *err);
+void wal_close(wal_t *w);
+
+#ifdef __cplusplus
+}
+#endif
+#endif
