--- /dev/null
+++ b/src/permit.c
@@ -0,0 +1,205 @@
+/* permit.c - permits of the weight store. */
+#include "permit.h"
+
+#include <stdlib.h>
+
+/* An ask below this slack goes first, by slack; others by requests waiting. */
+#define URGENT_SLACK_US (1500 * USEC_PER_MSEC)
+/* Weight of a further second of waiting, in waiting requests. */
+#define AGE_WEIGHT_PER_S 0.5
+
+typedef struct permit {
+	struct cds_list_head node;
+	permit_ask_t ask; /* adapter is owned */
+	int64_t since_us;
+	int64_t due_us;	  /* deadline of the most urgent request */
+	int64_t until_us; /* granted: end of its lease; 0: asked only */
+} permit_t;
+
+void permits_init(permits_t *p, uint32_t concurrency, double rate_per_s)
+{
+	p->concurrency = concurrency ? concurrency : 1;
+	p->rate_per_s = rate_per_s;
+	p->tokens = p->concurrency;
+	p->tokens_at_us = INT64_MIN;
+	p->quiet_until_us = INT64_MIN;
+	p->held = 0;
+	CDS_INIT_LIST_HEAD(&p->asks);
+}
+
+static void permit_drop(permits_t *p, permit_t *e)
+{
+	if (e->until_us)
+		p->held--;
+	cds_list_del(&e->node);
+	str_free(&e->ask.adapter);
+	free(e);
+}
+
+void permits_free(permits_t *p)
+{
+	permit_t *e, *tmp;
+
+	cds_list_for_each_entry_safe (e, tmp, &p->asks, node)
+		permit_drop(p, e);
+}
+
+void permits_lead(permits_t *p, int64_t now)
+{
+	permits_free(p);
+	p->tokens = 0;
+	p->tokens_at_us = now;
+	p->quiet_until_us = now + PERMIT_LEASE_US;
+}
+
+void permits_all_told(permits_t *p, int64_t now)
+{
+	if (p->quiet_until_us > now)
+		p->quiet_until_us = now;
+}
+
+static permit_t *permit_find(permits_t *p, host_id_t host, target_id_t target,
+			     str_t adapter)
+{
+	permit_t *e;
+
+	cds_list_for_each_entry (e, &p->asks, node)
+		if (e->ask.host == host && e->ask.target == target &&
+		    str_eq(e->ask.adapter, adapter))
+			return e;
+	return NULL;
+}
+
+static permit_t *permit_put(permits_t *p, const permit_ask_t *ask, int64_t now)
+{
+	permit_t *e = permit_find(p, ask->host, ask->target, ask->adapter);
+
+	if (!e) {
+		e = xcalloc(1, sizeof(*e));
+		e->ask = *ask;
+		e->ask.adapter = str_copy(ask->adapter);
+		e->since_us = now;
+		cds_list_add_tail(&e->node, &p->asks);
+	}
+	e->ask.waiting = ask->waiting;
+	e->ask.prefetch = ask->prefetch;
+	e->due_us = now + ask->slack_us;
+	return e;
+}
+
+void permits_ask(permits_t *p, const permit_ask_t *ask, int64_t now)
+{
+	permit_put(p, ask, now);
+}
+
+void permits_held(permits_t *p, const permit_ask_t *ask, int64_t now)
+{
+	permit_t *e = permit_put(p, ask, now);
+
+	if (!e->until_us)
+		p->held++;
+	e->until_us = now + PERMIT_LEASE_US;
+}
+
+void permits_drop(permits_t *p, host_id_t host, target_id_t target,
+		  str_t adapter)
+{
+	permit_t *e = permit_find(p, host, target, adapter);
+
+	if (e)
+		permit_drop(p, e);
+}
+
+void permits_drop_host(permits_t *p, host_id_t host)
+{
+	permit_t *e, *tmp;
+
+	cds_list_for_each_entry_safe (e, tmp, &p->asks, node)
+		if (e->ask.host == host && !e->until_us)
+			permit_drop(p, e);
+}
+
+static bool permit_urgent(const permit_t *e, int64_t now)
+{
+	return e->due_us - now < URGENT_SLACK_US;
+}
+
+static double permit_weight(const permit_t *e, int64_t now)
+{
+	return e->ask.waiting +
+	       AGE_WEIGHT_PER_S * (double)(now - e->since_us) / USEC_PER_SEC;
+}
+
+/* True where a goes before b. Prefetches use what nobody else asks for. */
+static bool permit_before(const permit_t *a, const permit_t *b, int64_t now)
+{
+	if (a->ask.prefetch != b->ask.prefetch)
+		return b->ask.prefetch;
+	if (permit_urgent(a, now) != permit_urgent(b, now))
+		return permit_urgent(a, now);
+	if (permit_urgent(a, now))
+		return a->due_us < b->due_us;
+	return permit_weight(a, now) > permit_weight(b, now);
+}
+
+static void permits_refill(permits_t *p, int64_t now)
+{
+	if (p->tokens_at_us == INT64_MIN)
+		p->tokens_at_us = now;
+	p->tokens +=
+		(double)(now - p->tokens_at_us) * p->rate_per_s / USEC_PER_SEC;
+	p->tokens_at_us = now;
+	if (p->tokens > p->concurrency)
+		p->tokens = p->concurrency;
+}
+
+static int64_t permits_expire(permits_t *p, int64_t now)
+{
+	int64_t next = INT64_MAX;
+	permit_t *e, *tmp;
+
+	cds_list_for_each_entry_safe (e, tmp, &p->asks, node) {
+		if (!e->until_us)
+			continue;
+		if (e->until_us <= now)
+			permit_drop(p, e);
+		else if (e->until_us < next)
+			next = e->until_us;
+	}
+	return next;
+}
+
+static permit_t *permits_best(permits_t *p, int64_t now)
+{
+	permit_t *e, *best = NULL;
+
+	cds_list_for_each_entry (e, &p->asks, node)
+		if (!e->until_us && (!best || permit_before(e, best, now)))
+			best = e;
+	return best;
+}
+
+int64_t permits_run(permits_t *p, int64_t now, permit_grant_fn_t grant,
+		    void *ctx)
+{
+	int64_t next = permits_expire(p, now);
+	permit_t *e;
+
+	if (now < p->quiet_until_us)
+		return next < p->quiet_until_us ? next : p->quiet_until_us;
+	permits_refill(p, now);
+	while (p->held < p->concurrency && (e = permits_best(p, now))) {
+		if (p->rate_per_s > 0 && p->tokens < 1) {
+			double need = (1 - p->tokens) / p->rate_per_s;
+			int64_t at = now + (int64_t)(need * USEC_PER_SEC) + 1;
+
+			return next < at ? next : at;
+		}
+		if (p->rate_per_s > 0)
+			p->tokens -= 1;
+		p->held++;
+		e->until_us = now + PERMIT_LEASE_US;
+		grant(ctx, &e->ask);
+	}
+	return next;
+}
--- /dev/null
+++ b/src/place.c
@@ -0,0 +1,447 @@
+/* place.c - scoring of targets from the owners' reports. */
+#include "place.h"
+
+#include <string.h>
+
+#include "slot.h"
+
+/* A report counts for this long without a newer one. */
+#define REPORT_LIFE_US (10 * USEC_PER_SEC)
+/* Rendezvous homes that a non-resident adapter may be loaded on. */
+#define HOMES_MAX 3u
+/* Advantage that an earlier home needs to lose its adapter to a later one. */
+#define HOME_STEP_US (150 * USEC_PER_MSEC)
+/* Hosts tried without a report are taken as lightly loaded. */
+#define UNKNOWN_WAIT_US (5 * USEC_PER_MSEC)
+
+typedef struct hint {
+	uint64_t fence;
+	int64_t at_us;
+	int64_t wait_us;
+	int64_t each_us;
+	int64_t evict_us;
+	uint32_t waiting;
+	uint32_t running;
+	uint32_t sent; /* by this daemon since the report */
+	bool known;    /* a report has come */
+	bool active;
+	bool leaving;	    /* says the report */
+	bool listed;	    /* says the platform's list or the target */
+	uint32_t *resident; /* owned */
+	size_t n_resident;
+	uint32_t *loading; /* owned */
+	size_t n_loading;
+} hint_t;
+
+static void hint_free(gpointer p)
+{
+	hint_t *h = p;
+
+	free(h->resident);
+	free(h->loading);
+	free(h);
+}
+
+void place_init(place_t *p, const serve_cfg_t *cfg)
+{
+	memset(p, 0, sizeof(*p));
+	pthread_mutex_init(&p->lock, NULL);
+	p->cfg = cfg;
+	p->seed = cfg->seed;
+	p->hints = g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL,
+					 hint_free);
+	p->down = g_hash_table_new(g_direct_hash, g_direct_equal);
+}
+
+void place_free(place_t *p)
+{
+	g_hash_table_destroy(p->hints);
+	g_hash_table_destroy(p->down);
+	free(p->live);
+	pthread_mutex_destroy(&p->lock);
+}
+
+static hint_t *hint_find(const place_t *p, target_id_t target)
+{
+	return g_hash_table_lookup(p->hints, GUINT_TO_POINTER(target));
+}
+
+static hint_t *hint_get(place_t *p, target_id_t target)
+{
+	hint_t *h = hint_find(p, target);
+
+	if (!h) {
+		h = xcalloc(1, sizeof(*h));
+		h->active = true;
+		g_hash_table_insert(p->hints, GUINT_TO_POINTER(target), h);
+	}
+	return h;
+}
+
+static void set_hashes(uint32_t **v, size_t *n, const uint32_t *from,
+		       size_t count)
+{
+	free(*v);
+	*v = xmalloc(count * sizeof(**v) + 1);
+	if (count)
+		memcpy(*v, from, count * sizeof(**v));
+	*n = count;
+}
+
+void place_report(place_t *p, const Serve__Report *rep, int64_t now)
+{
+	hint_t *h;
+
+	pthread_mutex_lock(&p->lock);
+	h = hint_get(p, rep->target);
+	if (!h->known || rep->fence >= h->fence) {
+		h->known = true;
+		h->fence = rep->fence;
+		h->at_us = now;
+		h->wait_us = rep->wait_us;
+		h->each_us = rep->each_us;
+		h->evict_us = rep->evict_us;
+		h->waiting = rep->waiting;
+		h->running = rep->running;
+		h->sent = 0;
+		h->active = rep->active;
+		h->leaving = rep->leaving;
+		set_hashes(&h->resident, &h->n_resident, rep->resident,
+			   rep->n_resident);
+		set_hashes(&h->loading, &h->n_loading, rep->loading,
+			   rep->n_loading);
+	}
+	pthread_mutex_unlock(&p->lock);
+}
+
+void place_hint(place_t *p, target_id_t target, bool leaving)
+{
+	pthread_mutex_lock(&p->lock);
+	hint_get(p, target)->listed = leaving;
+	pthread_mutex_unlock(&p->lock);
+}
+
+bool place_is_leaving(place_t *p, target_id_t target)
+{
+	const hint_t *h;
+	bool leaving;
+
+	pthread_mutex_lock(&p->lock);
+	h = hint_find(p, target);
+	leaving = h && h->listed;
+	pthread_mutex_unlock(&p->lock);
+	return leaving;
+}
+
+void place_standing(place_t *p, const standing_t *st)
+{
+	pthread_mutex_lock(&p->lock);
+	free(p->live);
+	p->n_live = st->n_live;
+	p->live = xmalloc(st->n_live * sizeof(*p->live) + 1);
+	if (st->n_live)
+		memcpy(p->live, st->live, st->n_live * sizeof(*p->live));
+	pthread_mutex_unlock(&p->lock);
+}
+
+void place_link(place_t *p, host_id_t host, bool up)
+{
+	gpointer key = GUINT_TO_POINTER(host);
+
+	pthread_mutex_lock(&p->lock);
+	if (up)
+		g_hash_table_remove(p->down, key);
+	else
+		g_hash_table_add(p->down, key);
+	pthread_mutex_unlock(&p->lock);
+}
+
+static bool host_live(const place_t *p, host_id_t host)
+{
+	size_t lo = 0, hi = p->n_live;
+
+	if (!host || g_hash_table_contains(p->down, GUINT_TO_POINTER(host)))
+		return false;
+	while (lo < hi) {
+		size_t mid = (lo + hi) / 2;
+
+		if (p->live[mid] == host)
+			return true;
+		if (p->live[mid] < host)
+			lo = mid + 1;
+		else
+			hi = mid;
+	}
+	return false;
+}
+
+bool place_host_live(place_t *p, host_id_t host)
+{
+	bool live;
+
+	pthread_mutex_lock(&p->lock);
+	live = host_live(p, host);
+	pthread_mutex_unlock(&p->lock);
+	return live;
+}
+
+size_t place_live(place_t *p, host_id_t *out, size_t max)
+{
+	size_t n;
+
+	pthread_mutex_lock(&p->lock);
+	n = p->n_live;
+	if (n)
+		memcpy(out, p->live, (n < max ? n : max) * sizeof(*out));
+	pthread_mutex_unlock(&p->lock);
+	return n;
+}
+
+static bool has_hash(const uint32_t *v, size_t n, uint32_t hash)
+{
+	for (size_t i = 0; i < n; i++)
+		if (v[i] == hash)
+			return true;
+	return false;
+}
+
+static bool target_matches(const target_t *t, const place_query_t *q)
+{
+	return t->kind == q->kind && str_eq(t->base, q->base) &&
+	       t->state == TARGET_ACTIVE;
+}
+
+static bool was_tried(const place_query_t *q, target_id_t id)
+{
+	for (size_t i = 0; i < q->n_tried; i++)
+		if (q->tried[i] == id)
+			return true;
+	return false;
+}
+
+/* A hint that still counts, or NULL. */
+static const hint_t *hint_fresh(const place_t *p, const target_t *t,
+				int64_t now)
+{
+	const hint_t *h = hint_find(p, t->id);
+
+	if (!h || !h->known || h->fence != t->fence ||
+	    now - h->at_us > REPORT_LIFE_US)
+		return NULL;
+	return h;
+}
+
+static bool target_usable(const place_t *p, const target_t *t,
+			  const place_query_t *q)
+{
+	const hint_t *h = hint_find(p, t->id);
+
+	if (!target_matches(t, q) || !host_live(p, t->owner))
+		return false;
+	if (h && h->listed)
+		return false;
+	h = hint_fresh(p, t, q->now_us);
+	return !h || (h->active && !h->leaving);
+}
+
+static int64_t expected_wait(const hint_t *h)
+{
+	if (!h)
+		return UNKNOWN_WAIT_US;
+	return h->wait_us + h->sent * h->each_us;
+}
+
+/* Score under the cost policy: expected finish, weighted. */
+static double cost_score(const place_t *p, const place_query_t *q,
+			 const hint_t *h, const place_score_t *s)
+{
+	const serve_cfg_t *cfg = p->cfg;
+	double score = (double)s->wait_us;
+
+	if (q->kind == TARGET_SERVICE || !q->adapter.n || s->resident)
+		return score + (double)s->rank;
+	score += cfg->stall_weight * (double)s->stall_us;
+	if (h)
+		score += cfg->stall_weight * (double)h->evict_us;
+	return score + (double)s->rank * HOME_STEP_US;
+}
+
+static double policy_score(const place_t *p, const place_query_t *q,
+			   const hint_t *h, const place_score_t *s,
+			   uint64_t home)
+{
+	uint32_t load = h ? h->waiting + h->running + h->sent : 0;
+	uint64_t draw;
+
+	switch (p->cfg->policy.place) {
+	case PLACE_LEAST_LOADED:
+		return (double)load;
+	case PLACE_RENDEZVOUS:
+		return (double)s->rank;
+	case PLACE_RANDOM:
+		draw = hash_bytes(&s->target->id, sizeof(s->target->id),
+				  p->seed ^ home);
+		return (double)(draw >> 11);
+	case PLACE_COST:
+		break;
+	}
+	return cost_score(p, q, h, s);
+}
+
+static int by_home(const void *a, const void *b, void *ctx)
+{
+	const place_score_t *x = a, *y = b;
+	uint64_t key = *(const uint64_t *)ctx;
+	uint64_t hx = rendezvous_score(key, x->target->id);
+	uint64_t hy = rendezvous_score(key, y->target->id);
+
+	if (hx != hy)
+		return hx > hy ? -1 : 1;
+	return x->target->id < y->target->id ? -1 : 1;
+}
+
+static int by_score(const void *a, const void *b)
+{
+	const place_score_t *x = a, *y = b;
+
+	if (x->score != y->score)
+		return x->score < y->score ? -1 : 1;
+	return x->rank < y->rank ? -1 : x->rank > y->rank;
+}
+
+static void fill_score(const place_t *p, const place_query_t *q,
+		       place_score_t *s, uint32_t rank, uint64_t home)
+{
+	const hint_t *h = hint_fresh(p, s->target, q->now_us);
+	uint32_t hash = slot_hash(q->adapter);
+
+	s->rank = rank;
+	s->wait_us = expected_wait(h);
+	s->resident = !q->adapter.n;
+	s->loading = false;
+	if (h && q->adapter.n) {
+		s->resident = has_hash(h->resident, h->n_resident, hash);
+		s->loading = has_hash(h->loading, h->n_loading, hash);
+	}
+	s->stall_us = s->resident  ? 0
+		      : s->loading ? q->load_us / 2
+				   : q->load_us;
+	s->score = policy_score(p, q, h, s, home);
+}
+
+/* Keeps what may be chosen: where it is or comes to be resident, and homes. */
+static bool is_candidate(const place_t *p, const place_query_t *q,
+			 const place_score_t *s)
+{
+	if (p->cfg->policy.place != PLACE_COST || q->kind == TARGET_SERVICE ||
+	    !q->adapter.n)
+		return true;
+	return s->resident || s->loading || s->rank < HOMES_MAX;
+}
+
+static size_t score_all(const place_t *p, const decided_t *d,
+			const place_query_t *q, place_score_t *v)
+{
+	uint64_t key = hash_bytes(q->name.p, q->name.n, 1);
+	uint64_t draw = key;
+	size_t n = 0, kept = 0, count = decided_target_count(d);
+	bool fresh = false;
+
+	if (!q->name.n)
+		key = q->prefix_hash;
+	draw = key ^ (uint64_t)q->now_us;
+	for (size_t i = 0; i < count; i++) {
+		const target_t *t = decided_target_at(d, i);
+
+		if (!target_usable(p, t, q))
+			continue;
+		v[n++].target = t;
+		fresh = fresh || !was_tried(q, t->id);
+	}
+	qsort_r(v, n, sizeof(*v), by_home, &key);
+	for (size_t i = 0; i < n; i++) {
+		if (fresh && was_tried(q, v[i].target->id))
+			continue;
+		v[kept].target = v[i].target;
+		fill_score(p, q, &v[kept], (uint32_t)kept, draw);
+		kept++;
+	}
+	n = 0;
+	for (size_t i = 0; i < kept; i++)
+		if (is_candidate(p, q, &v[i]))
+			v[n++] = v[i];
+	qsort(v, n, sizeof(*v), by_score);
+	return n;
+}
+
+size_t place_candidates(place_t *p, const decided_t *d, const place_query_t *q,
+			place_score_t *out, size_t max)
+{
+	AUTO_FREE place_score_t *v = NULL;
+	size_t n;
+
+	v = xcalloc(decided_target_count(d) + 1, sizeof(*v));
+	pthread_mutex_lock(&p->lock);
+	n = score_all(p, d, q, v);
+	pthread_mutex_unlock(&p->lock);
+	if (n > max)
+		n = max;
+	if (n)
+		memcpy(out, v, n * sizeof(*out));
+	return n;
+}
+
+const target_t *place_pick(place_t *p, const decided_t *d,
+			   const place_query_t *q)
+{
+	place_score_t best;
+	hint_t *h;
+
+	if (!place_candidates(p, d, q, &best, 1))
+		return NULL;
+	pthread_mutex_lock(&p->lock);
+	h = hint_get(p, best.target->id);
+	h->sent++;
+	pthread_mutex_unlock(&p->lock);
+	return best.target;
+}
+
+bool place_possible(place_t *p, const decided_t *d, const place_query_t *q)
+{
+	(void)p;
+	for (size_t i = 0; i < decided_target_count(d); i++)
+		if (target_matches(decided_target_at(d, i), q))
+			return true;
+	return false;
+}
+
+typedef struct copy_ctx {
+	uint64_t key;
+	uint32_t hash;
+	uint64_t score; /* of the asking target */
+	int64_t now;
+} copy_ctx_t;
+
+static gboolean is_better_copy(gpointer key, gpointer value, gpointer ctx)
+{
+	const copy_ctx_t *c = ctx;
+	const hint_t *h = value;
+
+	return h->known && h->active && !h->leaving && !h->listed &&
+	       c->now - h->at_us <= REPORT_LIFE_US &&
+	       rendezvous_score(c->key, GPOINTER_TO_UINT(key)) > c->score &&
+	       has_hash(h->resident, h->n_resident, c->hash);
+}
+
+bool place_copy_elsewhere(place_t *p, str_t name, uint32_t hash,
+			  target_id_t target, int64_t now)
+{
+	copy_ctx_t c = {hash_bytes(name.p, name.n, 1), hash, 0, now};
+	bool found;
+
+	c.score = rendezvous_score(c.key, target);
+	pthread_mutex_lock(&p->lock);
+	found = g_hash_table_find(p->hints, is_better_copy, &c);
+	pthread_mutex_unlock(&p->lock);
+	return found;
+}
--- /dev/null
+++ b/src/place.h
@@ -0,0 +1,84 @@
+/*
+ * place.h - where to send a request: candidates among the targets, scored by
+ * expected finish from the owners' reports. Soft state only; a wrong choice
+ * costs time, never correctness, as the owner decides what runs.
+ */
+#ifndef DK_PLACE_H
+#define DK_PLACE_H
+
+#include <glib.h>
+#include <pthread.h>
+
+#include "serve.h"
+#include "serve.pb-c.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+typedef struct place {
+	pthread_mutex_t lock; /* leaf: nothing is called with it held */
+	const serve_cfg_t *cfg;
+	GHashTable *hints; /* target -> hint_t */
+	host_id_t *live;   /* owned, ascending */
+	size_t n_live;
+	GHashTable *down; /* hosts whose link is down */
+	uint64_t seed;	  /* of PLACE_RANDOM */
+} place_t;
+
+typedef struct place_query {
+	target_kind_t kind;
+	str_t base;    /* base model or service */
+	str_t adapter; /* "name@version"; empty: none needed */
+	str_t name;    /* of the adapter, for its rendezvous homes */
+	int64_t load_us;
+	uint64_t prefix_hash;
+	const target_id_t *tried; /* not again, unless nothing else is left */
+	size_t n_tried;
+	host_id_t self;
+	int64_t now_us;
+} place_query_t;
+
+typedef struct place_score {
+	const target_t *target; /* of the tables handed in */
+	bool resident;
+	bool loading;
+	uint32_t rank; /* among the rendezvous homes, from 0 */
+	int64_t wait_us;
+	int64_t stall_us;
+	double score; /* lower is better */
+} place_score_t;
+
+void place_init(place_t *p, const serve_cfg_t *cfg);
+void place_free(place_t *p);
+void place_report(place_t *p, const Serve__Report *rep, int64_t now);
+/* A hint that the target is leaving, or is not. */
+void place_hint(place_t *p, target_id_t target, bool leaving);
+bool place_is_leaving(place_t *p, target_id_t target);
+void place_standing(place_t *p, const standing_t *st);
+void place_link(place_t *p, host_id_t host, bool up);
+bool place_host_live(place_t *p, host_id_t host);
+/* Copies at most max live hosts; returns how many there are. */
+size_t place_live(place_t *p, host_id_t *out, size_t max);
+/*
+ * Scores the candidates, best first; returns how many, at most max. A target
+ * without a live owner is none.
+ */
+size_t place_candidates(place_t *p, const decided_t *d, const place_query_t *q,
+			place_score_t *out, size_t max);
+/* The best candidate, counted as on its way there; NULL where there is none. */
+const target_t *place_pick(place_t *p, const decided_t *d,
+			   const place_query_t *q);
+/* Whether some target could serve it, had it an owner. */
+bool place_possible(place_t *p, const decided_t *d, const place_query_t *q);
+/*
+ * Whether the adapter is resident on a target whose rendezvous rank for it is
+ * before that of target: the copy here may go first.
+ */
+bool place_copy_elsewhere(place_t *p, str_t name, uint32_t hash,
+			  target_id_t target, int64_t now);
+
+#ifdef __cplusplus
+}
+#endif
+#endif
--- /dev/null
+++ b/src/queue.h
@@ -0,0 +1,60 @@
+/*
+ * queue.h - the waiting requests of one target: priority classes, fair
+ * between organisations, earliest deadline first. Pure decision code.
+ *
+ * Fairness is start-time fair queueing (Goyal, Vin and Cheng, 1996) between
+ * organisations by expected service time; organisations within a tolerance of
+ * each other are served by deadline.
+ */
+#ifndef DK_QUEUE_H
+#define DK_QUEUE_H
+
+#include <glib.h>
+#include <urcu/list.h>
+
+#include "serve.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/* One waiting request; embedded in its owner. */
+typedef struct qitem {
+	struct cds_list_head node; /* in order of arrival */
+	uint32_t org;
+	int32_t class_;	  /* of the organisation; strict */
+	int32_t priority; /* of the request, among its class */
+	int64_t deadline_us;
+	int64_t cost_us; /* expected service time */
+	uint64_t seq;
+} qitem_t;
+
+typedef struct queue {
+	struct cds_list_head items;
+	uint32_t n;
+	uint64_t next_seq;
+	int64_t cost_us;  /* sum over the items */
+	int64_t clock_us; /* virtual time: start tag of the last served item */
+	GHashTable *orgs; /* org -> share_t */
+} queue_t;
+
+/* Whether an item could be dispatched now. */
+typedef bool (*queue_ready_fn_t)(void *ctx, const qitem_t *it);
+
+void queue_init(queue_t *q);
+void queue_free(queue_t *q); /* items are the caller's */
+void queue_put(queue_t *q, qitem_t *it);
+/* Takes an item out without serving it. */
+void queue_drop(queue_t *q, qitem_t *it);
+/* The next ready item under the policy, or NULL; it stays in the queue. */
+qitem_t *queue_pick(queue_t *q, const serve_cfg_t *cfg, queue_ready_fn_t ready,
+		    void *ctx);
+/* Takes a picked item out and charges its organisation. */
+void queue_serve(queue_t *q, qitem_t *it);
+/* Expected service time of what would be served before it. */
+int64_t queue_ahead_us(queue_t *q, const serve_cfg_t *cfg, const qitem_t *it);
+
+#ifdef __cplusplus
+}
+#endif
+#endif
