--- /dev/null
+++ b/src/change.c
@@ -0,0 +1,1130 @@
+/* change.c - checks and applies the operations of a change, one by one. */
+#include "change.h"
+
+#include <arpa/inet.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "template.h"
+
+#define MODEL_NAME_MAX 128u
+#define PORT_MAX 65535u
+#define LOAD_MS_MAX 600000u
+#define SLOTS_MAX 4096u
+#define BATCH_MAX 65536u
+#define VERSIONS_MAX 256u
+#define SUMMARY_MAX 200u
+/* Larger changes are kept by their summary only. */
+#define KEPT_BODY_MAX 512u
+
+typedef struct apply {
+	decided_t *d; /* private to this change */
+	uint64_t index;
+	size_t op;
+	const char *op_name;
+	buf_t *error;
+} apply_t;
+
+static bool name_char(char c)
+{
+	return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+	       (c >= '0' && c <= '9');
+}
+
+bool name_valid(str_t name)
+{
+	if (!name.n || name.n > NAME_MAX_BYTES || !name_char(name.p[0]))
+		return false;
+	for (size_t i = 1; i < name.n; i++)
+		if (!name_char(name.p[i]) && !strchr("._-", name.p[i]))
+			return false;
+	return true;
+}
+
+bool model_name_valid(str_t name)
+{
+	str_t head, tail = name;
+
+	if (name.n > MODEL_NAME_MAX)
+		return false;
+	while (str_split(tail, '/', &head, &tail))
+		if (!name_valid(head))
+			return false;
+	return name_valid(head);
+}
+
+bool addr_valid(str_t addr)
+{
+	char host[INET6_ADDRSTRLEN];
+	uint8_t bin[sizeof(struct in6_addr)];
+	size_t colon = addr.n;
+	bool v6 = addr.n && addr.p[0] == '[';
+	uint64_t port;
+	str_t ip;
+
+	while (colon && addr.p[colon - 1] != ':')
+		colon--;
+	if (colon < 2)
+		return false;
+	if (str_to_u64(str_n(addr.p + colon, addr.n - colon), &port) ||
+	    port == 0 || port > PORT_MAX)
+		return false;
+	ip = str_n(addr.p, colon - 1);
+	if (v6 && (ip.n < 3 || ip.p[ip.n - 1] != ']'))
+		return false;
+	if (v6)
+		ip = str_n(ip.p + 1, ip.n - 2);
+	if (ip.n >= sizeof(host))
+		return false;
+	memcpy(host, ip.p, ip.n);
+	host[ip.n] = '\0';
+	return inet_pton(v6 ? AF_INET6 : AF_INET, host, bin) == 1;
+}
+
+static bool url_valid(str_t url)
+{
+	static const char scheme[] = "http://";
+	size_t n = sizeof(scheme) - 1;
+
+	return url.n > n && memcmp(url.p, scheme, n) == 0 &&
+	       addr_valid(str_n(url.p + n, url.n - n));
+}
+
+/* Starts the error with operation and field; returns -1. */
+__attribute__((format(printf, 3, 4))) static int
+fail(apply_t *ap, const char *field, const char *fmt, ...)
+{
+	char text[256];
+	va_list args;
+
+	va_start(args, fmt);
+	vsnprintf(text, sizeof(text), fmt, args);
+	va_end(args);
+	buf_printf(ap->error, "ops[%zu].%s%s%s: %s", ap->op, ap->op_name,
+		   field[0] ? "." : "", field, text);
+	return -1;
+}
+
+static int check_name(apply_t *ap, const char *field, const char *name)
+{
+	if (name && name_valid(str_c(name)))
+		return 0;
+	return fail(ap, field,
+		    "'%.80s' is not a name: 1 to %u letters, digits, '.', "
+		    "'_', '-', the first a letter or digit",
+		    name ? name : "", NAME_MAX_BYTES);
+}
+
+static int unknown(apply_t *ap, const char *field, const char *what,
+		   const char *name)
+{
+	return fail(ap, field, "there is no %s '%.80s'", what,
+		    name ? name : "");
+}
+
+/* Templates and organisations. */
+
+static Dk__Template *unpack_template(const decided_t *d, str_t name)
+{
+	const template_row_t *row = decided_template_by_name(d, name);
+
+	if (!row)
+		return NULL;
+	return dk__template__unpack(NULL, row->spec.n,
+				    (const uint8_t *)row->spec.p);
+}
+
+static void cleanup_template(Dk__Template **t)
+{
+	if (*t)
+		dk__template__free_unpacked(*t, NULL);
+}
+
+static void cleanup_settings(Dk__OrgSettings **s)
+{
+	if (*s)
+		dk__org_settings__free_unpacked(*s, NULL);
+}
+
+static Dk__OrgSettings *unpack_settings(const org_t *org)
+{
+	return dk__org_settings__unpack(
+		NULL, org->settings.n,
+		(const uint8_t *)(org->settings.p ? org->settings.p : ""));
+}
+
+static bool resolved_has(const resolved_t *r, str_t name)
+{
+	for (size_t i = 0; i < r->n_adapters; i++)
+		if (str_eq(r->adapters[i].name, name))
+			return true;
+	return false;
+}
+
+/* Makes, or updates, one adapter that a template gives an organisation. */
+static int put_org_adapter(apply_t *ap, const org_t *org,
+			   const resolved_adapter_t *ra)
+{
+	const adapter_t *old = decided_adapter(ap->d, ra->name);
+	adapter_t row = {0};
+
+	if (old && old->org_id != org->id)
+		return fail(ap, "adapters",
+			    "adapter '%.*s' of organisation '%.*s' exists "
+			    "already and belongs to another",
+			    STR_ARG(ra->name), STR_ARG(org->name));
+	if (old)
+		row = *old;
+	row.name = ra->name;
+	row.org_id = org->id;
+	row.load_ms = ra->load_ms;
+	if (!row.n_versions)
+		row.base = ra->base;
+	if (row.n_versions && !str_eq(row.base, ra->base))
+		return fail(ap, "adapters",
+			    "adapter '%.*s' has published versions; its base "
+			    "cannot change",
+			    STR_ARG(ra->name));
+	if (old && old->load_ms == row.load_ms && str_eq(old->base, row.base))
+		return 0;
+	decided_put_adapter(ap->d, &row);
+	return 0;
+}
+
+/* Deletes what the template no longer gives and nobody has published to. */
+static void drop_old_adapters(apply_t *ap, uint32_t org_id,
+			      const resolved_t *before, const resolved_t *now)
+{
+	for (size_t i = 0; i < before->n_adapters; i++) {
+		str_t name = before->adapters[i].name;
+		const adapter_t *a = decided_adapter(ap->d, name);
+
+		if (!a || a->org_id != org_id || a->n_versions)
+			continue;
+		if (!resolved_has(now, name))
+			decided_del_adapter(ap->d, a->id);
+	}
+}
+
+/*
+ * Puts an organisation with what template and settings give it now. row has
+ * id 0 for a new one; before holds the adapters that it had from its template
+ * so far.
+ */
+static int put_org(apply_t *ap, org_t *row, const Dk__Template *t,
+		   const Dk__OrgSettings *s, const resolved_t *before)
+{
+	CLEANUP(resolved_free) resolved_t now = {0};
+	AUTO_BUF buf_t packed = {0};
+	AUTO_BUF buf_t why = {0};
+	AUTO_FREE char *name = str_dup(row->name);
+
+	if (template_resolve(t, s, row->name, &now, &why))
+		return fail(ap, "", "organisation '%s': %s", name,
+			    why.p ? why.p : "");
+	packed.n = dk__org_settings__get_packed_size(s);
+	packed.n = dk__org_settings__pack(s, (uint8_t *)buf_room(&packed,
+								 packed.n));
+	row->settings = buf_str(&packed);
+	row->priority = now.priority;
+	row->limits = now.limits;
+	row->id = decided_put_org(ap->d, row);
+	row = NULL;
+	for (size_t i = 0; i < now.n_adapters; i++) {
+		const org_t *org = decided_org_by_name(ap->d, str_c(name));
+
+		if (put_org_adapter(ap, org, &now.adapters[i]))
+			return -1;
+	}
+	drop_old_adapters(ap, decided_org_by_name(ap->d, str_c(name))->id,
+			  before, &now);
+	return 0;
+}
+
+/* Carries a changed template over to one organisation that uses it. */
+static int carry_over(apply_t *ap, const org_t *org, const Dk__Template *old,
+		      const Dk__Template *t)
+{
+	CLEANUP(cleanup_settings) Dk__OrgSettings *s = unpack_settings(org);
+	CLEANUP(resolved_free) resolved_t before = {0};
+	AUTO_BUF buf_t ignored = {0};
+	org_t row = *org;
+
+	if (!s)
+		return fail(ap, "", "the stored settings are damaged");
+	template_resolve(old, s, org->name, &before, &ignored);
+	return put_org(ap, &row, t, s, &before);
+}
+
+static int template_put(apply_t *ap, const Dk__Template *t)
+{
+	str_t name = str_c(t->name);
+	CLEANUP(cleanup_template)
+	Dk__Template *old = unpack_template(ap->d, name);
+	AUTO_BUF buf_t why = {0};
+	AUTO_BUF buf_t spec = {0};
+	template_row_t row = {0};
+
+	if (template_check(t, &why))
+		return fail(ap, "", "%s", why.p ? why.p : "");
+	spec.n = dk__template__get_packed_size(t);
+	spec.n = dk__template__pack(t, (uint8_t *)buf_room(&spec, spec.n));
+	row.name = name;
+	row.spec = buf_str(&spec);
+	decided_put_template(ap->d, &row);
+	for (size_t i = 0; old && i < decided_org_count(ap->d); i++) {
+		const org_t *org = decided_org_at(ap->d, i);
+
+		if (str_eq(org->template_name, name) &&
+		    carry_over(ap, org, old, t))
+			return -1;
+	}
+	return 0;
+}
+
+static int template_del(apply_t *ap, const char *name)
+{
+	const template_row_t *row =
+		decided_template_by_name(ap->d, str_c(name));
+
+	if (!row)
+		return unknown(ap, "name", "template", name);
+	for (size_t i = 0; i < decided_org_count(ap->d); i++) {
+		const org_t *org = decided_org_at(ap->d, i);
+
+		if (str_eq(org->template_name, row->name))
+			return fail(ap, "name", "organisation '%.*s' uses it",
+				    STR_ARG(org->name));
+	}
+	decided_del_template(ap->d, row->id);
+	return 0;
+}
+
+static int check_token(apply_t *ap, const Dk__Org *o, const org_t *self)
+{
+	str_t hash = str_n((char *)o->token_hash.data, o->token_hash.len);
+
+	if (!o->has_token_hash)
+		return 0;
+	if (hash.n != TOKEN_HASH_BYTES)
+		return fail(ap, "token_hash", "must have %u bytes",
+			    TOKEN_HASH_BYTES);
+	for (size_t i = 0; i < decided_org_count(ap->d); i++) {
+		const org_t *org = decided_org_at(ap->d, i);
+
+		if (org != self && str_eq(org->token_hash, hash))
+			return fail(ap, "token_hash",
+				    "organisation '%.*s' has this token",
+				    STR_ARG(org->name));
+	}
+	return 0;
+}
+
+/* True with *t NULL where no template is named. */
+static int find_template(apply_t *ap, const char *name, Dk__Template **t)
+{
+	*t = NULL;
+	if (!name || !name[0])
+		return 0;
+	*t = unpack_template(ap->d, str_c(name));
+	return *t ? 0 : unknown(ap, "template", "template", name);
+}
+
+static int org_create(apply_t *ap, const Dk__Org *o)
+{
+	CLEANUP(cleanup_template) Dk__Template *t = NULL;
+	Dk__OrgSettings none = DK__ORG_SETTINGS__INIT;
+	resolved_t before = {0};
+	org_t row = {0};
+
+	if (check_name(ap, "name", o->name) || check_token(ap, o, NULL))
+		return -1;
+	row.name = str_c(o->name);
+	if (decided_org_by_name(ap->d, row.name))
+		return fail(ap, "name", "organisation '%s' exists already",
+			    o->name);
+	if (o->n_unset)
+		return fail(ap, "unset", "has no meaning for a new one");
+	if (find_template(ap, o->template_name, &t))
+		return -1;
+	row.template_name = str_c(o->template_name);
+	row.token_hash = str_n((char *)o->token_hash.data, o->token_hash.len);
+	return put_org(ap, &row, t, o->settings ? o->settings : &none, &before);
+}
+
+static void set_param(Dk__OrgSettings *s, const Dk__Setting *from)
+{
+	Dk__Setting *p;
+
+	for (size_t i = 0; i < s->n_params; i++) {
+		if (strcmp(s->params[i]->name, from->name) == 0) {
+			free(s->params[i]->value);
+			s->params[i]->value = str_dup(str_c(from->value));
+			return;
+		}
+	}
+	s->params = xrealloc(s->params, (s->n_params + 1) * sizeof(*s->params));
+	p = xmalloc(sizeof(*p));
+	dk__setting__init(p);
+	p->name = str_dup(str_c(from->name));
+	p->value = str_dup(str_c(from->value));
+	s->params[s->n_params++] = p;
+}
+
+static void merge_settings(Dk__OrgSettings *s, const Dk__OrgSettings *from)
+{
+	for (size_t i = 0; i < from->n_params; i++)
+		set_param(s, from->params[i]);
+#define MERGE(field)                    \
+	if (from->has_##field) {        \
+		s->has_##field = true;  \
+		s->field = from->field; \
+	}
+	MERGE(priority)
+	MERGE(rate_per_s)
+	MERGE(burst)
+	MERGE(concurrency)
+	MERGE(retry_percent)
+#undef MERGE
+}
+
+static int unset_param(Dk__OrgSettings *s, const char *name)
+{
+	for (size_t i = 0; i < s->n_params; i++) {
+		if (strcmp(s->params[i]->name, name))
+			continue;
+		dk__setting__free_unpacked(s->params[i], NULL);
+		s->params[i] = s->params[--s->n_params];
+		return 0;
+	}
+	return -1;
+}
+
+static int unset_setting(Dk__OrgSettings *s, const char *name)
+{
+#define UNSET(field)                     \
+	if (strcmp(name, #field) == 0) { \
+		s->has_##field = false;  \
+		s->field = 0;            \
+		return 0;                \
+	}
+	UNSET(priority)
+	UNSET(rate_per_s)
+	UNSET(burst)
+	UNSET(concurrency)
+	UNSET(retry_percent)
+#undef UNSET
+	return unset_param(s, name);
+}
+
+static int org_set(apply_t *ap, const Dk__Org *o)
+{
+	const org_t *org = decided_org_by_name(ap->d, str_c(o->name));
+	CLEANUP(cleanup_settings) Dk__OrgSettings *s = NULL;
+	CLEANUP(cleanup_template) Dk__Template *old = NULL;
+	CLEANUP(cleanup_template) Dk__Template *t = NULL;
+	CLEANUP(resolved_free) resolved_t before = {0};
+	AUTO_BUF buf_t ignored = {0};
+	org_t row;
+
+	if (!org)
+		return unknown(ap, "name", "organisation", o->name);
+	if (check_token(ap, o, org))
+		return -1;
+	s = unpack_settings(org);
+	if (!s)
+		return fail(ap, "", "the stored settings are damaged");
+	old = unpack_template(ap->d, org->template_name);
+	template_resolve(old, s, org->name, &before, &ignored);
+	row = *org;
+	if (o->template_name)
+		row.template_name = str_c(o->template_name);
+	t = unpack_template(ap->d, row.template_name);
+	if (row.template_name.n && !t)
+		return unknown(ap, "template", "template", o->template_name);
+	if (o->has_token_hash)
+		row.token_hash =
+			str_n((char *)o->token_hash.data, o->token_hash.len);
+	for (size_t i = 0; i < o->n_unset; i++)
+		if (unset_setting(s, o->unset[i]))
+			return fail(ap, "unset", "'%.80s' is not set",
+				    o->unset[i]);
+	if (o->settings)
+		merge_settings(s, o->settings);
+	return put_org(ap, &row, t, s, &before);
+}
+
+static int org_del(apply_t *ap, const char *name)
+{
+	const org_t *org = decided_org_by_name(ap->d, str_c(name));
+
+	if (!org)
+		return unknown(ap, "name", "organisation", name);
+	for (size_t i = 0; i < decided_adapter_count(ap->d); i++) {
+		const adapter_t *a = decided_adapter_at(ap->d, i);
+
+		if (a->org_id == org->id)
+			return fail(ap, "name",
+				    "it has adapter '%.*s' still; delete its "
+				    "adapters first",
+				    STR_ARG(a->name));
+	}
+	decided_del_org(ap->d, org->id);
+	return 0;
+}
+
+/* Adapters. */
+
+/* Fills the row of an adapter that does not exist yet. */
+static int new_adapter(apply_t *ap, const Dk__Publish *p, const char *name,
+		       adapter_t *row)
+{
+	const org_t *org;
+
+	if (check_name(ap, "names", name))
+		return -1;
+	if (!p->base_model || !model_name_valid(str_c(p->base_model)))
+		return fail(ap, "base",
+			    "new adapter '%.80s' needs a valid base model",
+			    name);
+	row->name = str_c(name);
+	row->base = str_c(p->base_model);
+	if (!p->org || !p->org[0])
+		return 0;
+	org = decided_org_by_name(ap->d, str_c(p->org));
+	if (!org)
+		return unknown(ap, "org", "organisation", p->org);
+	row->org_id = org->id;
+	return 0;
+}
+
+/* What is given must agree with the adapter that exists. */
+static int old_adapter(apply_t *ap, const Dk__Publish *p, const adapter_t *a)
+{
+	const org_t *org;
+
+	if (p->base_model && !str_eq(str_c(p->base_model), a->base))
+		return fail(ap, "base", "adapter '%.*s' has base '%.*s'",
+			    STR_ARG(a->name), STR_ARG(a->base));
+	if (!p->org)
+		return 0;
+	org = decided_org_by_name(ap->d, str_c(p->org));
+	if (p->org[0] && !org)
+		return unknown(ap, "org", "organisation", p->org);
+	if ((org ? org->id : 0) != a->org_id)
+		return fail(ap, "org",
+			    "adapter '%.*s' belongs to another organisation",
+			    STR_ARG(a->name));
+	return 0;
+}
+
+/* Inserts version into an ascending list with room for one more. */
+static void insert_version(uint32_t *versions, size_t *n, uint32_t version)
+{
+	size_t at = *n;
+
+	while (at && versions[at - 1] > version) {
+		versions[at] = versions[at - 1];
+		at--;
+	}
+	versions[at] = version;
+	(*n)++;
+}
+
+static int publish_one(apply_t *ap, const Dk__Publish *p, const char *name)
+{
+	const adapter_t *old = decided_adapter(ap->d, str_c(name));
+	uint32_t versions[VERSIONS_MAX];
+	uint32_t latest;
+	uint32_t version;
+	adapter_t row = {0};
+
+	if (old ? old_adapter(ap, p, old) : new_adapter(ap, p, name, &row))
+		return -1;
+	if (old)
+		row = *old;
+	if (row.n_versions >= VERSIONS_MAX)
+		return fail(ap, "names",
+			    "adapter '%s' has %u versions; retire some", name,
+			    VERSIONS_MAX);
+	latest = row.n_versions ? row.versions[row.n_versions - 1] : 0;
+	version = p->has_version ? p->version : latest + 1;
+	if (version == 0 || latest == UINT32_MAX)
+		return fail(ap, "version", "must be above 0");
+	if (adapter_has_version(&row, version))
+		return fail(ap, "version", "'%s@%u' is published already", name,
+			    version);
+	if (row.n_versions)
+		memcpy(versions, row.versions,
+		       row.n_versions * sizeof(*versions));
+	insert_version(versions, &row.n_versions, version);
+	row.versions = versions;
+	if (p->has_load_ms)
+		row.load_ms = p->load_ms;
+	if (!p->keep_current || !row.current_version)
+		row.current_version = version;
+	decided_put_adapter(ap->d, &row);
+	return 0;
+}
+
+static int adapter_publish(apply_t *ap, const Dk__Publish *p)
+{
+	if (!p->n_names)
+		return fail(ap, "names", "is missing");
+	if (p->has_load_ms && p->load_ms > LOAD_MS_MAX)
+		return fail(ap, "load_ms", "is above the most, %u",
+			    LOAD_MS_MAX);
+	for (size_t i = 0; i < p->n_names; i++)
+		if (publish_one(ap, p, p->names[i]))
+			return -1;
+	return 0;
+}
+
+static const adapter_t *find_version(apply_t *ap, const Dk__AdapterVersion *v)
+{
+	const adapter_t *a = decided_adapter(ap->d, str_c(v->name));
+
+	if (!a) {
+		unknown(ap, "name", "adapter", v->name);
+		return NULL;
+	}
+	if (!adapter_has_version(a, v->version)) {
+		fail(ap, "version", "there is no '%.80s@%u'", v->name,
+		     v->version);
+		return NULL;
+	}
+	return a;
+}
+
+static int adapter_retire(apply_t *ap, const Dk__AdapterVersion *v)
+{
+	const adapter_t *a = find_version(ap, v);
+	uint32_t versions[VERSIONS_MAX];
+	size_t n = 0;
+	adapter_t row;
+
+	if (!a)
+		return -1;
+	if (a->current_version == v->version)
+		return fail(ap, "version",
+			    "'%s@%u' is the current one; pin another first",
+			    v->name, v->version);
+	for (size_t i = 0; i < a->n_versions && n < VERSIONS_MAX; i++)
+		if (a->versions[i] != v->version)
+			versions[n++] = a->versions[i];
+	row = *a;
+	row.versions = versions;
+	row.n_versions = n;
+	decided_put_adapter(ap->d, &row);
+	return 0;
+}
+
+static int adapter_pin(apply_t *ap, const Dk__AdapterVersion *v)
+{
+	const adapter_t *a = find_version(ap, v);
+	adapter_t row;
+
+	if (!a)
+		return -1;
+	row = *a;
+	row.current_version = v->version;
+	decided_put_adapter(ap->d, &row);
+	return 0;
+}
+
+static int adapter_del(apply_t *ap, const char *name)
+{
+	const adapter_t *a = decided_adapter(ap->d, str_c(name));
+
+	if (!a)
+		return unknown(ap, "name", "adapter", name);
+	decided_del_adapter(ap->d, a->id);
+	return 0;
+}
+
+/* Targets. */
+
+static int check_target(apply_t *ap, const target_t *t)
+{
+	if (!url_valid(t->url))
+		return fail(ap, "url", "'%.*s' is not http://ip:port",
+			    STR_ARG(t->url));
+	if (!name_valid(t->zone))
+		return fail(ap, "zone", "'%.*s' is not a name",
+			    STR_ARG(t->zone));
+	if (!model_name_valid(t->base))
+		return fail(ap, "base", "'%.*s' is not a base model or service",
+			    STR_ARG(t->base));
+	if (t->kind == TARGET_RUNNER && (!t->slots || t->slots > SLOTS_MAX))
+		return fail(ap, "slots", "%u is not within 1 and %u", t->slots,
+			    SLOTS_MAX);
+	if (!t->max_batch || t->max_batch > BATCH_MAX)
+		return fail(ap, "max_batch", "%u is not within 1 and %u",
+			    t->max_batch, BATCH_MAX);
+	for (size_t i = 0; i < decided_target_count(ap->d); i++) {
+		const target_t *o = decided_target_at(ap->d, i);
+
+		if (o->id != t->id && str_eq(o->url, t->url))
+			return fail(ap, "url", "target '%.*s' has it already",
+				    STR_ARG(o->name));
+	}
+	return 0;
+}
+
+static int target_put(apply_t *ap, const Dk__TargetPut *p)
+{
+	const target_t *old = decided_target_by_name(ap->d, str_c(p->name));
+	target_t row = {0};
+
+	if (check_name(ap, "name", p->name))
+		return -1;
+	if (old)
+		row = *old;
+	row.name = str_c(p->name);
+	if (p->has_service)
+		row.kind = p->service ? TARGET_SERVICE : TARGET_RUNNER;
+	if (p->url)
+		row.url = str_c(p->url);
+	if (p->zone)
+		row.zone = str_c(p->zone);
+	if (p->base_model)
+		row.base = str_c(p->base_model);
+	if (p->has_slots)
+		row.slots = p->slots;
+	if (p->has_max_batch)
+		row.max_batch = p->max_batch;
+	if (p->has_checks_fence)
+		row.checks_fence = p->checks_fence;
+	if (p->has_repeatable)
+		row.repeatable = p->repeatable;
+	if (check_target(ap, &row))
+		return -1;
+	decided_put_target(ap->d, &row);
+	return 0;
+}
+
+static int target_state(apply_t *ap, const char *name, target_state_t state)
+{
+	const target_t *t = decided_target_by_name(ap->d, str_c(name));
+	target_t row;
+
+	if (!t)
+		return unknown(ap, "name", "target", name);
+	row = *t;
+	row.state = state;
+	decided_put_target(ap->d, &row);
+	return 0;
+}
+
+static int target_del(apply_t *ap, const char *name)
+{
+	const target_t *t = decided_target_by_name(ap->d, str_c(name));
+
+	if (!t)
+		return unknown(ap, "name", "target", name);
+	decided_del_target(ap->d, t->id);
+	return 0;
+}
+
+/* Hosts. */
+
+static int check_host(apply_t *ap, const host_t *h)
+{
+	if (!name_valid(h->zone))
+		return fail(ap, "zone", "'%.*s' is not a name",
+			    STR_ARG(h->zone));
+	if (h->region.n && !name_valid(h->region))
+		return fail(ap, "region", "'%.*s' is not a name",
+			    STR_ARG(h->region));
+	if (!addr_valid(h->caller_addr))
+		return fail(ap, "caller_addr", "'%.*s' is not ip:port",
+			    STR_ARG(h->caller_addr));
+	if (!addr_valid(h->peer_addr))
+		return fail(ap, "peer_addr", "'%.*s' is not ip:port",
+			    STR_ARG(h->peer_addr));
+	for (size_t i = 0; i < decided_host_count(ap->d); i++) {
+		const host_t *o = decided_host_at(ap->d, i);
+
+		if (o->id == h->id)
+			continue;
+		if (str_eq(o->peer_addr, h->peer_addr))
+			return fail(ap, "peer_addr",
+				    "host '%.*s' has it already",
+				    STR_ARG(o->name));
+		if (str_eq(o->caller_addr, h->caller_addr))
+			return fail(ap, "caller_addr",
+				    "host '%.*s' has it already",
+				    STR_ARG(o->name));
+	}
+	return 0;
+}
+
+static int host_put(apply_t *ap, const Dk__HostPut *p)
+{
+	const host_t *old = decided_host_by_name(ap->d, str_c(p->name));
+	host_t row = {0};
+
+	if (check_name(ap, "name", p->name))
+		return -1;
+	if (old)
+		row = *old;
+	row.name = str_c(p->name);
+	if (old && p->has_id && p->id != old->id)
+		return fail(ap, "id", "host '%s' has id %u", p->name, old->id);
+	if (!old && p->has_id) {
+		if (p->id == 0 || p->id == UINT32_MAX ||
+		    decided_host(ap->d, p->id))
+			return fail(ap, "id", "%u is not free", p->id);
+		row.id = p->id;
+	}
+	if (p->zone)
+		row.zone = str_c(p->zone);
+	if (p->region)
+		row.region = str_c(p->region);
+	if (p->caller_addr)
+		row.caller_addr = str_c(p->caller_addr);
+	if (p->peer_addr)
+		row.peer_addr = str_c(p->peer_addr);
+	if (p->has_voter)
+		row.voter = p->voter;
+	if (check_host(ap, &row))
+		return -1;
+	decided_put_host(ap->d, &row);
+	return 0;
+}
+
+static int host_draining(apply_t *ap, const char *name, bool draining)
+{
+	const host_t *h = decided_host_by_name(ap->d, str_c(name));
+	host_t row;
+
+	if (!h)
+		return unknown(ap, "name", "host", name);
+	row = *h;
+	row.draining = draining;
+	decided_put_host(ap->d, &row);
+	return 0;
+}
+
+/* Takes the targets of a deleted host from it. */
+static void disown(apply_t *ap, host_id_t host)
+{
+	for (size_t i = 0; i < decided_target_count(ap->d); i++) {
+		target_t row = *decided_target_at(ap->d, i);
+
+		if (row.owner != host)
+			continue;
+		row.owner = 0;
+		row.previous_owner = host;
+		row.fence = ap->index;
+		decided_put_target(ap->d, &row);
+	}
+}
+
+static int host_del(apply_t *ap, const char *name)
+{
+	const host_t *h = decided_host_by_name(ap->d, str_c(name));
+
+	if (!h)
+		return unknown(ap, "name", "host", name);
+	if (h->voter)
+		return fail(ap, "name",
+			    "it is a voter; make it a learner first");
+	disown(ap, h->id);
+	decided_del_host(ap->d, h->id);
+	return 0;
+}
+
+/* Whole changes. */
+
+/* X(CASE, field, call) - every operation, by its name in JSON. */
+#define OPS(X)                                                             \
+	X(TEMPLATE_PUT, template_put, template_put(ap, op->template_put))  \
+	X(TEMPLATE_DEL, template_del, template_del(ap, op->template_del))  \
+	X(ORG_CREATE, org_create, org_create(ap, op->org_create))          \
+	X(ORG_SET, org_set, org_set(ap, op->org_set))                      \
+	X(ORG_DEL, org_del, org_del(ap, op->org_del))                      \
+	X(ADAPTER_PUBLISH, adapter_publish,                                \
+	  adapter_publish(ap, op->adapter_publish))                        \
+	X(ADAPTER_RETIRE, adapter_retire,                                  \
+	  adapter_retire(ap, op->adapter_retire))                          \
+	X(ADAPTER_PIN, adapter_pin, adapter_pin(ap, op->adapter_pin))      \
+	X(ADAPTER_DEL, adapter_del, adapter_del(ap, op->adapter_del))      \
+	X(TARGET_PUT, target_put, target_put(ap, op->target_put))          \
+	X(TARGET_DRAIN, target_drain,                                      \
+	  target_state(ap, op->target_drain, TARGET_DRAINING))             \
+	X(TARGET_UNDRAIN, target_undrain,                                  \
+	  target_state(ap, op->target_undrain, TARGET_ACTIVE))             \
+	X(TARGET_DEL, target_del, target_del(ap, op->target_del))          \
+	X(HOST_PUT, host_put, host_put(ap, op->host_put))                  \
+	X(HOST_DRAIN, host_drain, host_draining(ap, op->host_drain, true)) \
+	X(HOST_UNDRAIN, host_undrain,                                      \
+	  host_draining(ap, op->host_undrain, false))                      \
+	X(HOST_DEL, host_del, host_del(ap, op->host_del))
+
+static int apply_op(apply_t *ap, const Dk__Op *op)
+{
+	switch (op->op_case) {
+#define X(ucase, field, call)         \
+	case DK__OP__OP_##ucase:      \
+		ap->op_name = #field; \
+		return call;
+		OPS(X)
+#undef X
+	default:
+		ap->op_name = "?";
+		return fail(ap, "", "is not a known operation");
+	}
+}
+
+/* What the operation is about. */
+static const char *subject(const Dk__Op *op)
+{
+	switch (op->op_case) {
+	case DK__OP__OP_TEMPLATE_PUT:
+		return op->template_put->name;
+	case DK__OP__OP_ORG_CREATE:
+	case DK__OP__OP_ORG_SET:
+		return op->org_create->name;
+	case DK__OP__OP_ADAPTER_PUBLISH:
+		return op->adapter_publish->n_names
+			       ? op->adapter_publish->names[0]
+			       : "";
+	case DK__OP__OP_ADAPTER_RETIRE:
+	case DK__OP__OP_ADAPTER_PIN:
+		return op->adapter_pin->name;
+	case DK__OP__OP_TARGET_PUT:
+		return op->target_put->name;
+	case DK__OP__OP_HOST_PUT:
+		return op->host_put->name;
+	case DK__OP__OP__NOT_SET:
+		return "";
+	default:
+		return op->template_del; /* all others are one text */
+	}
+}
+
+static const char *op_name(const Dk__Op *op)
+{
+	switch (op->op_case) {
+#define X(ucase, field, call)    \
+	case DK__OP__OP_##ucase: \
+		return #field;
+		OPS(X)
+#undef X
+	default:
+		return "?";
+	}
+}
+
+static void summarize_op(const Dk__Op *op, buf_t *out)
+{
+	buf_printf(out, "%s %s", op_name(op), subject(op));
+	if (op->op_case == DK__OP__OP_ADAPTER_PUBLISH &&
+	    op->adapter_publish->n_names > 1)
+		buf_printf(out, " and %zu more",
+			   op->adapter_publish->n_names - 1);
+}
+
+static void summarize(const Dk__Change *c, buf_t *out)
+{
+	for (size_t i = 0; i < c->n_ops; i++) {
+		if (out->n >= SUMMARY_MAX / 2) {
+			buf_printf(out, "; and %zu more operations",
+				   c->n_ops - i);
+			return;
+		}
+		buf_puts(out, i ? "; " : "");
+		summarize_op(c->ops[i], out);
+	}
+}
+
+/* Hash of what an author wants, apart from base revision and time. */
+static uint64_t body_hash(const Dk__Change *c)
+{
+	Dk__Change body = DK__CHANGE__INIT;
+	AUTO_BUF buf_t packed = {0};
+	size_t n;
+
+	body.author = c->author;
+	body.ops = c->ops;
+	body.n_ops = c->n_ops;
+	n = dk__change__get_packed_size(&body);
+	dk__change__pack(&body, (uint8_t *)buf_room(&packed, n));
+	return hash_bytes(packed.p, n, 0);
+}
+
+static void keep_change(decided_t *d, const Dk__Change *c, str_t packed,
+			uint64_t hash, uint64_t revision)
+{
+	AUTO_BUF buf_t summary = {0};
+	change_row_t row = {0};
+
+	summarize(c, &summary);
+	if (summary.n > SUMMARY_MAX)
+		summary.n = SUMMARY_MAX;
+	row.id = (uint32_t)revision;
+	row.name = str_c(c->change_id);
+	row.author = str_c(c->author);
+	row.summary = buf_str(&summary);
+	if (packed.n <= KEPT_BODY_MAX)
+		row.body = packed;
+	row.body_hash = hash;
+	row.time_ms = c->time_ms;
+	decided_add_change(d, &row);
+}
+
+static void refuse(change_outcome_t *out, change_status_t status,
+		   uint64_t revision, const buf_t *error)
+{
+	out->status = status;
+	out->revision = revision;
+	out->error = buf_str(error);
+}
+
+static void conflict(const decided_t *d, uint64_t base, change_outcome_t *out,
+		     buf_t *error)
+{
+	const change_row_t *won = decided_change(d, base + 1);
+	uint64_t current = decided_revision(d);
+
+	buf_printf(error, "base revision %llu is not the current one, %llu",
+		   (unsigned long long)base, (unsigned long long)current);
+	if (won)
+		buf_printf(error,
+			   "; change '%.*s' of '%.*s' made revision %llu",
+			   STR_ARG(won->name), STR_ARG(won->author),
+			   (unsigned long long)(base + 1));
+	refuse(out, CHANGE_CONFLICT, current, error);
+}
+
+static int check_head(const Dk__Change *c, buf_t *error)
+{
+	if (!c->change_id || !name_valid(str_c(c->change_id)))
+		buf_puts(error, "change_id: is missing or not a name");
+	else if (c->author && strlen(c->author) > CHANGE_AUTHOR_MAX)
+		buf_printf(error, "author: is longer than %u bytes",
+			   CHANGE_AUTHOR_MAX);
+	else if (!c->has_base_revision)
+		buf_puts(error, "base_revision: is missing");
+	else if (!c->n_ops)
+		buf_puts(error, "ops: is missing");
+	return error->n ? -1 : 0;
+}
+
+static int apply_ops(decided_t *d, const Dk__Change *c, uint64_t index,
+		     buf_t *error)
+{
+	apply_t ap = {d, index, 0, "", error};
+
+	for (ap.op = 0; ap.op < c->n_ops; ap.op++)
+		if (apply_op(&ap, c->ops[ap.op]))
+			return -1;
+	return 0;
+}
+
+static void apply_new(decided_t **d, const Dk__Change *c, str_t packed,
+		      uint64_t hash, uint64_t index, change_outcome_t *out,
+		      buf_t *error)
+{
+	uint64_t revision = decided_revision(*d) + 1;
+	decided_t *next = decided_edit(decided_ref(*d));
+
+	if (apply_ops(next, c, index, error)) {
+		decided_unref(next);
+		refuse(out, CHANGE_INVALID, revision - 1, error);
+		return;
+	}
+	keep_change(next, c, packed, hash, revision);
+	decided_set_position(next, index, revision);
+	decided_unref(*d);
+	*d = next;
+	out->status = CHANGE_DECIDED;
+	out->revision = revision;
+}
+
+static void apply_unpacked(decided_t **d, const Dk__Change *c, str_t packed,
+			   uint64_t index, change_outcome_t *out, buf_t *error)
+{
+	uint64_t current = decided_revision(*d);
+	const change_row_t *first;
+	uint64_t hash;
+
+	if (check_head(c, error)) {
+		refuse(out, CHANGE_INVALID, current, error);
+		return;
+	}
+	hash = body_hash(c);
+	first = decided_change_by_name(*d, str_c(c->change_id));
+	if (first && first->body_hash == hash) {
+		out->status = CHANGE_DECIDED;
+		out->revision = first->id;
+		out->resent = true;
+		return;
+	}
+	if (first) {
+		buf_printf(error,
+			   "change_id: '%s' was used for another change, "
+			   "revision %u",
+			   c->change_id, first->id);
+		refuse(out, CHANGE_INVALID, current, error);
+		return;
+	}
+	if (c->base_revision != current) {
+		conflict(*d, c->base_revision, out, error);
+		return;
+	}
+	apply_new(d, c, packed, hash, index, out, error);
+}
+
+static Dk__Change *unpack(str_t packed)
+{
+	if (packed.n > CHANGE_BYTES_MAX || !packed.p)
+		return NULL;
+	return dk__change__unpack(NULL, packed.n, (const uint8_t *)packed.p);
+}
+
+void change_apply(decided_t **d, str_t packed, uint64_t index,
+		  change_outcome_t *out, buf_t *error)
+{
+	Dk__Change *c = unpack(packed);
+
+	memset(out, 0, sizeof(*out));
+	if (!c) {
+		buf_puts(error, "the change is malformed or too large");
+		refuse(out, CHANGE_INVALID, decided_revision(*d), error);
+		return;
+	}
+	apply_unpacked(d, c, packed, index, out, error);
+	dk__change__free_unpacked(c, NULL);
+}
+
+bool change_outcome_of(const decided_t *d, str_t change_id,
+		       change_outcome_t *out)
+{
+	const change_row_t *row = decided_change_by_name(d, change_id);
+
+	if (!row)
+		return false;
+	memset(out, 0, sizeof(*out));
+	out->status = CHANGE_DECIDED;
+	out->revision = row->id;
+	out->resent = true;
+	return true;
+}
+
+int change_id_of(str_t packed, buf_t *out)
+{
+	Dk__Change *c = unpack(packed);
+	int rc = -1;
+
+	if (c && c->change_id) {
+		buf_puts(out, c->change_id);
+		rc = 0;
+	}
+	if (c)
+		dk__change__free_unpacked(c, NULL);
+	return rc;
+}
--- /dev/null
+++ b/src/claim.c
@@ -0,0 +1,392 @@
+/*
+ * claim.c - the table of claims: a hash table by organisation and key, and a
+ * list in the order of the last change, from whose head claims are forgotten.
+ */
+#include "claim.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+#include <urcu/list.h>
+
+#include "change.pb-c.h"
+
+/* Saved; add at the end only. */
+typedef enum claim_state {
+	CLAIM_ST_TAKEN,
+	CLAIM_ST_ANSWERED,
+	CLAIM_ST_UNKNOWN,
+	CLAIM_ST_RELEASED,
+	CLAIM_ST_COUNT,
+} claim_state_t;
+
+typedef struct claim {
+	struct cds_list_head node; /* claims_t.order */
+	uint32_t org_id;
+	uint16_t http_status;
+	uint8_t state;
+	uint64_t body_hash;
+	uint64_t until_ms;   /* TAKEN: lapses after this */
+	uint64_t touched_ms; /* last change */
+	str_t key;	     /* inside this allocation */
+	str_t holder;	     /* owned */
+	str_t body;	     /* owned */
+} claim_t;
+
+struct claims {
+	GHashTable *by_key; /* claim_t to itself; the claims are owned */
+	GHashTable *by_org; /* org id to bytes held */
+	struct cds_list_head order;
+	uint64_t now_ms;
+	size_t bytes;
+};
+
+static guint claim_hash(gconstpointer p)
+{
+	const claim_t *c = p;
+
+	return (guint)hash_bytes(c->key.p, c->key.n, c->org_id);
+}
+
+static gboolean claim_equal(gconstpointer a, gconstpointer b)
+{
+	const claim_t *x = a;
+	const claim_t *y = b;
+
+	return x->org_id == y->org_id && str_eq(x->key, y->key);
+}
+
+claims_t *claims_new(void)
+{
+	claims_t *c = xcalloc(1, sizeof(*c));
+
+	c->by_key = g_hash_table_new(claim_hash, claim_equal);
+	c->by_org = g_hash_table_new(NULL, NULL);
+	CDS_INIT_LIST_HEAD(&c->order);
+	return c;
+}
+
+static size_t claim_size(const claim_t *cl)
+{
+	return sizeof(*cl) + cl->key.n + cl->holder.n + cl->body.n;
+}
+
+static size_t org_bytes(const claims_t *c, uint32_t org_id)
+{
+	gpointer key = GUINT_TO_POINTER(org_id);
+
+	return GPOINTER_TO_SIZE(g_hash_table_lookup(c->by_org, key));
+}
+
+static void account(claims_t *c, uint32_t org_id, size_t less, size_t more)
+{
+	size_t bytes = org_bytes(c, org_id) - less + more;
+	gpointer key = GUINT_TO_POINTER(org_id);
+
+	c->bytes = c->bytes - less + more;
+	if (bytes)
+		g_hash_table_insert(c->by_org, key, GSIZE_TO_POINTER(bytes));
+	else
+		g_hash_table_remove(c->by_org, key);
+}
+
+static void claim_free(claim_t *cl)
+{
+	str_free(&cl->holder);
+	str_free(&cl->body);
+	free(cl);
+}
+
+static void forget(claims_t *c, claim_t *cl)
+{
+	account(c, cl->org_id, claim_size(cl), 0);
+	g_hash_table_remove(c->by_key, cl);
+	cds_list_del(&cl->node);
+	claim_free(cl);
+}
+
+void claims_free(claims_t *c)
+{
+	claim_t *cl, *next;
+
+	if (!c)
+		return;
+	cds_list_for_each_entry_safe (cl, next, &c->order, node)
+		claim_free(cl);
+	g_hash_table_destroy(c->by_key);
+	g_hash_table_destroy(c->by_org);
+	free(c);
+}
+
+size_t claims_count(const claims_t *c)
+{
+	return g_hash_table_size(c->by_key);
+}
+
+static uint64_t keep_from(const claim_t *cl)
+{
+	if (cl->state == CLAIM_ST_TAKEN && cl->until_ms > cl->touched_ms)
+		return cl->until_ms;
+	return cl->touched_ms;
+}
+
+void claims_advance(claims_t *c, uint64_t now_ms)
+{
+	if (now_ms > c->now_ms)
+		c->now_ms = now_ms;
+	while (!cds_list_empty(&c->order)) {
+		claim_t *cl = cds_list_entry(c->order.next, claim_t, node);
+
+		if (keep_from(cl) + CLAIM_KEEP_MS >= c->now_ms)
+			return;
+		forget(c, cl);
+	}
+}
+
+static claim_t *find(const claims_t *c, uint32_t org_id, str_t key)
+{
+	claim_t probe;
+
+	probe.org_id = org_id;
+	probe.key = key;
+	return g_hash_table_lookup(c->by_key, &probe);
+}
+
+static claim_t *claim_add(claims_t *c, uint32_t org_id, str_t key, str_t holder)
+{
+	claim_t *cl = xcalloc(1, sizeof(*cl) + key.n);
+
+	memcpy(cl + 1, key.p, key.n);
+	cl->key = str_n((char *)(cl + 1), key.n);
+	cl->org_id = org_id;
+	cl->holder = str_copy(holder);
+	cds_list_add_tail(&cl->node, &c->order);
+	g_hash_table_add(c->by_key, cl);
+	account(c, org_id, 0, claim_size(cl));
+	return cl;
+}
+
+static void touch(claims_t *c, claim_t *cl, claim_state_t state)
+{
+	cl->state = (uint8_t)state;
+	cl->touched_ms = c->now_ms;
+	cds_list_del(&cl->node);
+	cds_list_add_tail(&cl->node, &c->order);
+}
+
+static void start(claims_t *c, claim_t *cl, const claim_req_t *req)
+{
+	uint64_t ttl = req->ttl_ms ? req->ttl_ms : CLAIM_TTL_DEFAULT_MS;
+
+	if (ttl > CLAIM_TTL_MAX_MS)
+		ttl = CLAIM_TTL_MAX_MS;
+	cl->body_hash = req->body_hash;
+	cl->until_ms = c->now_ms + ttl;
+	touch(c, cl, CLAIM_ST_TAKEN);
+}
+
+static bool has_room(const claims_t *c, const claim_req_t *req)
+{
+	return c->bytes < CLAIM_ALL_BYTES &&
+	       org_bytes(c, req->org_id) < CLAIM_ORG_BYTES;
+}
+
+static void change_holder(claims_t *c, claim_t *cl, str_t holder)
+{
+	account(c, cl->org_id, cl->holder.n, holder.n);
+	str_free(&cl->holder);
+	cl->holder = str_copy(holder);
+}
+
+static claim_outcome_t take_free(claims_t *c, claim_t *cl,
+				 const claim_req_t *req)
+{
+	if (cl && str_eq(cl->holder, req->holder))
+		return CLAIM_NOT_TAKEN;
+	if (!has_room(c, req))
+		return CLAIM_NOT_TAKEN;
+	if (cl)
+		change_holder(c, cl, req->holder);
+	else
+		cl = claim_add(c, req->org_id, req->key, req->holder);
+	start(c, cl, req);
+	return CLAIM_GRANTED;
+}
+
+static claim_outcome_t take(claims_t *c, claim_t *cl, const claim_req_t *req,
+			    claim_result_t *res)
+{
+	if (!cl || cl->state == CLAIM_ST_RELEASED)
+		return take_free(c, cl, req);
+	if (cl->body_hash != req->body_hash)
+		return CLAIM_MISMATCH;
+	if (cl->state == CLAIM_ST_ANSWERED) {
+		res->http_status = cl->http_status;
+		res->body = cl->body;
+		return CLAIM_ANSWERED;
+	}
+	if (cl->state == CLAIM_ST_UNKNOWN || c->now_ms > cl->until_ms)
+		return CLAIM_IS_UNKNOWN;
+	if (str_eq(cl->holder, req->holder))
+		return CLAIM_GRANTED;
+	return CLAIM_IN_PROGRESS;
+}
+
+static claim_outcome_t answer(claims_t *c, claim_t *cl, const claim_req_t *req)
+{
+	if (cl->state == CLAIM_ST_RELEASED)
+		return CLAIM_NOT_TAKEN;
+	if (cl->state == CLAIM_ST_ANSWERED)
+		return CLAIM_RECORDED;
+	account(c, cl->org_id, 0, req->body.n);
+	cl->body = str_copy(req->body);
+	cl->http_status = (uint16_t)req->http_status;
+	touch(c, cl, CLAIM_ST_ANSWERED);
+	return CLAIM_RECORDED;
+}
+
+static claim_outcome_t report_unknown(claims_t *c, claim_t *cl)
+{
+	if (cl->state == CLAIM_ST_RELEASED)
+		return CLAIM_NOT_TAKEN;
+	if (cl->state == CLAIM_ST_TAKEN)
+		touch(c, cl, CLAIM_ST_UNKNOWN);
+	return CLAIM_RECORDED;
+}
+
+static claim_outcome_t release(claims_t *c, claim_t *cl)
+{
+	if (cl->state == CLAIM_ST_RELEASED)
+		return CLAIM_RECORDED;
+	if (cl->state != CLAIM_ST_TAKEN)
+		return CLAIM_NOT_TAKEN;
+	touch(c, cl, CLAIM_ST_RELEASED);
+	return CLAIM_RECORDED;
+}
+
+static bool well_formed(const claim_req_t *req)
+{
+	return req->org_id && req->key.n && req->key.n <= CLAIM_KEY_MAX &&
+	       req->holder.n && req->holder.n <= CLAIM_HOLDER_MAX &&
+	       req->body.n <= CLAIM_BODY_MAX && req->http_status >= 0 &&
+	       req->http_status <= UINT16_MAX;
+}
+
+void claims_apply(claims_t *c, const claim_req_t *req, claim_result_t *res)
+{
+	claim_t *cl;
+
+	memset(res, 0, sizeof(*res));
+	res->tag = req->tag;
+	res->outcome = CLAIM_NOT_TAKEN;
+	if (!well_formed(req))
+		return;
+	cl = find(c, req->org_id, req->key);
+	if (req->op == CLAIM_TAKE) {
+		res->outcome = take(c, cl, req, res);
+		return;
+	}
+	if (!cl || !str_eq(cl->holder, req->holder))
+		return;
+	if (req->op == CLAIM_ANSWER)
+		res->outcome = answer(c, cl, req);
+	else if (req->op == CLAIM_UNKNOWN)
+		res->outcome = report_unknown(c, cl);
+	else if (req->op == CLAIM_RELEASE)
+		res->outcome = release(c, cl);
+}
+
+static ProtobufCBinaryData data_of(str_t s)
+{
+	ProtobufCBinaryData d = {s.n, (uint8_t *)s.p};
+
+	return d;
+}
+
+static str_t str_of(ProtobufCBinaryData d)
+{
+	return str_n((char *)d.data, d.len);
+}
+
+static void row_of(const claim_t *cl, Dk__ClaimRow *row)
+{
+	dk__claim_row__init(row);
+	row->org_id = cl->org_id;
+	row->key = data_of(cl->key);
+	row->holder = data_of(cl->holder);
+	row->body_hash = cl->body_hash;
+	row->state = cl->state;
+	row->until_ms = cl->until_ms;
+	row->touched_ms = cl->touched_ms;
+	row->has_http_status = cl->http_status != 0;
+	row->http_status = cl->http_status;
+	row->has_body = cl->body.n != 0;
+	row->body = data_of(cl->body);
+}
+
+void claims_save(const claims_t *c, buf_t *out)
+{
+	size_t n = claims_count(c);
+	AUTO_FREE Dk__ClaimRow *rows = xcalloc(n, sizeof(*rows));
+	AUTO_FREE Dk__ClaimRow **list = xcalloc(n, sizeof(*list));
+	Dk__ClaimRows all = DK__CLAIM_ROWS__INIT;
+	const claim_t *cl;
+	size_t packed;
+
+	all.now_ms = c->now_ms;
+	all.rows = list;
+	cds_list_for_each_entry (cl, &c->order, node) {
+		row_of(cl, &rows[all.n_rows]);
+		list[all.n_rows] = &rows[all.n_rows];
+		all.n_rows++;
+	}
+	packed = dk__claim_rows__get_packed_size(&all);
+	dk__claim_rows__pack(&all, (uint8_t *)buf_room(out, packed));
+	out->n += packed;
+}
+
+static int load_row(claims_t *c, const Dk__ClaimRow *row)
+{
+	str_t key = str_of(row->key);
+	str_t holder = str_of(row->holder);
+	claim_t *cl;
+
+	if (!row->org_id || !key.n || !holder.n || key.n > CLAIM_KEY_MAX ||
+	    holder.n > CLAIM_HOLDER_MAX || row->state >= CLAIM_ST_COUNT ||
+	    row->http_status > UINT16_MAX || row->touched_ms > c->now_ms ||
+	    row->until_ms > row->touched_ms + CLAIM_TTL_MAX_MS ||
+	    find(c, row->org_id, key))
+		return -1;
+	cl = claim_add(c, row->org_id, key, holder);
+	cl->body_hash = row->body_hash;
+	cl->state = (uint8_t)row->state;
+	cl->until_ms = row->until_ms;
+	cl->touched_ms = row->touched_ms;
+	cl->http_status = (uint16_t)row->http_status;
+	if (row->has_body && row->body.len) {
+		account(c, cl->org_id, 0, row->body.len);
+		cl->body = str_copy(str_of(row->body));
+	}
+	return 0;
+}
+
+claims_t *claims_load(str_t bytes)
+{
+	Dk__ClaimRows *all = dk__claim_rows__unpack(
+		NULL, bytes.n, (const uint8_t *)(bytes.p ? bytes.p : ""));
+	claims_t *c;
+	int rc = 0;
+
+	if (!all)
+		return NULL;
+	c = claims_new();
+	c->now_ms = all->now_ms;
+	for (size_t i = 0; i < all->n_rows && !rc; i++)
+		rc = load_row(c, all->rows[i]);
+	dk__claim_rows__free_unpacked(all, NULL);
+	if (!rc)
+		return c;
+	claims_free(c);
+	return NULL;
+}
--- a/src/claim.h
+++ b/src/claim.h
@@ -43,9 +43,23 @@
 	uint64_t body_hash; /* of the request body, to detect reuse of a key */
 	int http_status;    /* ANSWER */
 	str_t body;	    /* ANSWER: at most CLAIM_BODY_MAX bytes */
+	/*
+	 * TAKE: when the claim lapses, from the time of its entry; then
+	 * resends get IS_UNKNOWN instead of IN_PROGRESS. 0: the default.
+	 */
+	uint64_t ttl_ms;
 } claim_req_t;
 
 #define CLAIM_BODY_MAX 65536u
+#define CLAIM_KEY_MAX 255u
+#define CLAIM_HOLDER_MAX 255u
+#define CLAIM_TTL_DEFAULT_MS 60000u
+#define CLAIM_TTL_MAX_MS 3600000u
+/* A key is known this long after the last change of its claim. */
+#define CLAIM_KEEP_MS 86400000u
+/* Bounds of memory; a TAKE above them is NOT_TAKEN. */
+#define CLAIM_ORG_BYTES (4u << 20)
+#define CLAIM_ALL_BYTES (12u << 20)
 
 typedef struct claim_result {
 	uint64_t tag;
@@ -54,6 +68,33 @@
 	str_t body;	 /* CLAIM_ANSWERED; valid during the call only */
 } claim_result_t;
 
+/*
+ * The claims of the state machine. Rules, all from the order of the log and
+ * the times of its entries:
+ *
+ * TAKE of a free or released key is GRANTED. The holder that sends its TAKE
+ * again is GRANTED again while the claim is in progress. Any other TAKE gets
+ * the claim's state, or MISMATCH where its body differs. A claim in progress
+ * lapses to unknown once its time has passed. ANSWER goes before UNKNOWN in
+ * whatever order they come. RELEASE works only on a claim that its holder has
+ * not reported as sent; the released holder is never granted the key again.
+ */
+typedef struct claims claims_t;
+
+claims_t *claims_new(void);
+void claims_free(claims_t *c);
+/*
+ * Sets the time to now_ms, unless it is later already, and forgets claims
+ * beyond their time.
+ */
+void claims_advance(claims_t *c, uint64_t now_ms);
+/* Applies one operation. Strings of *res point into req or the claims. */
+void claims_apply(claims_t *c, const claim_req_t *req, claim_result_t *res);
+size_t claims_count(const claims_t *c);
+/* The same claims give the same bytes. Load gives NULL on corrupt bytes. */
+void claims_save(const claims_t *c, buf_t *out);
+claims_t *claims_load(str_t bytes);
+
 #ifdef __cplusplus
 }
 #endif
--- a/src/decided.h
+++ b/src/decided.h
@@ -73,6 +73,7 @@
 	str_t template_name; /* may be empty */
 	int32_t priority;    /* higher is more urgent */
 	org_limits_t limits;
+	str_t settings; /* packed OrgSettings: what the operator chose */
 } org_t;
 
 typedef struct adapter {
@@ -86,6 +87,28 @@
 	size_t n_versions;
 } adapter_t;
 
+typedef struct template_row {
+	uint32_t id;
+	str_t name;
+	str_t spec; /* packed Template (proto/change.proto) */
+} template_row_t;
+
+/*
+ * One of the latest decided changes, kept for resends and for the list of
+ * changes; at least the latest DECIDED_CHANGES_KEPT.
+ */
+typedef struct change_row {
+	uint32_t id; /* the revision that it made */
+	str_t name;  /* change id */
+	str_t author;
+	str_t summary;
+	str_t body;	    /* packed Change; empty where it is large */
+	uint64_t body_hash; /* of author and operations */
+	uint64_t time_ms;   /* wall clock of the daemon that took it in */
+} change_row_t;
+
+#define DECIDED_CHANGES_KEPT 8192u
+
 typedef struct decided decided_t;
 
 decided_t *decided_new(void);
@@ -107,6 +130,9 @@
 const org_t *decided_org_by_token(const decided_t *d, str_t token);
 const adapter_t *decided_adapter(const decided_t *d, str_t name);
 const adapter_t *decided_adapter_by_id(const decided_t *d, uint32_t id);
+const template_row_t *decided_template_by_name(const decided_t *d, str_t name);
+const change_row_t *decided_change(const decided_t *d, uint64_t revision);
+const change_row_t *decided_change_by_name(const decided_t *d, str_t change_id);
 bool adapter_has_version(const adapter_t *a, uint32_t version);
 
 /* Rows in ascending order of id; i < count. */
@@ -118,11 +144,20 @@
 const org_t *decided_org_at(const decided_t *d, size_t i);
 size_t decided_adapter_count(const decided_t *d);
 const adapter_t *decided_adapter_at(const decided_t *d, size_t i);
+size_t decided_template_count(const decided_t *d);
+const template_row_t *decided_template_at(const decided_t *d, size_t i);
+size_t decided_change_count(const decided_t *d);
+const change_row_t *decided_change_at(const decided_t *d, size_t i);
+
+#define TOKEN_HASH_BYTES 32u
+/* BLAKE2b hash of a bearer token, as in org_t.token_hash. */
+void token_hash(str_t token, uint8_t out[TOKEN_HASH_BYTES]);
 
 /*
  * Changing side. Each put copies its row (strings too), replaces a row of the
  * same id, or of the same name where id is 0 (a new one gets the next free
- * id), and returns the id. Only on a decided_t that nobody else references;
+ * id), and returns the id; 0, and nothing is put, where another row has the
+ * name already. Only on a decided_t that nobody else references;
  * decided_edit() gives one. Names are checked by the caller (change.h).
  */
 decided_t *decided_edit(decided_t *d); /* consumes the reference to d */
@@ -130,12 +165,23 @@
 target_id_t decided_put_target(decided_t *d, const target_t *row);
 uint32_t decided_put_org(decided_t *d, const org_t *row);
 uint32_t decided_put_adapter(decided_t *d, const adapter_t *row);
+uint32_t decided_put_template(decided_t *d, const template_row_t *row);
+/* Adds the row of the next revision; drops the oldest beyond the bound. */
+void decided_add_change(decided_t *d, const change_row_t *row);
 bool decided_del_host(decided_t *d, host_id_t id);
 bool decided_del_target(decided_t *d, target_id_t id);
 bool decided_del_org(decided_t *d, uint32_t id);
 bool decided_del_adapter(decided_t *d, uint32_t id);
+bool decided_del_template(decided_t *d, uint32_t id);
 void decided_set_position(decided_t *d, uint64_t index, uint64_t revision);
 
+/*
+ * Appends all tables as bytes; the same tables give the same bytes. Load
+ * gives NULL where the bytes are not well-formed tables.
+ */
+void decided_save(const decided_t *d, buf_t *out);
+decided_t *decided_load(str_t bytes);
+
 #ifdef __cplusplus
 }
 #endif
--- /dev/null
+++ b/src/machine.c
@@ -0,0 +1,304 @@
+/*
+ * machine.c - applies entries of the log to tables and claims, and saves and
+ * loads both.
+ */
+#include "machine.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "change.h"
+#include "change.pb-c.h"
+
+#define SNAPSHOT_MAGIC 0x31534b44u /* "DKS1" */
+#define ASSIGN_MAX 65536u
+
+struct machine {
+	uint64_t index;
+	decided_t *tables;
+	claims_t *claims;
+};
+
+machine_t *machine_new(void)
+{
+	machine_t *m = xcalloc(1, sizeof(*m));
+
+	m->tables = decided_new();
+	m->claims = claims_new();
+	return m;
+}
+
+void machine_free(machine_t *m)
+{
+	if (!m)
+		return;
+	decided_unref(m->tables);
+	claims_free(m->claims);
+	free(m);
+}
+
+uint64_t machine_index(const machine_t *m)
+{
+	return m->index;
+}
+
+decided_t *machine_tables(const machine_t *m)
+{
+	return decided_ref(m->tables);
+}
+
+static void apply_change(machine_t *m, uint64_t index, str_t data,
+			 const machine_sink_t *sink)
+{
+	AUTO_BUF buf_t error = {0};
+	AUTO_BUF buf_t id = {0};
+	change_outcome_t out;
+
+	change_apply(&m->tables, data, index, &out, &error);
+	if (!sink || !sink->changed)
+		return;
+	change_id_of(data, &id);
+	sink->changed(sink->ctx, buf_str(&id), &out);
+}
+
+/* An assignment of a target that is gone is void. */
+static void assign(decided_t *d, target_id_t id, host_id_t owner,
+		   uint64_t index)
+{
+	const target_t *t = decided_target(d, id);
+	target_t row;
+
+	if (!t || (owner && !decided_host(d, owner)))
+		return;
+	row = *t;
+	if (row.owner)
+		row.previous_owner = row.owner;
+	row.owner = owner;
+	row.fence = index;
+	decided_put_target(d, &row);
+}
+
+static int apply_assign(machine_t *m, uint64_t index, str_t data)
+{
+	Dk__Assign *a =
+		dk__assign__unpack(NULL, data.n, (const uint8_t *)data.p);
+
+	if (!a)
+		return -1;
+	m->tables = decided_edit(m->tables);
+	for (size_t i = 0; i + 1 < a->n_pairs; i += 2)
+		assign(m->tables, a->pairs[i], a->pairs[i + 1], index);
+	decided_set_position(m->tables, index, decided_revision(m->tables));
+	dk__assign__free_unpacked(a, NULL);
+	return 0;
+}
+
+static str_t str_of(ProtobufCBinaryData d)
+{
+	return str_n((char *)d.data, d.len);
+}
+
+static void claim_of(const Dk__Claim *c, claim_req_t *req)
+{
+	memset(req, 0, sizeof(*req));
+	req->op = (claim_op_t)c->op;
+	req->org_id = c->org_id;
+	req->key = str_of(c->key);
+	req->holder = str_of(c->holder);
+	req->body_hash = c->body_hash;
+	req->http_status = (int)(c->http_status & 0xffff);
+	req->body = str_of(c->body);
+	req->ttl_ms = c->ttl_ms;
+}
+
+static int apply_claims(machine_t *m, str_t data, const machine_sink_t *sink)
+{
+	Dk__Claims *batch =
+		dk__claims__unpack(NULL, data.n, (const uint8_t *)data.p);
+	claim_req_t req;
+	claim_result_t res;
+
+	if (!batch)
+		return -1;
+	claims_advance(m->claims, batch->now_ms);
+	for (size_t i = 0; i < batch->n_claims; i++) {
+		claim_of(batch->claims[i], &req);
+		claims_apply(m->claims, &req, &res);
+		if (sink && sink->claimed)
+			sink->claimed(sink->ctx, i, &res);
+	}
+	dk__claims__free_unpacked(batch, NULL);
+	return 0;
+}
+
+int machine_apply(machine_t *m, uint64_t index, entry_kind_t kind, str_t data,
+		  const machine_sink_t *sink)
+{
+	int rc = 0;
+
+	if (index <= m->index)
+		return -1;
+	if (!data.p)
+		data.p = "";
+	if (kind == ENTRY_CHANGE)
+		apply_change(m, index, data, sink);
+	else if (kind == ENTRY_ASSIGN)
+		rc = apply_assign(m, index, data);
+	else if (kind == ENTRY_CLAIM)
+		rc = apply_claims(m, data, sink);
+	else if (kind != ENTRY_NOOP && kind != ENTRY_MEMBERS)
+		rc = -1;
+	if (rc)
+		return -1;
+	m->index = index;
+	return 0;
+}
+
+void machine_pack_assign(buf_t *out, const assignment_t *a, size_t n)
+{
+	AUTO_FREE uint32_t *pairs = xcalloc(2 * n, sizeof(*pairs));
+	Dk__Assign msg = DK__ASSIGN__INIT;
+	size_t packed;
+
+	for (size_t i = 0; i < n; i++) {
+		pairs[2 * i] = a[i].target;
+		pairs[2 * i + 1] = a[i].owner;
+	}
+	msg.n_pairs = 2 * n;
+	msg.pairs = pairs;
+	packed = dk__assign__get_packed_size(&msg);
+	dk__assign__pack(&msg, (uint8_t *)buf_room(out, packed));
+	out->n += packed;
+}
+
+static ProtobufCBinaryData data_of(str_t s)
+{
+	ProtobufCBinaryData d = {s.n, (uint8_t *)s.p};
+
+	return d;
+}
+
+static void pack_claim(const claim_req_t *req, Dk__Claim *c)
+{
+	dk__claim__init(c);
+	c->op = req->op;
+	c->org_id = req->org_id;
+	c->key = data_of(req->key);
+	c->holder = data_of(req->holder);
+	c->has_body_hash = true;
+	c->body_hash = req->body_hash;
+	c->has_http_status = req->http_status != 0;
+	c->http_status = (uint32_t)req->http_status;
+	c->has_body = req->body.n != 0;
+	c->body = data_of(req->body);
+	c->has_ttl_ms = req->ttl_ms != 0;
+	c->ttl_ms = req->ttl_ms;
+}
+
+void machine_pack_claims(buf_t *out, const claim_req_t *reqs, size_t n,
+			 uint64_t now_ms)
+{
+	AUTO_FREE Dk__Claim *claims = xcalloc(n, sizeof(*claims));
+	AUTO_FREE Dk__Claim **list = xcalloc(n, sizeof(*list));
+	Dk__Claims msg = DK__CLAIMS__INIT;
+	size_t packed;
+
+	for (size_t i = 0; i < n; i++) {
+		pack_claim(&reqs[i], &claims[i]);
+		list[i] = &claims[i];
+	}
+	msg.now_ms = now_ms;
+	msg.claims = list;
+	msg.n_claims = n;
+	packed = dk__claims__get_packed_size(&msg);
+	dk__claims__pack(&msg, (uint8_t *)buf_room(out, packed));
+	out->n += packed;
+}
+
+bool machine_outcome(const machine_t *m, str_t change_id, change_outcome_t *out)
+{
+	return change_outcome_of(m->tables, change_id, out);
+}
+
+void machine_check(const machine_t *m, str_t change, change_outcome_t *out,
+		   buf_t *error)
+{
+	decided_t *d = decided_ref(m->tables);
+
+	change_apply(&d, change, m->index + 1, out, error);
+	decided_unref(d);
+}
+
+/* Header of a snapshot; tables and claims follow, then a checksum of all. */
+typedef struct snapshot_head {
+	uint32_t magic;
+	uint32_t parts;
+	uint64_t index;
+	uint64_t tables_bytes;
+	uint64_t claims_bytes;
+} snapshot_head_t;
+
+void machine_save(const machine_t *m, machine_parts_t parts, buf_t *out)
+{
+	size_t start = out->n;
+	snapshot_head_t head = {SNAPSHOT_MAGIC, (uint32_t)parts, m->index, 0,
+				0};
+	uint64_t sum;
+
+	buf_put(out, &head, sizeof(head));
+	decided_save(m->tables, out);
+	head.tables_bytes = out->n - start - sizeof(head);
+	if (parts == MACHINE_ALL)
+		claims_save(m->claims, out);
+	head.claims_bytes = out->n - start - sizeof(head) - head.tables_bytes;
+	memcpy(out->p + start, &head, sizeof(head));
+	sum = hash_bytes(out->p + start, out->n - start, 0);
+	buf_put(out, &sum, sizeof(sum));
+}
+
+/* Checks sizes and checksum; -1 where the snapshot is corrupt. */
+static int read_head(str_t snapshot, snapshot_head_t *head)
+{
+	uint64_t sum;
+	size_t body;
+
+	if (snapshot.n < sizeof(*head) + sizeof(sum))
+		return -1;
+	body = snapshot.n - sizeof(sum);
+	memcpy(head, snapshot.p, sizeof(*head));
+	memcpy(&sum, snapshot.p + body, sizeof(sum));
+	if (head->magic != SNAPSHOT_MAGIC || head->parts > MACHINE_TABLES)
+		return -1;
+	body -= sizeof(*head);
+	if (head->tables_bytes > body ||
+	    head->claims_bytes != body - head->tables_bytes)
+		return -1;
+	return hash_bytes(snapshot.p, snapshot.n - sizeof(sum), 0) == sum ? 0
+									  : -1;
+}
+
+int machine_load(machine_t *m, str_t snapshot)
+{
+	snapshot_head_t head;
+	decided_t *tables;
+	claims_t *claims;
+	const char *at;
+
+	if (read_head(snapshot, &head))
+		return -1;
+	at = snapshot.p + sizeof(head);
+	tables = decided_load(str_n(at, head.tables_bytes));
+	if (!tables)
+		return -1;
+	claims = claims_load(str_n(at + head.tables_bytes, head.claims_bytes));
+	if (!claims && head.claims_bytes) {
+		decided_unref(tables);
+		return -1;
+	}
+	decided_unref(m->tables);
+	claims_free(m->claims);
+	m->tables = tables;
+	m->claims = claims ? claims : claims_new();
+	m->index = head.index;
+	return 0;
+}
--- a/src/machine.h
+++ b/src/machine.h
@@ -65,16 +65,18 @@
 			 uint64_t now_ms);
 
 /*
- * Known outcome of a change id, for resends; false where there is none.
- * out->error points into the machine.
+ * Known outcome of a decided change id, for resends; false where there is
+ * none, or only a refusal, which decided nothing.
  */
 bool machine_outcome(const machine_t *m, str_t change_id,
 		     change_outcome_t *out);
 /*
  * Checks a packed Change against the current tables without applying it.
- * out->status tells what applying it now would give.
+ * out->status tells what applying it now would give; out->error points into
+ * *error, which the caller owns.
  */
-void machine_check(const machine_t *m, str_t change, change_outcome_t *out);
+void machine_check(const machine_t *m, str_t change, change_outcome_t *out,
+		   buf_t *error);
 
 void machine_save(const machine_t *m, machine_parts_t parts, buf_t *out);
 /* Replaces all; 0, or -1 where the bytes are corrupt (m is unchanged). */
--- /dev/null
+++ b/tests/decided_test.cc
@@ -0,0 +1,160 @@
+// The decided tables: look-ups, sharing between versions, saving and loading.
+#include <gtest/gtest.h>
+
+#include <map>
+#include <string>
+
+#include "change_util.h"
+
+static adapter_t adapter(const std::string &name, uint32_t id = 0)
+{
+	static const uint32_t versions[] = {1, 3, 7};
+	adapter_t a = {};
+
+	a.id = id;
+	a.name = view(name);
+	a.base = str_c("llama");
+	a.current_version = 3;
+	a.versions = versions;
+	a.n_versions = 3;
+	return a;
+}
+
+static uint32_t put(decided_t *d, const std::string &name, uint32_t id = 0)
+{
+	adapter_t a = adapter(name, id);
+	return decided_put_adapter(d, &a);
+}
+
+TEST(Decided, FindsRowsByNameAndIdAfterManyEdits)
+{
+	decided_t *d = decided_new();
+	std::map<uint32_t, std::string> oracle;
+	uint64_t r = 1;
+
+	for (int i = 0; i < 4000; i++) {
+		r = r * 6364136223846793005ull + 1442695040888963407ull;
+		std::string name = "a" + std::to_string((r >> 33) % 700);
+		const adapter_t *a = decided_adapter(d, view(name));
+		if (a && (r >> 60) < 8) {
+			oracle.erase(a->id);
+			ASSERT_TRUE(decided_del_adapter(d, a->id));
+		} else {
+			uint32_t had = a ? a->id : 0;
+			uint32_t id = put(d, name);
+			ASSERT_EQ(had ? had : id, id);
+			oracle[id] = name;
+		}
+	}
+	ASSERT_EQ(oracle.size(), decided_adapter_count(d));
+	size_t pos = 0;
+	for (auto &kv : oracle) {
+		const adapter_t *a = decided_adapter_by_id(d, kv.first);
+		ASSERT_NE(nullptr, a);
+		EXPECT_EQ(kv.second, text(a->name));
+		EXPECT_EQ(a, decided_adapter(d, view(kv.second)));
+		EXPECT_EQ(a, decided_adapter_at(d, pos++));
+	}
+	EXPECT_EQ(nullptr, decided_adapter(d, str_c("none")));
+	EXPECT_EQ(nullptr, decided_adapter_by_id(d, 0));
+	EXPECT_EQ(nullptr, decided_adapter_by_id(d, 1u << 30));
+	decided_unref(d);
+}
+
+TEST(Decided, OldVersionsStayAsTheyWere)
+{
+	decided_t *d = decided_new();
+
+	for (int i = 0; i < 300; i++)
+		put(d, "a" + std::to_string(i));
+	decided_t *old = decided_ref(d);
+	const adapter_t *row = decided_adapter(old, str_c("a42"));
+	d = decided_edit(d);
+	ASSERT_NE(old, d);
+	adapter_t a = adapter("a42");
+	a.current_version = 7;
+	decided_put_adapter(d, &a);
+	decided_del_adapter(d, decided_adapter(d, str_c("a7"))->id);
+	put(d, "new");
+	EXPECT_EQ(7u, decided_adapter(d, str_c("a42"))->current_version);
+	EXPECT_EQ(nullptr, decided_adapter(d, str_c("a7")));
+	EXPECT_EQ(300u, decided_adapter_count(d));
+	EXPECT_EQ(300u, decided_adapter_count(old));
+	EXPECT_EQ(row, decided_adapter(old, str_c("a42")));
+	EXPECT_EQ(3u, row->current_version);
+	EXPECT_NE(nullptr, decided_adapter(old, str_c("a7")));
+	EXPECT_EQ(nullptr, decided_adapter(old, str_c("new")));
+	decided_unref(d);
+	EXPECT_EQ("a42", text(row->name));
+	decided_unref(old);
+}
+
+TEST(Decided, RefusesASecondRowOfOneName)
+{
+	decided_t *d = decided_new();
+	uint32_t a = put(d, "a");
+	uint32_t b = put(d, "b");
+
+	EXPECT_EQ(0u, put(d, "a", b));
+	EXPECT_EQ(a, put(d, "renamed", a));
+	EXPECT_EQ(nullptr, decided_adapter(d, str_c("a")));
+	EXPECT_EQ(a, decided_adapter(d, str_c("renamed"))->id);
+	decided_unref(d);
+}
+
+TEST(Decided, FindsOrganisationsByToken)
+{
+	decided_t *d = decided_new();
+	uint8_t hash[TOKEN_HASH_BYTES];
+	org_t o = {};
+
+	token_hash(str_c("secret"), hash);
+	o.name = str_c("council");
+	o.token_hash = str_n((char *)hash, sizeof(hash));
+	uint32_t id = decided_put_org(d, &o);
+	ASSERT_NE(nullptr, decided_org_by_token(d, str_c("secret")));
+	EXPECT_EQ(id, decided_org_by_token(d, str_c("secret"))->id);
+	EXPECT_EQ(nullptr, decided_org_by_token(d, str_c("other")));
+	EXPECT_EQ(nullptr, decided_org_by_token(d, str_n(nullptr, 0)));
+	token_hash(str_c("rotated"), hash);
+	decided_put_org(d, &o);
+	EXPECT_EQ(nullptr, decided_org_by_token(d, str_c("secret")));
+	EXPECT_NE(nullptr, decided_org_by_token(d, str_c("rotated")));
+	decided_unref(d);
+}
+
+TEST(Decided, FindsVersions)
+{
+	adapter_t a = adapter("a");
+
+	for (uint32_t v : {1u, 3u, 7u})
+		EXPECT_TRUE(adapter_has_version(&a, v));
+	for (uint32_t v : {0u, 2u, 8u, UINT32_MAX})
+		EXPECT_FALSE(adapter_has_version(&a, v));
+}
+
+TEST(Decided, LoadsWhatItSaved)
+{
+	machine_t *m = machine_new();
+	machine_t *copy = machine_new();
+	ChangeBuilder c("c1", 0);
+
+	for (int i = 0; i < 600; i++)
+		c.publish("a" + std::to_string(i), 2);
+	c.host("h1", 9000).target("t1", 9100).org(true, "council");
+	ASSERT_EQ(CHANGE_DECIDED, apply_change(m, c.pack()).status);
+	std::string bytes = save(m);
+	ASSERT_EQ(0, machine_load(copy, view(bytes)));
+	EXPECT_EQ(bytes, save(copy));
+	EXPECT_EQ(machine_index(m), machine_index(copy));
+	// Ids of deleted rows are not given again, also after loading.
+	for (auto *x : {m, copy})
+		apply_change(x, ChangeBuilder("c2", 1)
+					.named(DK__OP__OP_ADAPTER_DEL, "a599")
+					.publish("next")
+					.pack());
+	EXPECT_EQ(save(m), save(copy));
+	EXPECT_EQ(601u, decided_adapter(Tables(m), str_c("next"))->id);
+	machine_free(m);
+	machine_free(copy);
+}
