--- a/Makefile
+++ b/Makefile
@@ -105,7 +105,7 @@
 	clang-format --dry-run -Werror $(FORMATTED)
 
 lint:
-	cppcheck --quiet --std=c11 --language=c --error-exitcode=1 --inline-suppr \
+	cppcheck --quiet --library=.ci/cppcheck.cfg --std=c11 --language=c --error-exitcode=1 --inline-suppr \
 		--enable=warning,performance,portability --suppress=missingIncludeSystem \
 		--suppress=nullPointerOutOfMemory --suppress=normalCheckLevelMaxBranches \
 		-j 8 -D__GNUC__ -Isrc -Iproto $(wildcard src/*.c dev/*.c)
