--- a/Makefile
+++ b/Makefile
@@ -108,7 +108,8 @@
 	cppcheck --quiet --library=.ci/cppcheck.cfg --std=c11 --language=c --error-exitcode=1 --inline-suppr \
 		--enable=warning,performance,portability --suppress=missingIncludeSystem \
 		--suppress=nullPointerOutOfMemory --suppress=normalCheckLevelMaxBranches \
-		-j 8 -D__GNUC__ -Isrc -Iproto $(wildcard src/*.c dev/*.c)
+		-j 8 -D__GNUC__ -DPROTOBUF_C_VERSION_NUMBER=1004000 \
+		-DPROTOBUF_C_MIN_COMPILER_VERSION=1000000 -Isrc -Iproto $(wildcard src/*.c dev/*.c)
 
 clean:
 	rm -rf build build-*
