--- a/dev/engine.c
+++ b/dev/engine.c
@@ -62,13 +62,15 @@
 	buf_t text; /* all tokens' text */
 	buf_t body; /* SSE bytes so far */
 	run_phase_t phase;
-	int64_t ended_us;
+	int64_t started_us, ended_us;
+	int64_t resident_us; /* when its adapter was brought */
 	int readers;
 } run_t;
 
 typedef struct adapter_slot {
 	char *name; /* NULL: free */
 	bool loading;
+	int64_t resident_us;
 } adapter_slot_t;
 
 typedef enum fault {
@@ -99,7 +101,7 @@
 	bool leaving;
 	uint32_t faults[FAULT_COUNT]; /* how many more times each strikes */
 	/* Counts for checks. */
-	uint64_t steps, step_tokens, loads, unloads, failed_loads;
+	uint64_t steps, step_runs, step_tokens, loads, unloads, failed_loads;
 	uint64_t evicted_running; /* unload orders refused: adapter in use */
 	uint64_t old_fence_orders;
 	uint64_t refused;
@@ -293,6 +295,7 @@
 		dev_sleep_us(n ? (int64_t)us : 2 * USEC_PER_MSEC);
 		pthread_mutex_lock(&e->lock);
 		e->steps += n > 0;
+		e->step_runs += n;
 		for (guint i = 0; i < n; i++)
 			step_run(e, batch->pdata[i]);
 		if (n)
@@ -433,6 +436,9 @@
 	r->priority = priority.n ? atoi(priority.p) : 0;
 	r->fence = http_header_u64(req, "X-Fence", 0);
 	r->stream = json_is_true(json_object_get(doc, "stream"));
+	r->started_us = dev_now_us();
+	if (slot_of(e, model))
+		r->resident_us = slot_of(e, model)->resident_us;
 	cds_list_add_tail(&r->node, &e->runs);
 	return r;
 }
@@ -547,6 +553,7 @@
 		return refuse(e, req, 500, "load_failed");
 	}
 	slot->loading = false;
+	slot->resident_us = dev_now_us();
 	e->loads++;
 	ok(e, req);
 }
@@ -642,10 +649,12 @@
 
 	snprintf(hash, sizeof(hash), "%016lx",
 		 hash_bytes(r->prompt, strlen(r->prompt), 0));
-	return json_pack("{s:s,s:s,s:s,s:s,s:i,s:I,s:s}", "id", r->id, "model",
-			 r->model, "prompt_hash", hash, "state",
+	return json_pack("{s:s,s:s,s:s,s:s,s:i,s:I,s:s,s:I,s:I}", "id", r->id,
+			 "model", r->model, "prompt_hash", hash, "state",
 			 phase_names[r->phase], "tokens", (int)r->tokens,
-			 "fence", (json_int_t)r->fence, "engine", e->name);
+			 "fence", (json_int_t)r->fence, "engine", e->name,
+			 "started_us", (json_int_t)r->started_us, "resident_us",
+			 (json_int_t)r->resident_us);
 }
 
 static void list_runs(engine_t *e, http_req_t *req)
@@ -664,13 +673,14 @@
 static void list_violations(engine_t *e, http_req_t *req)
 {
 	json_t *doc = json_pack(
-		"{s:s,s:I,s:I,s:I,s:I,s:I,s:I,s:I}", "engine", e->name,
+		"{s:s,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:i}", "engine", e->name,
 		"evicted_running", (json_int_t)e->evicted_running,
 		"old_fence_orders", (json_int_t)e->old_fence_orders, "loads",
 		(json_int_t)e->loads, "unloads", (json_int_t)e->unloads,
 		"failed_loads", (json_int_t)e->failed_loads, "steps",
-		(json_int_t)e->steps, "step_tokens",
-		(json_int_t)e->step_tokens);
+		(json_int_t)e->steps, "step_runs", (json_int_t)e->step_runs,
+		"step_tokens", (json_int_t)e->step_tokens, "max_batch",
+		opt.max_batch);
 
 	http_json(req, 200, NULL, doc);
 	json_decref(doc);
