--- a/dev/lib_deploy.c
+++ b/dev/lib_deploy.c
@@ -116,7 +116,7 @@
 
 static int store_value(void *base, const field_t *f, const toml_item_t *it)
 {
-	char *at = (char *)base + f->offset;
+	void *at = (char *)base + f->offset;
 	size_t *count;
 
 	switch (f->kind) {
