--- a/src/serve.h
+++ b/src/serve.h
@@ -161,7 +161,11 @@
  * address answers have run out, lets what runs end.
  */
 void serve_drain(serve_t *s);
-/* Nothing accepted here runs or waits any more, and no target is owned. */
+/*
+ * The kept address answers have run out, and nothing that was accepted here
+ * or runs on a target owned here is left. Targets still owned pass on with
+ * the session.
+ */
 bool serve_drained(serve_t *s);
 
 #ifdef __cplusplus
--- /dev/null
+++ b/tests/serve_world.h
@@ -0,0 +1,1005 @@
+// A small world for the serving core: several serve_t under the virtual clock
+// with fakes at engine, peer links, claims and standing. It keeps plain maps
+// of what happened and notes each broken promise in `broken`.
+#ifndef SERVE_WORLD_H
+#define SERVE_WORLD_H
+
+#include <algorithm>
+#include <cstring>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "serve.h"
+
+namespace world
+{
+
+constexpr int64_t MS = 1000;
+constexpr int64_t SEC = 1000000;
+
+inline std::string text(str_t s)
+{
+	return std::string(s.p ? s.p : "", s.n);
+}
+
+inline str_t view(const std::string &s)
+{
+	return str_n(s.data(), s.size());
+}
+
+struct World;
+
+struct Run {
+	std::string adapter, tag;
+	bool stream_open = true;
+	uint32_t done = 0, total = 0;
+	uint32_t host = 0;
+	uint64_t order = 0;
+	bool listening = true;
+};
+
+// A target: a runner with slots, or a plain service.
+struct Engine {
+	World *w;
+	target_id_t id;
+	bool service = false, checks_fence = true;
+	uint64_t boot = 1, fence = 0, read_fence = 0;
+	std::map<std::string, bool> resident; // name@version -> loading
+	std::map<std::string, std::shared_ptr<Run>> runs;
+	bool down = false, leaving = false, refusing = false, silent = false;
+	int64_t leaving_since = -1, silent_since = 0;
+	int load_failures = 0; // the next loads that fail
+	int drops = 0;	       // the next streams that break after one chunk
+	int64_t load_us = 300 * MS, step_us = 10 * MS;
+	uint32_t slots = 4, loads = 0, evictions = 0;
+
+	uint32_t running(const std::string &adapter)
+	{
+		uint32_t n = 0;
+
+		for (auto &r : runs)
+			n += r.second->stream_open &&
+			     (adapter.empty() || r.second->adapter == adapter);
+		return n;
+	}
+};
+
+struct Daemon {
+	World *w;
+	host_id_t id;
+	serve_t *s = nullptr;
+	bool alive = true, fresh = true, renews = true;
+	int64_t lease_until = 0;
+};
+
+struct Reply {
+	bool submitted = false, done = false, failed = false, cancelled = false;
+	bool replayed = false, head = false;
+	reason_t reason = REASON_NONE;
+	run_state_t run = RUN_NO;
+	uint32_t retry_ms = 0, attempt = 0, org = 0;
+	std::string data, adapter, tag, want, key;
+	host_id_t entry = 0, owner = 0;
+	target_id_t target = 0;
+	int64_t at = 0, end = 0, deadline = 0, stall = 0;
+	bool repeatable = true;
+	uint64_t had = 0; // resume offset
+};
+
+struct Order {
+	uint64_t id, fence, offset, cancel_id;
+	order_kind_t kind;
+	target_id_t target;
+	std::string adapter, run_id, body;
+	host_id_t host;
+	bool idempotent;
+	int64_t progress;
+};
+
+struct Event {
+	Order order;
+	engine_event_kind_t kind = EVENT_DONE;
+	int status = 200;
+	std::string served, data;
+	uint64_t offset = 0, boot = 0;
+	reason_t reason = REASON_NONE;
+	bool sent = true, old_fence = false, leaving = false;
+	std::vector<std::pair<std::string, std::pair<bool, uint32_t>>> resident;
+	uint32_t n_running = 0;
+};
+
+struct Claim {
+	std::string holder, body;
+	uint64_t hash = 0;
+	int state = 0; // 1 taken, 2 answered, 3 unknown
+	int status = 0;
+};
+
+struct World {
+	timer_svc_t *timers = timer_svc_new_virtual(SEC);
+	decided_t *tables = decided_new();
+	uint64_t index = 1;
+	std::map<host_id_t, Daemon> daemons;
+	std::map<target_id_t, Engine> engines;
+	std::map<uint64_t, Reply> replies; // by handle
+	std::map<std::string, int> ran;	   // tag -> runs begun at a target
+	std::map<std::string, Claim> claims;
+	std::set<std::pair<host_id_t, host_id_t>> cut; // links that are down
+	std::vector<std::string> broken;
+	host_id_t leader = 1;
+	uint64_t term = 1, next_handle = 1;
+	int64_t net = 1 * MS, lease = SEC;
+	int claim_faults = 0; // the next claims that fail: 1 not taken, 2 lost
+	serve_cfg_t cfg;
+	using Timed =
+		std::pair<std::pair<int64_t, uint64_t>, std::function<void()>>;
+	struct Later {
+		bool operator()(const Timed &a, const Timed &b) const
+		{
+			return a.first > b.first;
+		}
+	};
+	std::priority_queue<Timed, std::vector<Timed>, Later> agenda;
+	uint64_t seq = 0;
+
+	World()
+	{
+		serve_cfg_default(&cfg);
+		cfg.step_us = 10 * MS;
+		cfg.load_us = 300 * MS;
+		cfg.progress_us = 2 * SEC;
+		cfg.order_max_us = 100 * MS;
+	}
+
+	~World()
+	{
+		for (auto &d : daemons)
+			serve_free(d.second.s);
+		decided_unref(tables);
+		timer_svc_free(timers);
+	}
+
+	int64_t now()
+	{
+		return timer_svc_now(timers);
+	}
+
+	void breach(const std::string &what)
+	{
+		broken.push_back(std::to_string(now()) + ": " + what);
+	}
+
+	void after(int64_t us, std::function<void()> fn)
+	{
+		agenda.push({{now() + us, seq++}, std::move(fn)});
+	}
+
+	void run(int64_t us)
+	{
+		int64_t until = now() + us;
+
+		for (;;) {
+			int64_t due = timer_svc_next_due(timers);
+			int64_t ours = agenda.empty()
+					       ? INT64_MAX
+					       : agenda.top().first.first;
+			if (std::min(due, ours) > until)
+				break;
+			if (ours <= due) {
+				auto fn = agenda.top().second;
+
+				timer_svc_run_until(timers, ours - 1 > now()
+								    ? ours - 1
+								    : now());
+				agenda.pop();
+				timer_svc_run_until(timers, ours);
+				fn();
+			} else {
+				timer_svc_run_until(timers, due);
+			}
+		}
+		timer_svc_run_until(timers, until);
+	}
+
+	// Building.
+
+	void add_host(host_id_t id, const std::string &zone)
+	{
+		std::string name = "entry-" + std::to_string(id);
+		std::string addr = "127.0.0.1:" + std::to_string(9000 + id);
+		host_t h = {};
+
+		h.id = id;
+		h.name = view(name);
+		h.zone = view(zone);
+		h.region = STR("r1");
+		h.caller_addr = view(addr);
+		h.peer_addr = view(addr);
+		decided_put_host(tables, &h);
+		daemons[id].w = this;
+		daemons[id].id = id;
+	}
+
+	void add_target(target_id_t id, host_id_t owner, bool checks_fence,
+			bool service = false, uint32_t slots = 4,
+			uint32_t batch = 8)
+	{
+		std::string name = "t" + std::to_string(id);
+		target_t t = {};
+		Engine &e = engines[id];
+
+		t.id = id;
+		t.name = view(name);
+		t.kind = service ? TARGET_SERVICE : TARGET_RUNNER;
+		t.url = STR("http://127.0.0.1:1");
+		t.zone = STR("z1");
+		t.base = service ? STR("records") : STR("base");
+		t.slots = slots;
+		t.max_batch = batch;
+		t.checks_fence = checks_fence;
+		t.repeatable = false;
+		t.owner = owner;
+		t.fence = ++index;
+		decided_put_target(tables, &t);
+		e.w = this;
+		e.id = id;
+		e.service = service;
+		e.checks_fence = checks_fence;
+		e.slots = slots;
+	}
+
+	void add_adapter(const std::string &name, uint32_t version = 1)
+	{
+		adapter_t a = {};
+		std::vector<uint32_t> versions;
+
+		for (uint32_t v = 1; v <= version; v++)
+			versions.push_back(v);
+		a.name = view(name);
+		a.base = STR("base");
+		a.current_version = version;
+		a.load_ms = 300;
+		a.versions = versions.data();
+		a.n_versions = versions.size();
+		decided_put_adapter(tables, &a);
+	}
+
+	void add_org(uint32_t id, org_limits_t limits = {},
+		     int32_t priority = 0)
+	{
+		std::string name = "org" + std::to_string(id);
+		std::string hash(32, (char)id);
+		org_t o = {};
+
+		o.id = id;
+		o.name = view(name);
+		o.token_hash = view(hash);
+		o.priority = priority;
+		o.limits = limits;
+		decided_put_org(tables, &o);
+	}
+
+	void start()
+	{
+		decided_set_position(tables, ++index, 1);
+		for (auto &d : daemons)
+			boot(d.second);
+		renew();
+	}
+
+	void boot(Daemon &d)
+	{
+		serve_ops_t ops = {on_order, on_send, on_reply, on_claim};
+		std::string zone = "z" + std::to_string(d.id);
+		serve_cfg_t c = cfg;
+
+		c.self = d.id;
+		c.zone = view(zone);
+		c.seed = (uint64_t)now() * 100 + d.id;
+		d.s = serve_new(&c, &ops, &d, timers);
+		d.alive = true;
+		serve_tables(d.s, tables);
+		standing(d);
+	}
+
+	// Standing, tables.
+
+	void standing(Daemon &d)
+	{
+		standing_t st = {};
+		std::vector<host_id_t> live;
+
+		for (auto &x : daemons)
+			if (x.second.alive && x.second.lease_until > now())
+				live.push_back(x.first);
+		st.lease_until_us = d.lease_until;
+		st.fresh_until_us = d.fresh ? d.lease_until : 0;
+		st.leader = leader;
+		st.term = term;
+		st.is_leader = leader == d.id;
+		st.live = live.data();
+		st.n_live = live.size();
+		serve_standing(d.s, &st);
+	}
+
+	void renew()
+	{
+		for (auto &x : daemons)
+			if (x.second.alive && x.second.renews)
+				x.second.lease_until = now() + lease;
+		for (auto &x : daemons)
+			if (x.second.alive)
+				standing(x.second);
+		after(lease / 4, [this] { renew(); });
+	}
+
+	// Gives new tables to every live daemon, each after its own delay.
+	void publish()
+	{
+		index++;
+		decided_set_position(tables, index, index);
+		for (auto &x : daemons) {
+			host_id_t id = x.first;
+			decided_t *ref = decided_ref(tables);
+
+			after(net + id, [this, id, ref] {
+				if (daemons[id].alive)
+					serve_tables(daemons[id].s, ref);
+				decided_unref(ref);
+			});
+		}
+	}
+
+	void edit_target(target_id_t id, std::function<void(target_t *)> fn)
+	{
+		const target_t *old = decided_target(tables, id);
+		target_t t = *old;
+
+		fn(&t);
+		tables = decided_edit(tables);
+		decided_put_target(tables, &t);
+	}
+
+	void assign(target_id_t id, host_id_t owner)
+	{
+		uint64_t fence = ++index;
+
+		edit_target(id, [&](target_t *t) {
+			t->previous_owner = t->owner;
+			t->owner = owner;
+			t->fence = fence;
+		});
+		publish();
+	}
+
+	host_id_t owner_of(target_id_t id)
+	{
+		return decided_target(tables, id)->owner;
+	}
+
+	// The daemon is gone at once; its targets move after its lease.
+	void kill(host_id_t id)
+	{
+		Daemon &d = daemons[id];
+
+		if (!d.alive)
+			return;
+		d.alive = false;
+		serve_free(d.s);
+		d.s = nullptr;
+		for (auto &x : replies)
+			if (x.second.entry == id && !x.second.end)
+				x.second.cancelled = true;
+		for (auto &x : daemons) {
+			host_id_t peer = x.first;
+
+			after(net + 200 * MS, [this, peer, id] {
+				if (daemons[peer].alive && !daemons[id].alive)
+					serve_link(daemons[peer].s, id, false);
+			});
+		}
+		if (leader == id)
+			elect();
+		move_after_lease(id);
+	}
+
+	void elect()
+	{
+		for (auto &x : daemons)
+			if (x.second.alive && x.second.renews) {
+				leader = x.first;
+				term++;
+				return;
+			}
+	}
+
+	void move_after_lease(host_id_t id)
+	{
+		int64_t wait =
+			std::max<int64_t>(0, daemons[id].lease_until - now());
+
+		after(wait + 10 * MS, [this, id] {
+			if (daemons[id].lease_until > now())
+				return;
+			for (auto &e : engines)
+				if (owner_of(e.first) == id)
+					assign(e.first, heir(id));
+		});
+	}
+
+	host_id_t heir(host_id_t old)
+	{
+		for (auto &x : daemons)
+			if (x.first != old && x.second.alive && x.second.renews)
+				return x.first;
+		return 0;
+	}
+
+	void revive(host_id_t id)
+	{
+		Daemon &d = daemons[id];
+
+		if (d.alive)
+			return;
+		d.lease_until = 0;
+		boot(d);
+		for (auto &x : daemons)
+			if (x.second.alive && x.first != id)
+				serve_link(x.second.s, id, true);
+	}
+
+	void link(host_id_t a, host_id_t b, bool up)
+	{
+		if (up)
+			cut.erase({std::min(a, b), std::max(a, b)});
+		else
+			cut.insert({std::min(a, b), std::max(a, b)});
+		if (daemons[a].alive)
+			serve_link(daemons[a].s, b, up);
+		if (daemons[b].alive)
+			serve_link(daemons[b].s, a, up);
+	}
+
+	// Requests.
+
+	serve_req_t request(const std::string &model, const std::string &tag)
+	{
+		serve_req_t r = {};
+
+		r.handle = next_handle++;
+		r.org_id = 1;
+		r.model = view(model);
+		r.request_id = view(tag);
+		r.body = view(tag);
+		r.max_tokens = 20;
+		r.deadline_us = now() + 10 * SEC;
+		return r;
+	}
+
+	uint64_t submit(host_id_t entry, const serve_req_t &r,
+			const std::string &want)
+	{
+		Reply &rep = replies[r.handle];
+
+		rep.submitted = true;
+		rep.entry = entry;
+		rep.at = now();
+		rep.org = r.org_id;
+		rep.deadline = r.deadline_us;
+		rep.tag = text(r.body);
+		rep.key = text(r.idempotency_key);
+		rep.want = want;
+		rep.had = r.resume_offset;
+		rep.repeatable = !r.not_repeatable && !r.is_call;
+		serve_submit(daemons[entry].s, &r);
+		return r.handle;
+	}
+
+	uint64_t ask(host_id_t entry, const std::string &model,
+		     const std::string &tag)
+	{
+		serve_req_t r = request(model, tag);
+
+		return submit(entry, r,
+			      model.find('@') == std::string::npos
+				      ? model + "@1"
+				      : model);
+	}
+
+	uint64_t call(host_id_t entry, const std::string &tag,
+		      const std::string &key)
+	{
+		serve_req_t r = request("", tag);
+
+		r.is_call = true;
+		r.model = STR("");
+		r.service = STR("records");
+		r.path = STR("/post");
+		r.not_repeatable = true;
+		r.idempotency_key = view(key);
+		return submit(entry, r, "");
+	}
+
+	static std::string piece(const std::string &tag,
+				 const std::string &adapter, uint32_t i)
+	{
+		return tag + "/" + adapter + "/" + std::to_string(i) + ";";
+	}
+
+	static std::string whole(const std::string &tag,
+				 const std::string &adapter, uint32_t total)
+	{
+		std::string s;
+
+		for (uint32_t i = 0; i < total; i++)
+			s += piece(tag, adapter, i);
+		return s;
+	}
+
+	// What every reply must keep to; called at the end of a history.
+	void check_end(int64_t bound = 2 * SEC)
+	{
+		for (auto &x : replies) {
+			Reply &r = x.second;
+			std::string name = "request " + std::to_string(x.first);
+
+			if (r.cancelled)
+				continue;
+			if (!r.end && now() > r.deadline + bound)
+				breach(name + " has no final reply");
+			if (r.end > r.deadline + bound)
+				breach(name + " ended late");
+			if (r.failed && r.run == RUN_NO && r.repeatable &&
+			    !r.had && ran[r.tag] > 0)
+				breach(name + " 'not run', but it ran");
+		}
+		for (auto &x : ran)
+			if (x.first.compare(0, 4, "call") == 0 && x.second > 1)
+				breach(x.first + " ran twice");
+	}
+
+	// Fakes.
+
+	static void on_send(void *ctx, host_id_t to, const void *p, size_t n)
+	{
+		Daemon *d = (Daemon *)ctx;
+		World *w = d->w;
+		std::string bytes((const char *)p, n);
+		host_id_t from = d->id;
+
+		if (w->cut.count({std::min(from, to), std::max(from, to)}))
+			return;
+		w->after(w->net, [w, from, to, bytes] {
+			if (w->cut.count(
+				    {std::min(from, to), std::max(from, to)}))
+				return;
+			if (w->daemons.count(to) && w->daemons[to].alive)
+				serve_recv(w->daemons[to].s, from, bytes.data(),
+					   bytes.size());
+		});
+	}
+
+	static void on_reply(void *ctx, uint64_t handle,
+			     const serve_reply_t *rep)
+	{
+		Daemon *d = (Daemon *)ctx;
+		World *w = d->w;
+		Reply &r = w->replies[handle];
+		std::string name = "request " + std::to_string(handle);
+
+		if (r.end || r.cancelled)
+			w->breach(name + " got a reply after its end");
+		r.adapter = text(rep->adapter);
+		r.target = rep->target;
+		r.owner = rep->owner;
+		r.attempt = rep->attempt;
+		if (!r.want.empty() && r.adapter != r.want &&
+		    rep->kind != REPLY_FAIL)
+			w->breach(name + " served by " + r.adapter);
+		if (rep->kind == REPLY_HEAD) {
+			r.head = true;
+			r.replayed = rep->replayed;
+		}
+		if (rep->kind == REPLY_CHUNK)
+			r.data += text(rep->data);
+		if (rep->kind < REPLY_DONE)
+			return;
+		r.end = w->now();
+		r.done = rep->kind == REPLY_DONE;
+		r.failed = !r.done;
+		r.reason = rep->reason;
+		r.run = rep->run;
+		r.retry_ms = rep->retry_ms;
+		r.stall = rep->stall_us;
+		w->check_answer(name, r);
+	}
+
+	void check_answer(const std::string &name, const Reply &r)
+	{
+		std::string all = whole(r.tag, r.want, r.want.empty() ? 1 : 20);
+
+		all = all.substr(std::min<size_t>(r.had, all.size()));
+		if (r.done && r.data != all)
+			breach(name + " got another answer: " + r.data);
+		if (r.failed && all.compare(0, r.data.size(), r.data) != 0)
+			breach(name + " got foreign bytes: " + r.data);
+	}
+
+	static void on_claim(void *ctx, const claim_req_t *q)
+	{
+		Daemon *d = (Daemon *)ctx;
+		World *w = d->w;
+		std::string key = text(q->key), holder = text(q->holder);
+		std::string body = text(q->body);
+		claim_req_t c = *q;
+		host_id_t id = d->id;
+		int fault = 0;
+
+		if (w->claim_faults > 0)
+			fault = w->claim_faults-- % 3;
+		w->after(3 * w->net, [=] {
+			claim_result_t res = {};
+			std::string stored;
+
+			res.tag = c.tag;
+			if (fault != 1)
+				res.outcome = w->apply_claim(c, key, holder,
+							     body, &stored);
+			res.body = view(stored);
+			res.http_status = 200;
+			if (fault == 1)
+				res.outcome = CLAIM_NOT_TAKEN;
+			if (fault == 2)
+				res.outcome = CLAIM_UNDECIDED;
+			if (w->daemons[id].alive)
+				serve_claimed(w->daemons[id].s, &res);
+		});
+	}
+
+	claim_outcome_t apply_claim(const claim_req_t &c,
+				    const std::string &key,
+				    const std::string &holder,
+				    const std::string &body,
+				    std::string *stored)
+	{
+		Claim &cl = claims[key];
+
+		if (c.op == CLAIM_TAKE) {
+			if (!cl.state) {
+				cl.holder = holder;
+				cl.hash = c.body_hash;
+				cl.state = 1;
+				return CLAIM_GRANTED;
+			}
+			if (cl.hash != c.body_hash)
+				return CLAIM_MISMATCH;
+			*stored = cl.body;
+			if (cl.state == 2)
+				return CLAIM_ANSWERED;
+			if (cl.state == 3)
+				return CLAIM_IS_UNKNOWN;
+			return cl.holder == holder ? CLAIM_GRANTED
+						   : CLAIM_IN_PROGRESS;
+		}
+		if (cl.holder != holder || cl.state != 1)
+			return CLAIM_RECORDED;
+		if (c.op == CLAIM_ANSWER) {
+			cl.state = 2;
+			cl.body = body;
+		} else if (c.op == CLAIM_UNKNOWN) {
+			cl.state = 3;
+		} else {
+			cl = Claim();
+		}
+		return CLAIM_RECORDED;
+	}
+
+	static void on_order(void *ctx, const engine_order_t *eo)
+	{
+		Daemon *d = (Daemon *)ctx;
+		World *w = d->w;
+		Order o = {eo->id,
+			   eo->fence,
+			   eo->resume_offset,
+			   eo->cancel_id,
+			   eo->kind,
+			   eo->target,
+			   text(eo->adapter),
+			   text(eo->run_id),
+			   text(eo->body),
+			   d->id,
+			   eo->idempotent,
+			   eo->progress_us};
+
+		w->after(w->net, [w, o] { w->arrive(o); });
+	}
+
+	void answer(const Event &ev)
+	{
+		after(net, [this, ev] { deliver(ev); });
+	}
+
+	void deliver(const Event &ev)
+	{
+		Daemon &d = daemons[ev.order.host];
+		engine_event_t e = {};
+		std::vector<engine_resident_t> res;
+
+		if (!d.alive)
+			return;
+		for (auto &r : ev.resident)
+			res.push_back({view(r.first), r.second.first,
+				       r.second.second});
+		e.order_id = ev.order.id;
+		e.target = ev.order.target;
+		e.kind = ev.kind;
+		e.http_status = ev.status;
+		e.served_by = view(ev.served);
+		e.data = view(ev.data);
+		e.offset = ev.offset;
+		e.reason = ev.reason;
+		e.sent = ev.sent;
+		e.old_fence = ev.old_fence;
+		e.target_leaving = ev.leaving;
+		e.boot_id = ev.boot;
+		e.resident = res.data();
+		e.n_resident = res.size();
+		e.n_running = ev.n_running;
+		serve_engine_event(d.s, &e);
+	}
+
+	void fail(const Order &o, reason_t why, bool sent, int status = 0)
+	{
+		Event ev;
+
+		ev.order = o;
+		ev.kind = EVENT_FAILED;
+		ev.reason = why;
+		ev.sent = sent;
+		ev.status = status;
+		ev.boot = status ? engines[o.target].boot : 0;
+		ev.old_fence = status == 409;
+		ev.leaving = status == 503 && engines[o.target].leaving;
+		answer(ev);
+	}
+
+	void arrive(const Order &o)
+	{
+		Engine &e = engines[o.target];
+
+		if (e.down) {
+			if (o.kind != ORDER_CANCEL)
+				fail(o, REASON_TARGET_LOST, false);
+			return;
+		}
+		if (e.silent) {
+			if (o.kind != ORDER_CANCEL)
+				after(o.progress ? o.progress : 2 * SEC, [this,
+									  o] {
+					fail(o, REASON_TARGET_STALLED, true);
+				});
+			return;
+		}
+		if (e.checks_fence && o.fence < e.fence) {
+			if (o.kind != ORDER_CANCEL)
+				fail(o, REASON_TARGET_REFUSED, true, 409);
+			return;
+		}
+		if (o.fence < e.read_fence && o.kind != ORDER_STATE)
+			breach("order of a past owner after takeover: kind " +
+			       std::to_string(o.kind));
+		e.fence = std::max(e.fence, o.fence);
+		carry_out(e, o);
+	}
+
+	void carry_out(Engine &e, const Order &o)
+	{
+		switch (o.kind) {
+		case ORDER_LOAD:
+			return load(e, o);
+		case ORDER_UNLOAD:
+			return unload(e, o);
+		case ORDER_RUN:
+			return begin(e, o);
+		case ORDER_RESUME:
+			return resume(e, o);
+		case ORDER_STATE:
+			return state(e, o);
+		case ORDER_CANCEL:
+			for (auto &r : e.runs)
+				if (r.second->host == o.host &&
+				    r.second->order == o.cancel_id &&
+				    r.second->stream_open) {
+					r.second->stream_open = false;
+					fail({o.cancel_id, 0, 0, 0, ORDER_RUN,
+					      o.target, "", "", "", o.host,
+					      true, 0},
+					     REASON_CANCELLED, true);
+				}
+			return;
+		}
+	}
+
+	void load(Engine &e, const Order &o)
+	{
+		uint64_t boot = e.boot;
+
+		if (!e.resident.count(o.adapter) &&
+		    e.resident.size() >= e.slots) {
+			fail(o, REASON_TARGET_ERROR, true, 507);
+			return;
+		}
+		e.resident.emplace(o.adapter, true);
+		e.loads++;
+		after(e.load_us, [this, &e, o, boot] {
+			Event ev;
+
+			if (e.boot != boot) {
+				fail(o, REASON_TARGET_LOST, true);
+				return;
+			}
+			if (e.load_failures > 0) {
+				e.load_failures--;
+				e.resident.erase(o.adapter);
+				fail(o, REASON_LOAD_FAILED, true, 500);
+				return;
+			}
+			e.resident[o.adapter] = false;
+			ev.order = o;
+			answer(ev);
+		});
+	}
+
+	void unload(Engine &e, const Order &o)
+	{
+		Event ev;
+
+		if (e.running(o.adapter))
+			breach("eviction of " + o.adapter +
+			       " under a running request");
+		e.resident.erase(o.adapter);
+		e.evictions++;
+		ev.order = o;
+		answer(ev);
+	}
+
+	void begin(Engine &e, const Order &o)
+	{
+		auto r = std::make_shared<Run>();
+
+		if (e.leaving) {
+			if (now() > e.leaving_since + 3 * SEC)
+				breach("new work for a leaving target");
+			fail(o, REASON_TARGET_REFUSED, true, 503);
+			return;
+		}
+		if (e.refusing) {
+			fail(o, REASON_TARGET_REFUSED, true, 503);
+			return;
+		}
+		if (!o.adapter.empty() &&
+		    (!e.resident.count(o.adapter) || e.resident[o.adapter])) {
+			fail(o, REASON_TARGET_ERROR, true, 404);
+			return;
+		}
+		ran[o.body]++;
+		r->adapter = o.adapter;
+		r->tag = o.body;
+		r->total = e.service ? 1 : 20;
+		r->host = o.host;
+		r->order = o.id;
+		e.runs[o.run_id] = r;
+		stream(e, o, r, 0);
+	}
+
+	void resume(Engine &e, const Order &o)
+	{
+		auto it = e.runs.find(o.run_id);
+		std::shared_ptr<Run> r;
+
+		if (it == e.runs.end()) {
+			fail(o, REASON_TARGET_REFUSED, true, 404);
+			return;
+		}
+		r = it->second;
+		r->host = o.host;
+		r->order = o.id;
+		r->stream_open = true;
+		stream(e, o, r, o.offset);
+	}
+
+	// Sends HEAD, then a chunk each step, from byte offset on.
+	void stream(Engine &e, const Order &o, std::shared_ptr<Run> r,
+		    uint64_t offset)
+	{
+		Event ev;
+
+		ev.order = o;
+		ev.kind = EVENT_HEAD;
+		ev.served = r->adapter;
+		ev.boot = e.boot;
+		answer(ev);
+		step(e, o, r, offset, 0, e.boot);
+	}
+
+	void step(Engine &e, const Order &o, std::shared_ptr<Run> r,
+		  uint64_t offset, uint32_t sent, uint64_t boot)
+	{
+		after(e.step_us, [this, &e, o, r, offset, sent, boot] {
+			std::string all = whole(r->tag, r->adapter, r->total);
+			Event ev;
+
+			if (r->order != o.id || !r->stream_open)
+				return;
+			if (e.boot != boot) {
+				r->stream_open = false;
+				fail(o, REASON_TARGET_LOST, true);
+				return;
+			}
+			if (e.silent) {
+				fail(o, REASON_TARGET_STALLED, true);
+				return;
+			}
+			if (sent && e.drops > 0) {
+				e.drops--;
+				r->stream_open = false;
+				fail(o, REASON_TARGET_LOST, true);
+				return;
+			}
+			ev.order = o;
+			if (offset >= all.size()) {
+				r->stream_open = false;
+				answer(ev);
+				return;
+			}
+			ev.kind = EVENT_CHUNK;
+			ev.offset = offset;
+			ev.data = all.substr(
+				offset, piece(r->tag, r->adapter, 0).size());
+			answer(ev);
+			step(e, o, r, offset + ev.data.size(), sent + 1, boot);
+		});
+	}
+
+	void state(Engine &e, const Order &o)
+	{
+		Event ev;
+
+		e.read_fence = std::max(e.read_fence, o.fence);
+		ev.order = o;
+		ev.kind = EVENT_STATE;
+		ev.boot = e.boot;
+		ev.n_running = e.running("");
+		for (auto &x : e.resident)
+			ev.resident.push_back(
+				{x.first, {x.second, e.running(x.first)}});
+		answer(ev);
+	}
+
+	void restart_engine(target_id_t id)
+	{
+		Engine &e = engines[id];
+
+		e.boot++;
+		e.resident.clear();
+		for (auto &r : e.runs)
+			r.second->stream_open = false;
+		auto runs = e.runs;
+		for (auto &r : runs)
+			if (r.second->order)
+				fail({r.second->order, 0, 0, 0, ORDER_RUN, id,
+				      "", "", "", r.second->host, true, 0},
+				     REASON_TARGET_LOST, true);
+		e.runs.clear();
+	}
+};
+
+} // namespace world
+
+#endif
