--- /dev/null
+++ b/build-address-undefined/src/main.c.d
@@ -0,0 +1,1 @@
+build-address-undefined/src/main.c.o: src/main.c
--- /dev/null
+++ b/build-address-undefined/src/timer.c.d
@@ -0,0 +1,3 @@
+build-address-undefined/src/timer.c.o: src/timer.c src/timer.h src/util.h
+src/timer.h:
+src/util.h:
--- /dev/null
+++ b/build-address-undefined/src/util.c.d
@@ -0,0 +1,2 @@
+build-address-undefined/src/util.c.o: src/util.c src/util.h
+src/util.h:
--- /dev/null
+++ b/build-thread/src/main.c.d
@@ -0,0 +1,1 @@
+build-thread/src/main.c.o: src/main.c
