--- a/src/change_json.c
+++ b/src/change_json.c
@@ -214,7 +214,8 @@
 	if (!json_is_object(j))
 		return expect(r, "an object of parameters");
 	*list = xcalloc(json_object_size(j), sizeof(**list));
-	json_object_foreach ((json_t *)j, key, value) {
+	json_object_foreach((json_t *)j, key, value)
+	{
 		size_t mark = path_push(r, key);
 		Dk__Setting *s = xmalloc(sizeof(*s));
 
@@ -276,7 +277,8 @@
 	const char *key;
 	json_t *value;
 
-	json_object_foreach ((json_t *)j, key, value) {
+	json_object_foreach((json_t *)j, key, value)
+	{
 		size_t mark = path_push(r, key);
 		const field_desc_t *f =
 			protobuf_c_message_descriptor_get_field_by_name(
@@ -609,7 +611,8 @@
 	const char *key;
 	json_t *value;
 
-	json_object_foreach (after, key, value) {
+	json_object_foreach(after, key, value)
+	{
 		json_t *old = json_object_get(before, key);
 
 		if (old && json_equal(old, value))
@@ -618,7 +621,8 @@
 				    json_pack("[O, O]", old ? old : json_null(),
 					      value));
 	}
-	json_object_foreach (before, key, value) {
+	json_object_foreach(before, key, value)
+	{
 		if (!json_object_get(after, key))
 			json_object_set_new(fields, key,
 					    json_pack("[O, n]", value));
