Serving: stateful property test; owner split into owner, run and load

A target's own word that it is leaving and the platform's lagging list are kept apart: the list's 'live' no longer takes back what the target said.

--- /dev/null
+++ b/src/load.c
@@ -0,0 +1,351 @@
+/*
+ * load.c - adapters brought into the slots of an owned target: what is
+ * wanted, permits, eviction, failures.
+ */
+#include "owner.h"
+
+#include <string.h>
+
+#include "counter.h"
+#include "log.h"
+
+/* Backoff of failed loads of one adapter on one target. */
+#define LOAD_BACKOFF_US USEC_PER_SEC
+#define LOAD_BACKOFF_MAX_US (60 * USEC_PER_SEC)
+
+/* Loads. */
+
+static str_t adapter_name(str_t adapter)
+{
+	str_t name, version;
+
+	str_split(adapter, '@', &name, &version);
+	return name;
+}
+
+static load_t *load_find(owner_t *o, str_t adapter)
+{
+	load_t *l;
+
+	cds_list_for_each_entry (l, &o->loads, node)
+		if (str_eq(l->adapter, adapter))
+			return l;
+	return NULL;
+}
+
+static load_t *load_new(owner_t *o, const run_t *r, int64_t now)
+{
+	load_t *l = xcalloc(1, sizeof(*l));
+
+	l->adapter = str_copy(r->adapter);
+	l->hash = r->hash;
+	l->load_us = r->load_us;
+	l->since_us = now;
+	cds_list_add_tail(&l->node, &o->loads);
+	return l;
+}
+
+void load_free(load_t *l)
+{
+	cds_list_del(&l->node);
+	str_free(&l->adapter);
+	free(l);
+}
+
+static void load_send_ask(owner_t *o, load_t *l, bool cancel, bool held)
+{
+	shard_t *sh = o->sh;
+	serve_msg_t msg = SERVE__SERVE_MSG__INIT;
+	Serve__PermitAsk m = SERVE__PERMIT_ASK__INIT;
+
+	if (!sh->s->cfg.policy.permits)
+		return;
+	m.target = o->id;
+	m.adapter = core_bytes(l->adapter);
+	m.waiting = l->waiting;
+	m.slack_us = l->due_us - core_now(sh->s);
+	m.cancel = cancel;
+	m.held = held;
+	l->told_waiting = l->waiting;
+	msg.body_case = SERVE__SERVE_MSG__BODY_PERMIT_ASK;
+	msg.permit_ask = &m;
+	core_send(sh->s, sh->standing.leader, &msg);
+}
+
+/* Drops a load; its permit, or its ask, goes back to the leader. */
+void load_end(owner_t *o, load_t *l)
+{
+	if (l->phase != LOAD_WANTED)
+		load_send_ask(o, l, true, false);
+	load_free(l);
+}
+
+static void load_start(owner_t *o, load_t *l, slot_t *slot)
+{
+	engine_order_t eo = {0};
+	int64_t now = owner_now(o);
+
+	slot_take(slot, l->adapter, SLOT_LOADING);
+	slot->load_us = l->load_us;
+	slot->used_us = now;
+	o->slots_changed_us = now;
+	l->phase = LOAD_RUNS;
+	eo.kind = ORDER_LOAD;
+	eo.adapter = l->adapter;
+	counter_add(CTR_LOADS, 1);
+	slot->order = owner_order(o, &eo, NULL)->id;
+}
+
+static void load_evict(owner_t *o, load_t *l, slot_t *slot)
+{
+	engine_order_t eo = {0};
+
+	slot->state = SLOT_UNLOADING;
+	o->slots_changed_us = owner_now(o);
+	l->phase = LOAD_EVICTS;
+	eo.kind = ORDER_UNLOAD;
+	eo.adapter = slot->adapter;
+	counter_add(CTR_EVICTIONS, 1);
+	slot->order = owner_order(o, &eo, NULL)->id;
+}
+
+static slot_t *owner_victim(owner_t *o, int64_t now)
+{
+	for (uint32_t i = 0; i < o->slots.n; i++) {
+		slot_t *slot = &o->slots.v[i];
+
+		if (slot_evictable(slot))
+			slot->copied = place_copy_elsewhere(
+				&o->sh->s->place, adapter_name(slot->adapter),
+				slot->hash, o->id, now);
+	}
+	return slots_victim(&o->slots, &o->sh->s->cfg, now);
+}
+
+/* A granted load takes an empty slot, or evicts; else the permit goes back. */
+static void load_granted(owner_t *o, load_t *l, int64_t now)
+{
+	slot_t *slot = slots_empty(&o->slots);
+
+	if (slot) {
+		load_start(o, l, slot);
+		return;
+	}
+	slot = owner_victim(o, now);
+	if (slot) {
+		load_evict(o, l, slot);
+		return;
+	}
+	load_send_ask(o, l, true, false);
+	l->phase = LOAD_WANTED;
+}
+
+/* Slots that a load could get now, less the loads that already ask for one. */
+static int owner_room(const owner_t *o)
+{
+	const load_t *l;
+	int room = 0;
+
+	for (uint32_t i = 0; i < o->slots.n; i++)
+		if (o->slots.v[i].state == SLOT_EMPTY ||
+		    slot_evictable(&o->slots.v[i]))
+			room++;
+	cds_list_for_each_entry (l, &o->loads, node)
+		if (l->phase == LOAD_ASKED)
+			room--;
+	return room;
+}
+
+static void load_ask(owner_t *o, load_t *l, int64_t now)
+{
+	l->phase = LOAD_ASKED;
+	if (o->sh->s->cfg.policy.permits)
+		load_send_ask(o, l, false, false);
+	else
+		load_granted(o, l, now);
+}
+
+/* Counts who waits for each slot and load; makes loads for what is missing. */
+static void owner_count_waiting(owner_t *o, int64_t now)
+{
+	slot_t *slot;
+	qitem_t *it;
+	load_t *l;
+
+	for (uint32_t i = 0; i < o->slots.n; i++)
+		o->slots.v[i].awaited = 0;
+	cds_list_for_each_entry (l, &o->loads, node) {
+		l->waiting = 0;
+		l->due_us = INT64_MAX / 2;
+	}
+	cds_list_for_each_entry (it, &o->queue.items, node) {
+		run_t *r = (run_t *)it;
+
+		if (!r->hash || r->resume)
+			continue;
+		slot = slots_find(&o->slots, r->adapter);
+		if (slot && slot->state != SLOT_UNLOADING)
+			slot->awaited++;
+		if (slot && slot->state == SLOT_RESIDENT)
+			continue;
+		r->stalled = true;
+		l = load_find(o, r->adapter);
+		if (!l && slot)
+			continue;
+		if (!l)
+			l = load_new(o, r, now);
+		l->waiting++;
+		if (it->deadline_us < l->due_us)
+			l->due_us = it->deadline_us;
+	}
+}
+
+void owner_work_loads(owner_t *o, int64_t now)
+{
+	int room;
+	load_t *l, *tmp;
+
+	owner_count_waiting(o, now);
+	cds_list_for_each_entry_safe (l, tmp, &o->loads, node)
+		if (!l->waiting && l->phase <= LOAD_ASKED)
+			load_end(o, l);
+	room = owner_room(o);
+	cds_list_for_each_entry_safe (l, tmp, &o->loads, node) {
+		if (l->phase == LOAD_WANTED && room > 0) {
+			load_ask(o, l, now);
+			room--;
+		} else if (l->phase == LOAD_ASKED &&
+			   l->waiting != l->told_waiting) {
+			load_send_ask(o, l, false, false);
+		}
+	}
+}
+
+void owner_granted(shard_t *sh, const Serve__PermitGrant *m)
+{
+	owner_t *o = owner_find(sh, m->target);
+	load_t *l = o ? load_find(o, core_str(m->adapter)) : NULL;
+	int64_t now = core_now(sh->s);
+	serve_msg_t msg = SERVE__SERVE_MSG__INIT;
+	Serve__PermitAsk back = SERVE__PERMIT_ASK__INIT;
+
+	if (l && l->phase == LOAD_ASKED && owner_may_send(o, now)) {
+		load_granted(o, l, now);
+		owner_work(o, now);
+		return;
+	}
+	if (l && l->phase >= LOAD_EVICTS)
+		return;
+	back.target = m->target;
+	back.adapter = m->adapter;
+	back.cancel = true;
+	msg.body_case = SERVE__SERVE_MSG__BODY_PERMIT_ASK;
+	msg.permit_ask = &back;
+	core_send(sh->s, sh->standing.leader, &msg);
+}
+
+void owners_tell_permits(shard_t *sh)
+{
+	owner_t *o;
+	load_t *l;
+
+	cds_list_for_each_entry (o, &sh->owners, node)
+		cds_list_for_each_entry (l, &o->loads, node)
+			if (l->phase != LOAD_WANTED)
+				load_send_ask(o, l, false,
+					      l->phase >= LOAD_EVICTS);
+}
+
+bool load_backed_off(owner_t *o, uint32_t hash, int64_t now)
+{
+	const backoff_t *b =
+		g_hash_table_lookup(o->backoffs, GUINT_TO_POINTER(hash));
+
+	return b && now < b->until_us;
+}
+
+static void load_failed(owner_t *o, uint32_t hash, int64_t now)
+{
+	gpointer key = GUINT_TO_POINTER(hash);
+	backoff_t *b = g_hash_table_lookup(o->backoffs, key);
+	int64_t delay;
+
+	if (!b) {
+		b = g_new0(backoff_t, 1);
+		g_hash_table_insert(o->backoffs, key, b);
+	}
+	delay = LOAD_BACKOFF_US << (b->fails < 10 ? b->fails : 10);
+	if (delay > LOAD_BACKOFF_MAX_US)
+		delay = LOAD_BACKOFF_MAX_US;
+	b->fails++;
+	b->until_us = now + delay;
+}
+
+/* The waiting requests for an adapter that has come: their stall is over. */
+static void owner_stall_over(owner_t *o, uint32_t hash, int64_t now)
+{
+	qitem_t *it;
+
+	cds_list_for_each_entry (it, &o->queue.items, node) {
+		run_t *r = (run_t *)it;
+
+		if (r->hash == hash && r->stalled)
+			r->stall_us = now - r->arrived_us;
+	}
+}
+
+void owner_load_event(owner_t *o, order_t *ord, const engine_event_t *ev,
+		      int64_t now)
+{
+	slot_t *slot = slots_find(&o->slots, ord->adapter);
+	load_t *l = load_find(o, ord->adapter);
+	uint32_t hash = slot_hash(ord->adapter);
+
+	if (!slot || slot->order != ord->id)
+		return; /* of before a restart */
+	o->slots_changed_us = now;
+	slot->order = 0;
+	if (l)
+		load_end(o, l);
+	if (ev->kind == EVENT_DONE) {
+		slot->state = SLOT_RESIDENT;
+		g_hash_table_remove(o->backoffs, GUINT_TO_POINTER(hash));
+		owner_stall_over(o, hash, now);
+		return;
+	}
+	counter_add(CTR_LOADS_FAILED, 1);
+	slot_clear(slot);
+	load_failed(o, hash, now);
+	if (!ev->old_fence && !ev->target_leaving)
+		owner_refuse_waiting(o, hash, REASON_LOAD_FAILED,
+				     RETRY_LOAD_FAILED);
+	owner_poll_soon(o, now);
+}
+
+void owner_unload_event(owner_t *o, order_t *ord, const engine_event_t *ev,
+			int64_t now)
+{
+	slot_t *slot = slots_find(&o->slots, ord->adapter);
+	load_t *l, *next = NULL;
+
+	if (!slot || slot->order != ord->id)
+		return;
+	o->slots_changed_us = now;
+	slot->order = 0;
+	cds_list_for_each_entry (l, &o->loads, node)
+		if (!next && l->phase == LOAD_EVICTS)
+			next = l;
+	if (ev->kind == EVENT_DONE) {
+		slot_clear(slot);
+		if (next && owner_may_send(o, now))
+			load_start(o, next, slot);
+		else if (next)
+			load_end(o, next);
+		return;
+	}
+	/* It may be gone or not: no run starts on it before a read tells. */
+	slot->state = SLOT_LOADING;
+	if (next)
+		load_end(o, next);
+	owner_poll_soon(o, now);
+}
--- a/src/place.c
+++ b/src/place.c
@@ -26,7 +26,8 @@
 	bool known;    /* a report has come */
 	bool active;
 	bool leaving;	    /* says the report */
-	bool listed;	    /* says the platform's list or the target */
+	bool listed;	    /* says the platform's list */
+	bool said;	    /* said the target itself, in its present life */
 	uint32_t *resident; /* owned */
 	size_t n_resident;
 	uint32_t *loading; /* owned */
@@ -115,20 +116,36 @@
 }
 
 void place_hint(place_t *p, target_id_t target, bool leaving)
+{
+	hint_t *h;
+
+	pthread_mutex_lock(&p->lock);
+	h = hint_get(p, target);
+	/* The list lags: only its own change takes back the target's word. */
+	if (h->listed && !leaving)
+		h->said = false;
+	h->listed = leaving;
+	pthread_mutex_unlock(&p->lock);
+}
+
+void place_said(place_t *p, target_id_t target, bool leaving)
 {
 	pthread_mutex_lock(&p->lock);
-	hint_get(p, target)->listed = leaving;
+	hint_get(p, target)->said = leaving;
 	pthread_mutex_unlock(&p->lock);
 }
 
+static bool hint_leaving(const hint_t *h)
+{
+	return h && (h->listed || h->said);
+}
+
 bool place_is_leaving(place_t *p, target_id_t target)
 {
-	const hint_t *h;
 	bool leaving;
 
 	pthread_mutex_lock(&p->lock);
-	h = hint_find(p, target);
-	leaving = h && h->listed;
+	leaving = hint_leaving(hint_find(p, target));
 	pthread_mutex_unlock(&p->lock);
 	return leaving;
 }
@@ -238,7 +255,7 @@
 
 	if (!target_matches(t, q) || !host_live(p, t->owner))
 		return false;
-	if (h && h->listed)
+	if (hint_leaving(h))
 		return false;
 	h = hint_fresh(p, t, q->now_us);
 	return !h || (h->active && !h->leaving);
@@ -427,7 +444,7 @@
 	const copy_ctx_t *c = ctx;
 	const hint_t *h = value;
 
-	return h->known && h->active && !h->leaving && !h->listed &&
+	return h->known && h->active && !h->leaving && !hint_leaving(h) &&
 	       c->now - h->at_us <= REPORT_LIFE_US &&
 	       rendezvous_score(c->key, GPOINTER_TO_UINT(key)) > c->score &&
 	       has_hash(h->resident, h->n_resident, c->hash);
--- a/src/place.h
+++ b/src/place.h
@@ -52,8 +52,10 @@
 void place_init(place_t *p, const serve_cfg_t *cfg);
 void place_free(place_t *p);
 void place_report(place_t *p, const Serve__Report *rep, int64_t now);
-/* A hint that the target is leaving, or is not. */
+/* What the platform's lagging list says of the target. */
 void place_hint(place_t *p, target_id_t target, bool leaving);
+/* What the target itself says; taken back when it has restarted. */
+void place_said(place_t *p, target_id_t target, bool leaving);
 bool place_is_leaving(place_t *p, target_id_t target);
 void place_standing(place_t *p, const standing_t *st);
 void place_link(place_t *p, host_id_t host, bool up);
--- a/src/serve.c
+++ b/src/serve.c
@@ -510,7 +510,7 @@
 	shard_t *sh = core_target_shard(s, ev->target);
 
 	if (ev->target_leaving)
-		place_hint(&s->place, ev->target, true);
+		place_said(&s->place, ev->target, true);
 	pthread_mutex_lock(&sh->lock);
 	owner_event(sh, ev);
 	pthread_mutex_unlock(&sh->lock);
--- /dev/null
+++ b/tests/serve_fuzz.cc
@@ -0,0 +1,319 @@
+// Random histories over several real serving cores with faults at engines,
+// links, claims, leases and daemons. The promises are checked by the fakes
+// and plain maps of serve_world.h.
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "log.h"
+#include "serve_world.h"
+
+using world::Engine;
+using world::MS;
+using world::SEC;
+using world::World;
+
+namespace
+{
+
+enum Act {
+	ASK,
+	ASK_MORE,
+	ASK_SAME,
+	CALL,
+	CALL_AGAIN,
+	CANCEL,
+	RECONNECT,
+	WAIT,
+	WAIT_MORE,
+	ENGINE_DOWN,
+	ENGINE_SILENT,
+	ENGINE_REFUSES,
+	ENGINE_RESTART,
+	ENGINE_LEAVES,
+	LOADS_FAIL,
+	STREAMS_DROP,
+	KILL,
+	REVIVE,
+	CUT,
+	HEAL,
+	ISOLATE,
+	REJOIN,
+	CLAIMS_FAIL,
+	DRAIN_TARGET,
+	PUBLISH,
+	MOVE_TARGET,
+	ACTS
+};
+
+using Step = std::tuple<int, int, int>;
+
+constexpr int HOSTS = 4;
+constexpr int TARGETS = 4;
+constexpr int ADAPTERS = 12;
+
+struct History {
+	World w;
+	std::vector<uint64_t> handles;
+	int tags = 0, keys = 0;
+
+	explicit History(bool checks_fence)
+	{
+		log_set_level(LOG_EMERG);
+		for (host_id_t h = 1; h <= HOSTS; h++)
+			w.add_host(h, "z" + std::to_string(h % 3));
+		for (target_id_t t = 1; t <= TARGETS; t++)
+			w.add_target(t, t, checks_fence, false, 3, 4);
+		w.add_target(10, 1, checks_fence, true, 0, 4);
+		w.add_target(11, 2, checks_fence, true, 0, 4);
+		w.add_org(1);
+		for (int i = 0; i < ADAPTERS; i++)
+			w.add_adapter("a" + std::to_string(i), 2);
+		w.start();
+		w.run(SEC);
+	}
+
+	host_id_t entry(int a)
+	{
+		for (int i = 0; i < HOSTS; i++) {
+			host_id_t h = (host_id_t)((a + i) % HOSTS + 1);
+			if (w.daemons[h].alive)
+				return h;
+		}
+		return 0;
+	}
+
+	Engine &engine(int a)
+	{
+		return w.engines[(target_id_t)(a % TARGETS + 1)];
+	}
+
+	void ask(int a, int b)
+	{
+		host_id_t h = entry(a);
+		std::string model = "a" + std::to_string(b % ADAPTERS) + "@" +
+				    std::to_string(1 + b / ADAPTERS % 2);
+
+		if (h)
+			handles.push_back(w.ask(
+				h, model, "req" + std::to_string(tags++)));
+	}
+
+	void call(int a, int key)
+	{
+		host_id_t h = entry(a);
+		std::string name = std::to_string(key);
+
+		if (h)
+			handles.push_back(
+				w.call(h, "call" + name, "key" + name));
+	}
+
+	void cancel(int a)
+	{
+		if (handles.empty())
+			return;
+		uint64_t h = handles[(size_t)a % handles.size()];
+		world::Reply &r = w.replies[h];
+
+		if (r.end || r.cancelled)
+			return;
+		r.cancelled = true;
+		serve_cancel(w.daemons[r.entry].s, h);
+	}
+
+	// A caller whose entry was lost goes on through another daemon.
+	void reconnect(int a)
+	{
+		if (handles.empty() || !entry(a))
+			return;
+		world::Reply &r =
+			w.replies[handles[(size_t)a % handles.size()]];
+
+		if (!r.repeatable || r.data.empty() || r.done)
+			return;
+		serve_req_t q = w.request(r.want, r.tag);
+
+		q.resume_offset = r.had + r.data.size();
+		handles.push_back(w.submit(entry(a), q, r.want));
+	}
+
+	void isolate(host_id_t h, bool yes)
+	{
+		world::Daemon &d = w.daemons[h];
+
+		if (!d.alive || d.renews == !yes)
+			return;
+		d.renews = !yes;
+		for (host_id_t x = 1; x <= HOSTS; x++)
+			if (x != h)
+				w.link(h, x, !yes);
+		if (yes && w.leader == h)
+			w.elect();
+		if (yes)
+			w.move_after_lease(h);
+	}
+
+	void drain_target(int a)
+	{
+		target_id_t id = (target_id_t)(a % TARGETS + 1);
+		Engine &e = w.engines[id];
+		bool drains = e.leaving_since < 0;
+
+		if (e.leaving)
+			return;
+		e.leaving_since = drains ? w.now() : -1;
+		w.edit_target(id, [&](target_t *t) {
+			t->state = drains ? TARGET_DRAINING : TARGET_ACTIVE;
+		});
+		w.publish();
+	}
+
+	void leave(Engine &e)
+	{
+		if (e.leaving_since >= 0 && !e.leaving)
+			return;
+		e.leaving = !e.leaving;
+		e.leaving_since = e.leaving ? w.now() : -1;
+		w.after(SEC, [this, &e] { w.list(e.id, e.leaving); });
+	}
+
+	void step(const Step &s)
+	{
+		int a = std::get<1>(s), b = std::get<2>(s);
+
+		switch (std::get<0>(s)) {
+		case ASK:
+			ask(a, b);
+			break;
+		case ASK_MORE:
+			for (int i = 0; i < 6; i++)
+				ask(a + i, b + i * i);
+			break;
+		case ASK_SAME:
+			for (int i = 0; i < 6; i++)
+				ask(a + i, b);
+			break;
+		case CALL:
+			call(a, keys++);
+			break;
+		case CALL_AGAIN:
+			call(a, keys ? b % keys : keys++);
+			break;
+		case CANCEL:
+			cancel(a);
+			break;
+		case RECONNECT:
+			reconnect(a);
+			break;
+		case WAIT:
+			w.run((1 + b % 20) * 10 * MS);
+			break;
+		case WAIT_MORE:
+			w.run((1 + b % 5) * 500 * MS);
+			break;
+		case ENGINE_DOWN:
+			engine(a).down = !engine(a).down;
+			break;
+		case ENGINE_SILENT:
+			engine(a).silent = !engine(a).silent;
+			break;
+		case ENGINE_REFUSES:
+			engine(a).refusing = !engine(a).refusing;
+			break;
+		case ENGINE_RESTART:
+			w.restart_engine(engine(a).id);
+			break;
+		case ENGINE_LEAVES:
+			leave(engine(a));
+			break;
+		case LOADS_FAIL:
+			engine(a).load_failures += b % 3 + 1;
+			break;
+		case STREAMS_DROP:
+			engine(a).drops += b % 4 + 1;
+			break;
+		case KILL:
+			if (w.daemons[(host_id_t)(a % HOSTS + 1)].renews)
+				w.kill((host_id_t)(a % HOSTS + 1));
+			break;
+		case REVIVE:
+			w.revive((host_id_t)(a % HOSTS + 1));
+			break;
+		case CUT:
+		case HEAL: {
+			host_id_t x = (host_id_t)(a % HOSTS + 1);
+			host_id_t y = (host_id_t)(b % HOSTS + 1);
+
+			if (x != y)
+				w.link(x, y, std::get<0>(s) == HEAL);
+			break;
+		}
+		case ISOLATE:
+			isolate((host_id_t)(a % HOSTS + 1), true);
+			break;
+		case REJOIN:
+			isolate((host_id_t)(a % HOSTS + 1), false);
+			break;
+		case CLAIMS_FAIL:
+			w.claim_faults = b % 5;
+			break;
+		case DRAIN_TARGET:
+			drain_target(a);
+			break;
+		case PUBLISH:
+			w.publish();
+			break;
+		case MOVE_TARGET: {
+			target_id_t t = (target_id_t)(a % TARGETS + 1);
+			host_id_t h = (host_id_t)(b % HOSTS + 1);
+
+			if (w.daemons[h].alive && w.daemons[h].renews &&
+			    w.daemons[w.owner_of(t)].alive &&
+			    w.daemons[w.owner_of(t)].renews)
+				w.assign(t, h);
+			break;
+		}
+		}
+	}
+
+	void settle()
+	{
+		w.run(16 * SEC);
+		w.check_end();
+	}
+};
+
+void play(bool checks_fence)
+{
+	auto part = rc::gen::inRange(0, 64);
+	auto act = rc::gen::weightedOneOf<int>(
+		{{6, rc::gen::inRange<int>(ASK, WAIT_MORE + 1)},
+		 {3, rc::gen::element<int>(ASK, ASK_MORE, ASK_SAME, WAIT)},
+		 {3, rc::gen::inRange<int>(ENGINE_DOWN, ACTS)}});
+	auto steps = *rc::gen::container<std::vector<Step>>(
+		rc::gen::tuple(act, part, part));
+	History h(checks_fence);
+
+	for (auto &s : steps)
+		h.step(s);
+	h.settle();
+	for (auto &b : h.w.broken)
+		RC_LOG() << b << std::endl;
+	RC_ASSERT(h.w.broken.empty());
+}
+
+RC_GTEST_PROP(ServeFuzz, KeepsItsPromisesWithFencing, ())
+{
+	play(true);
+}
+
+RC_GTEST_PROP(ServeFuzz, KeepsItsPromisesWithoutFencing, ())
+{
+	play(false);
+}
+
+} // namespace
--- a/tests/serve_world.h
+++ b/tests/serve_world.h
@@ -135,6 +135,7 @@
 	host_id_t leader = 1;
 	uint64_t term = 1, next_handle = 1;
 	int64_t net = 1 * MS, lease = SEC;
+	std::set<target_id_t> listed; // leaving, says the platform's list
 	int claim_faults = 0; // the next claims that fail: 1 not taken, 2 lost
 	serve_cfg_t cfg;
 	using Timed =
@@ -305,9 +306,22 @@
 		d.s = serve_new(&c, &ops, &d, timers);
 		d.alive = true;
 		serve_tables(d.s, tables);
+		for (target_id_t t : listed)
+			serve_target_hint(d.s, t, true);
 		standing(d);
 	}
 
+	void list(target_id_t t, bool leaving)
+	{
+		if (leaving)
+			listed.insert(t);
+		else
+			listed.erase(t);
+		for (auto &d : daemons)
+			if (d.second.alive)
+				serve_target_hint(d.second.s, t, leaving);
+	}
+
 	// Standing, tables.
 
 	void standing(Daemon &d)
