--- a/dev/lib_sim.c
+++ b/dev/lib_sim.c
@@ -1782,7 +1782,7 @@
 	const deploy_t *dep = s->cfg.deploy;
 
 	for (size_t i = 0; i < s->n_hosts; i++) {
-		char name[32], addr[32], peer[32];
+		char name[64], addr[64], peer[64];
 		host_t row = {.id = (host_id_t)i + 1};
 
 		snprintf(name, sizeof(name), "entry-%zu", i + 1);
@@ -1802,7 +1802,7 @@
 {
 	const deploy_t *dep = s->cfg.deploy;
 	sim_engine_t *e = &s->engines[i];
-	char url[32];
+	char url[64];
 	target_t row = {.id = (target_id_t)i + 1};
 
 	e->id = (target_id_t)i + 1;
--- a/dev/policy-bench.c
+++ b/dev/policy-bench.c
@@ -12,6 +12,7 @@
  */
 #include "lib_bound.h"
 #include "lib_sim.h"
+#include "log.h"
 
 #include <math.h>
 #include <stdio.h>
@@ -471,6 +472,7 @@
 		fprintf(stderr, "%s\n", err->message);
 		return 2;
 	}
+	log_set_level(LOG_ERR);
 	if (bad_options() || deploy_load(&d, opt.deployment))
 		return 2;
 	if (!opt.json && !opt.write_trace)
