--- a/proto/change.pb-c.c
+++ b/proto/change.pb-c.c
@@ -1052,7 +1052,7 @@
   (ProtobufCMessageInit) dk__param__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dk__template_adapter__field_descriptors[4] =
+static const ProtobufCFieldDescriptor dk__template_adapter__field_descriptors[5] =
 {
   {
     "name",
@@ -1102,17 +1102,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "version",
+    5,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Dk__TemplateAdapter, has_version),
+    offsetof(Dk__TemplateAdapter, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dk__template_adapter__field_indices_by_name[] = {
   1,   /* field[1] = base_model */
   2,   /* field[2] = count */
   3,   /* field[3] = load_ms */
   0,   /* field[0] = name */
+  4,   /* field[4] = version */
 };
 static const ProtobufCIntRange dk__template_adapter__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor dk__template_adapter__descriptor =
 {
@@ -1122,7 +1135,7 @@
   "Dk__TemplateAdapter",
   "dk",
   sizeof(Dk__TemplateAdapter),
-  4,
+  5,
   dk__template_adapter__field_descriptors,
   dk__template_adapter__field_indices_by_name,
   1,  dk__template_adapter__number_ranges,
--- a/proto/change.pb-c.h
+++ b/proto/change.pb-c.h
@@ -99,10 +99,15 @@
   char *count;
   protobuf_c_boolean has_load_ms;
   uint32_t load_ms;
+  /*
+   * published at once for new adapters
+   */
+  protobuf_c_boolean has_version;
+  uint32_t version;
 };
 #define DK__TEMPLATE_ADAPTER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dk__template_adapter__descriptor) \
-    , NULL, NULL, NULL, 0, 0 }
+    , NULL, NULL, NULL, 0, 0, 0, 0 }
 
 
 /*
--- a/src/change.c
+++ b/src/change.c
@@ -189,10 +189,23 @@
 			    STR_ARG(ra->name));
 	if (old && old->load_ms == row.load_ms && str_eq(old->base, row.base))
 		return 0;
+	if (!old && ra->version) {
+		row.current_version = ra->version;
+		row.versions = &ra->version;
+		row.n_versions = 1;
+	}
 	decided_put_adapter(ap->d, &row);
 	return 0;
 }
 
+/* An operator has published more than the template did. */
+static bool published_by_hand(const adapter_t *a, uint32_t template_version)
+{
+	if (a->n_versions == 0)
+		return false;
+	return a->n_versions > 1 || a->versions[0] != template_version;
+}
+
 /* Deletes what the template no longer gives and nobody has published to. */
 static void drop_old_adapters(apply_t *ap, uint32_t org_id,
 			      const resolved_t *before, const resolved_t *now)
@@ -201,7 +214,8 @@
 		str_t name = before->adapters[i].name;
 		const adapter_t *a = decided_adapter(ap->d, name);
 
-		if (!a || a->org_id != org_id || a->n_versions)
+		if (!a || a->org_id != org_id ||
+		    published_by_hand(a, before->adapters[i].version))
 			continue;
 		if (!resolved_has(now, name))
 			decided_del_adapter(ap->d, a->id);
--- /dev/null
+++ b/src/client.c
@@ -0,0 +1,177 @@
+/* client.c - HTTP client of the operators' interface over libcurl. */
+#include "client.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "change.h"
+
+#define TIMEOUT_MS 15000L
+#define CONNECT_TIMEOUT_MS 2000L
+#define PAUSE_MS 100L
+/* Rounds of the servers before a request that none took in is given up. */
+#define UNREACHABLE_ROUNDS 3u
+#define REPLY_MAX (64u << 20)
+
+int client_init(client_t *c)
+{
+	c->timeout_ms = TIMEOUT_MS;
+	if (curl_global_init(CURL_GLOBAL_NOTHING))
+		return -1;
+	c->curl = curl_easy_init();
+	return c->curl ? 0 : -1;
+}
+
+void client_free(client_t *c)
+{
+	for (size_t i = 0; i < c->n_servers; i++)
+		free(c->servers[i]);
+	free(c->token);
+	if (c->curl)
+		curl_easy_cleanup(c->curl);
+	curl_global_cleanup();
+	memset(c, 0, sizeof(*c));
+}
+
+int client_add_servers(client_t *c, const char *list)
+{
+	str_t rest = str_c(list);
+	str_t addr;
+
+	while (rest.n) {
+		str_split(rest, ',', &addr, &rest);
+		if (!addr_valid(addr) || c->n_servers == CLIENT_SERVERS_MAX)
+			return -1;
+		c->servers[c->n_servers++] = str_dup(addr);
+	}
+	return 0;
+}
+
+static size_t on_data(char *p, size_t size, size_t n, void *ctx)
+{
+	buf_t *body = ctx;
+
+	if (body->n + size * n > REPLY_MAX)
+		return 0;
+	buf_put(body, p, size * n);
+	return size * n;
+}
+
+/* True where no byte of the request can have been taken in. */
+static bool not_sent(CURLcode rc)
+{
+	return rc == CURLE_COULDNT_CONNECT || rc == CURLE_COULDNT_RESOLVE_HOST;
+}
+
+static client_result_t call(client_t *c, const char *addr, const char *path,
+			    const char *post, json_t **reply)
+{
+	AUTO_BUF buf_t url = {0};
+	AUTO_BUF buf_t auth = {0};
+	AUTO_BUF buf_t body = {0};
+	struct curl_slist *headers = NULL;
+	CURLcode rc;
+
+	*reply = NULL;
+	buf_printf(&url, "http://%s%s", addr, path);
+	buf_printf(&auth, "Authorization: Bearer %s", c->token ? c->token : "");
+	headers = curl_slist_append(headers, auth.p);
+	headers = curl_slist_append(headers, "Content-Type: application/json");
+	headers = curl_slist_append(headers, "Expect:");
+	curl_easy_reset(c->curl);
+	curl_easy_setopt(c->curl, CURLOPT_URL, url.p);
+	curl_easy_setopt(c->curl, CURLOPT_HTTPHEADER, headers);
+	curl_easy_setopt(c->curl, CURLOPT_WRITEFUNCTION, on_data);
+	curl_easy_setopt(c->curl, CURLOPT_WRITEDATA, &body);
+	curl_easy_setopt(c->curl, CURLOPT_ERRORBUFFER, c->error);
+	curl_easy_setopt(c->curl, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(c->curl, CURLOPT_PROXY, "");
+	curl_easy_setopt(c->curl, CURLOPT_CONNECTTIMEOUT_MS,
+			 CONNECT_TIMEOUT_MS);
+	curl_easy_setopt(c->curl, CURLOPT_TIMEOUT_MS, c->timeout_ms);
+	if (post)
+		curl_easy_setopt(c->curl, CURLOPT_POSTFIELDS, post);
+	rc = curl_easy_perform(c->curl);
+	curl_slist_free_all(headers);
+	c->http_status = 0;
+	if (rc != CURLE_OK)
+		return not_sent(rc) ? CLIENT_UNREACHABLE : CLIENT_LOST;
+	curl_easy_getinfo(c->curl, CURLINFO_RESPONSE_CODE, &c->http_status);
+	*reply = json_loadb(body.p ? body.p : "", body.n, 0, NULL);
+	return CLIENT_OK;
+}
+
+client_result_t client_get_at(client_t *c, const char *addr, const char *path,
+			      json_t **reply)
+{
+	return call(c, addr, path, NULL, reply);
+}
+
+client_result_t client_get(client_t *c, const char *path, json_t **reply)
+{
+	client_result_t res = CLIENT_UNREACHABLE;
+
+	for (size_t i = 0; i < c->n_servers; i++) {
+		size_t at = (c->current + i) % c->n_servers;
+
+		res = call(c, c->servers[at], path, NULL, reply);
+		if (res != CLIENT_OK)
+			continue;
+		c->current = at;
+		return CLIENT_OK;
+	}
+	/* Reads change nothing, so that a lost reply is as good as none. */
+	return CLIENT_UNREACHABLE;
+}
+
+static int64_t now_ms(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_MONOTONIC, &ts);
+	return ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
+}
+
+static bool is_final(long status)
+{
+	return status != 502 && status != 503 && status != 504;
+}
+
+client_result_t client_post(client_t *c, const char *path, const char *body,
+			    long deadline_ms, json_t **reply)
+{
+	const struct timespec pause = {0, PAUSE_MS * 1000000L};
+	int64_t end = now_ms() + deadline_ms;
+	client_result_t worst = CLIENT_UNREACHABLE;
+	client_result_t res;
+	bool answered = false;
+
+	*reply = NULL;
+	for (size_t i = 0;; i++) {
+		size_t at = (c->current + i) % c->n_servers;
+
+		json_decref(*reply);
+		res = call(c, c->servers[at], path, body, reply);
+		if (res == CLIENT_OK && is_final(c->http_status)) {
+			c->current = at;
+			return CLIENT_OK;
+		}
+		/* Once a reply is lost, only a final answer can tell. */
+		if (res == CLIENT_LOST ||
+		    (res == CLIENT_OK && c->http_status == 504))
+			worst = CLIENT_LOST;
+		if (res == CLIENT_OK)
+			answered = true;
+		if (now_ms() >= end)
+			break;
+		if (!answered && worst == CLIENT_UNREACHABLE &&
+		    i + 1 >= c->n_servers * UNREACHABLE_ROUNDS)
+			break;
+		if (i % c->n_servers == c->n_servers - 1)
+			nanosleep(&pause, NULL);
+	}
+	if (worst == CLIENT_LOST)
+		return CLIENT_LOST;
+	return res;
+}
--- a/src/main.c
+++ b/src/main.c
@@ -1,9 +1,7 @@
 /* main.c - entry point; the subcommands live in cli.c. */
-#include <stdio.h>
+#include "cli.h"
 
 int main(int argc, char **argv)
 {
-	(void)argc;
-	fprintf(stderr, "%s: no subcommands yet\n", argv[0]);
-	return 2;
+	return cli_main(argc, argv);
 }
--- a/src/template.c
+++ b/src/template.c
@@ -373,6 +373,7 @@
 	ra->name = str_copy(buf_str(&name));
 	ra->base = str_copy(buf_str(&base));
 	ra->load_ms = a->load_ms;
+	ra->version = a->version;
 	return 0;
 }
 
--- a/src/template.h
+++ b/src/template.h
@@ -27,6 +27,7 @@
 	str_t name; /* owned by the resolved_t */
 	str_t base; /* owned by the resolved_t */
 	uint32_t load_ms;
+	uint32_t version; /* published for a new adapter; 0: none */
 } resolved_adapter_t;
 
 /* What an organisation gets from template and settings together. */
