--- /dev/null
+++ b/src/forward.c
@@ -0,0 +1,261 @@
+/* forward.c - the asking side: requests of this daemon to the leader. */
+#include "forward.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <urcu/list.h>
+
+/* Attempts are bits of a word. */
+#define ATTEMPTS_MAX 62u
+/* After a refusal by the leader it knows of, it waits retry / this. */
+#define REFUSED_DIV 8
+
+typedef struct request {
+	struct cds_list_head node;
+	uint64_t id;
+	uint64_t tag;
+	bool is_claim;
+	buf_t change;
+	claim_req_t claim; /* its strings are owned */
+	uint32_t attempts;
+	uint64_t refused; /* bit n: attempt n was refused */
+	uint64_t sent_term;
+	int64_t retry_due_us;
+	int64_t deadline_us;
+} request_t;
+
+struct forward {
+	forward_ops_t ops;
+	void *ctx;
+	uint64_t session;
+	int64_t retry_us;
+	int64_t timeout_us;
+	uint64_t next_id;
+	host_id_t leader;
+	uint64_t term;
+	struct cds_list_head requests; /* by id */
+	size_t n;
+};
+
+static void request_free(forward_t *f, request_t *r)
+{
+	cds_list_del(&r->node);
+	f->n--;
+	buf_free(&r->change);
+	str_free(&r->claim.key);
+	str_free(&r->claim.holder);
+	str_free(&r->claim.body);
+	free(r);
+}
+
+static uint64_t oldest_id(const forward_t *f)
+{
+	if (f->n == 0)
+		return f->next_id;
+	return cds_list_entry(f->requests.next, request_t, node)->id;
+}
+
+static void put_bytes(ProtobufCBinaryData *out, str_t s)
+{
+	out->data = (uint8_t *)s.p;
+	out->len = s.n;
+}
+
+static void send_request(forward_t *f, request_t *r, int64_t now_us)
+{
+	Peer__Msg msg = PEER__MSG__INIT;
+	Peer__Propose pb = PEER__PROPOSE__INIT;
+	Peer__ClaimReq claim = PEER__CLAIM_REQ__INIT;
+
+	r->retry_due_us = now_us + f->retry_us;
+	if (!f->leader || r->attempts == ATTEMPTS_MAX)
+		return;
+	pb.id = r->id;
+	pb.session = f->session;
+	pb.attempt = r->attempts++;
+	pb.term = f->term;
+	pb.oldest = oldest_id(f);
+	r->sent_term = f->term;
+	if (r->is_claim) {
+		claim.op = r->claim.op;
+		claim.org_id = r->claim.org_id;
+		claim.body_hash = r->claim.body_hash;
+		claim.http_status = (uint32_t)r->claim.http_status;
+		put_bytes(&claim.key, r->claim.key);
+		put_bytes(&claim.holder, r->claim.holder);
+		put_bytes(&claim.body, r->claim.body);
+		pb.claim = &claim;
+	} else {
+		put_bytes(&pb.change, buf_str(&r->change));
+	}
+	msg.body_case = PEER__MSG__BODY_PROPOSE;
+	msg.propose = &pb;
+	f->ops.send(f->ctx, f->leader, &msg);
+}
+
+static request_t *add(forward_t *f, uint64_t tag, int64_t now_us)
+{
+	request_t *r = xcalloc(1, sizeof(*r));
+
+	r->id = f->next_id++;
+	r->tag = tag;
+	r->deadline_us = now_us + f->timeout_us;
+	cds_list_add_tail(&r->node, &f->requests);
+	f->n++;
+	return r;
+}
+
+void forward_change(forward_t *f, uint64_t tag, str_t change, int64_t now_us)
+{
+	request_t *r = add(f, tag, now_us);
+
+	buf_put(&r->change, change.p, change.n);
+	send_request(f, r, now_us);
+}
+
+void forward_claim(forward_t *f, const claim_req_t *req, int64_t now_us)
+{
+	request_t *r = add(f, req->tag, now_us);
+
+	r->is_claim = true;
+	r->claim = *req;
+	r->claim.key = str_copy(req->key);
+	r->claim.holder = str_copy(req->holder);
+	r->claim.body = str_copy(req->body);
+	send_request(f, r, now_us);
+}
+
+void forward_leader(forward_t *f, host_id_t leader, uint64_t term,
+		    int64_t now_us)
+{
+	request_t *r, *tmp;
+
+	if (f->leader == leader && f->term == term)
+		return;
+	f->leader = leader;
+	f->term = term;
+	cds_list_for_each_entry_safe(r, tmp, &f->requests, node)
+	{
+		if (leader && r->sent_term != term)
+			send_request(f, r, now_us);
+	}
+}
+
+/* The one outcome of a request whose decision is not known. */
+static void give_up(forward_t *f, request_t *r)
+{
+	bool certain = r->refused == ((uint64_t)1 << r->attempts) - 1;
+
+	if (r->is_claim) {
+		claim_result_t res = {.tag = r->tag};
+
+		res.outcome = certain ? CLAIM_NOT_TAKEN : CLAIM_UNDECIDED;
+		f->ops.claimed(f->ctx, &res);
+	} else {
+		change_outcome_t out = {0};
+
+		out.status = certain ? CHANGE_NO_QUORUM : CHANGE_UNKNOWN;
+		f->ops.changed(f->ctx, r->tag, &out);
+	}
+	request_free(f, r);
+}
+
+static request_t *find(forward_t *f, uint64_t id)
+{
+	request_t *r;
+
+	cds_list_for_each_entry(r, &f->requests, node)
+	{
+		if (r->id == id)
+			return r;
+	}
+	return NULL;
+}
+
+bool forward_result(forward_t *f, const Peer__ProposeRes *p, host_id_t *leader,
+		    uint64_t *term)
+{
+	request_t *r = p->session == f->session ? find(f, p->id) : NULL;
+
+	if (!r || p->attempt >= r->attempts)
+		return false;
+	if (p->refused) {
+		r->refused |= (uint64_t)1 << p->attempt;
+		*leader = p->leader;
+		*term = p->leader_term;
+		return p->leader_term > f->term && p->leader;
+	}
+	if (r->is_claim) {
+		claim_result_t res = {.tag = r->tag};
+
+		res.outcome = (claim_outcome_t)p->status;
+		res.http_status = (int)p->http_status;
+		res.body = str_n((char *)p->body.data, p->body.len);
+		f->ops.claimed(f->ctx, &res);
+	} else {
+		change_outcome_t out = {0};
+
+		out.status = (change_status_t)p->status;
+		out.revision = p->revision;
+		out.error = str_n((char *)p->error.data, p->error.len);
+		out.resent = p->resent;
+		f->ops.changed(f->ctx, r->tag, &out);
+	}
+	request_free(f, r);
+	return false;
+}
+
+int64_t forward_tick(forward_t *f, int64_t now_us)
+{
+	int64_t due = INT64_MAX;
+	request_t *r, *tmp;
+
+	cds_list_for_each_entry_safe(r, tmp, &f->requests, node)
+	{
+		if (now_us >= r->deadline_us) {
+			give_up(f, r);
+			continue;
+		}
+		if (now_us >= r->retry_due_us)
+			send_request(f, r, now_us);
+		if (r->retry_due_us < due)
+			due = r->retry_due_us;
+		if (r->deadline_us < due)
+			due = r->deadline_us;
+	}
+	return due;
+}
+
+size_t forward_waiting(const forward_t *f)
+{
+	return f->n;
+}
+
+forward_t *forward_new(uint64_t session, int64_t retry_us, int64_t timeout_us,
+		       const forward_ops_t *ops, void *ctx)
+{
+	forward_t *f = xcalloc(1, sizeof(*f));
+
+	f->ops = *ops;
+	f->ctx = ctx;
+	f->session = session;
+	f->retry_us = retry_us;
+	f->timeout_us = timeout_us;
+	f->next_id = 1;
+	CDS_INIT_LIST_HEAD(&f->requests);
+	return f;
+}
+
+void forward_free(forward_t *f)
+{
+	request_t *r, *tmp;
+
+	if (!f)
+		return;
+	cds_list_for_each_entry_safe(r, tmp, &f->requests, node)
+	{
+		request_free(f, r);
+	}
+	free(f);
+}
--- /dev/null
+++ b/src/session.h
@@ -0,0 +1,71 @@
+/*
+ * session.h - the leader's table of sessions: which daemons are live, since
+ * when, and what they have in force. Times are the leader's clock.
+ */
+#ifndef DK_SESSION_H
+#define DK_SESSION_H
+
+#include "decided.h"
+#include "state.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+typedef struct session {
+	host_id_t host;
+	uint64_t nonce;	    /* chosen by the daemon when it started */
+	int64_t opened_us;  /* live without a break since */
+	uint64_t open_index; /* of the log then; see RenewRes.lease_index */
+	int64_t renewed_us; /* arrival of the latest renewal */
+	uint64_t index;	    /* applied there */
+	uint64_t revision;
+	bool live;
+	bool left; /* said goodbye; its lease is given back */
+} session_t;
+
+typedef struct sessions sessions_t;
+
+/* lease_us as the holder counts it; drift_ppm bounds any two clocks. */
+sessions_t *sessions_new(int64_t lease_us, uint32_t drift_ppm);
+void sessions_free(sessions_t *s);
+/* Forgets all: a new leader starts, which does not know earlier renewals. */
+void sessions_reset(sessions_t *s, uint64_t term, int64_t now_us);
+
+/*
+ * Takes in a renewal. True where a session has begun; the caller then sets its
+ * open_index.
+ */
+bool sessions_renew(sessions_t *s, host_id_t host, uint64_t nonce,
+		    uint64_t index, uint64_t revision, int64_t now_us);
+void sessions_set_open_index(sessions_t *s, host_id_t host, uint64_t index);
+bool sessions_leave(sessions_t *s, host_id_t host, uint64_t nonce);
+/* Ends sessions whose lease is surely over; true where any was. */
+bool sessions_expire(sessions_t *s, int64_t now_us);
+/* When sessions_expire() has something to do; INT64_MAX: never. */
+int64_t sessions_due(const sessions_t *s);
+
+/* NULL where the host was not heard of in this leader's term. */
+const session_t *sessions_get(const sessions_t *s, host_id_t host);
+bool sessions_is_live(const sessions_t *s, host_id_t host);
+/* Whether the host surely holds no lease any more. */
+bool sessions_is_over(const sessions_t *s, host_id_t host, int64_t now_us);
+/* When every lease of an earlier leader is surely over. */
+int64_t sessions_grace_us(const sessions_t *s);
+
+/* Changes whenever the set of live hosts does; unique over terms. */
+uint64_t sessions_version(const sessions_t *s);
+/* Live hosts, ascending. */
+const host_id_t *sessions_live(const sessions_t *s, size_t *n);
+size_t sessions_revisions(const sessions_t *s, host_revision_t *out,
+			  size_t max);
+
+/* Holder's side of the lease: how long it may count on it. */
+int64_t lease_holder_us(int64_t lease_us, uint32_t drift_ppm);
+/* Granter's side: how long it waits from the arrival of a renewal. */
+int64_t lease_granter_us(int64_t lease_us, uint32_t drift_ppm);
+
+#ifdef __cplusplus
+}
+#endif
+#endif
--- a/src/wal.h
+++ b/src/wal.h
@@ -80,6 +80,7 @@
 	uint64_t snapshot_term;
 	str_t snapshot;	     /* owned by the wal until the first snapshot() */
 	bool empty;	     /* a new or emptied folder */
+	uint64_t incarnation; /* random, made with the folder; never 0 */
 	uint64_t torn_bytes; /* cut from the tail */
 } wal_found_t;
 
