--- a/proto/change.pb-c.c
+++ b/proto/change.pb-c.c
@@ -2430,7 +2430,7 @@
   (ProtobufCMessageInit) dk__claims__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dk__assign__field_descriptors[1] =
+static const ProtobufCFieldDescriptor dk__assign__field_descriptors[2] =
 {
   {
     "pairs",
@@ -2444,14 +2444,27 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "released",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Dk__Assign, n_released),
+    offsetof(Dk__Assign, released),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dk__assign__field_indices_by_name[] = {
   0,   /* field[0] = pairs */
+  1,   /* field[1] = released */
 };
 static const ProtobufCIntRange dk__assign__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor dk__assign__descriptor =
 {
@@ -2461,7 +2474,7 @@
   "Dk__Assign",
   "dk",
   sizeof(Dk__Assign),
-  1,
+  2,
   dk__assign__field_descriptors,
   dk__assign__field_indices_by_name,
   1,  dk__assign__number_ranges,
--- a/proto/change.pb-c.h
+++ b/proto/change.pb-c.h
@@ -379,10 +379,15 @@
    */
   size_t n_pairs;
   uint32_t *pairs;
+  /*
+   * Targets whose previous owner has no order outstanding.
+   */
+  size_t n_released;
+  uint32_t *released;
 };
 #define DK__ASSIGN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dk__assign__descriptor) \
-    , 0,NULL }
+    , 0,NULL, 0,NULL }
 
 
 /*
--- a/proto/state.pb-c.c
+++ b/proto/state.pb-c.c
@@ -2090,7 +2090,7 @@
   (ProtobufCMessageInit) peer__renew_res__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__claim_req__field_descriptors[7] =
+static const ProtobufCFieldDescriptor peer__claim_req__field_descriptors[8] =
 {
   {
     "op",
@@ -2176,6 +2176,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ttl_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ClaimReq, ttl_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__claim_req__field_indices_by_name[] = {
   6,   /* field[6] = body */
@@ -2185,11 +2197,12 @@
   2,   /* field[2] = key */
   0,   /* field[0] = op */
   1,   /* field[1] = org_id */
+  7,   /* field[7] = ttl_ms */
 };
 static const ProtobufCIntRange peer__claim_req__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor peer__claim_req__descriptor =
 {
@@ -2199,7 +2212,7 @@
   "Peer__ClaimReq",
   "peer",
   sizeof(Peer__ClaimReq),
-  7,
+  8,
   peer__claim_req__field_descriptors,
   peer__claim_req__field_indices_by_name,
   1,  peer__claim_req__number_ranges,
--- a/proto/state.pb-c.h
+++ b/proto/state.pb-c.h
@@ -305,10 +305,11 @@
   uint64_t body_hash;
   uint32_t http_status;
   ProtobufCBinaryData body;
+  uint64_t ttl_ms;
 };
 #define PEER__CLAIM_REQ__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__claim_req__descriptor) \
-    , 0, 0, {0,NULL}, {0,NULL}, 0, 0, {0,NULL} }
+    , 0, 0, {0,NULL}, {0,NULL}, 0, 0, {0,NULL}, 0 }
 
 
 /*
--- a/src/assign.c
+++ b/src/assign.c
@@ -64,13 +64,13 @@
 /* Next owner of one target; false where nothing changes now. */
 static bool next_owner(const decided_t *d, const sessions_t *s,
 		       const target_t *t, int64_t now_us, int64_t settle_us,
-		       size_t *moves, host_id_t *owner)
+		       size_t *moves, assignment_t *out)
 {
 	host_id_t best = best_host(d, s, t);
 	bool over;
 
 	if (!t->owner) {
-		*owner = best;
+		out->owner = best;
 		return best &&
 		       has_let_go(s, t->previous_owner, t->fence, now_us);
 	}
@@ -80,11 +80,11 @@
 	if (over) {
 		const session_t *row = sessions_get(s, t->owner);
 
-		/* One that left needs no waiting by the next owner. */
-		*owner = row && row->left ? 0 : best;
-		return best || (row && row->left);
+		out->released = row && row->left;
+		out->owner = best;
+		return best || out->released;
 	}
-	*owner = 0;
+	out->owner = 0;
 	if (!may_own(d, t->owner))
 		return true;
 	if (best == t->owner || !*moves || !settled(s, best, now_us, settle_us))
@@ -100,16 +100,15 @@
 
 	for (size_t i = 0; i < decided_target_count(d); i++) {
 		const target_t *t = decided_target_at(d, i);
-		host_id_t owner;
 
 		if (n == ASSIGN_MAX)
 			break;
-		if (!next_owner(d, s, t, now_us, settle_us, &max_moves, &owner))
-			continue;
-		if (owner == t->owner)
-			continue;
 		out[n].target = t->id;
-		out[n++].owner = owner;
+		out[n].released = false;
+		if (next_owner(d, s, t, now_us, settle_us, &max_moves,
+			       &out[n]) &&
+		    out[n].owner != t->owner)
+			n++;
 	}
 	return n;
 }
--- a/src/claim.c
+++ b/src/claim.c
@@ -131,6 +131,11 @@
 	return cl->touched_ms;
 }
 
+uint64_t claims_now_ms(const claims_t *c)
+{
+	return c->now_ms;
+}
+
 void claims_advance(claims_t *c, uint64_t now_ms)
 {
 	if (now_ms > c->now_ms)
--- a/src/claim.h
+++ b/src/claim.h
@@ -88,6 +88,7 @@
  * beyond their time.
  */
 void claims_advance(claims_t *c, uint64_t now_ms);
+uint64_t claims_now_ms(const claims_t *c);
 /* Applies one operation. Strings of *res point into req or the claims. */
 void claims_apply(claims_t *c, const claim_req_t *req, claim_result_t *res);
 size_t claims_count(const claims_t *c);
--- a/src/feed.c
+++ b/src/feed.c
@@ -71,8 +71,7 @@
 {
 	feed_rec_t *r;
 
-	while (f->n &&
-	       (f->n == f->cfg.keep || f->bytes + data.n > KEEP_BYTES))
+	while (f->n && (f->n == f->cfg.keep || f->bytes + data.n > KEEP_BYTES))
 		drop_oldest(f);
 	r = rec(f, f->n++);
 	r->index = index;
@@ -157,14 +156,15 @@
 		f->ops.save(f->ctx, &f->snap);
 		f->snap_index = f->index;
 	}
-	if (p->snapshot_index == f->snap_index && p->snapshot_offset < f->snap.n)
+	if (p->snapshot_index == f->snap_index &&
+	    p->snapshot_offset < f->snap.n)
 		at = p->snapshot_offset;
 	pb.index = f->snap_index;
 	pb.offset = at;
 	pb.total = f->snap.n;
 	pb.data.data = (uint8_t *)f->snap.p + at;
-	pb.data.len = f->snap.n - at < CHUNK_BYTES ? f->snap.n - at
-						   : CHUNK_BYTES;
+	pb.data.len =
+		f->snap.n - at < CHUNK_BYTES ? f->snap.n - at : CHUNK_BYTES;
 	c->sent = f->snap_index;
 	c->sent_us = now_us;
 	send_body(f, c->host, PEER__MSG__BODY_FEED_CHUNK, &pb);
@@ -225,7 +225,8 @@
 	}
 	/* What was pushed a moment ago is on its way. */
 	if (c->sent > p->index && !p->gap &&
-	    now_us - c->sent_us < f->cfg.beat_us && find_after(f, c->sent, &pos))
+	    now_us - c->sent_us < f->cfg.beat_us &&
+	    find_after(f, c->sent, &pos))
 		after = c->sent;
 	else
 		find_after(f, p->index, &pos);
@@ -390,8 +391,8 @@
 	f->ops = *ops;
 	f->ctx = ctx;
 	f->recs = xcalloc(cfg->keep, sizeof(*f->recs));
-	f->children = xcalloc(cfg->fanout * PLACES_PER_FANOUT,
-			      sizeof(*f->children));
+	f->children =
+		xcalloc(cfg->fanout * PLACES_PER_FANOUT, sizeof(*f->children));
 	return f;
 }
 
--- a/src/forward.c
+++ b/src/forward.c
@@ -81,6 +81,7 @@
 		claim.op = r->claim.op;
 		claim.org_id = r->claim.org_id;
 		claim.body_hash = r->claim.body_hash;
+		claim.ttl_ms = r->claim.ttl_ms;
 		claim.http_status = (uint32_t)r->claim.http_status;
 		put_bytes(&claim.key, r->claim.key);
 		put_bytes(&claim.holder, r->claim.holder);
@@ -135,8 +136,7 @@
 		return;
 	f->leader = leader;
 	f->term = term;
-	cds_list_for_each_entry_safe(r, tmp, &f->requests, node)
-	{
+	cds_list_for_each_entry_safe (r, tmp, &f->requests, node) {
 		if (leader && r->sent_term != term)
 			send_request(f, r, now_us);
 	}
@@ -165,8 +165,7 @@
 {
 	request_t *r;
 
-	cds_list_for_each_entry(r, &f->requests, node)
-	{
+	cds_list_for_each_entry (r, &f->requests, node) {
 		if (r->id == id)
 			return r;
 	}
@@ -211,8 +210,7 @@
 	int64_t due = INT64_MAX;
 	request_t *r, *tmp;
 
-	cds_list_for_each_entry_safe(r, tmp, &f->requests, node)
-	{
+	cds_list_for_each_entry_safe (r, tmp, &f->requests, node) {
 		if (now_us >= r->deadline_us) {
 			give_up(f, r);
 			continue;
@@ -253,8 +251,7 @@
 
 	if (!f)
 		return;
-	cds_list_for_each_entry_safe(r, tmp, &f->requests, node)
-	{
+	cds_list_for_each_entry_safe (r, tmp, &f->requests, node) {
 		request_free(f, r);
 	}
 	free(f);
--- a/src/intake.c
+++ b/src/intake.c
@@ -69,8 +69,7 @@
 	if (oldest <= o->oldest)
 		return;
 	o->oldest = oldest;
-	cds_list_for_each_entry_safe(it, tmp, &o->items, node)
-	{
+	cds_list_for_each_entry_safe (it, tmp, &o->items, node) {
 		/* One on its way is still needed, to keep the order. */
 		if (it->id < oldest && it->done)
 			item_free(it);
@@ -81,8 +80,7 @@
 {
 	origin_t *o;
 
-	cds_list_for_each_entry(o, &in->origins, node)
-	{
+	cds_list_for_each_entry (o, &in->origins, node) {
 		if (o->host == host && o->session == session)
 			return o;
 	}
@@ -137,6 +135,7 @@
 	it->claim.op = (claim_op_t)p->claim->op;
 	it->claim.org_id = p->claim->org_id;
 	it->claim.body_hash = p->claim->body_hash;
+	it->claim.ttl_ms = p->claim->ttl_ms;
 	it->claim.http_status = (int)p->claim->http_status;
 	it->claim.key = copy_bytes(p->claim->key);
 	it->claim.holder = copy_bytes(p->claim->holder);
@@ -152,8 +151,7 @@
 	forget_below(o, p->oldest);
 	if (p->id < o->oldest)
 		return false;
-	cds_list_for_each_entry(it, &o->items, node)
-	{
+	cds_list_for_each_entry (it, &o->items, node) {
 		if (it->id != p->id)
 			continue;
 		it->attempt = p->attempt;
@@ -186,8 +184,7 @@
 	uint64_t index;
 	item_t *it;
 
-	cds_list_for_each_entry(it, &in->fresh, queue)
-	{
+	cds_list_for_each_entry (it, &in->fresh, queue) {
 		size_t size = it->claim.body.n + it->claim.key.n;
 
 		if (!it->is_claim || n == BATCH_CLAIMS ||
@@ -229,8 +226,7 @@
 {
 	item_t *it;
 
-	cds_list_for_each_entry(it, &in->undecided, queue)
-	{
+	cds_list_for_each_entry (it, &in->undecided, queue) {
 		if (it->index > index)
 			break;
 		if (it->index == index && it->pos == pos)
@@ -280,10 +276,8 @@
 	origin_t *o, *otmp;
 	item_t *it, *tmp;
 
-	cds_list_for_each_entry_safe(o, otmp, &in->origins, node)
-	{
-		cds_list_for_each_entry_safe(it, tmp, &o->items, node)
-		{
+	cds_list_for_each_entry_safe (o, otmp, &in->origins, node) {
+		cds_list_for_each_entry_safe (it, tmp, &o->items, node) {
 			item_free(it);
 		}
 		cds_list_del(&o->node);
--- a/src/machine.c
+++ b/src/machine.c
@@ -42,6 +42,11 @@
 	return m->index;
 }
 
+uint64_t machine_clock_ms(const machine_t *m)
+{
+	return claims_now_ms(m->claims);
+}
+
 decided_t *machine_tables(const machine_t *m)
 {
 	return decided_ref(m->tables);
@@ -78,6 +83,19 @@
 	decided_put_target(d, &row);
 }
 
+/* Nobody is to be waited out before the target's next order. */
+static void release(decided_t *d, target_id_t id)
+{
+	const target_t *t = decided_target(d, id);
+	target_t row;
+
+	if (!t)
+		return;
+	row = *t;
+	row.previous_owner = 0;
+	decided_put_target(d, &row);
+}
+
 static int apply_assign(machine_t *m, uint64_t index, str_t data)
 {
 	Dk__Assign *a =
@@ -88,6 +106,8 @@
 	m->tables = decided_edit(m->tables);
 	for (size_t i = 0; i + 1 < a->n_pairs; i += 2)
 		assign(m->tables, a->pairs[i], a->pairs[i + 1], index);
+	for (size_t i = 0; i < a->n_released; i++)
+		release(m->tables, a->released[i]);
 	decided_set_position(m->tables, index, decided_revision(m->tables));
 	dk__assign__free_unpacked(a, NULL);
 	return 0;
@@ -157,15 +177,19 @@
 void machine_pack_assign(buf_t *out, const assignment_t *a, size_t n)
 {
 	AUTO_FREE uint32_t *pairs = xcalloc(2 * n, sizeof(*pairs));
+	AUTO_FREE uint32_t *released = xcalloc(n, sizeof(*released));
 	Dk__Assign msg = DK__ASSIGN__INIT;
 	size_t packed;
 
 	for (size_t i = 0; i < n; i++) {
 		pairs[2 * i] = a[i].target;
 		pairs[2 * i + 1] = a[i].owner;
+		if (a[i].released)
+			released[msg.n_released++] = a[i].target;
 	}
 	msg.n_pairs = 2 * n;
 	msg.pairs = pairs;
+	msg.released = released;
 	packed = dk__assign__get_packed_size(&msg);
 	dk__assign__pack(&msg, (uint8_t *)buf_room(out, packed));
 	out->n += packed;
--- a/src/machine.h
+++ b/src/machine.h
@@ -38,6 +38,8 @@
 typedef struct assignment {
 	target_id_t target;
 	host_id_t owner; /* 0: unassigned */
+	/* The previous owner ended cleanly: nobody is to be waited out. */
+	bool released;
 } assignment_t;
 
 /* Results of one applied entry, by its position inside the entry. */
@@ -55,6 +57,8 @@
 int machine_apply(machine_t *m, uint64_t index, entry_kind_t kind, str_t data,
 		  const machine_sink_t *sink);
 uint64_t machine_index(const machine_t *m);
+/* Latest time of a leader's clock that an applied entry held. */
+uint64_t machine_clock_ms(const machine_t *m);
 /* The current tables; the caller owns one reference. */
 decided_t *machine_tables(const machine_t *m);
 
--- a/src/rlog.c
+++ b/src/rlog.c
@@ -39,7 +39,7 @@
 	host_id_t id;
 	uint64_t incarnation; /* folder it was last known to run on */
 	uint64_t next;
-	uint64_t match; /* synced there, for this incarnation */
+	uint64_t match;	      /* synced there, for this incarnation */
 	uint64_t acked_round; /* when the round it answered was sent */
 	int64_t heard_us;
 	int64_t progress_us;
@@ -242,8 +242,8 @@
 
 static int members_parse(members_t *m, uint64_t index, str_t data)
 {
-	Peer__Members *pb = peer__members__unpack(NULL, data.n,
-						  (const uint8_t *)data.p);
+	Peer__Members *pb =
+		peer__members__unpack(NULL, data.n, (const uint8_t *)data.p);
 
 	if (!pb)
 		return -1;
@@ -587,7 +587,8 @@
 
 static void begin_round(rlog_t *l, int64_t now_us)
 {
-	l->round = (uint64_t)now_us > l->round ? (uint64_t)now_us : l->round + 1;
+	l->round =
+		(uint64_t)now_us > l->round ? (uint64_t)now_us : l->round + 1;
 	l->beat_due_us = now_us + l->cfg.heartbeat_us;
 }
 
--- a/src/rlog.h
+++ b/src/rlog.h
@@ -25,10 +25,10 @@
 typedef struct rlog rlog_t;
 
 /* X(NAME, "name") */
-#define RLOG_ROLES(X)                \
-	X(FOLLOWER, "follower")      \
-	X(CANDIDATE, "candidate")    \
-	X(LEADER, "leader")          \
+#define RLOG_ROLES(X)             \
+	X(FOLLOWER, "follower")   \
+	X(CANDIDATE, "candidate") \
+	X(LEADER, "leader")       \
 	X(FAILED, "failed")
 
 typedef enum rlog_role {
--- a/src/session.h
+++ b/src/session.h
@@ -14,11 +14,11 @@
 
 typedef struct session {
 	host_id_t host;
-	uint64_t nonce;	    /* chosen by the daemon when it started */
-	int64_t opened_us;  /* live without a break since */
+	uint64_t nonce;	     /* chosen by the daemon when it started */
+	int64_t opened_us;   /* live without a break since */
 	uint64_t open_index; /* of the log then; see RenewRes.lease_index */
-	int64_t renewed_us; /* arrival of the latest renewal */
-	uint64_t index;	    /* applied there */
+	int64_t renewed_us;  /* arrival of the latest renewal */
+	uint64_t index;	     /* applied there */
 	uint64_t revision;
 	bool live;
 	bool left; /* said goodbye; its lease is given back */
--- a/src/state.c
+++ b/src/state.c
@@ -75,6 +75,7 @@
 	/* Leader. */
 	bool leading;
 	uint64_t leading_term;
+	bool clock_set;
 	int64_t clock_base_us; /* cluster time 0 on the own clock */
 	held_renewal_t *held;
 	size_t n_held;
@@ -214,8 +215,8 @@
 	if (bytes.n < sizeof(fed))
 		return -1;
 	memcpy(&fed, bytes.p, sizeof(fed));
-	if (machine_load(st->machine, str_n(bytes.p + sizeof(fed),
-					    bytes.n - sizeof(fed))))
+	if (machine_load(st->machine,
+			 str_n(bytes.p + sizeof(fed), bytes.n - sizeof(fed))))
 		return -1;
 	if (fed > feed_index(st->feed))
 		feed_jump(st->feed, fed);
@@ -281,6 +282,7 @@
 {
 	st->leading = true;
 	st->leading_term = rlog_term(st->rlog);
+	st->clock_set = false;
 	st->n_held = 0;
 	st->assign_index = 0;
 	st->assign_due_us = now_us;
@@ -318,8 +320,7 @@
 		return;
 	}
 	leads = rlog_is_leader(st->rlog);
-	if (st->leading &&
-	    (!leads || st->leading_term != rlog_term(st->rlog)))
+	if (st->leading && (!leads || st->leading_term != rlog_term(st->rlog)))
 		end_leading(st);
 	if (leads && !st->leading)
 		begin_leading(st, now_us);
@@ -338,14 +339,32 @@
 	(void)ctx; /* look_at_log() runs after each step */
 }
 
-/* Operators take a voter out by a decided row that says so. */
+/* Whether the tables mark every voter but this host as one. */
+static bool others_are_marked(const state_t *st, host_id_t id)
+{
+	host_id_t ids[RLOG_VOTERS_MAX];
+	size_t n = rlog_voters(st->rlog, ids, RLOG_VOTERS_MAX);
+
+	for (size_t i = 0; i < n; i++) {
+		const host_t *h = decided_host(st->tables, ids[i]);
+
+		if (ids[i] != id && (!h || !h->voter))
+			return false;
+	}
+	return true;
+}
+
+/*
+ * Operators take a voter out by a decided row that says so. Rows that mark no
+ * voters at all take nobody out.
+ */
 static bool log_wanted(void *ctx, host_id_t id)
 {
 	const state_t *st = ctx;
 	const host_t *h = decided_host(st->tables, id);
 
 	if (h)
-		return h->voter;
+		return h->voter || !others_are_marked(st, id);
 	for (size_t i = 0; i < st->cfg.n_voters; i++)
 		if (st->first_voters[i] == id)
 			return true;
@@ -487,8 +506,7 @@
 
 	if (st->n_held == st->cap_held) {
 		st->cap_held = st->cap_held ? st->cap_held * 2 : 16;
-		st->held = xrealloc(st->held,
-				    st->cap_held * sizeof(*st->held));
+		st->held = xrealloc(st->held, st->cap_held * sizeof(*st->held));
 	}
 	h = &st->held[st->n_held++];
 	h->from = from;
@@ -544,7 +562,8 @@
 
 	st->assign_due_us = now_us + st->cfg.heartbeat_us * ASSIGN_HEARTBEATS;
 	/* One decision at a time, on tables that hold all earlier ones. */
-	if (!rlog_is_ready(st->rlog) || rlog_commit(st->rlog) < st->assign_index)
+	if (!rlog_is_ready(st->rlog) ||
+	    rlog_commit(st->rlog) < st->assign_index)
 		return;
 	publish_tables(st);
 	n = assign_pick(st->tables, st->sessions, now_us, settle, BALANCE_MOVES,
@@ -552,14 +571,20 @@
 	if (!n)
 		return;
 	machine_pack_assign(&data, picks, n);
-	st->assign_index =
-		rlog_propose(st->rlog, ENTRY_ASSIGN, buf_str(&data));
+	st->assign_index = rlog_propose(st->rlog, ENTRY_ASSIGN, buf_str(&data));
 	rlog_flush(st->rlog, now_us);
 	st->assign_due_us = now_us + st->cfg.heartbeat_us;
 }
 
-static uint64_t clock_ms(const state_t *st, int64_t now_us)
+/* Time of the log: goes on from where the last leader's left off. */
+static uint64_t clock_ms(state_t *st, int64_t now_us)
 {
+	if (!st->clock_set) {
+		int64_t ms = (int64_t)machine_clock_ms(st->machine);
+
+		st->clock_base_us = now_us - ms * USEC_PER_MSEC;
+		st->clock_set = true;
+	}
 	return (uint64_t)((now_us - st->clock_base_us) / USEC_PER_MSEC);
 }
 
@@ -584,15 +609,14 @@
 		return;
 	}
 	if (intake_take(st->intake, from, p))
-		st->flush_due_us =
-			min_us(st->flush_due_us, now_us + FLUSH_US);
+		st->flush_due_us = min_us(st->flush_due_us, now_us + FLUSH_US);
 }
 
 static void tick_leading(state_t *st, int64_t now_us)
 {
 	if (sessions_expire(st->sessions, now_us))
 		st->assign_due_us = now_us;
-	if (now_us >= st->flush_due_us) {
+	if (now_us >= st->flush_due_us && rlog_is_ready(st->rlog)) {
 		st->flush_due_us = INT64_MAX;
 		intake_flush(st->intake, clock_ms(st, now_us));
 		rlog_flush(st->rlog, now_us);
@@ -878,7 +902,8 @@
 	if (!st->leave_answered)
 		due = min_us(due, st->renew_due_us);
 	if (st->leading) {
-		due = min_us(due, st->flush_due_us);
+		if (rlog_is_ready(st->rlog))
+			due = min_us(due, st->flush_due_us);
 		due = min_us(due, st->assign_due_us);
 		due = min_us(due, sessions_due(st->sessions));
 	}
@@ -1039,10 +1064,10 @@
 	const intake_ops_t intake_ops = {send_msg, intake_append};
 
 	st->feed = feed_new(&feed_cfg, &feed_ops, st);
-	st->forward = forward_new(st->session, st->cfg.election_us,
-				  st->cfg.election_us *
-					  FORWARD_TIMEOUT_ELECTIONS,
-				  &forward_ops, st);
+	st->forward =
+		forward_new(st->session, st->cfg.election_us,
+			    st->cfg.election_us * FORWARD_TIMEOUT_ELECTIONS,
+			    &forward_ops, st);
 	st->intake = intake_new(&intake_ops, st);
 	st->sessions = sessions_new(st->cfg.lease_us, st->cfg.drift_ppm);
 }
--- /dev/null
+++ b/src/wal.c
@@ -0,0 +1,698 @@
+/*
+ * wal.c - the log's data folder.
+ *
+ *   lock       held while a process uses the folder
+ *   meta       format version, cluster, host, incarnation; written once
+ *   vote       term and vote; replaced atomically
+ *   snapshot   latest snapshot; replaced atomically
+ *   log-INDEX  records from INDEX on, each with its checksum; a new file
+ *              begins with each snapshot
+ *
+ * A record that fails its checksum at the very end of the last file is the
+ * torn tail of a write that was never acknowledged, and is cut. One with
+ * intact records behind it is damage to what was acknowledged, and the folder
+ * is refused: its operator moves it away, and the voter rejoins as one whose
+ * disk was emptied.
+ */
+#include "wal.h"
+
+#include "log.h"
+
+#include <dirent.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/file.h>
+#include <sys/random.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#define FORMAT_VERSION 1u
+#define META_MAGIC 0x4d4b4c44u	   /* "DLKM" */
+#define VOTE_MAGIC 0x564b4c44u	   /* "DLKV" */
+#define SNAPSHOT_MAGIC 0x534b4c44u /* "DLKS" */
+#define RECORD_MAGIC 0x524b4c44u   /* "DLKR" */
+#define RECORD_ALIGN 8u
+#define RECORD_MAX (64u << 20) /* bytes of data */
+#define FILE_NAME_MAX 32u
+
+typedef struct meta {
+	uint32_t magic;
+	uint32_t version;
+	uint64_t cluster_hash;
+	uint64_t incarnation;
+	uint32_t host;
+	uint32_t unused;
+	uint64_t sum; /* of all before */
+} meta_t;
+
+typedef struct vote {
+	uint32_t magic;
+	uint32_t voted_for;
+	uint64_t term;
+	uint64_t sum;
+} vote_t;
+
+typedef struct snapshot_head {
+	uint32_t magic;
+	uint32_t unused;
+	uint64_t index;
+	uint64_t term;
+	uint64_t bytes;
+	uint64_t data_sum;
+	uint64_t sum; /* of all before */
+} snapshot_head_t;
+
+typedef struct record_head {
+	uint32_t magic;
+	uint32_t kind;
+	uint64_t index;
+	uint64_t term;
+	uint32_t bytes;
+	uint32_t unused;
+	uint64_t sum; /* of all before and the data */
+} record_head_t;
+
+/* One log file. */
+typedef struct segment {
+	uint64_t first; /* index in its name */
+	uint64_t last;	/* first - 1 while empty */
+	uint64_t size;
+} segment_t;
+
+typedef struct folder {
+	wal_t wal;
+	char *path;
+	int dir_fd;
+	int lock_fd;
+	int log_fd; /* last segment, for appending; -1: none */
+	bool dirty; /* something was written and not synced */
+	segment_t *segs;
+	size_t n_segs;
+	size_t cap_segs;
+	char *snapshot; /* owned data behind found.snapshot */
+} folder_t;
+
+const char *wal_code_text(wal_code_t code)
+{
+	static const char *const texts[] = {
+#define X(name, text) text,
+		WAL_ERRORS(X)
+#undef X
+	};
+	return code < ARRAY_SIZE(texts) ? texts[code] : "unknown error";
+}
+
+static int set_err(wal_err_t *err, wal_code_t code, const char *file,
+		   uint64_t offset)
+{
+	err->code = code;
+	err->sys_errno = errno;
+	snprintf(err->detail, sizeof(err->detail), "%s at %" PRIu64 ": %s",
+		 file, offset,
+		 code == WAL_IO || code == WAL_SYNC || code == WAL_FULL
+			 ? strerror(errno)
+			 : wal_code_text(code));
+	return -1;
+}
+
+static int io_err(wal_err_t *err, wal_code_t code, const char *file,
+		  uint64_t offset)
+{
+	if (errno == ENOSPC || errno == EDQUOT)
+		code = WAL_FULL;
+	return set_err(err, code, file, offset);
+}
+
+static void segment_name(char *name, uint64_t first)
+{
+	snprintf(name, FILE_NAME_MAX, "log-%020" PRIu64, first);
+}
+
+static int write_all(int fd, const char *p, size_t n)
+{
+	while (n) {
+		ssize_t done = write(fd, p, n);
+
+		if (done < 0 && errno == EINTR)
+			continue;
+		if (done < 0)
+			return -1;
+		p += done;
+		n -= (size_t)done;
+	}
+	return 0;
+}
+
+/* The whole file into out; 1 where there is none. */
+static int read_file(folder_t *f, const char *name, buf_t *out, wal_err_t *err)
+{
+	int fd = openat(f->dir_fd, name, O_RDONLY | O_CLOEXEC);
+	ssize_t n = 1;
+
+	if (fd < 0)
+		return errno == ENOENT ? 1 : io_err(err, WAL_IO, name, 0);
+	while (n > 0) {
+		n = read(fd, buf_room(out, 1u << 16), 1u << 16);
+		if (n < 0 && errno == EINTR)
+			n = 1;
+		else if (n > 0)
+			out->n += (size_t)n;
+	}
+	close(fd);
+	return n < 0 ? io_err(err, WAL_IO, name, out->n) : 0;
+}
+
+static int sync_dir(folder_t *f, wal_err_t *err)
+{
+	if (fsync(f->dir_fd))
+		return io_err(err, WAL_SYNC, f->path, 0);
+	return 0;
+}
+
+/* Replaces a file so that either the old or the new one is there. */
+static int replace_file(folder_t *f, const char *name, str_t head, str_t body,
+			wal_err_t *err)
+{
+	char tmp[FILE_NAME_MAX];
+	int fd;
+
+	snprintf(tmp, sizeof(tmp), "%s.new", name);
+	fd = openat(f->dir_fd, tmp, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC,
+		    0600);
+	if (fd < 0)
+		return io_err(err, WAL_IO, tmp, 0);
+	if (write_all(fd, head.p, head.n) || write_all(fd, body.p, body.n)) {
+		io_err(err, WAL_IO, tmp, 0);
+		goto fail;
+	}
+	if (fsync(fd)) {
+		io_err(err, WAL_SYNC, tmp, 0);
+		goto fail;
+	}
+	close(fd);
+	if (renameat(f->dir_fd, tmp, f->dir_fd, name))
+		return io_err(err, WAL_IO, name, 0);
+	return sync_dir(f, err);
+fail:
+	close(fd);
+	unlinkat(f->dir_fd, tmp, 0);
+	return -1;
+}
+
+/* Segments. */
+
+static int add_segment(folder_t *f, uint64_t first, wal_err_t *err)
+{
+	char name[FILE_NAME_MAX];
+	segment_t *s;
+
+	if (f->n_segs == f->cap_segs) {
+		f->cap_segs = f->cap_segs ? f->cap_segs * 2 : 8;
+		f->segs = xrealloc(f->segs, f->cap_segs * sizeof(*f->segs));
+	}
+	segment_name(name, first);
+	if (f->log_fd >= 0)
+		close(f->log_fd);
+	f->log_fd = openat(f->dir_fd, name,
+			   O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+	if (f->log_fd < 0)
+		return io_err(err, WAL_IO, name, 0);
+	s = &f->segs[f->n_segs++];
+	s->first = first;
+	s->last = first - 1;
+	s->size = 0;
+	return sync_dir(f, err);
+}
+
+static int remove_segment(folder_t *f, uint64_t first, wal_err_t *err)
+{
+	char name[FILE_NAME_MAX];
+
+	segment_name(name, first);
+	if (unlinkat(f->dir_fd, name, 0) && errno != ENOENT)
+		return io_err(err, WAL_IO, name, 0);
+	return 0;
+}
+
+static uint64_t record_sum(const record_head_t *h, const char *data)
+{
+	uint64_t head = hash_bytes(h, offsetof(record_head_t, sum), 0);
+
+	return hash_bytes(data, h->bytes, head);
+}
+
+static size_t record_size(uint32_t bytes)
+{
+	size_t n = sizeof(record_head_t) + bytes;
+
+	return (n + RECORD_ALIGN - 1) / RECORD_ALIGN * RECORD_ALIGN;
+}
+
+/* An intact record at offset at; its size, or 0 where there is none. */
+static size_t record_at(str_t file, size_t at, record_head_t *h)
+{
+	if (at > file.n || file.n - at < sizeof(*h))
+		return 0;
+	memcpy(h, file.p + at, sizeof(*h));
+	if (h->magic != RECORD_MAGIC || h->bytes > RECORD_MAX ||
+	    record_size(h->bytes) > file.n - at ||
+	    h->sum != record_sum(h, file.p + at + sizeof(*h)))
+		return 0;
+	return record_size(h->bytes);
+}
+
+static bool intact_after(str_t file, size_t at)
+{
+	record_head_t h;
+
+	for (at += RECORD_ALIGN; at < file.n; at += RECORD_ALIGN)
+		if (record_at(file, at, &h))
+			return true;
+	return false;
+}
+
+static void put_record(buf_t *out, const wal_rec_t *rec)
+{
+	static const char zeros[RECORD_ALIGN];
+	record_head_t h = {
+		.magic = RECORD_MAGIC,
+		.kind = rec->kind,
+		.index = rec->index,
+		.term = rec->term,
+		.bytes = (uint32_t)rec->data.n,
+	};
+	size_t pad = record_size(h.bytes) - sizeof(h) - rec->data.n;
+
+	h.sum = record_sum(&h, rec->data.p ? rec->data.p : "");
+	buf_put(out, &h, sizeof(h));
+	buf_put(out, rec->data.p, rec->data.n);
+	buf_put(out, zeros, pad);
+}
+
+static int wal_append(void *ctx, const wal_rec_t *recs, size_t n,
+		      wal_err_t *err)
+{
+	folder_t *f = ctx;
+	AUTO_BUF buf_t out = {0};
+	segment_t *s;
+
+	if (!n)
+		return 0;
+	if (!f->n_segs && add_segment(f, recs[0].index, err))
+		return -1;
+	for (size_t i = 0; i < n; i++)
+		put_record(&out, &recs[i]);
+	s = &f->segs[f->n_segs - 1];
+	f->dirty = true;
+	if (write_all(f->log_fd, out.p, out.n))
+		return io_err(err, WAL_IO, "log", s->size);
+	s->size += out.n;
+	s->last = recs[n - 1].index;
+	return 0;
+}
+
+/* Offset of the record with that index, or the end. */
+static int offset_of(folder_t *f, const segment_t *s, uint64_t index,
+		     uint64_t *offset, wal_err_t *err)
+{
+	AUTO_BUF buf_t file = {0};
+	char name[FILE_NAME_MAX];
+	record_head_t h;
+	size_t at = 0;
+	size_t n;
+
+	segment_name(name, s->first);
+	if (read_file(f, name, &file, err))
+		return -1;
+	while ((n = record_at(buf_str(&file), at, &h)) && h.index < index)
+		at += n;
+	*offset = at;
+	return 0;
+}
+
+static int open_last(folder_t *f, wal_err_t *err)
+{
+	char name[FILE_NAME_MAX];
+
+	if (f->log_fd >= 0)
+		close(f->log_fd);
+	f->log_fd = -1;
+	if (!f->n_segs)
+		return 0;
+	segment_name(name, f->segs[f->n_segs - 1].first);
+	f->log_fd =
+		openat(f->dir_fd, name, O_WRONLY | O_APPEND | O_CLOEXEC, 0600);
+	return f->log_fd < 0 ? io_err(err, WAL_IO, name, 0) : 0;
+}
+
+static int wal_cut(void *ctx, uint64_t from, wal_err_t *err)
+{
+	folder_t *f = ctx;
+	segment_t *s;
+	uint64_t offset;
+	bool removed = false;
+
+	/* From the end, so that what a crash leaves has no hole. */
+	while (f->n_segs && f->segs[f->n_segs - 1].first >= from) {
+		if (remove_segment(f, f->segs[f->n_segs - 1].first, err))
+			return -1;
+		f->n_segs--;
+		removed = true;
+	}
+	if (removed && (sync_dir(f, err) || open_last(f, err)))
+		return -1;
+	if (!f->n_segs)
+		return 0;
+	s = &f->segs[f->n_segs - 1];
+	if (s->last < from)
+		return 0;
+	if (offset_of(f, s, from, &offset, err))
+		return -1;
+	f->dirty = true;
+	if (ftruncate(f->log_fd, (off_t)offset))
+		return io_err(err, WAL_IO, "log", offset);
+	s->size = offset;
+	s->last = from - 1;
+	return 0;
+}
+
+static int wal_sync(void *ctx, wal_err_t *err)
+{
+	folder_t *f = ctx;
+
+	if (!f->dirty || f->log_fd < 0)
+		return 0;
+	if (fdatasync(f->log_fd))
+		return io_err(err, WAL_SYNC, "log",
+			      f->segs[f->n_segs - 1].size);
+	f->dirty = false;
+	return 0;
+}
+
+/* Durable when it returns; sync has nothing left to do for it. */
+static int wal_set_vote(void *ctx, uint64_t term, uint32_t voted_for,
+			wal_err_t *err)
+{
+	folder_t *f = ctx;
+	vote_t v = {.magic = VOTE_MAGIC, .voted_for = voted_for, .term = term};
+
+	v.sum = hash_bytes(&v, offsetof(vote_t, sum), 0);
+	return replace_file(f, "vote", str_n((char *)&v, sizeof(v)),
+			    str_n(NULL, 0), err);
+}
+
+static int wal_snapshot(void *ctx, uint64_t index, uint64_t term, str_t data,
+			wal_err_t *err)
+{
+	folder_t *f = ctx;
+	snapshot_head_t h = {.magic = SNAPSHOT_MAGIC,
+			     .index = index,
+			     .term = term,
+			     .bytes = data.n};
+	uint64_t last = f->n_segs ? f->segs[f->n_segs - 1].last : 0;
+	size_t drop = 0;
+
+	h.data_sum = hash_bytes(data.p, data.n, 0);
+	h.sum = hash_bytes(&h, offsetof(snapshot_head_t, sum), 0);
+	if (wal_sync(f, err) ||
+	    replace_file(f, "snapshot", str_n((char *)&h, sizeof(h)), data,
+			 err))
+		return -1;
+	free(f->snapshot);
+	f->snapshot = NULL;
+	f->wal.found.snapshot = str_n(NULL, 0);
+	if (last < index)
+		last = index;
+	if (!f->n_segs || f->segs[f->n_segs - 1].size)
+		if (add_segment(f, last + 1, err))
+			return -1;
+	while (drop + 1 < f->n_segs && f->segs[drop].last <= index) {
+		if (remove_segment(f, f->segs[drop].first, err))
+			return -1;
+		drop++;
+	}
+	memmove(f->segs, f->segs + drop, (f->n_segs - drop) * sizeof(*f->segs));
+	f->n_segs -= drop;
+	return 0;
+}
+
+static int wal_replay(void *ctx, int (*each)(void *arg, const wal_rec_t *rec),
+		      void *arg, wal_err_t *err)
+{
+	folder_t *f = ctx;
+
+	for (size_t i = 0; i < f->n_segs; i++) {
+		AUTO_BUF buf_t file = {0};
+		char name[FILE_NAME_MAX];
+		record_head_t h;
+		size_t at = 0;
+		size_t n;
+
+		segment_name(name, f->segs[i].first);
+		if (read_file(f, name, &file, err))
+			return -1;
+		while ((n = record_at(buf_str(&file), at, &h))) {
+			wal_rec_t rec = {h.index, h.term, h.kind,
+					 str_n(file.p + at + sizeof(h),
+					       h.bytes)};
+
+			if (h.index > f->wal.found.snapshot_index &&
+			    each(arg, &rec))
+				return set_err(err, WAL_CORRUPT, name, at);
+			at += n;
+		}
+	}
+	return 0;
+}
+
+/* Opening. */
+
+static int read_vote(folder_t *f, wal_err_t *err)
+{
+	AUTO_BUF buf_t file = {0};
+	vote_t v;
+	int rc = read_file(f, "vote", &file, err);
+
+	if (rc)
+		return rc < 0 ? -1 : 0;
+	if (file.n != sizeof(v))
+		return set_err(err, WAL_CORRUPT, "vote", file.n);
+	memcpy(&v, file.p, sizeof(v));
+	if (v.magic != VOTE_MAGIC ||
+	    v.sum != hash_bytes(&v, offsetof(vote_t, sum), 0))
+		return set_err(err, WAL_CORRUPT, "vote", 0);
+	f->wal.found.term = v.term;
+	f->wal.found.voted_for = v.voted_for;
+	return 0;
+}
+
+static int read_snapshot(folder_t *f, wal_err_t *err)
+{
+	buf_t file = {0};
+	snapshot_head_t h;
+	int rc = read_file(f, "snapshot", &file, err);
+
+	f->snapshot = file.p;
+	if (rc)
+		return rc < 0 ? -1 : 0;
+	if (file.n < sizeof(h))
+		return set_err(err, WAL_SNAPSHOT, "snapshot", file.n);
+	memcpy(&h, file.p, sizeof(h));
+	if (h.magic != SNAPSHOT_MAGIC || h.bytes != file.n - sizeof(h) ||
+	    h.sum != hash_bytes(&h, offsetof(snapshot_head_t, sum), 0) ||
+	    h.data_sum != hash_bytes(file.p + sizeof(h), h.bytes, 0))
+		return set_err(err, WAL_SNAPSHOT, "snapshot", 0);
+	f->wal.found.snapshot_index = h.index;
+	f->wal.found.snapshot_term = h.term;
+	f->wal.found.snapshot = str_n(file.p + sizeof(h), h.bytes);
+	return 0;
+}
+
+static int cut_tail(folder_t *f, const char *name, size_t at, size_t size,
+		    wal_err_t *err)
+{
+	f->wal.found.torn_bytes = size - at;
+	log_event(LOG_WARNING, "log_tail_cut", KV_C("file", name),
+		  kv_u("offset", at), kv_u("bytes", size - at));
+	if (ftruncate(f->log_fd, (off_t)at))
+		return io_err(err, WAL_IO, name, at);
+	if (fsync(f->log_fd))
+		return io_err(err, WAL_SYNC, name, at);
+	return 0;
+}
+
+/* Checks every record of one segment and notes its extent. */
+static int scan_segment(folder_t *f, size_t i, uint64_t *next, wal_err_t *err)
+{
+	AUTO_BUF buf_t file = {0};
+	segment_t *s = &f->segs[i];
+	char name[FILE_NAME_MAX];
+	record_head_t h;
+	size_t at = 0;
+	size_t n;
+
+	segment_name(name, s->first);
+	if (read_file(f, name, &file, err))
+		return -1;
+	s->last = s->first - 1;
+	while ((n = record_at(buf_str(&file), at, &h))) {
+		if (*next && h.index != *next)
+			return set_err(err, WAL_CORRUPT, name, at);
+		s->last = h.index;
+		*next = h.index + 1;
+		at += n;
+	}
+	s->size = at;
+	if (at == file.n)
+		return 0;
+	if (i + 1 < f->n_segs || intact_after(buf_str(&file), at))
+		return set_err(err, WAL_CORRUPT, name, at);
+	return cut_tail(f, name, at, file.n, err);
+}
+
+static int cmp_segment(const void *pa, const void *pb)
+{
+	const segment_t *a = pa;
+	const segment_t *b = pb;
+
+	return (a->first > b->first) - (a->first < b->first);
+}
+
+static int list_segments(folder_t *f, wal_err_t *err)
+{
+	int fd = openat(f->dir_fd, ".", O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+	DIR *dir = fd < 0 ? NULL : fdopendir(fd);
+	struct dirent *e;
+	uint64_t first;
+
+	if (!dir)
+		return io_err(err, WAL_IO, f->path, 0);
+	while ((e = readdir(dir))) {
+		str_t name = str_c(e->d_name);
+
+		if (name.n <= 4 || memcmp(name.p, "log-", 4) ||
+		    str_to_u64(str_n(name.p + 4, name.n - 4), &first))
+			continue;
+		if (f->n_segs == f->cap_segs) {
+			f->cap_segs = f->cap_segs ? f->cap_segs * 2 : 8;
+			f->segs = xrealloc(f->segs,
+					   f->cap_segs * sizeof(*f->segs));
+		}
+		f->segs[f->n_segs].first = first;
+		f->segs[f->n_segs++].size = 0;
+	}
+	closedir(dir);
+	qsort(f->segs, f->n_segs, sizeof(*f->segs), cmp_segment);
+	return 0;
+}
+
+static int read_log(folder_t *f, wal_err_t *err)
+{
+	uint64_t next = 0;
+
+	if (list_segments(f, err) || open_last(f, err))
+		return -1;
+	for (size_t i = 0; i < f->n_segs; i++)
+		if (scan_segment(f, i, &next, err))
+			return -1;
+	return 0;
+}
+
+static int read_meta(folder_t *f, str_t cluster, uint32_t host, wal_err_t *err)
+{
+	AUTO_BUF buf_t file = {0};
+	uint64_t cluster_hash = hash_bytes(cluster.p, cluster.n, 0);
+	meta_t m = {0};
+	int rc = read_file(f, "meta", &file, err);
+
+	if (rc < 0)
+		return -1;
+	if (rc == 0) {
+		if (file.n != sizeof(m))
+			return set_err(err, WAL_CORRUPT, "meta", file.n);
+		memcpy(&m, file.p, sizeof(m));
+		if (m.magic != META_MAGIC || m.version != FORMAT_VERSION)
+			return set_err(err, WAL_VERSION, "meta", 0);
+		if (m.sum != hash_bytes(&m, offsetof(meta_t, sum), 0))
+			return set_err(err, WAL_CORRUPT, "meta", 0);
+		if (m.cluster_hash != cluster_hash || m.host != host)
+			return set_err(err, WAL_FOREIGN, "meta", 0);
+		f->wal.found.incarnation = m.incarnation;
+		return 0;
+	}
+	if (f->n_segs || f->wal.found.snapshot_index || f->wal.found.term)
+		return set_err(err, WAL_CORRUPT, "meta", 0);
+	m.magic = META_MAGIC;
+	m.version = FORMAT_VERSION;
+	m.cluster_hash = cluster_hash;
+	m.host = host;
+	while (!m.incarnation)
+		if (getrandom(&m.incarnation, sizeof(m.incarnation), 0) < 0 &&
+		    errno != EINTR)
+			return io_err(err, WAL_IO, "random source", 0);
+	m.sum = hash_bytes(&m, offsetof(meta_t, sum), 0);
+	f->wal.found.empty = true;
+	f->wal.found.incarnation = m.incarnation;
+	return replace_file(f, "meta", str_n((char *)&m, sizeof(m)),
+			    str_n(NULL, 0), err);
+}
+
+static int open_folder(folder_t *f, wal_err_t *err)
+{
+	if (mkdir(f->path, 0700) && errno != EEXIST)
+		return io_err(err, WAL_IO, f->path, 0);
+	f->dir_fd = open(f->path, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+	if (f->dir_fd < 0)
+		return io_err(err, WAL_IO, f->path, 0);
+	f->lock_fd =
+		openat(f->dir_fd, "lock", O_RDWR | O_CREAT | O_CLOEXEC, 0600);
+	if (f->lock_fd < 0)
+		return io_err(err, WAL_IO, "lock", 0);
+	if (flock(f->lock_fd, LOCK_EX | LOCK_NB))
+		return set_err(err, WAL_LOCKED, "lock", 0);
+	return 0;
+}
+
+wal_t *wal_open(str_t path, str_t cluster, uint32_t host, wal_err_t *err)
+{
+	static const wal_ops_t ops = {wal_append, wal_cut,	wal_set_vote,
+				      wal_sync,	  wal_snapshot, wal_replay};
+	folder_t *f = xcalloc(1, sizeof(*f));
+
+	memset(err, 0, sizeof(*err));
+	f->wal.ops = &ops;
+	f->wal.ctx = f;
+	f->path = str_dup(path);
+	f->dir_fd = -1;
+	f->lock_fd = -1;
+	f->log_fd = -1;
+	if (open_folder(f, err) || read_vote(f, err) || read_snapshot(f, err) ||
+	    read_log(f, err) || read_meta(f, cluster, host, err))
+		goto fail;
+	return &f->wal;
+fail:
+	wal_close(&f->wal);
+	return NULL;
+}
+
+void wal_close(wal_t *w)
+{
+	folder_t *f = w ? w->ctx : NULL;
+
+	if (!f)
+		return;
+	if (f->log_fd >= 0)
+		close(f->log_fd);
+	if (f->lock_fd >= 0)
+		close(f->lock_fd);
+	if (f->dir_fd >= 0)
+		close(f->dir_fd);
+	free(f->segs);
+	free(f->snapshot);
+	free(f->path);
+	free(f);
+}
--- a/src/wal.h
+++ b/src/wal.h
@@ -78,10 +78,10 @@
 	uint32_t voted_for;
 	uint64_t snapshot_index;
 	uint64_t snapshot_term;
-	str_t snapshot;	     /* owned by the wal until the first snapshot() */
-	bool empty;	     /* a new or emptied folder */
+	str_t snapshot;	      /* owned by the wal until the first snapshot() */
+	bool empty;	      /* a new or emptied folder */
 	uint64_t incarnation; /* random, made with the folder; never 0 */
-	uint64_t torn_bytes; /* cut from the tail */
+	uint64_t torn_bytes;  /* cut from the tail */
 } wal_found_t;
 
 struct wal {
--- /dev/null
+++ b/tests/state_net.h
@@ -0,0 +1,664 @@
+// Fuzz disk, fuzz network and daemons (the real state cores) under one clock.
+#ifndef TESTS_STATE_NET_H
+#define TESTS_STATE_NET_H
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "change_util.h"
+#include "state.h"
+#include "wal.h"
+
+// A disk that loses what was not synced, up to a torn part of it.
+class FuzzDisk
+{
+      public:
+	struct Rec {
+		uint64_t index, term;
+		uint32_t kind;
+		std::string data;
+	};
+	struct Image {
+		uint64_t term = 0;
+		uint32_t voted_for = 0;
+		uint64_t snap_index = 0, snap_term = 0;
+		std::string snap;
+		std::vector<Rec> recs;
+	};
+
+	explicit FuzzDisk(uint64_t incarnation) : incarnation_(incarnation)
+	{
+		wal_.ops = &ops_;
+		wal_.ctx = this;
+	}
+
+	// The wal of a new start of the daemon.
+	wal_t *open()
+	{
+		const Image &d = durable_;
+		cache_ = d;
+		pending_.clear();
+		wal_.found = {};
+		wal_.found.term = d.term;
+		wal_.found.voted_for = d.voted_for;
+		wal_.found.snapshot_index = d.snap_index;
+		wal_.found.snapshot_term = d.snap_term;
+		wal_.found.snapshot = view(d.snap);
+		wal_.found.empty = !d.term && d.recs.empty() && !d.snap_index;
+		wal_.found.incarnation = incarnation_;
+		return &wal_;
+	}
+
+	// Power loss: some leading part of what was not synced has survived.
+	void crash(std::mt19937_64 &rng)
+	{
+		size_t keep =
+			pending_.empty() ? 0 : rng() % (pending_.size() + 1);
+		for (size_t i = 0; i < keep; i++)
+			pending_[i](durable_);
+		pending_.clear();
+	}
+
+	// All is lost; what comes is another folder.
+	void wipe(uint64_t incarnation)
+	{
+		durable_ = Image();
+		pending_.clear();
+		incarnation_ = incarnation;
+	}
+
+	const Image &durable() const
+	{
+		return durable_;
+	}
+
+	// Called before each sync or snapshot: false makes it fail there.
+	std::function<bool()> on_sync;
+	bool lie = false; // deliberate fault: sync does nothing
+	uint64_t syncs = 0;
+
+      private:
+	typedef std::function<void(Image &)> Op;
+
+	static FuzzDisk *self(void *ctx)
+	{
+		return static_cast<FuzzDisk *>(ctx);
+	}
+
+	void add(Op op)
+	{
+		op(cache_);
+		pending_.push_back(op);
+	}
+
+	bool sync(wal_err_t *err)
+	{
+		syncs++;
+		if (on_sync && !on_sync()) {
+			err->code = WAL_SYNC;
+			return false;
+		}
+		if (lie)
+			return true;
+		for (auto &op : pending_)
+			op(durable_);
+		pending_.clear();
+		return true;
+	}
+
+	static int append(void *ctx, const wal_rec_t *recs, size_t n,
+			  wal_err_t *)
+	{
+		for (size_t i = 0; i < n; i++) {
+			Rec r = {recs[i].index, recs[i].term, recs[i].kind,
+				 text(recs[i].data)};
+			self(ctx)->add(
+				[r](Image &im) { im.recs.push_back(r); });
+		}
+		return 0;
+	}
+
+	static int cut(void *ctx, uint64_t from, wal_err_t *)
+	{
+		self(ctx)->add([from](Image &im) {
+			while (!im.recs.empty() && im.recs.back().index >= from)
+				im.recs.pop_back();
+		});
+		return 0;
+	}
+
+	static int set_vote(void *ctx, uint64_t term, uint32_t voted_for,
+			    wal_err_t *)
+	{
+		self(ctx)->add([=](Image &im) {
+			im.term = term;
+			im.voted_for = voted_for;
+		});
+		return 0;
+	}
+
+	static int sync_op(void *ctx, wal_err_t *err)
+	{
+		return self(ctx)->sync(err) ? 0 : -1;
+	}
+
+	static int snapshot(void *ctx, uint64_t index, uint64_t term,
+			    str_t data, wal_err_t *err)
+	{
+		std::string bytes = text(data);
+		self(ctx)->add([=](Image &im) {
+			im.snap_index = index;
+			im.snap_term = term;
+			im.snap = bytes;
+			size_t n = 0;
+			while (n < im.recs.size() && im.recs[n].index <= index)
+				n++;
+			im.recs.erase(im.recs.begin(), im.recs.begin() + n);
+		});
+		return self(ctx)->sync(err) ? 0 : -1;
+	}
+
+	static int replay(void *ctx, int (*each)(void *, const wal_rec_t *),
+			  void *arg, wal_err_t *err)
+	{
+		for (auto &r : self(ctx)->durable_.recs) {
+			wal_rec_t rec = {r.index, r.term, r.kind, view(r.data)};
+			if (each(arg, &rec)) {
+				err->code = WAL_CORRUPT;
+				return -1;
+			}
+		}
+		return 0;
+	}
+
+	static constexpr wal_ops_t ops_ = {append,  cut,      set_vote,
+					   sync_op, snapshot, replay};
+	wal_t wal_ = {};
+	uint64_t incarnation_;
+	Image durable_, cache_;
+	std::vector<Op> pending_;
+};
+
+class Net;
+
+// One daemon: its clock drifts, it may be down, it may lose its disk.
+struct Daemon {
+	Net *net;
+	host_id_t id;
+	bool voter;
+	double rate = 1; // of its clock against true time
+	int64_t offset_us = 0;
+	std::unique_ptr<FuzzDisk> disk;
+	timer_svc_t *timers = nullptr;
+	state_t *st = nullptr;
+	bool dying = false; // crashed inside a callback; ends after it
+	bool paused = false;
+	decided_t *tables = nullptr;
+	standing_t standing = {};
+	std::vector<host_id_t> live;
+
+	int64_t local(int64_t true_us) const
+	{
+		return offset_us + (int64_t)((double)true_us * rate);
+	}
+	int64_t to_true(int64_t local_us) const
+	{
+		return (int64_t)((double)(local_us - offset_us) / rate) + 1;
+	}
+	uint64_t revision() const
+	{
+		return tables ? decided_revision(tables) : 0;
+	}
+	uint64_t index() const
+	{
+		return tables ? decided_index(tables) : 0;
+	}
+};
+
+struct Change {
+	std::string id;
+	host_id_t at;
+	bool done = false;
+	Outcome out = {};
+};
+
+struct ClaimDone {
+	claim_op_t op;
+	std::string key;
+	std::string holder;
+	bool done = false;
+	claim_outcome_t outcome = CLAIM_UNDECIDED;
+};
+
+class Net
+{
+      public:
+	struct Options {
+		int voters = 3;
+		int learners = 2;
+		uint64_t seed = 1;
+		int64_t delay_us = 1000;
+		int64_t jitter_us = 500;
+		double loss = 0;
+		double dup = 0;
+		uint32_t drift_ppm = 0;
+		uint64_t snapshot_entries = 64;
+		uint32_t fanout = 2;
+	};
+
+	explicit Net(const Options &o) : opt(o), rng(o.seed)
+	{
+		for (int i = 1; i <= o.voters + o.learners; i++) {
+			auto d = std::make_unique<Daemon>();
+			double ppm = o.drift_ppm / 2.0;
+			d->net = this;
+			d->id = (host_id_t)i;
+			d->voter = i <= o.voters;
+			d->rate = 1 + (uniform() * 2 - 1) * ppm / 1e6;
+			d->offset_us = 1000000 + (int64_t)(rng() % 1000000000);
+			if (d->voter)
+				d->disk = std::make_unique<FuzzDisk>(rng() | 1);
+			daemons.push_back(std::move(d));
+		}
+	}
+
+	~Net()
+	{
+		for (auto &d : daemons)
+			stop(*d);
+	}
+
+	Daemon &at(host_id_t id)
+	{
+		return *daemons[id - 1];
+	}
+
+	void start_all()
+	{
+		for (auto &d : daemons)
+			start(*d);
+	}
+
+	void start(Daemon &d)
+	{
+		static const state_ops_t ops = {on_send, on_tables, on_standing,
+						on_claimed, on_changed};
+		std::vector<state_voter_t> voters;
+		state_cfg_t cfg = {};
+		wal_err_t err = {};
+
+		if (d.st)
+			return;
+		for (int i = 1; i <= opt.voters; i++)
+			voters.push_back({(host_id_t)i, str_c("")});
+		cfg.self = d.id;
+		cfg.zone = str_c("north");
+		cfg.voters = voters.data();
+		cfg.n_voters = voters.size();
+		cfg.seed = rng();
+		cfg.heartbeat_us = heartbeat_us;
+		cfg.election_us = election_us;
+		cfg.lease_us = lease_us;
+		cfg.stale_us = stale_us;
+		cfg.drift_ppm = opt.drift_ppm;
+		cfg.snapshot_entries = opt.snapshot_entries;
+		cfg.fanout = opt.fanout;
+		d.timers = timer_svc_new_virtual(d.local(now_us));
+		d.dying = false;
+		d.paused = false;
+		starting = &d;
+		d.st = state_new(&cfg, &ops, &d, d.timers,
+				 d.voter ? d.disk->open() : nullptr, &err);
+		if (!d.st)
+			problem("daemon " + std::to_string(d.id) +
+				" does not start: " + wal_code_text(err.code));
+	}
+
+	// Process end; the disk keeps what a power loss would leave.
+	void stop(Daemon &d)
+	{
+		if (!d.st)
+			return;
+		state_free(d.st);
+		timer_svc_free(d.timers);
+		d.st = nullptr;
+		d.dying = false;
+		if (d.disk)
+			d.disk->crash(rng);
+		decided_unref(d.tables);
+		d.tables = nullptr;
+		d.standing = {};
+		d.standing.lease_until_us = INT64_MIN;
+		d.standing.fresh_until_us = INT64_MIN;
+		for (auto &c : changes)
+			if (!c.second.done && c.second.at == d.id) {
+				c.second.done = true;
+				c.second.out.status = CHANGE_UNKNOWN;
+			}
+		for (auto &c : claims)
+			if (claim_at[c.first] == d.id)
+				c.second.done = true;
+	}
+
+	void wipe(Daemon &d)
+	{
+		stop(d);
+		d.disk->wipe(rng() | 1);
+	}
+
+	void block(host_id_t from, host_id_t to, bool on)
+	{
+		if (on)
+			blocked.insert({from, to});
+		else
+			blocked.erase({from, to});
+	}
+
+	void isolate(host_id_t id, bool on)
+	{
+		for (auto &d : daemons) {
+			block(id, d->id, on);
+			block(d->id, id, on);
+		}
+	}
+
+	void heal()
+	{
+		blocked.clear();
+	}
+
+	void run(int64_t us)
+	{
+		int64_t until = now_us + us;
+
+		while (step(until))
+			;
+		now_us = until;
+		for (auto &d : daemons)
+			advance(*d);
+	}
+
+	bool run_until(int64_t max_us, const std::function<bool()> &done)
+	{
+		int64_t until = now_us + max_us;
+
+		while (!done()) {
+			if (!step(until))
+				return done();
+		}
+		return true;
+	}
+
+	uint64_t propose(host_id_t at_host, const std::string &id,
+			 const std::string &packed)
+	{
+		uint64_t tag = next_tag++;
+
+		changes[tag] = Change{id, at_host, false, {}};
+		if (at(at_host).st)
+			state_propose(at(at_host).st, tag, packed.data(),
+				      packed.size());
+		else
+			changes[tag].done = true;
+		reap();
+		return tag;
+	}
+
+	uint64_t claim(host_id_t at_host, claim_op_t op, const std::string &key,
+		       const std::string &holder)
+	{
+		uint64_t tag = next_tag++;
+		claim_req_t req = {};
+
+		claims[tag] =
+			ClaimDone{op, key, holder, false, CLAIM_UNDECIDED};
+		claim_at[tag] = at_host;
+		req.tag = tag;
+		req.op = op;
+		req.org_id = 1;
+		req.key = view(key);
+		req.holder = view(holder);
+		req.http_status = 200;
+		req.body = str_c("{}");
+		if (at(at_host).st)
+			state_claim(at(at_host).st, &req);
+		else
+			claims[tag].done = true;
+		reap();
+		return tag;
+	}
+
+	Daemon *leader()
+	{
+		Daemon *best = nullptr;
+
+		for (auto &d : daemons)
+			if (d->st && !d->paused && d->standing.is_leader &&
+			    (!best || d->standing.term > best->standing.term))
+				best = d.get();
+		return best;
+	}
+
+	bool leased(const Daemon &d) const
+	{
+		return d.st && d.standing.lease_until_us > d.local(now_us);
+	}
+
+	bool fresh(const Daemon &d) const
+	{
+		return d.st && d.standing.fresh_until_us > d.local(now_us);
+	}
+
+	void problem(const std::string &what)
+	{
+		if (problems.size() < 5)
+			problems.push_back("at " + std::to_string(now_us) +
+					   ": " + what);
+	}
+
+	double uniform()
+	{
+		return (double)(rng() >> 11) / 9007199254740992.0;
+	}
+
+	Options opt;
+	std::mt19937_64 rng;
+	std::vector<std::unique_ptr<Daemon>> daemons;
+	int64_t now_us = 0;
+	int64_t heartbeat_us = 100000;
+	int64_t election_us = 500000;
+	int64_t lease_us = 2000000;
+	int64_t stale_us = 2000000;
+	std::map<uint64_t, Change> changes;
+	std::map<uint64_t, ClaimDone> claims;
+	std::map<uint64_t, host_id_t> claim_at;
+	std::vector<std::string> problems;
+	uint64_t sent = 0, sent_bytes = 0;
+	// Called whenever tables or standing of a daemon have changed.
+	std::function<void(Daemon &)> on_change;
+
+      private:
+	struct Packet {
+		int64_t at_us;
+		uint64_t seq;
+		host_id_t from, to;
+		std::string bytes;
+		bool operator<(const Packet &o) const
+		{
+			return at_us != o.at_us ? at_us > o.at_us : seq > o.seq;
+		}
+	};
+
+	void advance(Daemon &d)
+	{
+		if (d.st && !d.paused)
+			timer_svc_run_until(d.timers, d.local(now_us));
+		reap();
+	}
+
+	// Ends daemons that crashed inside a callback.
+	void reap()
+	{
+		for (auto &d : daemons)
+			if (d->dying)
+				stop(*d);
+	}
+
+	// Runs the next event up to until; false where there is none.
+	bool step(int64_t until)
+	{
+		Daemon *next = nullptr;
+		int64_t due = until + 1;
+
+		for (auto &d : daemons) {
+			if (!d->st || d->paused)
+				continue;
+			int64_t local = timer_svc_next_due(d->timers);
+			if (local == INT64_MAX)
+				continue;
+			int64_t t = d->to_true(local);
+			if (t < due) {
+				due = t;
+				next = d.get();
+			}
+		}
+		if (!packets.empty() && packets.top().at_us < due) {
+			Packet p = packets.top();
+			packets.pop();
+			now_us = std::max(now_us, p.at_us);
+			deliver(p);
+			return true;
+		}
+		if (!next)
+			return false;
+		now_us = std::max(now_us, due);
+		advance(*next);
+		return true;
+	}
+
+	void deliver(const Packet &p)
+	{
+		Daemon &d = at(p.to);
+
+		if (!d.st || blocked.count({p.from, p.to}))
+			return;
+		if (d.paused) {
+			Packet later = p;
+			later.at_us = now_us + 50000;
+			packets.push(later);
+			return;
+		}
+		advance(d);
+		if (d.st)
+			state_recv(d.st, p.from, p.bytes.data(),
+				   p.bytes.size());
+		reap();
+	}
+
+	void post(host_id_t from, host_id_t to, const std::string &bytes)
+	{
+		int64_t jitter =
+			opt.jitter_us
+				? (int64_t)(rng() % (uint64_t)opt.jitter_us)
+				: 0;
+
+		sent++;
+		sent_bytes += bytes.size();
+		if (blocked.count({from, to}) || uniform() < opt.loss)
+			return;
+		packets.push({now_us + opt.delay_us + jitter, next_seq++, from,
+			      to, bytes});
+	}
+
+	static Daemon *self(void *ctx)
+	{
+		return static_cast<Daemon *>(ctx);
+	}
+
+	static void on_send(void *ctx, host_id_t to, const void *p, size_t n)
+	{
+		Daemon *d = self(ctx);
+		std::string bytes((const char *)p, n);
+
+		if (d->dying || to == 0 || to > d->net->daemons.size())
+			return;
+		d->net->post(d->id, to, bytes);
+		if (d->net->uniform() < d->net->opt.dup)
+			d->net->post(d->id, to, bytes);
+	}
+
+	static void on_tables(void *ctx, decided_t *tables)
+	{
+		Daemon *d = self(ctx);
+
+		if (d->dying)
+			return;
+		if (d->tables &&
+		    (decided_index(tables) < decided_index(d->tables) ||
+		     decided_revision(tables) < decided_revision(d->tables)))
+			d->net->problem("daemon " + std::to_string(d->id) +
+					" went back to an older revision");
+		decided_unref(d->tables);
+		d->tables = decided_ref(tables);
+		if (d->net->on_change)
+			d->net->on_change(*d);
+	}
+
+	static void on_standing(void *ctx, const standing_t *s)
+	{
+		Daemon *d = self(ctx);
+
+		if (d->dying)
+			return;
+		d->standing = *s;
+		d->live.assign(s->live, s->live + s->n_live);
+		if (d->net->on_change)
+			d->net->on_change(*d);
+	}
+
+	static void on_claimed(void *ctx, const claim_result_t *res)
+	{
+		Daemon *d = self(ctx);
+		auto it = d->net->claims.find(res->tag);
+
+		if (d->dying)
+			return;
+		if (it == d->net->claims.end() || it->second.done) {
+			d->net->problem("second outcome of a claim");
+			return;
+		}
+		it->second.done = true;
+		it->second.outcome = res->outcome;
+	}
+
+	static void on_changed(void *ctx, uint64_t tag,
+			       const change_outcome_t *out)
+	{
+		Daemon *d = self(ctx);
+		auto it = d->net->changes.find(tag);
+
+		if (d->dying)
+			return;
+		if (it == d->net->changes.end() || it->second.done) {
+			d->net->problem("second outcome of a proposal");
+			return;
+		}
+		it->second.done = true;
+		it->second.out = {out->status, out->revision, out->resent,
+				  text(out->error)};
+	}
+
+	std::priority_queue<Packet> packets;
+	std::set<std::pair<host_id_t, host_id_t>> blocked;
+	uint64_t next_seq = 0;
+	uint64_t next_tag = 1;
+	Daemon *starting = nullptr;
+};
+
+#endif
--- /dev/null
+++ b/tests/state_test.cc
@@ -0,0 +1,237 @@
+// The state core by single cases: one voter, three voters, learners, owners.
+#include <gtest/gtest.h>
+
+#include "state_net.h"
+
+static std::string publish(const std::string &id, uint64_t base)
+{
+	return ChangeBuilder(id, base).publish("adapter-" + id, 1).pack();
+}
+
+static void expect_clean(const Net &net)
+{
+	for (auto &p : net.problems)
+		ADD_FAILURE() << p;
+}
+
+static Outcome change(Net &net, host_id_t at, const std::string &id,
+		      const std::string &packed, int64_t max_us = 10000000)
+{
+	uint64_t tag = net.propose(at, id, packed);
+
+	EXPECT_TRUE(net.run_until(max_us, [&] {
+		return net.changes[tag].done;
+	})) << id;
+	return net.changes[tag].out;
+}
+
+static std::string hosts(Net &net, uint64_t base)
+{
+	ChangeBuilder b("hosts", base);
+
+	for (auto &d : net.daemons)
+		b.host("host" + std::to_string(d->id), 7000 + 2 * (int)d->id);
+	return b.pack();
+}
+
+static bool all_at(Net &net, uint64_t revision)
+{
+	for (auto &d : net.daemons)
+		if (d->st && d->revision() < revision)
+			return false;
+	return true;
+}
+
+TEST(State, OneVoterDecidesAndRemembers)
+{
+	Net::Options o;
+	o.voters = 1;
+	o.learners = 0;
+	Net net(o);
+
+	net.start_all();
+	Outcome out = change(net, 1, "a", publish("a", 0));
+	EXPECT_EQ(CHANGE_DECIDED, out.status);
+	EXPECT_EQ(1u, out.revision);
+	net.stop(net.at(1));
+	net.start(net.at(1));
+	EXPECT_TRUE(
+		net.run_until(5000000, [&] { return net.fresh(net.at(1)); }));
+	EXPECT_EQ(1u, net.at(1).revision());
+	out = change(net, 1, "a", publish("a", 0));
+	EXPECT_EQ(CHANGE_DECIDED, out.status);
+	EXPECT_TRUE(out.resent);
+	expect_clean(net);
+}
+
+TEST(State, ThreeVotersAndLearnersAgree)
+{
+	Net net(Net::Options{});
+
+	net.start_all();
+	EXPECT_TRUE(net.run_until(5000000, [&] { return net.leader(); }));
+	for (uint64_t i = 0; i < 200; i++) {
+		std::string id = "c" + std::to_string(i);
+		Outcome out =
+			change(net, (host_id_t)(i % 5 + 1), id, publish(id, i));
+		ASSERT_EQ(CHANGE_DECIDED, out.status) << i;
+		ASSERT_EQ(i + 1, out.revision);
+	}
+	EXPECT_TRUE(net.run_until(2000000, [&] { return all_at(net, 200); }));
+	Outcome out = change(net, 5, "late", publish("late", 7));
+	EXPECT_EQ(CHANGE_CONFLICT, out.status);
+	EXPECT_EQ(200u, out.revision);
+	for (auto &d : net.daemons)
+		EXPECT_TRUE(net.fresh(*d)) << d->id;
+	expect_clean(net);
+}
+
+TEST(State, LeaderLossLosesNothingAndRestartsCatchUp)
+{
+	Net net(Net::Options{});
+	uint64_t n = 0;
+
+	net.start_all();
+	net.run_until(5000000, [&] { return net.leader(); });
+	for (int round = 0; round < 4; round++) {
+		Daemon *old = net.leader();
+		ASSERT_NE(nullptr, old);
+		net.stop(*old);
+		for (int i = 0; i < 30; i++) {
+			std::string id = "c" + std::to_string(n);
+			ASSERT_EQ(CHANGE_DECIDED,
+				  change(net, 4, id, publish(id, n)).status);
+			n++;
+		}
+		net.start(*old);
+		EXPECT_TRUE(
+			net.run_until(5000000, [&] { return all_at(net, n); }));
+	}
+	net.stop(net.at(5));
+	net.start(net.at(5));
+	EXPECT_FALSE(net.fresh(net.at(5)));
+	EXPECT_TRUE(
+		net.run_until(3000000, [&] { return net.fresh(net.at(5)); }));
+	EXPECT_EQ(n, net.at(5).revision());
+	expect_clean(net);
+}
+
+TEST(State, CutOffLeaderKeepsNobodyFresh)
+{
+	Net net(Net::Options{});
+
+	net.start_all();
+	net.run(4000000);
+	Daemon *old = net.leader();
+	ASSERT_NE(nullptr, old);
+	// Learner 4 stays with the old leader; the others are beyond.
+	for (auto &d : net.daemons)
+		if (d->id != old->id && d->id != 4)
+			for (host_id_t side : {old->id, (host_id_t)4}) {
+				net.block(side, d->id, true);
+				net.block(d->id, side, true);
+			}
+	net.run(net.stale_us + 2 * net.heartbeat_us);
+	EXPECT_FALSE(net.fresh(*old));
+	EXPECT_FALSE(net.fresh(net.at(4)));
+	Daemon *now = net.leader();
+	ASSERT_NE(nullptr, now);
+	EXPECT_NE(old->id, now->id);
+	EXPECT_TRUE(net.fresh(net.at(5)));
+	Outcome out = change(net, 4, "x", publish("x", 0));
+	EXPECT_NE(CHANGE_DECIDED, out.status);
+	net.heal();
+	EXPECT_TRUE(
+		net.run_until(5000000, [&] { return net.fresh(net.at(4)); }));
+	expect_clean(net);
+}
+
+TEST(State, TargetsGetOwnersAndMoveWithinLeaseAndOneSecond)
+{
+	Net net(Net::Options{});
+
+	net.start_all();
+	net.run_until(5000000, [&] { return net.leader(); });
+	ASSERT_EQ(CHANGE_DECIDED,
+		  change(net, 1, "hosts", hosts(net, 0)).status);
+	ChangeBuilder b("targets", 1);
+	for (int i = 0; i < 12; i++)
+		b.target("t" + std::to_string(i), 9000 + i);
+	ASSERT_EQ(CHANGE_DECIDED, change(net, 1, "targets", b.pack()).status);
+	auto owned = [&](host_id_t not_by) {
+		const decided_t *d =
+			net.leader() ? net.leader()->tables : nullptr;
+		for (size_t i = 0; d && i < decided_target_count(d); i++) {
+			host_id_t o = decided_target_at(d, i)->owner;
+			if (!o || o == not_by)
+				return false;
+		}
+		return d && decided_target_count(d) == 12;
+	};
+	EXPECT_TRUE(net.run_until(5000000, [&] { return owned(0); }));
+	net.run(1000000);
+	// A learner is lost.
+	net.stop(net.at(5));
+	EXPECT_TRUE(net.run_until(net.lease_us + 1000000,
+				  [&] { return owned(5); }));
+	// Another leaves cleanly: no waiting.
+	state_leave(net.at(4).st);
+	EXPECT_TRUE(net.run_until(500000, [&] { return owned(4); }));
+	for (size_t i = 0; i < 12; i++)
+		EXPECT_NE(4u, decided_target_at(net.leader()->tables, i)
+				      ->previous_owner);
+	expect_clean(net);
+}
+
+TEST(State, ClaimsAreGrantedOnce)
+{
+	Net net(Net::Options{});
+
+	net.start_all();
+	net.run_until(5000000, [&] { return net.leader(); });
+	uint64_t a = net.claim(4, CLAIM_TAKE, "k", "h1");
+	uint64_t b = net.claim(5, CLAIM_TAKE, "k", "h2");
+	EXPECT_TRUE(net.run_until(2000000, [&] {
+		return net.claims[a].done && net.claims[b].done;
+	}));
+	EXPECT_EQ(1, (net.claims[a].outcome == CLAIM_GRANTED) +
+			     (net.claims[b].outcome == CLAIM_GRANTED));
+	EXPECT_EQ(1, (net.claims[a].outcome == CLAIM_IN_PROGRESS) +
+			     (net.claims[b].outcome == CLAIM_IN_PROGRESS));
+	expect_clean(net);
+}
+
+TEST(State, EmptiedVoterRejoinsAndASecondLossLosesNothing)
+{
+	Net net(Net::Options{});
+	uint64_t n = 0;
+	auto more = [&](int count) {
+		for (int i = 0; i < count; i++) {
+			std::string id = "c" + std::to_string(n);
+			ASSERT_EQ(CHANGE_DECIDED,
+				  change(net, 4, id, publish(id, n)).status);
+			n++;
+		}
+	};
+
+	net.start_all();
+	net.run_until(5000000, [&] { return net.leader(); });
+	more(100);
+	for (int round = 0; round < 6; round++) {
+		Daemon &d = net.at((host_id_t)(round % 3 + 1));
+		net.wipe(d);
+		more(5);
+		net.start(d);
+		// Repaired: it is a voter again, on its new folder.
+		EXPECT_TRUE(net.run_until(10000000, [&] {
+			buf_t b = {};
+			state_status(d.st, &b);
+			bool votes = strstr(b.p, "\"votes\":true");
+			buf_free(&b);
+			return votes && d.revision() == n;
+		})) << round;
+	}
+	more(5);
+	EXPECT_TRUE(net.run_until(2000000, [&] { return all_at(net, n); }));
+	expect_clean(net);
+}
