--- a/dev/lib_sim.c
+++ b/dev/lib_sim.c
@@ -376,8 +376,6 @@
 		return;
 	if (!s->p->load_event)
 		s->p->load_event = event_new(s, loads_due);
-	if (least < 0)
-		least = 0;
 	event_after(s->p->load_event,
 		    (int64_t)(MAX(least, 0) / store_speed(s)) + 1);
 }
