--- a/src/admin.c
+++ b/src/admin.c
@@ -10,6 +10,7 @@
 
 #include "change.h"
 #include "change_json.h"
+#include "counter.h"
 
 #define PROPOSE_TIMEOUT_US (10 * USEC_PER_SEC)
 #define WAIT_MAX_MS 120000u
@@ -506,6 +507,16 @@
 	decided_unref(after);
 }
 
+static void count(const change_outcome_t *out)
+{
+	if (out->status == CHANGE_CONFLICT)
+		counter_add(CTR_CHANGES_CONFLICT, 1);
+	else if (out->status == CHANGE_DECIDED && out->resent)
+		counter_add(CTR_CHANGES_RESENT, 1);
+	else if (out->status == CHANGE_DECIDED)
+		counter_add(CTR_CHANGES_DECIDED, 1);
+}
+
 static void propose(admin_call_t *c, str_t packed, const char *change_id,
 		    uint64_t wait_ms)
 {
@@ -515,6 +526,7 @@
 
 	c->ops->propose(c->ctx, packed.p, packed.n, PROPOSE_TIMEOUT_US, &out,
 			&error);
+	count(&out);
 	j = outcome_json(&out, &error);
 	json_object_set_new(j, "change_id", json_string(change_id));
 	if (out.status == CHANGE_DECIDED && wait_ms) {
--- a/src/change.c
+++ b/src/change.c
@@ -124,6 +124,15 @@
 		    name ? name : "");
 }
 
+/* Appends a packed message. */
+static void pack_message(const void *msg, buf_t *out)
+{
+	size_t n = protobuf_c_message_get_packed_size(msg);
+
+	protobuf_c_message_pack(msg, (uint8_t *)buf_room(out, n));
+	out->n += n;
+}
+
 /* Templates and organisations. */
 
 static Dk__Template *unpack_template(const decided_t *d, str_t name)
@@ -238,9 +247,7 @@
 	if (template_resolve(t, s, row->name, &now, &why))
 		return fail(ap, "", "organisation '%s': %s", name,
 			    why.p ? why.p : "");
-	packed.n = dk__org_settings__get_packed_size(s);
-	packed.n = dk__org_settings__pack(s, (uint8_t *)buf_room(&packed,
-								 packed.n));
+	pack_message(s, &packed);
 	row->settings = buf_str(&packed);
 	row->priority = now.priority;
 	row->limits = now.limits;
@@ -283,8 +290,7 @@
 
 	if (template_check(t, &why))
 		return fail(ap, "", "%s", why.p ? why.p : "");
-	spec.n = dk__template__get_packed_size(t);
-	spec.n = dk__template__pack(t, (uint8_t *)buf_room(&spec, spec.n));
+	pack_message(t, &spec);
 	row.name = name;
 	row.spec = buf_str(&spec);
 	decided_put_template(ap->d, &row);
@@ -960,14 +966,12 @@
 {
 	Dk__Change body = DK__CHANGE__INIT;
 	AUTO_BUF buf_t packed = {0};
-	size_t n;
 
 	body.author = c->author;
 	body.ops = c->ops;
 	body.n_ops = c->n_ops;
-	n = dk__change__get_packed_size(&body);
-	dk__change__pack(&body, (uint8_t *)buf_room(&packed, n));
-	return hash_bytes(packed.p, n, 0);
+	pack_message(&body, &packed);
+	return hash_bytes(packed.p, packed.n, 0);
 }
 
 static void keep_change(decided_t *d, const Dk__Change *c, str_t packed,
--- a/src/cli.c
+++ b/src/cli.c
@@ -53,7 +53,7 @@
 	gboolean service, checks_fence, repeatable;
 	gint id;
 	gchar *caller_addr, *peer_addr;
-	gboolean voter;
+	gboolean voter, learner;
 } opt;
 
 static GOptionEntry common_options[] = {
@@ -165,6 +165,8 @@
 	 "Address of its peer link", "IP:PORT"},
 	{"voter", 0, 0, G_OPTION_ARG_NONE, &opt.voter,
 	 "It has a disk and votes in the log", NULL},
+	{"learner", 0, 0, G_OPTION_ARG_NONE, &opt.learner,
+	 "It no longer votes in the log", NULL},
 	{NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL},
 };
 
@@ -938,13 +940,16 @@
 
 	if (argc != 1)
 		return usage(cli, "one name is needed");
+	if (opt.voter && opt.learner)
+		return usage(cli, "--voter and --learner exclude each other");
 	h = json_pack("{s:s}", "name", argv[0]);
 	set_int(h, "id", opt.id);
 	set_text(h, "zone", opt.zone);
 	set_text(h, "region", opt.region);
 	set_text(h, "caller_addr", opt.caller_addr);
 	set_text(h, "peer_addr", opt.peer_addr);
-	set_flag(h, "voter", opt.voter);
+	if (opt.voter || opt.learner)
+		json_object_set_new(h, "voter", json_boolean(opt.voter));
 	ops = json_array();
 	add_op(ops, "host_put", h);
 	return submit(cli, ops);
