Serving: shared popularity, and loads where the cheapest eviction is

Cause: each owner knew only the request rates of what it served itself, and a load went to a rendezvous home whatever it had to evict there; hot adapters were evicted on one runner while another held cold ones.

--- a/proto/serve.pb-c.c
+++ b/proto/serve.pb-c.c
@@ -1409,7 +1409,7 @@
   (ProtobufCMessageInit) serve__done__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor serve__report__field_descriptors[11] =
+static const ProtobufCFieldDescriptor serve__report__field_descriptors[12] =
 {
   {
     "target",
@@ -1474,13 +1474,13 @@
   {
     "evict_us",
     6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
-    0,   /* quantifier_offset */
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Serve__Report, n_evict_us),
     offsetof(Serve__Report, evict_us),
     NULL,
     NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
@@ -1543,9 +1543,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "asked",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Serve__Report, n_asked),
+    offsetof(Serve__Report, asked),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned serve__report__field_indices_by_name[] = {
   7,   /* field[7] = active */
+  11,   /* field[11] = asked */
   10,   /* field[10] = each_us */
   5,   /* field[5] = evict_us */
   1,   /* field[1] = fence */
@@ -1560,7 +1573,7 @@
 static const ProtobufCIntRange serve__report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor serve__report__descriptor =
 {
@@ -1570,7 +1583,7 @@
   "Serve__Report",
   "serve",
   sizeof(Serve__Report),
-  11,
+  12,
   serve__report__field_descriptors,
   serve__report__field_indices_by_name,
   1,  serve__report__number_ranges,
--- a/proto/serve.pb-c.h
+++ b/proto/serve.pb-c.h
@@ -189,9 +189,10 @@
    */
   int64_t each_us;
   /*
-   * expected cost of the cheapest eviction
+   * Expected costs of the next loads' evictions, ascending; 0: empty slot.
    */
-  int64_t evict_us;
+  size_t n_evict_us;
+  uint64_t *evict_us;
   protobuf_c_boolean leaving;
   /*
    * dispatches
@@ -204,10 +205,15 @@
   uint32_t *resident;
   size_t n_loading;
   uint32_t *loading;
+  /*
+   * Adapters asked for since the last report, one for each request.
+   */
+  size_t n_asked;
+  uint32_t *asked;
 };
 #define SERVE__REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&serve__report__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
--- a/src/load.c
+++ b/src/load.c
@@ -42,6 +42,7 @@
 	l->load_us = r->load_us;
 	l->since_us = now;
 	cds_list_add_tail(&l->node, &o->loads);
+	o->urgent = true;
 	return l;
 }
 
@@ -109,17 +110,16 @@
 	slot->order = owner_order(o, &eo, NULL)->id;
 }
 
-static slot_t *owner_victim(owner_t *o, int64_t now)
+void owner_price_slots(owner_t *o, int64_t now)
 {
 	for (uint32_t i = 0; i < o->slots.n; i++) {
 		slot_t *slot = &o->slots.v[i];
 
 		if (slot_evictable(slot))
-			slot->copied = place_copy_elsewhere(
+			slot->cost_us = place_evict_cost(
 				&o->sh->s->place, adapter_name(slot->adapter),
-				slot->hash, o->id, now);
+				slot->hash, o->id, slot->load_us, now);
 	}
-	return slots_victim(&o->slots, &o->sh->s->cfg, now);
 }
 
 /* A granted load takes an empty slot, or evicts; else the permit goes back. */
@@ -131,7 +131,8 @@
 		load_start(o, l, slot);
 		return;
 	}
-	slot = owner_victim(o, now);
+	owner_price_slots(o, now);
+	slot = slots_victim(&o->slots, &o->sh->s->cfg);
 	if (slot) {
 		load_evict(o, l, slot);
 		return;
@@ -304,6 +305,7 @@
 	if (!slot || slot->order != ord->id)
 		return; /* of before a restart */
 	o->slots_changed_us = now;
+	o->urgent = true;
 	slot->order = 0;
 	if (l)
 		load_end(o, l);
--- a/src/owner.c
+++ b/src/owner.c
@@ -15,6 +15,8 @@
 #define POLL_SOON_US (250 * USEC_PER_MSEC)
 /* Failed reads after which a target counts as lost. */
 #define POLL_FAILS_MAX 2u
+/* Loads told in one report. */
+#define LOADS_TOLD_MAX 32u
 /* Between reports to other daemons. */
 #define REPORT_US (500 * USEC_PER_MSEC)
 #define REPORT_IDLE_US (4 * USEC_PER_SEC)
@@ -74,28 +76,57 @@
 	o->peers[oldest].at_us = now;
 }
 
-static int64_t owner_evict_us(owner_t *o, int64_t now)
+void owner_asked(owner_t *o, uint32_t hash, int64_t now)
 {
-	const slot_t *victim;
+	place_asked(&o->sh->s->place, hash, now);
+	if (o->n_asked < ASKED_MAX)
+		o->asked[o->n_asked++] = hash;
+}
+
+static int by_cost(const void *a, const void *b)
+{
+	uint64_t x = *(const uint64_t *)a, y = *(const uint64_t *)b;
 
-	if (slots_empty(&o->slots))
-		return 0;
-	victim = slots_victim(&o->slots, &o->sh->s->cfg, now);
-	if (!victim)
-		return o->sh->s->cfg.load_us;
-	return (int64_t)slot_cost(&o->slots, victim, now);
+	return x < y ? -1 : x > y;
+}
+
+/* Costs of the evictions that loads not yet known here would need. */
+static size_t owner_evict_costs(owner_t *o, uint64_t *costs, int64_t now)
+{
+	size_t n = 0, taken = 0;
+	const load_t *l;
+
+	owner_price_slots(o, now);
+	for (uint32_t i = 0; i < o->slots.n; i++) {
+		const slot_t *slot = &o->slots.v[i];
+
+		if (slot->state == SLOT_EMPTY)
+			costs[n++] = 0;
+		else if (slot_evictable(slot))
+			costs[n++] = (uint64_t)slot->cost_us;
+	}
+	qsort(costs, n, sizeof(*costs), by_cost);
+	cds_list_for_each_entry (l, &o->loads, node)
+		taken += l->phase <= LOAD_ASKED;
+	if (taken > n)
+		taken = n;
+	memmove(costs, costs + taken, (n - taken) * sizeof(*costs));
+	return n - taken;
 }
 
 static void owner_fill_report(owner_t *o, Serve__Report *m, uint32_t *hashes,
-			      int64_t now)
+			      uint64_t *costs, int64_t now)
 {
+	const load_t *l;
+
 	m->target = o->id;
 	m->fence = o->fence;
 	m->waiting = o->queue.n;
 	m->running = o->n_running + o->foreign;
 	m->wait_us = owner_wait_us(o, o->queue.cost_us, now);
 	m->each_us = run_cost(o, 0) / owner_batch(o);
-	m->evict_us = owner_evict_us(o, now);
+	m->evict_us = costs;
+	m->n_evict_us = owner_evict_costs(o, costs, now);
 	m->leaving = o->leaving;
 	m->active = o->state == OWN_ACTIVE && owner_may_send(o, now);
 	m->resident = hashes;
@@ -106,6 +137,9 @@
 	for (uint32_t i = 0; i < o->slots.n; i++)
 		if (o->slots.v[i].state == SLOT_LOADING)
 			m->loading[m->n_loading++] = o->slots.v[i].hash;
+	cds_list_for_each_entry (l, &o->loads, node)
+		if (l->phase != LOAD_RUNS && m->n_loading < LOADS_TOLD_MAX)
+			m->loading[m->n_loading++] = l->hash;
 }
 
 static void owner_report_peers(owner_t *o, Serve__Report *m, int64_t now)
@@ -131,10 +165,12 @@
 void owner_report(owner_t *o, int64_t now)
 {
 	AUTO_FREE uint32_t *hashes = NULL;
+	AUTO_FREE uint64_t *costs = NULL;
 	Serve__Report m = SERVE__REPORT__INIT;
 
-	hashes = xcalloc(o->slots.n + 1, sizeof(*hashes));
-	owner_fill_report(o, &m, hashes, now);
+	hashes = xcalloc(o->slots.n + LOADS_TOLD_MAX, sizeof(*hashes));
+	costs = xcalloc(o->slots.n + 1, sizeof(*costs));
+	owner_fill_report(o, &m, hashes, costs, now);
 	place_report(&o->sh->s->place, &m, now);
 	if (!o->urgent && now < o->report_us + REPORT_US)
 		return;
@@ -143,7 +179,10 @@
 	o->report_us = now;
 	o->changed = false;
 	o->urgent = false;
+	m.asked = o->asked;
+	m.n_asked = o->n_asked;
 	owner_report_peers(o, &m, now);
+	o->n_asked = 0;
 }
 
 /* Orders. */
--- a/src/owner.h
+++ b/src/owner.h
@@ -11,6 +11,8 @@
 #include "queue.h"
 #include "slot.h"
 
+/* Requests told in one report. */
+#define ASKED_MAX 64u
 /* Daemons that get reports on one target, where there are many. */
 #define PEERS_MAX 16u
 #define NO_RETRY (-1)
@@ -131,6 +133,8 @@
 	GHashTable *backoffs; /* adapter hash -> backoff_t */
 	peer_t peers[PEERS_MAX];
 	size_t n_peers;
+	uint32_t asked[ASKED_MAX]; /* adapters, since the last report */
+	size_t n_asked;
 	bool changed; /* since the last report to peers */
 	bool urgent;  /* the report must not wait */
 	int64_t report_us;
@@ -157,6 +161,9 @@
 void owner_run_event(owner_t *o, order_t *ord, const engine_event_t *ev,
 		     int64_t now);
 /* load.c */
+
+/* Brings the costs of evicting the slots up to now. */
+void owner_price_slots(owner_t *o, int64_t now);
 void load_free(load_t *l);
 /* Drops a load; its permit, or its ask, goes back to the leader. */
 void load_end(owner_t *o, load_t *l);
@@ -171,6 +178,8 @@
 bool owner_may_send(const owner_t *o, int64_t now);
 owner_t *owner_find(shard_t *sh, target_id_t id);
 void owner_add_peer(owner_t *o, host_id_t host, int64_t now);
+/* One request for an adapter: its popularity grows, here and at peers. */
+void owner_asked(owner_t *o, uint32_t hash, int64_t now);
 void owner_report(owner_t *o, int64_t now);
 /* Sends an order; the target, its url and the fence are filled in. */
 order_t *owner_order(owner_t *o, engine_order_t *eo, run_t *run);
--- a/src/place.c
+++ b/src/place.c
@@ -1,6 +1,7 @@
 /* place.c - scoring of targets from the owners' reports. */
 #include "place.h"
 
+#include <math.h>
 #include <string.h>
 
 #include "slot.h"
@@ -8,9 +9,13 @@
 /* A report counts for this long without a newer one. */
 #define REPORT_LIFE_US (10 * USEC_PER_SEC)
 /* Rendezvous homes that a non-resident adapter may be loaded on. */
-#define HOMES_MAX 3u
-/* Advantage that an earlier home needs to lose its adapter to a later one. */
-#define HOME_STEP_US (150 * USEC_PER_MSEC)
+#define HOMES_MAX 16u
+/* What one rank among the homes is worth, to break ties. */
+#define HOME_STEP_US USEC_PER_MSEC
+/* An adapter that is asked for within this time is missed when evicted. */
+#define REUSE_US (30 * USEC_PER_SEC)
+/* What the eviction of an adapter costs that another target has too. */
+#define COPY_SHARE 0.1
 /* Hosts tried without a report are taken as lightly loaded. */
 #define UNKNOWN_WAIT_US (5 * USEC_PER_MSEC)
 
@@ -19,11 +24,13 @@
 	int64_t at_us;
 	int64_t wait_us;
 	int64_t each_us;
-	int64_t evict_us;
 	uint32_t waiting;
 	uint32_t running;
-	uint32_t sent; /* by this daemon since the report */
-	bool known;    /* a report has come */
+	uint32_t sent;	    /* by this daemon since the report */
+	uint32_t sent_cold; /* of these, with a load */
+	uint64_t *evict;    /* owned: costs of the next evictions */
+	size_t n_evict;
+	bool known; /* a report has come */
 	bool active;
 	bool leaving;	    /* says the report */
 	bool listed;	    /* says the platform's list */
@@ -40,6 +47,7 @@
 
 	free(h->resident);
 	free(h->loading);
+	free(h->evict);
 	free(h);
 }
 
@@ -49,6 +57,7 @@
 	pthread_mutex_init(&p->lock, NULL);
 	p->cfg = cfg;
 	p->seed = cfg->seed;
+	rates_init(&p->rates);
 	p->hints = g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL,
 					 hint_free);
 	p->down = g_hash_table_new(g_direct_hash, g_direct_equal);
@@ -58,6 +67,7 @@
 {
 	g_hash_table_destroy(p->hints);
 	g_hash_table_destroy(p->down);
+	rates_free(&p->rates);
 	free(p->live);
 	pthread_mutex_destroy(&p->lock);
 }
@@ -89,11 +99,23 @@
 	*n = count;
 }
 
+static void set_costs(hint_t *h, const Serve__Report *rep)
+{
+	free(h->evict);
+	h->evict = xmalloc(rep->n_evict_us * sizeof(*h->evict) + 1);
+	if (rep->n_evict_us)
+		memcpy(h->evict, rep->evict_us,
+		       rep->n_evict_us * sizeof(*h->evict));
+	h->n_evict = rep->n_evict_us;
+}
+
 void place_report(place_t *p, const Serve__Report *rep, int64_t now)
 {
 	hint_t *h;
 
 	pthread_mutex_lock(&p->lock);
+	for (size_t i = 0; i < rep->n_asked; i++)
+		rates_add(&p->rates, rep->asked[i], 1, now);
 	h = hint_get(p, rep->target);
 	if (!h->known || rep->fence >= h->fence) {
 		h->known = true;
@@ -101,10 +123,11 @@
 		h->at_us = now;
 		h->wait_us = rep->wait_us;
 		h->each_us = rep->each_us;
-		h->evict_us = rep->evict_us;
 		h->waiting = rep->waiting;
 		h->running = rep->running;
 		h->sent = 0;
+		h->sent_cold = 0;
+		set_costs(h, rep);
 		h->active = rep->active;
 		h->leaving = rep->leaving;
 		set_hashes(&h->resident, &h->n_resident, rep->resident,
@@ -268,6 +291,20 @@
 	return h->wait_us + h->sent * h->each_us;
 }
 
+/* Expected cost of the eviction that a load there needs. */
+static double expected_evict(const place_t *p, const hint_t *h)
+{
+	size_t next;
+
+	if (!h)
+		return (double)p->cfg->load_us;
+	next = h->sent_cold;
+	if (next < h->n_evict)
+		return (double)h->evict[next];
+	/* All slots are pinned: it waits for one. */
+	return 2.0 * (double)p->cfg->load_us * (double)(next - h->n_evict + 1);
+}
+
 /* Score under the cost policy: expected finish, weighted. */
 static double cost_score(const place_t *p, const place_query_t *q,
 			 const hint_t *h, const place_score_t *s)
@@ -278,8 +315,8 @@
 	if (q->kind == TARGET_SERVICE || !q->adapter.n || s->resident)
 		return score + (double)s->rank;
 	score += cfg->stall_weight * (double)s->stall_us;
-	if (h)
-		score += cfg->stall_weight * (double)h->evict_us;
+	if (!s->loading)
+		score += cfg->stall_weight * expected_evict(p, h);
 	return score + (double)s->rank * HOME_STEP_US;
 }
 
@@ -419,6 +456,7 @@
 	pthread_mutex_lock(&p->lock);
 	h = hint_get(p, best.target->id);
 	h->sent++;
+	h->sent_cold += !best.resident && !best.loading;
 	pthread_mutex_unlock(&p->lock);
 	return best.target;
 }
@@ -450,15 +488,25 @@
 	       has_hash(h->resident, h->n_resident, c->hash);
 }
 
-bool place_copy_elsewhere(place_t *p, str_t name, uint32_t hash,
-			  target_id_t target, int64_t now)
+void place_asked(place_t *p, uint32_t hash, int64_t now)
+{
+	pthread_mutex_lock(&p->lock);
+	rates_add(&p->rates, hash, 1, now);
+	pthread_mutex_unlock(&p->lock);
+}
+
+double place_evict_cost(place_t *p, str_t name, uint32_t hash,
+			target_id_t target, int64_t load_us, int64_t now)
 {
 	copy_ctx_t c = {hash_bytes(name.p, name.n, 1), hash, 0, now};
-	bool found;
+	double soon, cost;
 
 	c.score = rendezvous_score(c.key, target);
 	pthread_mutex_lock(&p->lock);
-	found = g_hash_table_find(p->hints, is_better_copy, &c);
+	soon = rates_get(&p->rates, hash, now) * REUSE_US / USEC_PER_SEC;
+	cost = (double)load_us * (1 - exp(-soon));
+	if (g_hash_table_find(p->hints, is_better_copy, &c))
+		cost *= COPY_SHARE;
 	pthread_mutex_unlock(&p->lock);
-	return found;
+	return cost;
 }
--- a/src/place.h
+++ b/src/place.h
@@ -9,6 +9,7 @@
 #include <glib.h>
 #include <pthread.h>
 
+#include "rate.h"
 #include "serve.h"
 #include "serve.pb-c.h"
 
@@ -23,6 +24,7 @@
 	host_id_t *live;   /* owned, ascending */
 	size_t n_live;
 	GHashTable *down; /* hosts whose link is down */
+	rates_t rates;	  /* of all adapters asked for at known owners */
 	uint64_t seed;	  /* of PLACE_RANDOM */
 } place_t;
 
@@ -52,6 +54,15 @@
 void place_init(place_t *p, const serve_cfg_t *cfg);
 void place_free(place_t *p);
 void place_report(place_t *p, const Serve__Report *rep, int64_t now);
+/* One request for an adapter, at an owner here. */
+void place_asked(place_t *p, uint32_t hash, int64_t now);
+/*
+ * Expected stall that the eviction of an adapter from a target causes, in
+ * microseconds: its load time by the chance that it is asked for soon; little
+ * where another target has it too, and is an earlier home of it.
+ */
+double place_evict_cost(place_t *p, str_t name, uint32_t hash,
+			target_id_t target, int64_t load_us, int64_t now);
 /* What the platform's lagging list says of the target. */
 void place_hint(place_t *p, target_id_t target, bool leaving);
 /* What the target itself says; taken back when it has restarted. */
@@ -73,12 +84,6 @@
 			   const place_query_t *q);
 /* Whether some target could serve it, had it an owner. */
 bool place_possible(place_t *p, const decided_t *d, const place_query_t *q);
-/*
- * Whether the adapter is resident on a target whose rendezvous rank for it is
- * before that of target: the copy here may go first.
- */
-bool place_copy_elsewhere(place_t *p, str_t name, uint32_t hash,
-			  target_id_t target, int64_t now);
 
 #ifdef __cplusplus
 }
--- a/src/run.c
+++ b/src/run.c
@@ -318,7 +318,7 @@
 	run_t *r = run_new(o, from, m, now);
 
 	if (r->hash && !r->resume)
-		slots_touch(&o->slots, r->adapter, now);
+		owner_asked(o, r->hash, now);
 	late = owner_lateness(o, r, now);
 	r->phase = RUN_WAITING;
 	queue_put(&o->queue, &r->item);
--- a/src/slot.h
+++ b/src/slot.h
@@ -1,13 +1,11 @@
 /*
  * slot.h - adapter slots of one runner: what is resident, pinned, awaited or
- * on its way, how often each adapter is asked for, and which one to evict.
+ * on its way, and which one to evict.
  * Pure bookkeeping; the owner sends the orders.
  */
 #ifndef DK_SLOT_H
 #define DK_SLOT_H
 
-#include <glib.h>
-
 #include "serve.h"
 
 #ifdef __cplusplus
@@ -31,16 +29,13 @@
 	uint32_t foreign;
 	int64_t load_us;
 	int64_t used_us; /* last run started */
-	uint64_t
-		order; /* load or unload under way; 0: none or a past owner's */
-	bool copied;   /* another target has it too, and keeps it */
+	uint64_t order;	 /* load or unload under way here; 0: none */
+	double cost_us;	 /* expected cost of evicting it, as last priced */
 } slot_t;
 
 typedef struct slots {
 	slot_t *v; /* owned */
 	uint32_t n;
-	GHashTable
-		*rates; /* adapter hash -> rate_t; also of adapters not here */
 } slots_t;
 
 void slots_init(slots_t *s, uint32_t n);
@@ -60,17 +55,8 @@
 /* Not pinned: nothing runs on it, waits for it, or moves it. */
 bool slot_evictable(const slot_t *slot);
 
-/* One request for the adapter at now. */
-void slots_touch(slots_t *s, str_t adapter, int64_t now);
-/* Expected requests a second, decayed. */
-double slots_rate(const slots_t *s, uint32_t hash, int64_t now);
-/*
- * Expected cost of evicting a slot, in microseconds of load stall a second:
- * load time by chance of reuse.
- */
-double slot_cost(const slots_t *s, const slot_t *slot, int64_t now);
 /* The slot to evict under the policy, or NULL where all are pinned. */
-slot_t *slots_victim(slots_t *s, const serve_cfg_t *cfg, int64_t now);
+slot_t *slots_victim(slots_t *s, const serve_cfg_t *cfg);
 
 #ifdef __cplusplus
 }
