Serving: loads under a saturated store go where they help most

Changes: the leader tells the store's backlog with each permit and reports pass it on; the cost of an eviction counts the backlog; a load waits where a slot that is freed by its runs is the cheaper one; only requests that could start count as queue; past a short backlog permits go by requests waiting, not by slack; a request that cannot be loaded and run in time is refused.

--- a/proto/serve.pb-c.c
+++ b/proto/serve.pb-c.c
@@ -1409,7 +1409,7 @@
   (ProtobufCMessageInit) serve__done__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor serve__report__field_descriptors[12] =
+static const ProtobufCFieldDescriptor serve__report__field_descriptors[13] =
 {
   {
     "target",
@@ -1555,6 +1555,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store_backlog",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Serve__Report, store_backlog),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned serve__report__field_indices_by_name[] = {
   7,   /* field[7] = active */
@@ -1566,6 +1578,7 @@
   9,   /* field[9] = loading */
   8,   /* field[8] = resident */
   3,   /* field[3] = running */
+  12,   /* field[12] = store_backlog */
   0,   /* field[0] = target */
   4,   /* field[4] = wait_us */
   2,   /* field[2] = waiting */
@@ -1573,7 +1586,7 @@
 static const ProtobufCIntRange serve__report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor serve__report__descriptor =
 {
@@ -1583,7 +1596,7 @@
   "Serve__Report",
   "serve",
   sizeof(Serve__Report),
-  12,
+  13,
   serve__report__field_descriptors,
   serve__report__field_indices_by_name,
   1,  serve__report__number_ranges,
@@ -1706,7 +1719,7 @@
   (ProtobufCMessageInit) serve__permit_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor serve__permit_grant__field_descriptors[3] =
+static const ProtobufCFieldDescriptor serve__permit_grant__field_descriptors[4] =
 {
   {
     "target",
@@ -1744,16 +1757,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "backlog",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Serve__PermitGrant, backlog),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned serve__permit_grant__field_indices_by_name[] = {
   1,   /* field[1] = adapter */
+  3,   /* field[3] = backlog */
   0,   /* field[0] = target */
   2,   /* field[2] = term */
 };
 static const ProtobufCIntRange serve__permit_grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor serve__permit_grant__descriptor =
 {
@@ -1763,7 +1789,7 @@
   "Serve__PermitGrant",
   "serve",
   sizeof(Serve__PermitGrant),
-  3,
+  4,
   serve__permit_grant__field_descriptors,
   serve__permit_grant__field_indices_by_name,
   1,  serve__permit_grant__number_ranges,
--- a/proto/serve.pb-c.h
+++ b/proto/serve.pb-c.h
@@ -210,10 +210,14 @@
    */
   size_t n_asked;
   uint32_t *asked;
+  /*
+   * Backlog of the store's permits, plus 1, where just learned; else 0.
+   */
+  uint32_t store_backlog;
 };
 #define SERVE__REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&serve__report__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
 /*
@@ -250,10 +254,14 @@
   uint32_t target;
   ProtobufCBinaryData adapter;
   uint64_t term;
+  /*
+   * asks that still wait
+   */
+  uint32_t backlog;
 };
 #define SERVE__PERMIT_GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&serve__permit_grant__descriptor) \
-    , 0, {0,NULL}, 0 }
+    , 0, {0,NULL}, 0, 0 }
 
 
 /*
--- a/src/load.c
+++ b/src/load.c
@@ -4,6 +4,8 @@
  */
 #include "owner.h"
 
+#include <math.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "counter.h"
@@ -110,16 +112,97 @@
 	slot->order = owner_order(o, &eo, NULL)->id;
 }
 
+/* Whether a resident adapter will be evictable once its runs end. */
+static bool slot_pinned_by_runs(const slot_t *slot)
+{
+	return slot->state == SLOT_RESIDENT && slot->running &&
+	       !slot->awaited && !slot->foreign && !slot->order;
+}
+
+static int64_t slot_free_us(owner_t *o, const slot_t *slot, int64_t now)
+{
+	int64_t left = 0;
+	const run_t *r;
+
+	if (!slot->running)
+		return 0;
+	cds_list_for_each_entry (r, &o->started, node)
+		if (r->hash == slot->hash &&
+		    r->started_us + r->item.cost_us - now > left)
+			left = r->started_us + r->item.cost_us - now;
+	return left;
+}
+
 void owner_price_slots(owner_t *o, int64_t now)
 {
 	for (uint32_t i = 0; i < o->slots.n; i++) {
 		slot_t *slot = &o->slots.v[i];
 
-		if (slot_evictable(slot))
-			slot->cost_us = place_evict_cost(
-				&o->sh->s->place, adapter_name(slot->adapter),
-				slot->hash, o->id, slot->load_us, now);
+		if (slot->state != SLOT_RESIDENT)
+			continue;
+		slot->free_us = slot_free_us(o, slot, now);
+		slot->cost_us =
+			place_evict_cost(&o->sh->s->place,
+					 adapter_name(slot->adapter),
+					 slot->hash, o->id, slot->load_us, now);
+	}
+}
+
+static int by_cost(const void *a, const void *b)
+{
+	uint64_t x = *(const uint64_t *)a, y = *(const uint64_t *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+size_t owner_evict_costs(owner_t *o, uint64_t *costs, int64_t now)
+{
+	size_t n = 0, taken = 0;
+	const load_t *l;
+
+	owner_price_slots(o, now);
+	for (uint32_t i = 0; i < o->slots.n; i++) {
+		const slot_t *slot = &o->slots.v[i];
+
+		if (slot->state == SLOT_EMPTY)
+			costs[n++] = 0;
+		else if (slot_evictable(slot) || slot_pinned_by_runs(slot))
+			costs[n++] = (uint64_t)slot->cost_us +
+				     (uint64_t)slot->free_us;
+	}
+	qsort(costs, n, sizeof(*costs), by_cost);
+	cds_list_for_each_entry (l, &o->loads, node)
+		taken += l->phase <= LOAD_ASKED;
+	if (taken > n)
+		taken = n;
+	memmove(costs, costs + taken, (n - taken) * sizeof(*costs));
+	return n - taken;
+}
+
+/*
+ * Whether a load should rather wait for the runs on a slot to end than evict
+ * now: the slot that is cheaper to evict outweighs the wait.
+ */
+static bool load_better_waits(owner_t *o, const load_t *l, int64_t now)
+{
+	const serve_cfg_t *cfg = &o->sh->s->cfg;
+	double idle = HUGE_VAL, pinned = HUGE_VAL, cost;
+
+	if (cfg->policy.evict != EVICT_COST || slots_empty(&o->slots))
+		return false;
+	owner_price_slots(o, now);
+	for (uint32_t i = 0; i < o->slots.n; i++) {
+		const slot_t *slot = &o->slots.v[i];
+
+		cost = slot->cost_us;
+		if (slot_evictable(slot)) {
+			idle = cost < idle ? cost : idle;
+		} else if (slot_pinned_by_runs(slot)) {
+			cost += (double)slot->free_us * l->waiting;
+			pinned = cost < pinned ? cost : pinned;
+		}
 	}
+	return pinned < idle;
 }
 
 /* A granted load takes an empty slot, or evicts; else the permit goes back. */
@@ -179,9 +262,14 @@
 		l->waiting = 0;
 		l->due_us = INT64_MAX / 2;
 	}
+	o->n_ready = 0;
+	o->ready_us = 0;
 	cds_list_for_each_entry (it, &o->queue.items, node) {
 		run_t *r = (run_t *)it;
 
+		it->ready = run_ready(o, it);
+		o->n_ready += it->ready;
+		o->ready_us += it->ready ? it->cost_us : 0;
 		if (!r->hash || r->resume)
 			continue;
 		slot = slots_find(&o->slots, r->adapter);
@@ -212,7 +300,8 @@
 			load_end(o, l);
 	room = owner_room(o);
 	cds_list_for_each_entry_safe (l, tmp, &o->loads, node) {
-		if (l->phase == LOAD_WANTED && room > 0) {
+		if (l->phase == LOAD_WANTED && room > 0 &&
+		    !load_better_waits(o, l, now)) {
 			load_ask(o, l, now);
 			room--;
 		} else if (l->phase == LOAD_ASKED &&
@@ -230,6 +319,9 @@
 	serve_msg_t msg = SERVE__SERVE_MSG__INIT;
 	Serve__PermitAsk back = SERVE__PERMIT_ASK__INIT;
 
+	place_store_backlog(&sh->s->place, m->backlog, now);
+	if (o)
+		o->store_backlog = m->backlog + 1;
 	if (l && l->phase == LOAD_ASKED && owner_may_send(o, now)) {
 		load_granted(o, l, now);
 		owner_work(o, now);
--- a/src/owner.c
+++ b/src/owner.c
@@ -83,37 +83,6 @@
 		o->asked[o->n_asked++] = hash;
 }
 
-static int by_cost(const void *a, const void *b)
-{
-	uint64_t x = *(const uint64_t *)a, y = *(const uint64_t *)b;
-
-	return x < y ? -1 : x > y;
-}
-
-/* Costs of the evictions that loads not yet known here would need. */
-static size_t owner_evict_costs(owner_t *o, uint64_t *costs, int64_t now)
-{
-	size_t n = 0, taken = 0;
-	const load_t *l;
-
-	owner_price_slots(o, now);
-	for (uint32_t i = 0; i < o->slots.n; i++) {
-		const slot_t *slot = &o->slots.v[i];
-
-		if (slot->state == SLOT_EMPTY)
-			costs[n++] = 0;
-		else if (slot_evictable(slot))
-			costs[n++] = (uint64_t)slot->cost_us;
-	}
-	qsort(costs, n, sizeof(*costs), by_cost);
-	cds_list_for_each_entry (l, &o->loads, node)
-		taken += l->phase <= LOAD_ASKED;
-	if (taken > n)
-		taken = n;
-	memmove(costs, costs + taken, (n - taken) * sizeof(*costs));
-	return n - taken;
-}
-
 static void owner_fill_report(owner_t *o, Serve__Report *m, uint32_t *hashes,
 			      uint64_t *costs, int64_t now)
 {
@@ -123,7 +92,7 @@
 	m->fence = o->fence;
 	m->waiting = o->queue.n;
 	m->running = o->n_running + o->foreign;
-	m->wait_us = owner_wait_us(o, o->queue.cost_us, now);
+	m->wait_us = owner_wait_us(o, o->ready_us, now);
 	m->each_us = run_cost(o, 0) / owner_batch(o);
 	m->evict_us = costs;
 	m->n_evict_us = owner_evict_costs(o, costs, now);
@@ -181,8 +150,10 @@
 	o->urgent = false;
 	m.asked = o->asked;
 	m.n_asked = o->n_asked;
+	m.store_backlog = o->store_backlog;
 	owner_report_peers(o, &m, now);
 	o->n_asked = 0;
+	o->store_backlog = 0;
 }
 
 /* Orders. */
@@ -554,9 +525,9 @@
 	o->fenced = false;
 	o->state = OWN_WAIT;
 	o->poll_fails = 0;
-	o->ready_us = now;
+	o->wait_until_us = now;
 	if (!row->checks_fence)
-		o->ready_us += o->sh->s->cfg.order_max_us;
+		o->wait_until_us += o->sh->s->cfg.order_max_us;
 	log_event(LOG_NOTICE, "target_taken_over", kv_u("target", o->id),
 		  kv_u("fence", o->fence),
 		  kv_u("previous", row->previous_owner));
@@ -646,7 +617,7 @@
 {
 	bool leased = now < o->sh->standing.lease_until_us;
 
-	if (o->state == OWN_WAIT && leased && now >= o->ready_us)
+	if (o->state == OWN_WAIT && leased && now >= o->wait_until_us)
 		owner_start_reading(o, now);
 	if (!leased && o->queue.n)
 		owner_refuse_waiting(o, 0, REASON_NO_OWNER, RETRY_OWNER_MOVED);
@@ -662,7 +633,7 @@
 	const run_t *r;
 
 	if (o->state == OWN_WAIT)
-		next = o->ready_us > now ? o->ready_us : lease;
+		next = o->wait_until_us > now ? o->wait_until_us : lease;
 	if (o->state >= OWN_READ && !o->poll_order)
 		next = min_time(next, o->poll_us);
 	if (o->state >= OWN_READ)
@@ -775,7 +746,7 @@
 			   (unsigned long long)o->fence,
 			   o->leaving ? "true" : "false", o->queue.n,
 			   o->n_running + o->foreign,
-			   (long long)(owner_wait_us(o, o->queue.cost_us, now) /
+			   (long long)(owner_wait_us(o, o->ready_us, now) /
 				       USEC_PER_MSEC));
 		status_slots(o, json);
 		buf_puts(json, "]}");
--- a/src/owner.h
+++ b/src/owner.h
@@ -112,10 +112,10 @@
 	const target_t *row; /* of the shard's tables; NULL when deleted */
 	own_state_t state;
 	uint64_t fence;
-	bool fenced;	  /* the target knows a newer owner */
-	bool leaving;	  /* no new work */
-	int64_t ready_us; /* OWN_WAIT ends */
-	int64_t poll_us;  /* next read of its state */
+	bool fenced;	       /* the target knows a newer owner */
+	bool leaving;	       /* no new work */
+	int64_t wait_until_us; /* OWN_WAIT ends */
+	int64_t poll_us;       /* next read of its state */
 	uint64_t poll_order;
 	uint32_t poll_fails;
 	uint64_t boot;
@@ -124,15 +124,17 @@
 	queue_t queue;
 	struct cds_list_head loads;
 	struct cds_list_head started; /* run_t not waiting */
-	uint32_t n_running;	      /* run orders out, of this boot */
-	uint32_t n_orders;	      /* all orders out */
-	uint32_t foreign;	      /* runs that a past owner started */
-	double ratio;		      /* actual by expected service time */
-	double call_us;		      /* mean duration of service calls */
-	double load_wait_us;  /* mean time from need of a load to its end */
+	uint32_t n_ready;     /* waiting, and could start were there room */
+	int64_t ready_us;     /* their expected service time */
+	uint32_t n_running;   /* run orders out, of this boot */
+	uint32_t n_orders;    /* all orders out */
+	uint32_t foreign;     /* runs that a past owner started */
+	double ratio;	      /* actual by expected service time */
+	double call_us;	      /* mean duration of service calls */
 	GHashTable *backoffs; /* adapter hash -> backoff_t */
 	peer_t peers[PEERS_MAX];
 	size_t n_peers;
+	uint32_t store_backlog;	   /* as told with the last permit, plus 1 */
 	uint32_t asked[ASKED_MAX]; /* adapters, since the last report */
 	size_t n_asked;
 	bool changed; /* since the last report to peers */
@@ -155,6 +157,8 @@
 /* Refuses all waiting requests, or those for one adapter (hash not 0). */
 void owner_refuse_waiting(owner_t *o, uint32_t hash, reason_t reason,
 			  int retry);
+/* Whether a waiting request could start; ctx is not used. */
+bool run_ready(void *ctx, const qitem_t *it);
 void owner_work_dispatch(owner_t *o, int64_t now);
 void owner_work_broken(owner_t *o, int64_t now);
 void owner_work_deadlines(owner_t *o, int64_t now);
@@ -164,6 +168,11 @@
 
 /* Brings the costs of evicting the slots up to now. */
 void owner_price_slots(owner_t *o, int64_t now);
+/*
+ * Expected costs of the evictions that loads not yet known here would need,
+ * ascending; returns how many, at most one for each slot.
+ */
+size_t owner_evict_costs(owner_t *o, uint64_t *costs, int64_t now);
 void load_free(load_t *l);
 /* Drops a load; its permit, or its ask, goes back to the leader. */
 void load_end(owner_t *o, load_t *l);
--- a/src/permit.c
+++ b/src/permit.c
@@ -3,10 +3,15 @@
 
 #include <stdlib.h>
 
-/* An ask below this slack goes first, by slack; others by requests waiting. */
+/*
+ * An ask below this slack goes first, by slack; others by requests waiting.
+ * Only while the backlog is short: past saturation the earliest deadline first
+ * would spend loads on single requests that are late anyway.
+ */
 #define URGENT_SLACK_US (1500 * USEC_PER_MSEC)
+#define URGENT_BACKLOG_MAX 4u
 /* Weight of a further second of waiting, in waiting requests. */
-#define AGE_WEIGHT_PER_S 0.5
+#define AGE_WEIGHT_PER_S 0.02
 
 typedef struct permit {
 	struct cds_list_head node;
@@ -131,13 +136,14 @@
 }
 
 /* True where a goes before b. Prefetches use what nobody else asks for. */
-static bool permit_before(const permit_t *a, const permit_t *b, int64_t now)
+static bool permit_before(const permit_t *a, const permit_t *b, bool urgent,
+			  int64_t now)
 {
 	if (a->ask.prefetch != b->ask.prefetch)
 		return b->ask.prefetch;
-	if (permit_urgent(a, now) != permit_urgent(b, now))
+	if (urgent && permit_urgent(a, now) != permit_urgent(b, now))
 		return permit_urgent(a, now);
-	if (permit_urgent(a, now))
+	if (urgent && permit_urgent(a, now))
 		return a->due_us < b->due_us;
 	return permit_weight(a, now) > permit_weight(b, now);
 }
@@ -169,13 +175,20 @@
 	return next;
 }
 
+/* The ask to grant next, or NULL; counts the backlog on the way. */
 static permit_t *permits_best(permits_t *p, int64_t now)
 {
+	bool urgent = p->backlog <= URGENT_BACKLOG_MAX;
 	permit_t *e, *best = NULL;
 
-	cds_list_for_each_entry (e, &p->asks, node)
-		if (!e->until_us && (!best || permit_before(e, best, now)))
+	p->backlog = 0;
+	cds_list_for_each_entry (e, &p->asks, node) {
+		if (e->until_us)
+			continue;
+		p->backlog += !e->ask.prefetch;
+		if (!best || permit_before(e, best, urgent, now))
 			best = e;
+	}
 	return best;
 }
 
@@ -198,6 +211,7 @@
 		if (p->rate_per_s > 0)
 			p->tokens -= 1;
 		p->held++;
+		p->backlog -= !e->ask.prefetch;
 		e->until_us = now + PERMIT_LEASE_US;
 		grant(ctx, &e->ask);
 	}
--- a/src/permit.h
+++ b/src/permit.h
@@ -34,6 +34,7 @@
 	int64_t quiet_until_us;	   /* a new leader learns of permits in use */
 	struct cds_list_head asks; /* in order of arrival */
 	uint32_t held;
+	uint32_t backlog; /* asks without a permit, prefetches apart */
 } permits_t;
 
 typedef void (*permit_grant_fn_t)(void *ctx, const permit_ask_t *ask);
--- a/src/place.c
+++ b/src/place.c
@@ -99,6 +99,23 @@
 	*n = count;
 }
 
+static void set_backlog(place_t *p, uint32_t backlog, int64_t now)
+{
+	p->backlog = backlog;
+	p->backlog_at_us = now;
+}
+
+/* Time until a load that is asked for now ends; with the lock held. */
+static int64_t expected_load(const place_t *p, int64_t load_us, int64_t now)
+{
+	uint32_t lanes =
+		p->cfg->store_concurrency ? p->cfg->store_concurrency : 1;
+	int64_t wait = p->backlog * p->cfg->load_us / lanes;
+
+	wait -= now - p->backlog_at_us;
+	return load_us + (wait > 0 ? wait : 0);
+}
+
 static void set_costs(hint_t *h, const Serve__Report *rep)
 {
 	free(h->evict);
@@ -116,6 +133,8 @@
 	pthread_mutex_lock(&p->lock);
 	for (size_t i = 0; i < rep->n_asked; i++)
 		rates_add(&p->rates, rep->asked[i], 1, now);
+	if (rep->store_backlog)
+		set_backlog(p, rep->store_backlog - 1, now);
 	h = hint_get(p, rep->target);
 	if (!h->known || rep->fence >= h->fence) {
 		h->known = true;
@@ -488,6 +507,23 @@
 	       has_hash(h->resident, h->n_resident, c->hash);
 }
 
+void place_store_backlog(place_t *p, uint32_t backlog, int64_t now)
+{
+	pthread_mutex_lock(&p->lock);
+	set_backlog(p, backlog, now);
+	pthread_mutex_unlock(&p->lock);
+}
+
+int64_t place_load_us(place_t *p, int64_t load_us, int64_t now)
+{
+	int64_t us;
+
+	pthread_mutex_lock(&p->lock);
+	us = expected_load(p, load_us, now);
+	pthread_mutex_unlock(&p->lock);
+	return us;
+}
+
 void place_asked(place_t *p, uint32_t hash, int64_t now)
 {
 	pthread_mutex_lock(&p->lock);
@@ -499,12 +535,14 @@
 			target_id_t target, int64_t load_us, int64_t now)
 {
 	copy_ctx_t c = {hash_bytes(name.p, name.n, 1), hash, 0, now};
-	double soon, cost;
+	double rate, load, soon, cost;
 
 	c.score = rendezvous_score(c.key, target);
 	pthread_mutex_lock(&p->lock);
-	soon = rates_get(&p->rates, hash, now) * REUSE_US / USEC_PER_SEC;
-	cost = (double)load_us * (1 - exp(-soon));
+	rate = rates_get(&p->rates, hash, now) / USEC_PER_SEC;
+	load = (double)expected_load(p, load_us, now);
+	soon = 1 - exp(-rate * REUSE_US);
+	cost = soon * load + rate * load * load / 2;
 	if (g_hash_table_find(p->hints, is_better_copy, &c))
 		cost *= COPY_SHARE;
 	pthread_mutex_unlock(&p->lock);
--- a/src/place.h
+++ b/src/place.h
@@ -25,7 +25,9 @@
 	size_t n_live;
 	GHashTable *down; /* hosts whose link is down */
 	rates_t rates;	  /* of all adapters asked for at known owners */
-	uint64_t seed;	  /* of PLACE_RANDOM */
+	uint32_t backlog; /* loads that wait for the store, as last told */
+	int64_t backlog_at_us;
+	uint64_t seed; /* of PLACE_RANDOM */
 } place_t;
 
 typedef struct place_query {
@@ -54,6 +56,10 @@
 void place_init(place_t *p, const serve_cfg_t *cfg);
 void place_free(place_t *p);
 void place_report(place_t *p, const Serve__Report *rep, int64_t now);
+/* Loads that wait for a permit of the store. */
+void place_store_backlog(place_t *p, uint32_t backlog, int64_t now);
+/* Expected time until a load that is asked for now ends. */
+int64_t place_load_us(place_t *p, int64_t load_us, int64_t now);
 /* One request for an adapter, at an owner here. */
 void place_asked(place_t *p, uint32_t hash, int64_t now);
 /*
--- a/src/queue.c
+++ b/src/queue.c
@@ -117,9 +117,13 @@
 	uint32_t active = 0;
 	const qitem_t *x;
 
-	if (cfg->policy.queue == QUEUE_FIFO)
-		return q->cost_us;
 	cds_list_for_each_entry (x, &q->items, node) {
+		if (!x->ready)
+			continue;
+		if (cfg->policy.queue == QUEUE_FIFO) {
+			own += x->cost_us;
+			continue;
+		}
 		if (x->class_ < it->class_)
 			continue;
 		if (x->class_ > it->class_)
--- a/src/queue.h
+++ b/src/queue.h
@@ -27,6 +27,7 @@
 	int64_t deadline_us;
 	int64_t cost_us; /* expected service time */
 	uint64_t seq;
+	bool ready; /* could be dispatched, as last counted */
 } qitem_t;
 
 typedef struct queue {
@@ -51,7 +52,7 @@
 		    void *ctx);
 /* Takes a picked item out and charges its organisation. */
 void queue_serve(queue_t *q, qitem_t *it);
-/* Expected service time of what would be served before it. */
+/* Expected service time of the ready items that would be served before it. */
 int64_t queue_ahead_us(queue_t *q, const serve_cfg_t *cfg, const qitem_t *it);
 
 #ifdef __cplusplus
--- a/src/rate.c
+++ b/src/rate.c
@@ -9,8 +9,8 @@
  */
 #define SLOW_HALF_LIFE_US (600 * USEC_PER_SEC)
 #define FAST_HALF_LIFE_US (30 * USEC_PER_SEC)
-/* The fast average is noisy: it counts for less. */
-#define FAST_SHARE 0.3
+/* Requests in the fast average that chance alone may bring. */
+#define FAST_NOISE 1.5
 /* Most adapters that are remembered. */
 #define RATES_MAX 16384u
 
@@ -47,10 +47,10 @@
 	int64_t age = now > x->at_us ? now - x->at_us : 0;
 	double slow = per_second(decayed(x->slow, age, SLOW_HALF_LIFE_US),
 				 SLOW_HALF_LIFE_US);
-	double fast = per_second(decayed(x->fast, age, FAST_HALF_LIFE_US),
+	double fast = per_second(decayed(x->fast, age, FAST_HALF_LIFE_US) -
+					 FAST_NOISE,
 				 FAST_HALF_LIFE_US);
 
-	fast *= FAST_SHARE;
 	return slow > fast ? slow : fast;
 }
 
--- a/src/run.c
+++ b/src/run.c
@@ -88,7 +88,7 @@
 /* Expected service time of a request in the batch that is likely. */
 int64_t run_cost(const owner_t *o, uint32_t max_tokens)
 {
-	uint32_t batch = o->n_running + o->foreign + o->queue.n + 1;
+	uint32_t batch = o->n_running + o->foreign + o->n_ready + 1;
 	uint32_t tokens = max_tokens ? max_tokens : DEFAULT_TOKENS;
 
 	if (o->row && o->row->kind == TARGET_SERVICE)
@@ -118,7 +118,7 @@
 	uint32_t batch = owner_batch(o);
 	uint32_t busy = o->n_running + o->foreign;
 
-	if (busy + o->queue.n < batch)
+	if (busy + o->n_ready < batch)
 		return 0;
 	return (owner_running_left(o, now) / 2 + ahead_us) / batch;
 }
@@ -170,7 +170,7 @@
 
 /* Dispatch. */
 
-static bool run_ready(void *ctx, const qitem_t *it)
+bool run_ready(void *ctx, const qitem_t *it)
 {
 	const run_t *r = (const run_t *)it;
 	slot_t *slot;
@@ -205,6 +205,14 @@
 			run_start(r, now);
 }
 
+/* The least time that a waiting request needs to its end. */
+static int64_t run_least_us(const run_t *r)
+{
+	int64_t us = r->item.cost_us / 4 * 3;
+
+	return run_ready(NULL, &r->item) ? us : us + r->load_us;
+}
+
 /* Refuses what has no chance any more. */
 void owner_work_deadlines(owner_t *o, int64_t now)
 {
@@ -217,7 +225,7 @@
 		if (now >= it->deadline_us)
 			run_refuse(r, REASON_DEADLINE_PASSED, RUN_NO, NO_RETRY,
 				   0);
-		else if (early && now + it->cost_us / 2 > it->deadline_us)
+		else if (early && now + run_least_us(r) > it->deadline_us)
 			run_refuse(r, REASON_CANNOT_BE_ON_TIME, RUN_NO,
 				   NO_RETRY, 0);
 	}
@@ -301,10 +309,10 @@
 	int64_t ahead = queue_ahead_us(&o->queue, &o->sh->s->cfg, &r->item);
 	int64_t wait = owner_wait_us(o, ahead, now);
 	int64_t stall = 0;
-	slot_t *slot = r->hash ? slots_find(&o->slots, r->adapter) : NULL;
+	const slot_t *slot = r->hash ? slots_find(&o->slots, r->adapter) : NULL;
 
 	if (r->hash && !r->resume && (!slot || slot->state != SLOT_RESIDENT))
-		stall = r->load_us;
+		stall = place_load_us(&o->sh->s->place, r->load_us, now);
 	if (stall > wait)
 		wait = stall;
 	return now + wait + r->item.cost_us - r->item.deadline_us;
--- a/src/serve.c
+++ b/src/serve.c
@@ -158,6 +158,7 @@
 	m.target = ask->target;
 	m.adapter = core_bytes(ask->adapter);
 	m.term = s->shards[LEAD_SHARD].standing.term;
+	m.backlog = s->permits.backlog;
 	msg.body_case = SERVE__SERVE_MSG__BODY_PERMIT_GRANT;
 	msg.permit_grant = &m;
 	core_send(s, ask->host, &msg);
--- a/src/slot.h
+++ b/src/slot.h
@@ -30,6 +30,7 @@
 	int64_t load_us;
 	int64_t used_us; /* last run started */
 	uint64_t order;	 /* load or unload under way here; 0: none */
+	int64_t free_us; /* expected time until its runs end, as last priced */
 	double cost_us;	 /* expected cost of evicting it, as last priced */
 } slot_t;
 
