--- /dev/null
+++ b/src/hostlist.c
@@ -0,0 +1,169 @@
+/* hostlist.c - one thread that polls the platform's host list. */
+#include "hostlist.h"
+
+#include <errno.h>
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include <curl/curl.h>
+#include <jansson.h>
+
+#include "log.h"
+
+#define BODY_MAX (8u << 20)
+#define TIMEOUT_MS 2000L
+
+struct hostlist {
+	char *url;
+	int64_t poll_ms;
+	hostlist_fn_t fn;
+	void *ctx;
+	CURL *easy;
+	pthread_t thread;
+	pthread_mutex_t lock;
+	pthread_cond_t wake;
+	bool stop;
+};
+
+int hostlist_parse(str_t body, hostlist_fn_t fn, void *ctx)
+{
+	json_t *doc = json_loadb(body.p ? body.p : "", body.n, 0, NULL);
+	json_t *hosts = json_object_get(doc, "hosts");
+	json_t *row;
+	size_t i;
+
+	json_array_foreach(hosts, i, row) {
+		json_t *name = json_object_get(row, "name");
+		str_t state =
+			str_c(json_string_value(json_object_get(row, "state")));
+		bool leaving = str_eq(state, STR("leaving"));
+
+		if (!json_is_string(name) ||
+		    (!leaving && !str_eq(state, STR("live"))))
+			continue;
+		fn(ctx,
+		   str_n(json_string_value(name), json_string_length(name)),
+		   leaving);
+	}
+	json_decref(doc);
+	return json_is_array(hosts) ? 0 : -1;
+}
+
+static size_t on_body(char *p, size_t size, size_t n, void *arg)
+{
+	buf_t *body = arg;
+
+	if (body->n + size * n > BODY_MAX)
+		return 0;
+	buf_put(body, p, size * n);
+	return size * n;
+}
+
+static void read_once(hostlist_t *h)
+{
+	AUTO_BUF buf_t body = {0};
+	const char *error = NULL;
+	long status = 0;
+	CURLcode rc;
+
+	curl_easy_setopt(h->easy, CURLOPT_WRITEDATA, &body);
+	rc = curl_easy_perform(h->easy);
+	curl_easy_getinfo(h->easy, CURLINFO_RESPONSE_CODE, &status);
+	if (rc != CURLE_OK)
+		error = curl_easy_strerror(rc);
+	else if (status != 200)
+		error = "the answer is not 200";
+	else if (hostlist_parse(buf_str(&body), h->fn, h->ctx) < 0)
+		error = "the answer is no list of hosts";
+	if (error)
+		log_event(LOG_INFO, "host_list_failed", KV_C("error", error),
+			  kv_i("status", status));
+}
+
+/* False where the reader is to stop. */
+static bool wait_poll(hostlist_t *h)
+{
+	struct timespec until;
+	bool stop;
+
+	clock_gettime(CLOCK_MONOTONIC, &until);
+	until.tv_sec += h->poll_ms / 1000;
+	until.tv_nsec += h->poll_ms % 1000 * 1000000L;
+	until.tv_sec += until.tv_nsec / 1000000000L;
+	until.tv_nsec %= 1000000000L;
+	pthread_mutex_lock(&h->lock);
+	while (!h->stop && pthread_cond_timedwait(&h->wake, &h->lock, &until) !=
+				   ETIMEDOUT)
+		;
+	stop = h->stop;
+	pthread_mutex_unlock(&h->lock);
+	return !stop;
+}
+
+static void *hostlist_thread(void *arg)
+{
+	hostlist_t *h = arg;
+
+	do
+		read_once(h);
+	while (wait_poll(h));
+	return NULL;
+}
+
+static void hostlist_free(hostlist_t *h)
+{
+	if (h->easy)
+		curl_easy_cleanup(h->easy);
+	pthread_cond_destroy(&h->wake);
+	pthread_mutex_destroy(&h->lock);
+	free(h->url);
+	free(h);
+}
+
+hostlist_t *hostlist_start(str_t url, int64_t poll_ms, hostlist_fn_t fn,
+			   void *ctx)
+{
+	hostlist_t *h = xcalloc(1, sizeof(*h));
+	pthread_condattr_t attr;
+
+	h->url = str_dup(url);
+	h->poll_ms = poll_ms;
+	h->fn = fn;
+	h->ctx = ctx;
+	pthread_condattr_init(&attr);
+	pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
+	pthread_cond_init(&h->wake, &attr);
+	pthread_condattr_destroy(&attr);
+	pthread_mutex_init(&h->lock, NULL);
+	h->easy = curl_easy_init();
+	if (!h->easy)
+		goto fail;
+	curl_easy_setopt(h->easy, CURLOPT_URL, h->url);
+	curl_easy_setopt(h->easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(h->easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(h->easy, CURLOPT_TIMEOUT_MS, TIMEOUT_MS);
+	curl_easy_setopt(h->easy, CURLOPT_WRITEFUNCTION, on_body);
+	errno = pthread_create(&h->thread, NULL, hostlist_thread, h);
+	if (errno)
+		goto fail;
+	return h;
+fail:
+	log_event(LOG_ERR, "host_list_start_failed",
+		  KV_C("error", strerror(errno)));
+	hostlist_free(h);
+	return NULL;
+}
+
+void hostlist_stop(hostlist_t *h)
+{
+	if (!h)
+		return;
+	pthread_mutex_lock(&h->lock);
+	h->stop = true;
+	pthread_cond_signal(&h->wake);
+	pthread_mutex_unlock(&h->lock);
+	pthread_join(h->thread, NULL);
+	hostlist_free(h);
+}
--- a/src/http.c
+++ b/src/http.c
@@ -608,7 +608,7 @@
 	}
 	c->req.is_call = true;
 	c->req.service = str_n(rest.p, n);
-	c->req.path = str_n(rest.p + n, rest.n - n);
+	c->req.path = rest.n > n ? str_n(rest.p + n, rest.n - n) : STR("/");
 	c->req.body = buf_str(&c->body);
 	run(c);
 }
--- a/src/link.c
+++ b/src/link.c
@@ -920,7 +920,7 @@
 	return -1;
 }
 
-static void stop_thread(links_t *l)
+void links_stop(links_t *l)
 {
 	if (!l->started)
 		return;
@@ -929,6 +929,7 @@
 	wake(l);
 	pthread_mutex_unlock(&l->lock);
 	pthread_join(l->thread, NULL);
+	l->started = false;
 }
 
 static void close_fd(int fd)
@@ -944,7 +945,7 @@
 
 	if (!l)
 		return;
-	stop_thread(l);
+	links_stop(l);
 	cds_list_for_each_entry_safe (c, next, &l->conns, node) {
 		c->cut = CUT_STOPPED;
 		conn_close(l, c);
--- a/src/link.h
+++ b/src/link.h
@@ -42,6 +42,8 @@
 		   timer_svc_t *timers);
 /* Listens and starts threads; 0, or -1 with a log line. */
 int links_start(links_t *l);
+/* Ends the threads: no callback follows. Sends are still allowed, and lost. */
+void links_stop(links_t *l);
 void links_free(links_t *l);
 /* Adds a peer, or changes its address; "" removes it. */
 void links_set_peer(links_t *l, host_id_t id, str_t addr);
--- a/src/target.c
+++ b/src/target.c
@@ -281,10 +281,13 @@
 	return t->o.kind == ORDER_RUN || t->o.kind == ORDER_RESUME;
 }
 
-/* Whether answer bytes are passed on as they come, unparsed. */
+/*
+ * Whether answer bytes are passed on as they come, unparsed. A 503 is looked
+ * at first: it may say that the call was not run.
+ */
 static bool passes_through(const transfer_t *t)
 {
-	return is_run(t) && t->service && t->framed;
+	return is_run(t) && t->service && t->framed && t->status != 503;
 }
 
 static size_t on_body(char *p, size_t size, size_t n, void *arg)
@@ -665,8 +668,7 @@
 /* Whole answers of an engine, and answers of services without framing. */
 static void finish_json(transfer_t *t)
 {
-	json_t *doc = json_loadb(t->held.p ? t->held.p : "", t->held.n,
-				 JSON_DECODE_ANY, NULL);
+	json_t *doc = held_json(t);
 	json_t *usage = json_object_get(doc, "usage");
 	json_t *model = json_object_get(doc, "model");
 	bool rest =
@@ -674,7 +676,7 @@
 
 	t->tokens = (uint32_t)json_integer_value(
 		json_object_get(usage, "completion_tokens"));
-	if (doc || rest) {
+	if (doc || framed) {
 		release_held(t, str_n(json_string_value(model),
 				      json_string_length(model)));
 		emit_done(t);
@@ -692,7 +694,7 @@
 		if (!t->head_out)
 			emit_head(t, str_n(NULL, 0));
 		emit_done(t);
-	} else if (!status_ok(t) && !t->service) {
+	} else if ((!status_ok(t) && !t->service) || service_refused(t)) {
 		fail_status(t);
 	} else if (!is_run(t)) {
 		emit_done(t);
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -118,7 +118,7 @@
 		{"[timing]\n", "[timing]\nfan = 1\n",
 		 "19: timing.fan: unknown key; expected heartbeat_ms, "
 		 "election_ms, lease_ms, stale_ms, drift_ppm, fanout, "
-		 "snapshot_entries\n"},
+		 "drain_max_ms, snapshot_entries\n"},
 		{"[timing]", "[timings]",
 		 "19: timings.heartbeat_ms: unknown key in an unknown "
 		 "section\n"},
