--- a/src/target.c
+++ b/src/target.c
@@ -585,12 +585,34 @@
 		transfer_free(order);
 }
 
+static json_t *held_json(const transfer_t *t)
+{
+	return json_loadb(t->held.p ? t->held.p : "", t->held.n,
+			  JSON_DECODE_ANY, NULL);
+}
+
+/* Whether a service says that it did not run a call. */
+static bool service_refused(const transfer_t *t)
+{
+	json_t *doc;
+	str_t error;
+	bool refused;
+
+	if (!t->service || t->status != 503)
+		return false;
+	doc = held_json(t);
+	error = str_c(json_string_value(json_object_get(doc, "error")));
+	refused = str_eq(error, STR("refused")) ||
+		  str_eq(error, STR("leaving"));
+	json_decref(doc);
+	return refused;
+}
+
 /* Reads {"error": "..."} of a target's refusal. */
 static void fail_status(transfer_t *t)
 {
 	engine_event_t ev = event_of(t, EVENT_FAILED);
-	json_t *doc =
-		json_loadb(t->held.p ? t->held.p : "", t->held.n, 0, NULL);
+	json_t *doc = held_json(t);
 	str_t error = str_c(json_string_value(json_object_get(doc, "error")));
 
 	ev.sent = true;
@@ -608,8 +630,7 @@
 static void finish_state(transfer_t *t)
 {
 	engine_event_t ev = event_of(t, EVENT_STATE);
-	json_t *doc =
-		json_loadb(t->held.p ? t->held.p : "", t->held.n, 0, NULL);
+	json_t *doc = held_json(t);
 	json_t *data = json_object_get(doc, "data");
 	size_t n = json_array_size(data);
 	AUTO_FREE engine_resident_t *resident = xcalloc(n, sizeof(*resident));
@@ -671,8 +692,8 @@
 	json_t *doc = held_json(t);
 	json_t *usage = json_object_get(doc, "usage");
 	json_t *model = json_object_get(doc, "model");
-	bool rest =
-		t->o.kind == ORDER_RESUME && t->o.resume_offset && t->framed;
+	/* Framing tells a whole answer; else only the JSON itself does. */
+	bool framed = t->framed && (t->service || t->o.resume_offset);
 
 	t->tokens = (uint32_t)json_integer_value(
 		json_object_get(usage, "completion_tokens"));
--- /dev/null
+++ b/tests/target_test.cc
@@ -0,0 +1,476 @@
+// The engine port against a scripted server on a raw socket: what is whole,
+// what was sent, what is silent.
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <netinet/in.h>
+#include <poll.h>
+#include <string>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+#include <vector>
+
+#include "hostlist.h"
+#include "log.h"
+#include "target.h"
+
+namespace
+{
+
+std::string sse(const std::string &body, const std::string &extra = "")
+{
+	return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+	       "X-Boot-Id: 77\r\n" +
+	       extra + "Connection: close\r\n\r\n" + body;
+}
+
+std::string json(int status, const std::string &body)
+{
+	return "HTTP/1.1 " + std::to_string(status) +
+	       " X\r\nContent-Type: application/json\r\nX-Boot-Id: 77\r\n"
+	       "Content-Length: " +
+	       std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+const std::string event = "data: {\"id\":\"r\",\"model\":\"a@1\",\"choices\":"
+			  "[{\"index\":0,\"text\":\"hi \"}]}\n\n";
+
+// Answers each request with the next scripted answer; an empty one closes
+// the connection, "stall" keeps it open without a byte.
+class Server
+{
+      public:
+	explicit Server(std::vector<std::string> answers)
+		: answers_(std::move(answers))
+	{
+		sockaddr_in a = {};
+		socklen_t n = sizeof(a);
+
+		fd_ = socket(AF_INET, SOCK_STREAM, 0);
+		a.sin_family = AF_INET;
+		a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		bind(fd_, (sockaddr *)&a, sizeof(a));
+		listen(fd_, 16);
+		getsockname(fd_, (sockaddr *)&a, &n);
+		url = "http://127.0.0.1:" + std::to_string(ntohs(a.sin_port));
+		thread_ = std::thread([this] { run(); });
+	}
+	~Server()
+	{
+		stop_ = true;
+		thread_.join();
+		for (int fd : open_)
+			close(fd);
+		close(fd_);
+	}
+	std::vector<std::string> requests()
+	{
+		std::lock_guard<std::mutex> g(lock_);
+
+		return requests_;
+	}
+	std::string url;
+	std::atomic<int> connections{0};
+
+      private:
+	void run()
+	{
+		while (!stop_) {
+			std::vector<pollfd> fds = {{fd_, POLLIN, 0}};
+
+			for (int fd : open_)
+				fds.push_back({fd, POLLIN, 0});
+			if (poll(fds.data(), fds.size(), 5) <= 0)
+				continue;
+			for (size_t i = 1; i < fds.size(); i++)
+				if (fds[i].revents)
+					serve(fds[i].fd);
+			if (fds[0].revents) {
+				open_.push_back(accept(fd_, nullptr, nullptr));
+				connections++;
+			}
+		}
+	}
+	void drop(int fd)
+	{
+		close(fd);
+		open_.erase(std::find(open_.begin(), open_.end(), fd));
+	}
+	void serve(int fd)
+	{
+		std::string text;
+		char buf[4096];
+		size_t head, length = 0;
+
+		do {
+			ssize_t n = recv(fd, buf, sizeof(buf), 0);
+
+			if (n <= 0)
+				return drop(fd);
+			text.append(buf, (size_t)n);
+			head = text.find("\r\n\r\n");
+			size_t at = text.find("Content-Length: ");
+			if (at != std::string::npos)
+				length = std::stoul(text.substr(at + 16));
+		} while (head == std::string::npos ||
+			 text.size() < head + 4 + length);
+		answer(fd, text);
+	}
+	void answer(int fd, const std::string &request)
+	{
+		std::string a;
+		{
+			std::lock_guard<std::mutex> g(lock_);
+
+			a = requests_.size() < answers_.size() ?
+				    answers_[requests_.size()] :
+				    "";
+			requests_.push_back(request);
+		}
+		if (a == "stall")
+			return;
+		if (!a.empty())
+			(void)!send(fd, a.data(), a.size(), MSG_NOSIGNAL);
+		if (a.find("Content-Length") == std::string::npos)
+			drop(fd);
+	}
+	std::vector<std::string> answers_;
+	std::vector<std::string> requests_;
+	std::vector<int> open_;
+	std::mutex lock_;
+	std::atomic<bool> stop_{false};
+	std::thread thread_;
+	int fd_;
+};
+
+struct Seen {
+	engine_event_kind_t kind;
+	std::string text; // data, or served_by
+	reason_t reason;
+	bool sent, old_fence, leaving;
+	int status;
+	uint64_t offset, boot_id;
+	uint32_t tokens;
+	size_t n_resident;
+};
+
+class Port : public ::testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		target_port_cfg_t cfg;
+
+		log_set_level(LOG_ERR);
+		target_port_cfg_default(&cfg);
+		cfg.progress_us = 300000;
+		port = target_port_new(&cfg, on_event, this);
+		ASSERT_EQ(target_port_start(port), 0);
+	}
+	void TearDown() override
+	{
+		target_port_free(port);
+	}
+	static void on_event(void *ctx, const engine_event_t *ev)
+	{
+		Port *self = (Port *)ctx;
+		std::lock_guard<std::mutex> g(self->lock);
+		str_t s = ev->kind == EVENT_HEAD ? ev->served_by : ev->data;
+
+		self->seen.push_back({ev->kind,
+				      std::string(s.p ? s.p : "", s.n),
+				      ev->reason, ev->sent, ev->old_fence,
+				      ev->target_leaving, ev->http_status,
+				      ev->offset, ev->boot_id, ev->tokens,
+				      ev->n_resident});
+		if (engine_event_final(ev))
+			self->finals++;
+		self->changed.notify_all();
+	}
+	engine_order_t order(const Server &s, order_kind_t kind)
+	{
+		engine_order_t o = {};
+
+		o.id = ++last_id;
+		o.kind = kind;
+		o.target = 1;
+		o.url = str_c(s.url.c_str());
+		o.fence = 9;
+		o.adapter = STR("a@1");
+		o.run_id = STR("r");
+		o.path = STR("/v1/completions");
+		o.body = STR("{\"model\":\"a@1\"}");
+		o.idempotent = true;
+		return o;
+	}
+	bool wait_finals(int n)
+	{
+		std::unique_lock<std::mutex> g(lock);
+
+		return changed.wait_for(g, std::chrono::seconds(20),
+					[&] { return finals >= n; });
+	}
+	// Runs one order to its final event.
+	Seen run(const engine_order_t &o)
+	{
+		int n = finals + 1;
+
+		target_port_order(port, &o);
+		EXPECT_TRUE(wait_finals(n));
+		return seen.back();
+	}
+	std::string relayed()
+	{
+		std::string all;
+
+		for (const Seen &s : seen)
+			if (s.kind == EVENT_CHUNK)
+				all += s.text;
+		return all;
+	}
+	target_port_t *port;
+	std::mutex lock;
+	std::condition_variable changed;
+	std::vector<Seen> seen;
+	int finals = 0;
+	uint64_t last_id = 0;
+};
+
+} // namespace
+
+TEST_F(Port, WholeStreamIsRelayedBehindItsHead)
+{
+	std::string body = event + event + "data: [DONE]\n\n";
+	Server s({sse(body)});
+	Seen last = run(order(s, ORDER_RUN));
+
+	EXPECT_EQ(last.kind, EVENT_DONE);
+	ASSERT_EQ(seen[0].kind, EVENT_HEAD);
+	EXPECT_EQ(seen[0].text, "a@1");
+	EXPECT_EQ(seen[0].boot_id, 77u);
+	EXPECT_EQ(relayed(), body);
+	EXPECT_NE(s.requests()[0].find("X-Fence: 9\r\n"), std::string::npos);
+	EXPECT_NE(s.requests()[0].find("X-Request-Id: r\r\n"),
+		  std::string::npos);
+}
+
+TEST_F(Port, StreamWithoutDoneIsTruncatedAndCanBeResumed)
+{
+	Server s({sse(event), sse("data: [DONE]\n\n"),
+		  sse("NE]\n\n", "Content-Length: 5\r\n")});
+	Seen last = run(order(s, ORDER_RUN));
+
+	EXPECT_EQ(last.kind, EVENT_FAILED);
+	EXPECT_EQ(last.reason, REASON_STREAM_TRUNCATED);
+	EXPECT_TRUE(last.sent);
+
+	engine_order_t again = order(s, ORDER_RESUME);
+	again.resume_offset = event.size();
+	EXPECT_EQ(run(again).kind, EVENT_DONE);
+	EXPECT_EQ(seen[seen.size() - 2].offset, event.size());
+	EXPECT_NE(s.requests()[1].find("X-Resume-Offset: "),
+		  std::string::npos);
+
+	// The rest may begin inside the last line.
+	again = order(s, ORDER_RESUME);
+	again.resume_offset = event.size() + 9;
+	EXPECT_EQ(run(again).kind, EVENT_DONE);
+}
+
+TEST_F(Port, WholeDocumentOnly)
+{
+	std::string body = "{\"model\":\"a@1\",\"choices\":[],"
+			   "\"usage\":{\"completion_tokens\":3}}";
+	Server s({json(200, body),
+		  "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n" +
+			  body.substr(0, 20),
+		  "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+		  "Transfer-Encoding: chunked\r\n\r\n5\r\n{\"mod"});
+
+	EXPECT_EQ(run(order(s, ORDER_RUN)).kind, EVENT_DONE);
+	EXPECT_EQ(seen[0].text, "a@1");
+	EXPECT_EQ(seen[1].tokens, 3u);
+	EXPECT_EQ(relayed(), body);
+	for (int i = 0; i < 2; i++) {
+		Seen last = run(order(s, ORDER_RUN));
+
+		EXPECT_EQ(last.kind, EVENT_FAILED);
+		EXPECT_TRUE(last.sent);
+	}
+	EXPECT_EQ(relayed(), body);
+}
+
+TEST_F(Port, RefusalsSayThatNothingRan)
+{
+	Server s({json(409, "{\"error\":\"old_fence\"}"),
+		  json(503, "{\"error\":\"refused\"}"),
+		  json(503, "{\"error\":\"leaving\"}"),
+		  json(500, "{\"error\":\"boom\"}")});
+	Seen fence = run(order(s, ORDER_RUN));
+	Seen refused = run(order(s, ORDER_RUN));
+	Seen leaving = run(order(s, ORDER_RUN));
+	Seen error = run(order(s, ORDER_RUN));
+
+	EXPECT_EQ(fence.reason, REASON_TARGET_REFUSED);
+	EXPECT_TRUE(fence.old_fence);
+	EXPECT_EQ(refused.reason, REASON_TARGET_REFUSED);
+	EXPECT_FALSE(refused.old_fence);
+	EXPECT_TRUE(leaving.leaving);
+	EXPECT_EQ(error.reason, REASON_TARGET_ERROR);
+	EXPECT_EQ(error.status, 500);
+	EXPECT_TRUE(error.sent);
+}
+
+TEST_F(Port, RefusedConnectionSentNothing)
+{
+	engine_order_t o;
+	Seen last;
+	std::string url;
+
+	{
+		Server s({});
+
+		url = s.url;
+		o = order(s, ORDER_RUN);
+	}
+	o.url = str_c(url.c_str());
+	last = run(o);
+	EXPECT_EQ(last.kind, EVENT_FAILED);
+	EXPECT_EQ(last.reason, REASON_TARGET_LOST);
+	EXPECT_FALSE(last.sent);
+}
+
+TEST_F(Port, SilentTargetIsStalledAndDialedAnew)
+{
+	std::string ok = json(200, "{\"model\":\"a@1\"}");
+	Server s({ok, "stall", ok});
+
+	EXPECT_EQ(run(order(s, ORDER_RUN)).kind, EVENT_DONE);
+	Seen last = run(order(s, ORDER_RUN));
+	EXPECT_EQ(last.reason, REASON_TARGET_STALLED);
+	EXPECT_TRUE(last.sent);
+	EXPECT_EQ(s.connections, 1);
+	EXPECT_EQ(run(order(s, ORDER_RUN)).kind, EVENT_DONE);
+	EXPECT_EQ(s.connections, 2);
+}
+
+// The pooled connection is closed by the server without an answer: curl would
+// send an idempotent order again; the other must not reach the target twice.
+TEST_F(Port, NotIdempotentOrderIsSentOnceOnAFreshConnection)
+{
+	std::string ok = json(200, "{\"run\":1}");
+	Server s({ok, "", ok});
+	engine_order_t call = order(s, ORDER_RUN);
+
+	call.path = STR("/do");
+	call.adapter = str_n(nullptr, 0);
+	EXPECT_EQ(run(call).kind, EVENT_DONE);
+	call.id = ++last_id;
+	call.idempotent = false;
+	call.idempotency_key = STR("k");
+	Seen last = run(call);
+	EXPECT_EQ(last.kind, EVENT_FAILED);
+	EXPECT_TRUE(last.sent);
+	EXPECT_EQ(s.requests().size(), 2u);
+	EXPECT_EQ(s.connections, 2);
+}
+
+TEST_F(Port, ServiceAnswersAreRelayedAsTheyAre)
+{
+	Server s({json(404, "{\"no\":1}"), json(503, "{\"error\":\"refused\"}"),
+		  json(503, "{\"error\":\"other\"}")});
+	engine_order_t call = order(s, ORDER_RUN);
+
+	call.path = STR("/do");
+	EXPECT_EQ(run(call).kind, EVENT_DONE);
+	EXPECT_EQ(seen[0].status, 404);
+	EXPECT_EQ(relayed(), "{\"no\":1}");
+	call.id = ++last_id;
+	EXPECT_EQ(run(call).reason, REASON_TARGET_REFUSED);
+	call.id = ++last_id;
+	EXPECT_EQ(run(call).kind, EVENT_DONE);
+}
+
+TEST_F(Port, CancelEndsTheRunAndTellsTheTarget)
+{
+	Server s({"stall", json(200, "{}")});
+	engine_order_t o = order(s, ORDER_RUN);
+	engine_order_t c = order(s, ORDER_CANCEL);
+
+	o.progress_us = 60 * USEC_PER_SEC;
+	target_port_order(port, &o);
+	while (s.requests().empty())
+		std::this_thread::yield();
+	c.cancel_id = o.id;
+	target_port_order(port, &c);
+	ASSERT_TRUE(wait_finals(1));
+	EXPECT_EQ(seen.back().reason, REASON_CANCELLED);
+	for (int i = 0; i < 2000 && s.requests().size() < 2; i++)
+		std::this_thread::sleep_for(std::chrono::milliseconds(5));
+	ASSERT_EQ(s.requests().size(), 2u);
+	EXPECT_EQ(s.requests()[1].rfind("POST /v1/cancel ", 0), 0u);
+	EXPECT_NE(s.requests()[1].find("{\"request_id\":\"r\"}"),
+		  std::string::npos);
+	EXPECT_EQ(finals, 1);
+}
+
+TEST_F(Port, StateLoadAndUnload)
+{
+	Server s({json(200, "{\"data\":[{\"id\":\"a@1\",\"loading\":true,"
+			    "\"running\":2},{\"id\":\"b@1\"}],"
+			    "\"running\":2}"),
+		  json(200, "{}"), json(500, "{\"error\":\"load_failed\"}"),
+		  json(200, "{}")});
+	Seen state = run(order(s, ORDER_STATE));
+
+	EXPECT_EQ(state.kind, EVENT_STATE);
+	EXPECT_EQ(state.n_resident, 2u);
+	EXPECT_EQ(state.boot_id, 77u);
+	EXPECT_EQ(run(order(s, ORDER_LOAD)).kind, EVENT_DONE);
+	EXPECT_EQ(run(order(s, ORDER_LOAD)).reason, REASON_LOAD_FAILED);
+	EXPECT_EQ(run(order(s, ORDER_UNLOAD)).kind, EVENT_DONE);
+	EXPECT_EQ(s.requests()[0].rfind("GET /v1/models ", 0), 0u);
+	EXPECT_NE(s.requests()[1].find("\"lora_name\":\"a@1\""),
+		  std::string::npos);
+}
+
+TEST_F(Port, StopEndsEveryOrderOnce)
+{
+	Server s({"stall", "stall", "stall"});
+
+	for (int i = 0; i < 3; i++) {
+		engine_order_t o = order(s, ORDER_RUN);
+
+		target_port_order(port, &o);
+	}
+	target_port_stop(port);
+	EXPECT_EQ(finals, 3);
+	for (const Seen &e : seen)
+		EXPECT_EQ(e.reason, REASON_SHUTDOWN);
+}
+
+TEST(HostList, RowsOfKnownStatesOnly)
+{
+	std::string rows;
+	auto add = [](void *ctx, str_t name, bool leaving) {
+		*(std::string *)ctx +=
+			std::string(name.p, name.n) + (leaving ? "-" : "+");
+	};
+
+	EXPECT_EQ(hostlist_parse(STR("{\"hosts\":[{\"name\":\"a\",\"state\":"
+				     "\"live\"},{\"name\":\"b\",\"state\":"
+				     "\"leaving\"},{\"name\":\"c\",\"state\":"
+				     "\"odd\"},{\"state\":\"live\"},7]}"),
+				 add, &rows),
+		  0);
+	EXPECT_EQ(rows, "a+b-");
+	EXPECT_EQ(hostlist_parse(STR("[]"), add, &rows), -1);
+	EXPECT_EQ(hostlist_parse(STR("not json"), add, &rows), -1);
+}
