Wire the daemon: one request from caller through daemons to an engine

Cause: the cores and their I/O were apart. Seen and open: a request sent within a second of a target's first assignment hung after 'request_retried reason=owner_moved'.

--- a/src/daemon.c
+++ b/src/daemon.c
@@ -487,8 +487,7 @@
 }
 
 static void ops_propose(void *ctx, const void *change, size_t n,
-			int64_t timeout_us, change_outcome_t *out,
-			buf_t *error)
+			int64_t timeout_us, change_outcome_t *out, buf_t *error)
 {
 	daemon_t *d = ctx;
 	struct timespec until = after_us(timeout_us);
@@ -688,8 +687,7 @@
 		.changed = on_changed,
 	};
 	const settings_t *s = &d->set;
-	AUTO_FREE state_voter_t *voters =
-		xcalloc(s->n_voters, sizeof(*voters));
+	AUTO_FREE state_voter_t *voters = xcalloc(s->n_voters, sizeof(*voters));
 	state_cfg_t cfg = {
 		.self = (host_id_t)s->host_id,
 		.zone = s->host_zone,
@@ -818,9 +816,9 @@
 static int daemon_start(daemon_t *d)
 {
 	static int (*const steps[])(daemon_t *) = {
-		make_base,  open_disk,	make_links, make_targets,
-		make_http,  make_serve, make_state, start_base,
-		start_io,   start_ops_http, start_hostlist,
+		make_base, open_disk,	   make_links,	   make_targets,
+		make_http, make_serve,	   make_state,	   start_base,
+		start_io,  start_ops_http, start_hostlist,
 	};
 
 	for (size_t i = 0; i < ARRAY_SIZE(steps); i++)
@@ -901,8 +899,8 @@
 static int drain(daemon_t *d, const sigset_t *set)
 {
 	const settings_t *s = &d->set;
-	int64_t refuse_us = now_us(d) +
-			    s->serving_address_ttl_ms * USEC_PER_MSEC;
+	int64_t refuse_us =
+		now_us(d) + s->serving_address_ttl_ms * USEC_PER_MSEC;
 	int64_t limit_us = now_us(d) + s->timing_drain_max_ms * USEC_PER_MSEC;
 	bool left = false;
 
--- a/src/hostlist.c
+++ b/src/hostlist.c
@@ -31,10 +31,12 @@
 {
 	json_t *doc = json_loadb(body.p ? body.p : "", body.n, 0, NULL);
 	json_t *hosts = json_object_get(doc, "hosts");
+	bool is_list = json_is_array(hosts);
 	json_t *row;
 	size_t i;
 
-	json_array_foreach(hosts, i, row) {
+	json_array_foreach(hosts, i, row)
+	{
 		json_t *name = json_object_get(row, "name");
 		str_t state =
 			str_c(json_string_value(json_object_get(row, "state")));
@@ -48,7 +50,7 @@
 		   leaving);
 	}
 	json_decref(doc);
-	return json_is_array(hosts) ? 0 : -1;
+	return is_list ? 0 : -1;
 }
 
 static size_t on_body(char *p, size_t size, size_t n, void *arg)
@@ -94,8 +96,8 @@
 	until.tv_sec += until.tv_nsec / 1000000000L;
 	until.tv_nsec %= 1000000000L;
 	pthread_mutex_lock(&h->lock);
-	while (!h->stop && pthread_cond_timedwait(&h->wake, &h->lock, &until) !=
-				   ETIMEDOUT)
+	while (!h->stop &&
+	       pthread_cond_timedwait(&h->wake, &h->lock, &until) != ETIMEDOUT)
 		;
 	stop = h->stop;
 	pthread_mutex_unlock(&h->lock);
--- a/src/main.c
+++ b/src/main.c
@@ -1,7 +1,12 @@
-/* main.c - entry point; the subcommands live in cli.c. */
+/* main.c - entry point: the daemon, or one subcommand of the client. */
+#include <string.h>
+
 #include "cli.h"
+#include "daemon.h"
 
 int main(int argc, char **argv)
 {
+	if (argc > 1 && strcmp(argv[1], "serve") == 0)
+		return serve_main(argc - 1, argv + 1);
 	return cli_main(argc, argv);
 }
--- a/src/ops_http.c
+++ b/src/ops_http.c
@@ -37,8 +37,8 @@
 
 static void answer_text(struct mg_connection *conn, int status, str_t text)
 {
-	httpd_answer(conn, status, "text/plain; version=0.0.4",
-		     str_n(NULL, 0), text);
+	httpd_answer(conn, status, "text/plain; version=0.0.4", str_n(NULL, 0),
+		     text);
 }
 
 static void answer_error(struct mg_connection *conn, reason_t reason)
@@ -46,8 +46,8 @@
 	AUTO_BUF buf_t body = {0};
 
 	httpd_error_json(&body, reason, RUN_NO, 0, str_n(NULL, 0));
-	httpd_answer(conn, reason_info(reason)->http_status,
-		     "application/json", str_n(NULL, 0), buf_str(&body));
+	httpd_answer(conn, reason_info(reason)->http_status, "application/json",
+		     str_n(NULL, 0), buf_str(&body));
 }
 
 static void get_metrics(struct mg_connection *conn)
@@ -111,8 +111,8 @@
 	}
 }
 
-ops_http_t *ops_http_start(const ops_http_cfg_t *cfg,
-			   const ops_http_ops_t *ops, void *ctx)
+ops_http_t *ops_http_start(const ops_http_cfg_t *cfg, const ops_http_ops_t *ops,
+			   void *ctx)
 {
 	ops_http_t *h = xcalloc(1, sizeof(*h));
 
--- a/src/ops_http.h
+++ b/src/ops_http.h
@@ -27,8 +27,8 @@
 typedef struct ops_http ops_http_t;
 
 /* Starts to listen; NULL with a log line where that fails. */
-ops_http_t *ops_http_start(const ops_http_cfg_t *cfg,
-			   const ops_http_ops_t *ops, void *ctx);
+ops_http_t *ops_http_start(const ops_http_cfg_t *cfg, const ops_http_ops_t *ops,
+			   void *ctx);
 void ops_http_stop(ops_http_t *h);
 
 #ifdef __cplusplus
--- a/src/settings.h
+++ b/src/settings.h
@@ -49,8 +49,8 @@
 	X(timing, drift_ppm, INT, 0, 0, 100000, "1000",                       \
 	  "Bound of clock drift between two hosts, parts per million")        \
 	X(timing, fanout, INT, 0, 1, 64, "4", "Children of one feed relay")   \
-	X(timing, drain_max_ms, INT, 0, 0, 86400000, "120000",                 \
-	  "Longest graceful shutdown; what runs then is cut")                  \
+	X(timing, drain_max_ms, INT, 0, 0, 86400000, "120000",                \
+	  "Longest graceful shutdown; what runs then is cut")                 \
 	X(timing, snapshot_entries, INT, 0, 16, 10000000, "4096",             \
 	  "Log entries between two snapshots")                                \
 	X(serving, stall_weight, NUM, 0, 0, 1000, "1",                        \
--- a/src/target.c
+++ b/src/target.c
@@ -602,8 +602,8 @@
 		return false;
 	doc = held_json(t);
 	error = str_c(json_string_value(json_object_get(doc, "error")));
-	refused = str_eq(error, STR("refused")) ||
-		  str_eq(error, STR("leaving"));
+	refused =
+		str_eq(error, STR("refused")) || str_eq(error, STR("leaving"));
 	json_decref(doc);
 	return refused;
 }
@@ -623,6 +623,9 @@
 		ev.reason = REASON_LOAD_FAILED;
 	if (ev.old_fence || ev.target_leaving || str_eq(error, STR("refused")))
 		ev.reason = REASON_TARGET_REFUSED;
+	log_event(LOG_INFO, "target_refused", kv_u("target", t->o.target),
+		  kv_u("order", t->o.id), kv_s("run", t->o.run_id),
+		  kv_i("status", t->status), kv_s("error", error));
 	emit(t, &ev);
 	json_decref(doc);
 }
--- a/tests/target_test.cc
+++ b/tests/target_test.cc
@@ -48,7 +48,7 @@
 {
       public:
 	explicit Server(std::vector<std::string> answers)
-		: answers_(std::move(answers))
+	    : answers_(std::move(answers))
 	{
 		sockaddr_in a = {};
 		socklen_t n = sizeof(a);
@@ -129,9 +129,9 @@
 		{
 			std::lock_guard<std::mutex> g(lock_);
 
-			a = requests_.size() < answers_.size() ?
-				    answers_[requests_.size()] :
-				    "";
+			a = requests_.size() < answers_.size()
+				    ? answers_[requests_.size()]
+				    : "";
 			requests_.push_back(request);
 		}
 		if (a == "stall")
@@ -184,12 +184,11 @@
 		std::lock_guard<std::mutex> g(self->lock);
 		str_t s = ev->kind == EVENT_HEAD ? ev->served_by : ev->data;
 
-		self->seen.push_back({ev->kind,
-				      std::string(s.p ? s.p : "", s.n),
-				      ev->reason, ev->sent, ev->old_fence,
-				      ev->target_leaving, ev->http_status,
-				      ev->offset, ev->boot_id, ev->tokens,
-				      ev->n_resident});
+		self->seen.push_back(
+			{ev->kind, std::string(s.p ? s.p : "", s.n), ev->reason,
+			 ev->sent, ev->old_fence, ev->target_leaving,
+			 ev->http_status, ev->offset, ev->boot_id, ev->tokens,
+			 ev->n_resident});
 		if (engine_event_final(ev))
 			self->finals++;
 		self->changed.notify_all();
@@ -275,8 +274,7 @@
 	again.resume_offset = event.size();
 	EXPECT_EQ(run(again).kind, EVENT_DONE);
 	EXPECT_EQ(seen[seen.size() - 2].offset, event.size());
-	EXPECT_NE(s.requests()[1].find("X-Resume-Offset: "),
-		  std::string::npos);
+	EXPECT_NE(s.requests()[1].find("X-Resume-Offset: "), std::string::npos);
 
 	// The rest may begin inside the last line.
 	again = order(s, ORDER_RESUME);
