Targets: the port puts the exact model into a run's body

Cause: the owner's body names no model, and its fake engine relies on that; real engines need one. Change: target.c puts adapter, or the base model, first in the body; the order carries the base. The change to owner.c before is taken back.

--- a/src/engine.h
+++ b/src/engine.h
@@ -34,9 +34,14 @@
 	str_t url; /* of the target */
 	uint64_t fence;
 	str_t adapter; /* "name@version"; empty for the plain base model */
+	str_t base;    /* RUN at an engine: its base model */
 	str_t run_id;  /* stable over retries and resumption of one run */
 	str_t path;    /* "/v1/completions", or the service's path */
-	str_t body;    /* JSON sent as it is */
+	/*
+	 * JSON. Sent as it is to a service; for an engine it names no model, and
+	 * the port puts adapter or base there.
+	 */
+	str_t body;
 	str_t idempotency_key;
 	bool idempotent; /* false: fresh connection only, never re-sent */
 	uint64_t resume_offset; /* RESUME: answer bytes had so far */
--- a/src/owner.c
+++ b/src/owner.c
@@ -462,26 +462,10 @@
 	s->ops.order(s->ctx, &eo);
 }
 
-/*
- * The body for an engine: the request's JSON object, which names no model, with
- * the exact model put first. Names hold no character that JSON escapes.
- */
-static void put_engine_body(buf_t *out, const run_t *r)
-{
-	str_t model = r->adapter.n ? r->adapter : r->o->row->base;
-	str_t rest = r->body.n ? str_n(r->body.p + 1, r->body.n - 1) : STR("}");
-
-	buf_printf(out, "{\"model\":\"%.*s\"", STR_ARG(model));
-	if (rest.p[0] != '}')
-		buf_puts(out, ",");
-	buf_put(out, rest.p, rest.n);
-}
-
 static void run_start(run_t *r, int64_t now)
 {
 	owner_t *o = r->o;
 	engine_order_t eo = {0};
-	AUTO_BUF buf_t body = {0};
 	slot_t *slot = r->hash ? slots_find(&o->slots, r->adapter) : NULL;
 
 	if (r->phase == RUN_WAITING) {
@@ -492,13 +476,10 @@
 	r->phase = RUN_STARTED;
 	eo.kind = r->resume ? ORDER_RESUME : ORDER_RUN;
 	eo.adapter = r->adapter;
+	eo.base = o->row ? o->row->base : str_n(NULL, 0);
 	eo.run_id = r->run_id;
 	eo.path = r->path;
 	eo.body = r->body;
-	if (o->row && o->row->kind == TARGET_RUNNER) {
-		put_engine_body(&body, r);
-		eo.body = buf_str(&body);
-	}
 	eo.idempotency_key = r->key;
 	eo.idempotent = r->repeatable;
 	eo.resume_offset = r->resume ? r->offset : 0;
--- a/src/target.c
+++ b/src/target.c
@@ -110,6 +110,7 @@
 {
 	str_free(&t->o.url);
 	str_free(&t->o.adapter);
+	str_free(&t->o.base);
 	str_free(&t->o.run_id);
 	str_free(&t->o.path);
 	str_free(&t->o.body);
@@ -131,6 +132,7 @@
 	t->o = *order;
 	t->o.url = str_copy(order->url);
 	t->o.adapter = str_copy(order->adapter);
+	t->o.base = str_copy(order->base);
 	t->o.run_id = str_copy(order->run_id);
 	t->o.path = str_copy(order->path);
 	t->o.body = str_copy(order->body);
@@ -412,9 +414,27 @@
 	return text;
 }
 
+/* The body of a run with the exact model put first, as engines need it. */
+static char *run_body(const engine_order_t *o)
+{
+	buf_t out = {0};
+	str_t model = o->adapter.n ? o->adapter : o->base;
+	str_t rest = o->body.n ? str_n(o->body.p + 1, o->body.n - 1) : STR("}");
+	json_t *name = json_stringn(model.p ? model.p : "", model.n);
+	AUTO_FREE char *quoted = json_dumps(name, JSON_ENCODE_ANY);
+
+	json_decref(name);
+	buf_printf(&out, "{\"model\":%s%s", quoted ? quoted : "\"\"",
+		   rest.n && rest.p[0] == '}' ? "" : ",");
+	buf_put(&out, rest.p, rest.n);
+	return out.p;
+}
+
 /* The body of an order; NULL for a GET. */
-static char *request_body(const engine_order_t *o)
+static char *request_body(const transfer_t *t)
 {
+	const engine_order_t *o = &t->o;
+
 	switch (o->kind) {
 	case ORDER_LOAD:
 		return json_text(json_pack(
@@ -428,7 +448,7 @@
 					   o->run_id.n));
 	case ORDER_RUN:
 	case ORDER_RESUME:
-		return str_dup(o->body);
+		return t->service ? str_dup(o->body) : run_body(o);
 	case ORDER_STATE:
 		return NULL;
 	}
@@ -488,9 +508,9 @@
 	buf_printf(&url, "%.*s%.*s", STR_ARG(t->o.url),
 		   STR_ARG(order_path(&t->o)));
 	curl_easy_setopt(e, CURLOPT_URL, url.p);
-	t->request = request_body(&t->o);
+	t->request = request_body(t);
 	if (t->request) {
-		size_t n = is_run(t) ? t->o.body.n : strlen(t->request);
+		size_t n = t->service ? t->o.body.n : strlen(t->request);
 
 		curl_easy_setopt(e, CURLOPT_POST, 1L);
 		curl_easy_setopt(e, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)n);
--- a/tests/target_test.cc
+++ b/tests/target_test.cc
@@ -205,7 +205,7 @@
 		o.adapter = STR("a@1");
 		o.run_id = STR("r");
 		o.path = STR("/v1/completions");
-		o.body = STR("{\"model\":\"a@1\"}");
+		o.body = STR("{\"prompt\":\"p\"}");
 		o.idempotent = true;
 		return o;
 	}
@@ -258,6 +258,9 @@
 	EXPECT_NE(s.requests()[0].find("X-Fence: 9\r\n"), std::string::npos);
 	EXPECT_NE(s.requests()[0].find("X-Request-Id: r\r\n"),
 		  std::string::npos);
+	EXPECT_NE(s.requests()[0].find(
+			  "\r\n\r\n{\"model\":\"a@1\",\"prompt\":\"p\"}"),
+		  std::string::npos);
 }
 
 TEST_F(Port, StreamWithoutDoneIsTruncatedAndCanBeResumed)
