--- /dev/null
+++ b/dev/lib_sim_engine.c
@@ -0,0 +1,843 @@
+/* lib_sim_engine.c - engines, plain services and the weight store. */
+#include "lib_sim_priv.h"
+
+#include <inttypes.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define CHUNK_TOKENS 8u
+#define PREFILL_TOKENS_PER_STEP 2048u
+/* Share of the store's throughput left when over-subscribed. */
+#define OVERSUBSCRIBED_SHARE 0.8
+#define KEEP_RUN_US (30 * USEC_PER_SEC)
+#define RELOAD_WINDOW_US (60 * USEC_PER_SEC)
+/* After a target said it leaves, new work counts as a broken promise. */
+#define LEAVING_BOUND_US (5 * USEC_PER_SEC)
+
+/* --- from engines to owners --------------------------------------------- */
+
+order_t *order_copy(sim_host_t *h, const engine_order_t *o)
+{
+	order_t *c = xcalloc(1, sizeof(*c));
+
+	c->o = *o;
+	c->host = h;
+	c->life = h->life;
+	c->adapter = str_dup(o->adapter);
+	c->run_id = str_dup(o->run_id);
+	c->body = str_dup(o->body);
+	c->key = str_dup(o->idempotency_key);
+	return c;
+}
+
+void order_free(order_t *c)
+{
+	if (!c)
+		return;
+	free(c->adapter);
+	free(c->run_id);
+	free(c->body);
+	free(c->key);
+	free(c);
+}
+
+static void residents_free(event_t *ev)
+{
+	engine_resident_t *v = ev->p;
+
+	for (size_t i = 0; i < ev->u.engine_event.n_resident; i++)
+		str_free(&v[i].adapter);
+	free(v);
+}
+
+static void deliver_engine_event(sim_t *s, event_t *ev)
+{
+	engine_event_t *e = &ev->u.engine_event;
+	engine_resident_t *resident = ev->p;
+
+	if (event_host_there(ev)) {
+		e->data = buf_str(&ev->data);
+		e->served_by = str_c(ev->text);
+		e->resident = resident;
+		serve_engine_event(ev->host->core, e);
+	}
+	residents_free(ev);
+}
+
+/* An event of the order on its way to the owner; armed by the caller. */
+static event_t *engine_event(sim_t *s, sim_engine_t *e, const order_t *o,
+			     engine_event_kind_t kind)
+{
+	event_t *ev = event_new(s, deliver_engine_event);
+	engine_event_t *x = &ev->u.engine_event;
+
+	ev->host = o->host;
+	ev->life = o->life;
+	x->order_id = o->o.id;
+	x->target = e->id;
+	x->kind = kind;
+	x->boot_id = e->boot_id;
+	return ev;
+}
+
+static void engine_send(event_t *ev, const sim_engine_t *e)
+{
+	event_after(ev, sim_zone_delay(ev->sim, e->zone, ev->host->zone));
+}
+
+static void engine_fail(sim_t *s, sim_engine_t *e, const order_t *o,
+			reason_t reason, int status, bool sent)
+{
+	event_t *ev = engine_event(s, e, o, EVENT_FAILED);
+
+	ev->u.engine_event.reason = reason;
+	ev->u.engine_event.http_status = status;
+	ev->u.engine_event.sent = sent;
+	ev->u.engine_event.target_leaving = e->leaving;
+	engine_send(ev, e);
+}
+
+static void engine_done(sim_t *s, sim_engine_t *e, const order_t *o)
+{
+	engine_send(engine_event(s, e, o, EVENT_DONE), e);
+}
+
+/* --- slots of an engine ------------------------------------------------- */
+
+static sim_slot_t *slot_find(sim_engine_t *e, const char *adapter)
+{
+	for (uint32_t i = 0; i < e->n_slots; i++)
+		if (e->slots[i].adapter &&
+		    !strcmp(e->slots[i].adapter, adapter))
+			return &e->slots[i];
+	return NULL;
+}
+
+static sim_slot_t *slot_free(sim_engine_t *e)
+{
+	for (uint32_t i = 0; i < e->n_slots; i++)
+		if (!e->slots[i].adapter)
+			return &e->slots[i];
+	return NULL;
+}
+
+static void slot_clear(sim_slot_t *slot)
+{
+	free(slot->adapter);
+	memset(slot, 0, sizeof(*slot));
+}
+
+static uint32_t runs_on(sim_engine_t *e, const char *adapter)
+{
+	uint32_t n = 0;
+	sim_run_t *r;
+
+	cds_list_for_each_entry (r, &e->runs, node)
+		if (!adapter || !strcmp(r->adapter, adapter))
+			n++;
+	return n;
+}
+
+/* --- the weight store --------------------------------------------------- */
+
+static double store_speed(const sim_t *s)
+{
+	double n = 0, c = (double)s->cfg.deploy->store_concurrency;
+	load_t *l;
+
+	cds_list_for_each_entry (l, &s->p->loads, node)
+		n++;
+	if (n <= c)
+		return 1 / s->store_factor;
+	return OVERSUBSCRIBED_SHARE * c / n / s->store_factor;
+}
+
+static void store_advance(sim_t *s)
+{
+	double passed = (double)(sim_now(s) - s->p->loads_at_us);
+	double speed = store_speed(s);
+	load_t *l;
+
+	cds_list_for_each_entry (l, &s->p->loads, node)
+		l->left_us -= passed * speed;
+	s->p->loads_at_us = sim_now(s);
+}
+
+static void loads_due(sim_t *s, event_t *ev);
+
+static void store_schedule(sim_t *s)
+{
+	double least = -1;
+	load_t *l;
+
+	cds_list_for_each_entry (l, &s->p->loads, node)
+		if (least < 0 || l->left_us < least)
+			least = l->left_us;
+	if (least < 0)
+		return;
+	if (!s->p->load_event)
+		s->p->load_event = event_new(s, loads_due);
+	event_after(s->p->load_event,
+		    (int64_t)(MAX(least, 0) / store_speed(s)) + 1);
+}
+
+static void load_end(sim_t *s, load_t *l)
+{
+	sim_engine_t *e = l->engine;
+	sim_slot_t *slot = slot_find(e, l->order->adapter);
+	bool failed = s->load_failure_share > 0 &&
+		      g_rand_double(s->rand) < s->load_failure_share;
+
+	if (e->down || l->boot_id != e->boot_id || !slot)
+		return; /* its failure was told when the engine went */
+	if (!failed && e->faults.fail_loads) {
+		e->faults.fail_loads--;
+		failed = true;
+	}
+	if (failed) {
+		slot_clear(slot);
+		engine_fail(s, e, l->order, REASON_LOAD_FAILED, 500, true);
+		return;
+	}
+	slot->loading = false;
+	slot->resident_us = sim_now(s);
+	sim_log(s, "loaded %s on %s", slot->adapter, e->name);
+	engine_done(s, e, l->order);
+}
+
+static void loads_due(sim_t *s, event_t *ev)
+{
+	load_t *l, *next;
+
+	s->p->load_event = NULL;
+	store_advance(s);
+	cds_list_for_each_entry_safe (l, next, &s->p->loads, node) {
+		if (l->left_us > 0.5)
+			continue;
+		cds_list_del(&l->node);
+		load_end(s, l);
+		load_free(l);
+	}
+	store_schedule(s);
+}
+
+static void count_load(sim_t *s, const char *adapter)
+{
+	int64_t *at = g_hash_table_lookup(s->p->evicted, adapter);
+
+	s->figures.loads++;
+	if (at && *at > sim_now(s) - RELOAD_WINDOW_US)
+		s->figures.reloads_60s++;
+}
+
+static void count_eviction(sim_t *s, const char *adapter)
+{
+	int64_t *at = xmalloc(sizeof(*at));
+
+	*at = sim_now(s);
+	s->figures.evictions++;
+	g_hash_table_insert(s->p->evicted, g_strdup(adapter), at);
+}
+
+static bool order_load(sim_t *s, sim_engine_t *e, order_t *o)
+{
+	sim_slot_t *slot = slot_find(e, o->adapter);
+	load_t *l;
+
+	if (slot && !slot->loading) {
+		engine_done(s, e, o);
+		return false;
+	}
+	if (slot || !slot_free(e)) {
+		engine_fail(s, e, o, REASON_LOAD_FAILED, 409, true);
+		return false;
+	}
+	slot = slot_free(e);
+	slot->adapter = str_dup(str_c(o->adapter));
+	slot->loading = true;
+	count_load(s, o->adapter);
+	store_advance(s);
+	l = xcalloc(1, sizeof(*l));
+	l->engine = e;
+	l->order = o;
+	l->boot_id = e->boot_id;
+	l->left_us = (double)s->cfg.deploy->load_ms * USEC_PER_MSEC;
+	cds_list_add_tail(&l->node, &s->p->loads);
+	store_schedule(s);
+	return true;
+}
+
+static void order_unload(sim_t *s, sim_engine_t *e, order_t *o)
+{
+	sim_slot_t *slot = slot_find(e, o->adapter);
+
+	if (slot && runs_on(e, o->adapter)) {
+		sim_violation(s, SIM_EVICTED_RUNNING, o->adapter);
+		engine_fail(s, e, o, REASON_TARGET_REFUSED, 409, true);
+		return;
+	}
+	if (slot && slot->loading) {
+		engine_fail(s, e, o, REASON_TARGET_REFUSED, 409, true);
+		return;
+	}
+	if (slot) {
+		count_eviction(s, o->adapter);
+		sim_log(s, "evicted %s from %s", o->adapter, e->name);
+		slot_clear(slot);
+	}
+	engine_done(s, e, o);
+}
+
+/* --- runs --------------------------------------------------------------- */
+
+static void run_free(sim_run_t *r)
+{
+	order_free(r->order);
+	free(r->id);
+	free(r->adapter);
+	buf_free(&r->text);
+	free(r);
+}
+
+static void run_flush(sim_t *s, sim_engine_t *e, sim_run_t *r)
+{
+	event_t *ev;
+
+	if (!r->order || r->stalled)
+		return;
+	if (!r->head_sent) {
+		ev = engine_event(s, e, r->order, EVENT_HEAD);
+		ev->u.engine_event.http_status = 200;
+		snprintf(ev->text, sizeof(ev->text), "%s", r->adapter);
+		engine_send(ev, e);
+		r->head_sent = true;
+	}
+	if (r->text.n == r->sent)
+		return;
+	ev = engine_event(s, e, r->order, EVENT_CHUNK);
+	ev->u.engine_event.offset = r->sent;
+	ev->u.engine_event.tokens = r->tokens - r->sent_tokens;
+	buf_put(&ev->data, r->text.p + r->sent, r->text.n - r->sent);
+	r->sent = r->text.n;
+	r->sent_tokens = r->tokens;
+	engine_send(ev, e);
+}
+
+/* Takes the run off the batch; its order is told apart. */
+static void run_end(sim_t *s, sim_engine_t *e, sim_run_t *r, bool whole)
+{
+	cds_list_del(&r->node);
+	cds_list_add_tail(&r->node, &e->ended);
+	r->ended_us = sim_now(s);
+	r->whole = whole;
+	r->running = false;
+}
+
+static void run_detach(sim_run_t *r)
+{
+	order_free(r->order);
+	r->order = NULL;
+}
+
+static void run_break(sim_t *s, sim_engine_t *e, sim_run_t *r, reason_t reason,
+		      int64_t after_us)
+{
+	event_t *ev;
+
+	if (!r->order)
+		return;
+	ev = engine_event(s, e, r->order, EVENT_FAILED);
+	ev->u.engine_event.reason = reason;
+	ev->u.engine_event.sent = true;
+	event_after(ev, after_us + sim_zone_delay(s, e->zone,
+						  r->order->host->zone));
+	run_detach(r);
+}
+
+static void forget_ended(sim_t *s, sim_engine_t *e)
+{
+	sim_run_t *r, *next;
+
+	cds_list_for_each_entry_safe (r, next, &e->ended, node) {
+		if (r->ended_us > sim_now(s) - KEEP_RUN_US)
+			return;
+		cds_list_del(&r->node);
+		run_free(r);
+	}
+}
+
+static uint32_t batch_max(const sim_t *s)
+{
+	return (uint32_t)s->cfg.deploy->max_batch;
+}
+
+/* Admits waiting runs, the most urgent first; the number that runs. */
+static uint32_t admit(sim_t *s, sim_engine_t *e)
+{
+	uint32_t n = 0;
+	sim_run_t *r, *best;
+
+	cds_list_for_each_entry (r, &e->runs, node)
+		n += r->running;
+	while (n < batch_max(s)) {
+		best = NULL;
+		cds_list_for_each_entry (r, &e->runs, node)
+			if (!r->running &&
+			    (!best || r->priority > best->priority))
+				best = r;
+		if (!best)
+			break;
+		best->running = true;
+		n++;
+	}
+	return n;
+}
+
+static void step_end(sim_t *s, event_t *ev);
+
+static void step_begin(sim_t *s, sim_engine_t *e)
+{
+	const deploy_t *d = s->cfg.deploy;
+	uint32_t n;
+	event_t *ev;
+
+	forget_ended(s, e);
+	n = e->down ? 0 : admit(s, e);
+	e->stepping = n > 0;
+	if (!n)
+		return;
+	s->figures.steps++;
+	s->figures.step_runs += n;
+	s->figures.step_slots += batch_max(s);
+	ev = event_new(s, step_end);
+	ev->engine = e;
+	ev->x = e->boot_id;
+	event_after(ev, (int64_t)((double)d->step_us *
+				  (1 + d->step_growth * (n - 1))));
+}
+
+static void run_token(sim_t *s, sim_engine_t *e, sim_run_t *r)
+{
+	if (r->prefill_steps) {
+		r->prefill_steps--;
+		return;
+	}
+	buf_printf(&r->text, " %" PRIu64 ".%u", r->submit, r->tokens);
+	r->tokens++;
+	if (r->tokens == 1 || r->tokens % CHUNK_TOKENS == 0 ||
+	    r->tokens == r->max_tokens)
+		run_flush(s, e, r);
+	if (r->drop_at && r->tokens == r->drop_at) {
+		run_flush(s, e, r);
+		run_break(s, e, r, REASON_TARGET_LOST, 0);
+	}
+	if (r->tokens < r->max_tokens)
+		return;
+	if (r->order && !r->stalled)
+		engine_done(s, e, r->order);
+	run_detach(r);
+	run_end(s, e, r, true);
+}
+
+static void step_end(sim_t *s, event_t *ev)
+{
+	sim_engine_t *e = ev->engine;
+	sim_run_t *r, *next;
+
+	if (e->down || ev->x != e->boot_id)
+		return;
+	cds_list_for_each_entry_safe (r, next, &e->runs, node)
+		if (r->running)
+			run_token(s, e, r);
+	step_begin(s, e);
+}
+
+/* The attempt that a body "... rHANDLE ..." belongs to; NULL if none. */
+static submit_t *submit_of_body(sim_t *s, const char *body)
+{
+	const char *at = strstr(body, "attempt-");
+	uint64_t handle = at ? strtoull(at + 8, NULL, 10) : 0;
+
+	if (!handle || handle > s->p->submits->len)
+		return NULL;
+	return s->p->submits->pdata[handle - 1];
+}
+
+static uint32_t max_tokens_of(const char *body)
+{
+	const char *at = strstr(body, "\"max_tokens\":");
+
+	return at ? (uint32_t)strtoul(at + 13, NULL, 10) : 1;
+}
+
+/* Checks of the oracle when an engine or service starts a run. */
+static void check_start(sim_t *s, sim_engine_t *e, const order_t *o,
+			submit_t *sub)
+{
+	char what[256];
+
+	snprintf(what, sizeof(what), "request=%u target=%s adapter=%s",
+		 sub->req->id, e->name, o->adapter);
+	sub->runs++;
+	if (submit_refused_whole(sub))
+		sim_violation(s, SIM_RAN_THOUGH_REFUSED, what);
+	if (!e->service && strcmp(sub->expect, o->adapter))
+		sim_violation(s, SIM_WRONG_ADAPTER, what);
+	if (e->leaving && sim_now(s) > e->leaving_us + LEAVING_BOUND_US)
+		sim_violation(s, SIM_WORK_FOR_LEAVING, what);
+	sim_log(s, "run request=%u target=%s adapter=%s", sub->req->id, e->name,
+		o->adapter);
+}
+
+static void note_stall(sim_t *s, const sim_engine_t *e, const order_t *o,
+		       sim_request_t *req)
+{
+	sim_slot_t *slot = slot_find((sim_engine_t *)e, o->adapter);
+	int64_t resident = slot ? slot->resident_us : 0;
+
+	if (req->state != SIM_WAITING)
+		return;
+	req->started = true;
+	req->stall_us = MAX(0, resident - req->arrived_us);
+}
+
+static sim_run_t *run_find(sim_engine_t *e, const char *id)
+{
+	sim_run_t *r;
+
+	cds_list_for_each_entry (r, &e->runs, node)
+		if (!strcmp(r->id, id))
+			return r;
+	cds_list_for_each_entry_reverse(r, &e->ended,
+					node) if (!strcmp(r->id, id)) return r;
+	return NULL;
+}
+
+/* True where the run took over the order. */
+static bool order_resume(sim_t *s, sim_engine_t *e, order_t *o)
+{
+	sim_run_t *r = run_find(e, o->run_id);
+
+	if (!r || o->o.resume_offset > r->text.n ||
+	    (r->ended_us && !r->whole)) {
+		engine_fail(s, e, o, REASON_TARGET_REFUSED, 404, false);
+		return false;
+	}
+	run_detach(r);
+	r->order = o;
+	r->sent = o->o.resume_offset;
+	r->sent_tokens = r->tokens;
+	r->head_sent = false;
+	r->stalled = false;
+	r->drop_at = 0;
+	run_flush(s, e, r);
+	if (r->ended_us) {
+		engine_done(s, e, o);
+		run_detach(r);
+	}
+	return true;
+}
+
+static bool order_run(sim_t *s, sim_engine_t *e, order_t *o)
+{
+	submit_t *sub = submit_of_body(s, o->body);
+	sim_slot_t *slot = slot_find(e, o->adapter);
+	sim_run_t *r;
+
+	if (e->leaving) {
+		engine_fail(s, e, o, REASON_TARGET_REFUSED, 503, false);
+		return false;
+	}
+	if (e->faults.refuse) {
+		e->faults.refuse--;
+		engine_fail(s, e, o, REASON_TARGET_REFUSED, 503, false);
+		return false;
+	}
+	if (!sub || !slot || slot->loading) {
+		engine_fail(s, e, o, REASON_TARGET_REFUSED, 404, false);
+		return false;
+	}
+	check_start(s, e, o, sub);
+	note_stall(s, e, o, sub->req);
+	r = xcalloc(1, sizeof(*r));
+	r->order = o;
+	r->id = str_dup(str_c(o->run_id));
+	r->adapter = str_dup(str_c(o->adapter));
+	r->submit = sub->handle;
+	r->max_tokens = max_tokens_of(o->body);
+	r->prefill_steps =
+		1 + sub->req->arrival->prompt_tokens / PREFILL_TOKENS_PER_STEP;
+	r->priority = o->o.priority;
+	if (e->faults.drop) {
+		e->faults.drop--;
+		r->drop_at = 1 + r->max_tokens / 2;
+	} else if (e->faults.stall) {
+		e->faults.stall--;
+		run_flush(s, e, r);
+		run_break(s, e, r, REASON_TARGET_STALLED,
+			  o->o.progress_us ? o->o.progress_us
+					   : s->cfg.serve.progress_us);
+	}
+	cds_list_add_tail(&r->node, &e->runs);
+	if (!e->stepping)
+		step_begin(s, e);
+	return true;
+}
+
+/* --- plain services ----------------------------------------------------- */
+
+static void call_end(sim_t *s, event_t *ev)
+{
+	order_t *o = ev->p;
+	sim_engine_t *e = ev->engine;
+	event_t *out;
+
+	if (e->down || ev->x != e->boot_id) {
+		order_free(o);
+		return;
+	}
+	out = engine_event(s, e, o, EVENT_HEAD);
+	out->u.engine_event.http_status = 200;
+	engine_send(out, e);
+	out = engine_event(s, e, o, EVENT_CHUNK);
+	buf_printf(&out->data, "ran:%s", o->key);
+	engine_send(out, e);
+	engine_done(s, e, o);
+	order_free(o);
+}
+
+static void count_key(sim_t *s, submit_t *sub, const char *key)
+{
+	gpointer n = g_hash_table_lookup(s->p->key_runs, key);
+	guint runs = GPOINTER_TO_UINT(n) + 1;
+
+	g_hash_table_insert(s->p->key_runs, g_strdup(key),
+			    GUINT_TO_POINTER(runs));
+	if (runs > 1 && sub->req->not_repeatable)
+		sim_violation(s, SIM_DOUBLE_RUN, key);
+}
+
+/* The latest attempt of the call with a key; NULL if none. */
+static submit_t *submit_of_key(sim_t *s, const char *key)
+{
+	for (guint i = s->p->submits->len; i > 0; i--) {
+		submit_t *sub = s->p->submits->pdata[i - 1];
+
+		if (sub->req->call && !strcmp(sub->req->key, key))
+			return sub;
+	}
+	return NULL;
+}
+
+static bool order_call(sim_t *s, sim_engine_t *e, order_t *o)
+{
+	submit_t *sub = submit_of_key(s, o->key);
+	bool stall = e->faults.stall > 0, drop = e->faults.drop > 0;
+	event_t *ev;
+
+	if (e->leaving || e->faults.refuse) {
+		e->faults.refuse -= e->faults.refuse > 0;
+		engine_fail(s, e, o, REASON_TARGET_REFUSED, 503, false);
+		return false;
+	}
+	if (sub) {
+		check_start(s, e, o, sub);
+		count_key(s, sub, sub->req->key);
+	}
+	if (stall || drop) {
+		e->faults.stall -= stall;
+		e->faults.drop -= drop && !stall;
+		ev = engine_event(s, e, o, EVENT_FAILED);
+		ev->u.engine_event.reason =
+			stall ? REASON_TARGET_STALLED : REASON_TARGET_LOST;
+		ev->u.engine_event.sent = true;
+		event_after(ev, stall ? s->cfg.serve.progress_us
+				      : s->cfg.deploy->service_delay_ms *
+						USEC_PER_MSEC);
+		return false;
+	}
+	ev = event_new(s, call_end);
+	ev->engine = e;
+	ev->p = o;
+	ev->x = e->boot_id;
+	event_after(ev, s->cfg.deploy->service_delay_ms * USEC_PER_MSEC);
+	return true;
+}
+
+/* --- orders arriving at targets ----------------------------------------- */
+
+static void order_state(sim_t *s, sim_engine_t *e, const order_t *o)
+{
+	event_t *ev = engine_event(s, e, o, EVENT_STATE);
+	engine_event_t *x = &ev->u.engine_event;
+	engine_resident_t *v = xcalloc(e->n_slots + 1, sizeof(*v));
+
+	for (uint32_t i = 0; i < e->n_slots; i++) {
+		const sim_slot_t *slot = &e->slots[i];
+
+		if (!slot->adapter)
+			continue;
+		v[x->n_resident].adapter = str_copy(str_c(slot->adapter));
+		v[x->n_resident].loading = slot->loading;
+		v[x->n_resident].running = runs_on(e, slot->adapter);
+		x->n_resident++;
+	}
+	ev->p = v;
+	x->n_running = runs_on(e, NULL);
+	x->target_leaving = e->leaving;
+	engine_send(ev, e);
+}
+
+static void order_cancel(sim_t *s, sim_engine_t *e, const order_t *o)
+{
+	sim_run_t *r, *next;
+
+	cds_list_for_each_entry_safe (r, next, &e->runs, node) {
+		if (!r->order || r->order->host != o->host ||
+		    r->order->o.id != o->o.cancel_id)
+			continue;
+		engine_fail(s, e, r->order, REASON_CANCELLED, 0, true);
+		run_detach(r);
+		run_end(s, e, r, false);
+	}
+}
+
+static bool fenced_off(sim_engine_t *e, const order_t *o)
+{
+	if (o->o.kind == ORDER_STATE || e->ignores_fence)
+		return false;
+	if (o->o.fence >= e->top_fence) {
+		e->top_fence = o->o.fence;
+		return false;
+	}
+	return true;
+}
+
+/* True where the order was taken over. */
+static bool engine_take(sim_t *s, sim_engine_t *e, order_t *o)
+{
+	event_t *ev;
+
+	if (fenced_off(e, o) && o->o.kind != ORDER_CANCEL) {
+		ev = engine_event(s, e, o, EVENT_FAILED);
+		ev->u.engine_event.reason = REASON_TARGET_REFUSED;
+		ev->u.engine_event.http_status = 409;
+		ev->u.engine_event.old_fence = true;
+		engine_send(ev, e);
+		return false;
+	}
+	switch (o->o.kind) {
+	case ORDER_LOAD:
+		return order_load(s, e, o);
+	case ORDER_UNLOAD:
+		order_unload(s, e, o);
+		return false;
+	case ORDER_RUN:
+		return e->service ? order_call(s, e, o) : order_run(s, e, o);
+	case ORDER_RESUME:
+		return order_resume(s, e, o);
+	case ORDER_CANCEL:
+		order_cancel(s, e, o);
+		return false;
+	case ORDER_STATE:
+		order_state(s, e, o);
+		return false;
+	}
+	return false;
+}
+
+void order_arrives(sim_t *s, event_t *ev)
+{
+	order_t *o = ev->p;
+	sim_engine_t *e = ev->engine;
+	bool taken = false;
+
+	if (e->down) {
+		if (o->o.kind != ORDER_CANCEL)
+			engine_fail(s, e, o, REASON_TARGET_LOST, 0, false);
+	} else {
+		taken = engine_take(s, e, o);
+	}
+	/* A finished resumption has freed its order with the run's. */
+	if (!taken)
+		order_free(o);
+}
+
+sim_engine_t *sim_engine(sim_t *s, const char *name)
+{
+	for (size_t i = 0; i < s->n_engines; i++)
+		if (!strcmp(s->engines[i].name, name))
+			return &s->engines[i];
+	return NULL;
+}
+
+/* All that the engine held is gone; its orders end as lost. */
+static void engine_lose_all(sim_t *s, sim_engine_t *e)
+{
+	sim_run_t *r, *next;
+	load_t *l;
+
+	cds_list_for_each_entry_safe (r, next, &e->runs, node) {
+		run_break(s, e, r, REASON_TARGET_LOST, 0);
+		run_end(s, e, r, false);
+	}
+	cds_list_for_each_entry (l, &s->p->loads, node)
+		if (l->engine == e && l->boot_id == e->boot_id)
+			engine_fail(s, e, l->order, REASON_TARGET_LOST, 0,
+				    true);
+	for (uint32_t i = 0; i < e->n_slots; i++)
+		slot_clear(&e->slots[i]);
+	e->stepping = false;
+	e->boot_id = ++s->p->next_boot;
+}
+
+void sim_engine_restart(sim_t *s, sim_engine_t *e)
+{
+	sim_log(s, "%s restarts empty", e->name);
+	engine_lose_all(s, e);
+	e->down = false;
+}
+
+void sim_engine_kill(sim_t *s, sim_engine_t *e)
+{
+	sim_log(s, "%s is down", e->name);
+	engine_lose_all(s, e);
+	e->down = true;
+}
+
+void sim_engine_leave(sim_t *s, sim_engine_t *e)
+{
+	e->leaving = true;
+	e->leaving_us = sim_now(s);
+	sim_log(s, "%s is leaving", e->name);
+}
+
+void sim_engine_free(sim_engine_t *e)
+{
+	sim_run_t *r, *next;
+
+	cds_list_for_each_entry_safe (r, next, &e->runs, node)
+		run_free(r);
+	cds_list_for_each_entry_safe (r, next, &e->ended, node)
+		run_free(r);
+	for (uint32_t i = 0; i < e->n_slots; i++)
+		slot_clear(&e->slots[i]);
+	free(e->slots);
+	free(e->name);
+}
+
+void load_free(load_t *l)
+{
+	order_free(l->order);
+	free(l);
+}
+
+void engine_event_drop(event_t *ev)
+{
+	if (ev->fn == order_arrives || ev->fn == call_end)
+		order_free(ev->p);
+	if (ev->fn == deliver_engine_event)
+		residents_free(ev);
+}
