--- a/proto/state.pb-c.c
+++ b/proto/state.pb-c.c
@@ -1793,7 +1793,7 @@
   (ProtobufCMessageInit) peer__join__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__renew__field_descriptors[7] =
+static const ProtobufCFieldDescriptor peer__renew__field_descriptors[8] =
 {
   {
     "session",
@@ -1879,9 +1879,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "grant",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Renew, grant),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__renew__field_indices_by_name[] = {
   5,   /* field[5] = feed_try */
+  7,   /* field[7] = grant */
   2,   /* field[2] = index */
   6,   /* field[6] = leave */
   4,   /* field[4] = live_version */
@@ -1892,7 +1905,7 @@
 static const ProtobufCIntRange peer__renew__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor peer__renew__descriptor =
 {
@@ -1902,14 +1915,14 @@
   "Peer__Renew",
   "peer",
   sizeof(Peer__Renew),
-  7,
+  8,
   peer__renew__field_descriptors,
   peer__renew__field_indices_by_name,
   1,  peer__renew__number_ranges,
   (ProtobufCMessageInit) peer__renew__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__renew_res__field_descriptors[12] =
+static const ProtobufCFieldDescriptor peer__renew_res__field_descriptors[14] =
 {
   {
     "session",
@@ -2055,15 +2068,41 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "grant",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RenewRes, grant),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "offered",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RenewRes, offered),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__renew_res__field_indices_by_name[] = {
   3,   /* field[3] = fed_index */
+  12,   /* field[12] = grant */
   5,   /* field[5] = has_live */
   10,   /* field[10] = leader */
   11,   /* field[11] = lease_index */
   6,   /* field[6] = live */
   4,   /* field[4] = live_version */
   9,   /* field[9] = not_member */
+  13,   /* field[13] = offered */
   7,   /* field[7] = parent */
   8,   /* field[8] = refused */
   1,   /* field[1] = sent_us */
@@ -2073,7 +2112,7 @@
 static const ProtobufCIntRange peer__renew_res__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor peer__renew_res__descriptor =
 {
@@ -2083,7 +2122,7 @@
   "Peer__RenewRes",
   "peer",
   sizeof(Peer__RenewRes),
-  12,
+  14,
   peer__renew_res__field_descriptors,
   peer__renew_res__field_indices_by_name,
   1,  peer__renew_res__number_ranges,
--- a/proto/state.pb-c.h
+++ b/proto/state.pb-c.h
@@ -248,10 +248,14 @@
    */
   uint32_t feed_try;
   protobuf_c_boolean leave;
+  /*
+   * of the session, by the leader
+   */
+  uint64_t grant;
 };
 #define PEER__RENEW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__renew__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Peer__RenewRes
@@ -286,10 +290,15 @@
    * lost targets while it had no session.
    */
   uint64_t lease_index;
+  uint64_t grant;
+  /*
+   * only the grant counts; renew with it
+   */
+  protobuf_c_boolean offered;
 };
 #define PEER__RENEW_RES__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__renew_res__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Peer__ClaimReq
--- a/src/rlog.c
+++ b/src/rlog.c
@@ -1479,6 +1479,24 @@
 	return &l->failed;
 }
 
+/* On a leader: the members are decided, and all of them hold the log. */
+static bool members_settled(const rlog_t *l)
+{
+	if (l->role != RLOG_LEADER || l->members.index > l->commit)
+		return false;
+	for (size_t i = 0; i < l->members.n; i++) {
+		const rlog_member_t *m = &l->members.v[i];
+		const peer_t *p = peer_find((rlog_t *)l, m->id);
+
+		if (m->id == l->cfg.self)
+			continue;
+		if (!p || p->incarnation != m->incarnation ||
+		    p->match < l->members.index)
+			return false;
+	}
+	return true;
+}
+
 void rlog_status(const rlog_t *l, buf_t *json)
 {
 	buf_printf(json,
@@ -1492,7 +1510,8 @@
 		   self_votes(l) ? "true" : "false");
 	for (size_t i = 0; i < l->members.n; i++)
 		buf_printf(json, "%s%u", i ? "," : "", l->members.v[i].id);
-	buf_puts(json, "]");
+	buf_printf(json, "],\"members_settled\":%s",
+		   members_settled(l) ? "true" : "false");
 	if (l->role == RLOG_FAILED)
 		buf_printf(json, ",\"failed\":\"%s\"",
 			   wal_code_text(l->failed.code));
--- a/src/session.c
+++ b/src/session.c
@@ -11,6 +11,7 @@
 	uint32_t drift_ppm;
 	int64_t grace_us;
 	uint64_t version;
+	uint64_t next_grant;
 	session_t *rows; /* ascending by host */
 	size_t n;
 	size_t cap;
@@ -101,67 +102,88 @@
 {
 	s->n = 0;
 	s->n_live = 0;
-	s->version = term << 24;
+	s->version = term << 32;
+	s->next_grant = term << 32;
 	s->grace_us = now_us + lease_granter_us(s->lease_us, s->drift_ppm);
 	s->due_us = INT64_MAX;
 }
 
-bool sessions_renew(sessions_t *s, host_id_t host, uint64_t nonce,
-		    uint64_t index, uint64_t revision, int64_t now_us)
+/* Offers the same grant to a nonce until it is taken up. */
+static void offer(sessions_t *s, session_t *row, uint64_t nonce)
 {
-	session_t *row = get(s, host);
-	int64_t end = now_us + lease_granter_us(s->lease_us, s->drift_ppm);
-	bool was_live;
-	bool begun;
+	if (row->offered_nonce == nonce)
+		return;
+	row->offered_nonce = nonce;
+	row->offered_grant = ++s->next_grant;
+}
 
-	if (!row)
-		row = insert(s, host);
-	if (row->left && row->nonce == nonce)
-		return false; /* a late renewal of a session that was ended */
-	was_live = row->live;
-	begun = !was_live || row->nonce != nonce;
-	if (begun)
-		row->opened_us = now_us;
-	if (row->nonce != nonce) {
-		row->nonce = nonce;
-		row->index = 0;
-		row->revision = 0;
-	}
+static void begin(session_t *row, int64_t now_us)
+{
+	row->nonce = row->offered_nonce;
+	row->grant = row->offered_grant;
+	row->offered_nonce = 0;
+	row->offered_grant = 0;
+	row->opened_us = now_us;
+	row->index = 0;
+	row->revision = 0;
 	row->left = false;
-	row->live = true;
+}
+
+static void note_renewal(sessions_t *s, session_t *row,
+			 const session_renewal_t *r, int64_t now_us)
+{
+	int64_t end = now_us + lease_granter_us(s->lease_us, s->drift_ppm);
+
 	row->renewed_us = now_us;
-	if (index > row->index)
-		row->index = index;
-	if (revision > row->revision)
-		row->revision = revision;
+	if (r->index > row->index)
+		row->index = r->index;
+	if (r->revision > row->revision)
+		row->revision = r->revision;
 	if (end < s->due_us)
 		s->due_us = end;
-	if (!was_live)
-		rebuild_live(s);
-	return begun;
+	if (row->live)
+		return;
+	row->live = true;
+	rebuild_live(s);
 }
 
-void sessions_set_open_index(sessions_t *s, host_id_t host, uint64_t index)
+session_event_t sessions_renew(sessions_t *s, const session_renewal_t *r,
+			       int64_t now_us)
 {
-	session_t *row = get(s, host);
+	session_t *row = get(s, r->host);
+	session_event_t event = SESSION_RENEWED;
 
-	if (row)
-		row->open_index = index;
+	if (!row)
+		row = insert(s, r->host);
+	if (r->grant && r->grant == row->offered_grant &&
+	    r->nonce == row->offered_nonce) {
+		begin(row, now_us);
+		event = SESSION_BEGUN;
+	} else if (!r->grant || r->grant != row->grant) {
+		offer(s, row, r->nonce);
+		return SESSION_OFFERED;
+	} else if (row->left) {
+		return SESSION_ENDED;
+	} else if (!row->live) {
+		row->opened_us = now_us;
+		event = SESSION_BEGUN;
+	}
+	if (r->leave) {
+		row->live = false;
+		row->left = true;
+		rebuild_live(s);
+		return SESSION_LEFT;
+	}
+	note_renewal(s, row, r, now_us);
+	return event;
 }
 
-bool sessions_leave(sessions_t *s, host_id_t host, uint64_t nonce)
+void sessions_set_open_index(sessions_t *s, host_id_t host, uint64_t index)
 {
 	session_t *row = get(s, host);
 
-	if (!row)
-		row = insert(s, host);
-	if (row->nonce && row->nonce != nonce)
-		return false;
-	row->nonce = nonce;
-	row->live = false;
-	row->left = true;
-	rebuild_live(s);
-	return true;
+	if (row)
+		row->open_index = index;
 }
 
 bool sessions_expire(sessions_t *s, int64_t now_us)
--- a/src/session.h
+++ b/src/session.h
@@ -12,9 +12,18 @@
 extern "C" {
 #endif
 
+/*
+ * A daemon opens its session in two steps: the leader offers a grant to the
+ * nonce of its start, and the first renewal that names the grant begins the
+ * session. A late message of an earlier start of the same host never gets
+ * that far, and cannot end or renew the session of the present one.
+ */
 typedef struct session {
 	host_id_t host;
-	uint64_t nonce;	     /* chosen by the daemon when it started */
+	uint64_t nonce; /* of the daemon's start */
+	uint64_t grant; /* 0: no session in this term yet */
+	uint64_t offered_nonce;
+	uint64_t offered_grant;
 	int64_t opened_us;   /* live without a break since */
 	uint64_t open_index; /* of the log then; see RenewRes.lease_index */
 	int64_t renewed_us;  /* arrival of the latest renewal */
@@ -32,14 +41,26 @@
 /* Forgets all: a new leader starts, which does not know earlier renewals. */
 void sessions_reset(sessions_t *s, uint64_t term, int64_t now_us);
 
-/*
- * Takes in a renewal. True where a session has begun; the caller then sets its
- * open_index.
- */
-bool sessions_renew(sessions_t *s, host_id_t host, uint64_t nonce,
-		    uint64_t index, uint64_t revision, int64_t now_us);
+typedef enum session_event {
+	SESSION_OFFERED, /* the grant is to be sent; nothing else has changed */
+	SESSION_BEGUN,	 /* the caller sets open_index */
+	SESSION_RENEWED,
+	SESSION_LEFT,
+	SESSION_ENDED, /* it said goodbye earlier */
+} session_event_t;
+
+typedef struct session_renewal {
+	host_id_t host;
+	uint64_t nonce;
+	uint64_t grant; /* 0 or an old one: asks for another */
+	uint64_t index;
+	uint64_t revision;
+	bool leave;
+} session_renewal_t;
+
+session_event_t sessions_renew(sessions_t *s, const session_renewal_t *r,
+			       int64_t now_us);
 void sessions_set_open_index(sessions_t *s, host_id_t host, uint64_t index);
-bool sessions_leave(sessions_t *s, host_id_t host, uint64_t nonce);
 /* Ends sessions whose lease is surely over; true where any was. */
 bool sessions_expire(sessions_t *s, int64_t now_us);
 /* When sessions_expire() has something to do; INT64_MAX: never. */
--- a/src/state.c
+++ b/src/state.c
@@ -99,6 +99,7 @@
 	int64_t last_renew_us;
 	int64_t last_answer_us;
 	uint32_t seek;
+	uint64_t grant; /* by the leader; see session.h */
 	uint32_t feed_try;
 	bool left;
 	bool leave_answered;
@@ -518,37 +519,49 @@
 	rlog_want_round(st->rlog, now_us);
 }
 
-/* Takes a renewal in; true where a session has begun with it. */
-static bool open_session(state_t *st, host_id_t from, const Peer__Renew *r,
-			 int64_t now_us)
+static void offer_grant(state_t *st, host_id_t from, const Peer__Renew *r)
+{
+	Peer__RenewRes pb = PEER__RENEW_RES__INIT;
+
+	pb.session = r->session;
+	pb.sent_us = r->sent_us;
+	pb.term = st->leading_term;
+	pb.grant = sessions_get(st->sessions, from)->offered_grant;
+	pb.offered = true;
+	send_body(st, from, PEER__MSG__BODY_RENEW_RES, &pb);
+}
+
+static void note_begun(state_t *st, host_id_t host)
 {
-	uint64_t index;
+	uint64_t index = rlog_pending(st->rlog, ENTRY_CHANGE, ENTRY_ASSIGN);
 
-	if (!sessions_renew(st->sessions, from, r->session, r->index,
-			    r->revision, now_us))
-		return false;
-	index = rlog_pending(st->rlog, ENTRY_CHANGE, ENTRY_ASSIGN);
-	sessions_set_open_index(st->sessions, from,
+	sessions_set_open_index(st->sessions, host,
 				index ? index : feed_index(st->feed));
-	return true;
 }
 
 static void on_renew(state_t *st, host_id_t from, const Peer__Renew *r,
 		     int64_t now_us)
 {
-	bool changed;
+	const session_renewal_t renewal = {from,     r->session,  r->grant,
+					   r->index, r->revision, r->leave};
+	session_event_t event;
 
 	if (!st->leading) {
 		refuse_renewal(st, from, r->session, r->sent_us);
 		return;
 	}
-	if (r->leave)
-		changed = sessions_leave(st->sessions, from, r->session);
-	else if (is_member(st, from))
-		changed = open_session(st, from, r, now_us);
-	else
-		changed = false;
-	if (changed)
+	if (!is_member(st, from)) {
+		hold_renewal(st, from, r, now_us);
+		return;
+	}
+	event = sessions_renew(st->sessions, &renewal, now_us);
+	if (event == SESSION_OFFERED) {
+		offer_grant(st, from, r);
+		return;
+	}
+	if (event == SESSION_BEGUN)
+		note_begun(st, from);
+	if (event == SESSION_BEGUN || event == SESSION_LEFT)
 		st->assign_due_us = now_us;
 	hold_renewal(st, from, r, now_us);
 }
@@ -677,6 +690,7 @@
 	pb.live_version = st->live_version;
 	pb.feed_try = st->feed_try;
 	pb.leave = st->left;
+	pb.grant = st->grant;
 	send_body(st, to, PEER__MSG__BODY_RENEW, &pb);
 }
 
@@ -766,6 +780,12 @@
 		return;
 	set_leader(st, from, r->term, now_us + renew_interval(st));
 	st->last_answer_us = now_us;
+	if (r->offered) {
+		if (st->grant != r->grant)
+			st->renew_due_us = now_us;
+		st->grant = r->grant;
+		return;
+	}
 	st->not_member = r->not_member;
 	if (r->not_member)
 		return;
--- a/tests/state_net.h
+++ b/tests/state_net.h
@@ -11,6 +11,8 @@
 #include <string>
 #include <vector>
 
+#include <cstring>
+
 #include "change_util.h"
 #include "state.h"
 #include "wal.h"
@@ -482,6 +484,9 @@
 	uint64_t sent = 0, sent_bytes = 0;
 	// Called whenever tables or standing of a daemon have changed.
 	std::function<void(Daemon &)> on_change;
+	// Called after each event.
+	std::function<void()> on_event;
+	std::function<void(const Change &)> on_outcome;
 
       private:
 	struct Packet {
@@ -533,12 +538,16 @@
 			packets.pop();
 			now_us = std::max(now_us, p.at_us);
 			deliver(p);
+			if (on_event)
+				on_event();
 			return true;
 		}
 		if (!next)
 			return false;
 		now_us = std::max(now_us, due);
 		advance(*next);
+		if (on_event)
+			on_event();
 		return true;
 	}
 
@@ -652,6 +661,8 @@
 		it->second.done = true;
 		it->second.out = {out->status, out->revision, out->resent,
 				  text(out->error)};
+		if (d->net->on_outcome)
+			d->net->on_outcome(it->second);
 	}
 
 	std::priority_queue<Packet> packets;
