--- a/src/change.c
+++ b/src/change.c
@@ -124,6 +124,15 @@
 		    name ? name : "");
 }
 
+/* Appends a packed message. */
+static void pack_message(const void *msg, buf_t *out)
+{
+	size_t n = protobuf_c_message_get_packed_size(msg);
+
+	protobuf_c_message_pack(msg, (uint8_t *)buf_room(out, n));
+	out->n += n;
+}
+
 /* Templates and organisations. */
 
 static Dk__Template *unpack_template(const decided_t *d, str_t name)
@@ -189,10 +198,23 @@
 			    STR_ARG(ra->name));
 	if (old && old->load_ms == row.load_ms && str_eq(old->base, row.base))
 		return 0;
+	if (!old && ra->version) {
+		row.current_version = ra->version;
+		row.versions = &ra->version;
+		row.n_versions = 1;
+	}
 	decided_put_adapter(ap->d, &row);
 	return 0;
 }
 
+/* An operator has published more than the template did. */
+static bool published_by_hand(const adapter_t *a, uint32_t template_version)
+{
+	if (a->n_versions == 0)
+		return false;
+	return a->n_versions > 1 || a->versions[0] != template_version;
+}
+
 /* Deletes what the template no longer gives and nobody has published to. */
 static void drop_old_adapters(apply_t *ap, uint32_t org_id,
 			      const resolved_t *before, const resolved_t *now)
@@ -201,7 +223,8 @@
 		str_t name = before->adapters[i].name;
 		const adapter_t *a = decided_adapter(ap->d, name);
 
-		if (!a || a->org_id != org_id || a->n_versions)
+		if (!a || a->org_id != org_id ||
+		    published_by_hand(a, before->adapters[i].version))
 			continue;
 		if (!resolved_has(now, name))
 			decided_del_adapter(ap->d, a->id);
@@ -224,9 +247,7 @@
 	if (template_resolve(t, s, row->name, &now, &why))
 		return fail(ap, "", "organisation '%s': %s", name,
 			    why.p ? why.p : "");
-	packed.n = dk__org_settings__get_packed_size(s);
-	packed.n = dk__org_settings__pack(s, (uint8_t *)buf_room(&packed,
-								 packed.n));
+	pack_message(s, &packed);
 	row->settings = buf_str(&packed);
 	row->priority = now.priority;
 	row->limits = now.limits;
@@ -269,8 +290,7 @@
 
 	if (template_check(t, &why))
 		return fail(ap, "", "%s", why.p ? why.p : "");
-	spec.n = dk__template__get_packed_size(t);
-	spec.n = dk__template__pack(t, (uint8_t *)buf_room(&spec, spec.n));
+	pack_message(t, &spec);
 	row.name = name;
 	row.spec = buf_str(&spec);
 	decided_put_template(ap->d, &row);
@@ -946,14 +966,12 @@
 {
 	Dk__Change body = DK__CHANGE__INIT;
 	AUTO_BUF buf_t packed = {0};
-	size_t n;
 
 	body.author = c->author;
 	body.ops = c->ops;
 	body.n_ops = c->n_ops;
-	n = dk__change__get_packed_size(&body);
-	dk__change__pack(&body, (uint8_t *)buf_room(&packed, n));
-	return hash_bytes(packed.p, n, 0);
+	pack_message(&body, &packed);
+	return hash_bytes(packed.p, packed.n, 0);
 }
 
 static void keep_change(decided_t *d, const Dk__Change *c, str_t packed,
