--- a/src/daemon.c
+++ b/src/daemon.c
@@ -35,7 +35,7 @@
 #include "state.h"
 #include "target.h"
 
-#define ARENAS_MAX 4 /* malloc arenas; each thread keeps some memory */
+#define ARENAS_MAX 2 /* malloc arenas; each thread keeps some memory */
 #define THREAD_STACK_BYTES (256u << 10)
 #define FRAME_MAX (8u << 20)
 #define LINK_QUEUE_MAX (16u << 20)
--- a/src/settings.h
+++ b/src/settings.h
@@ -87,7 +87,7 @@
 	  "Longest wait for a request body, and for a blocked answer")        \
 	X(limits, reader_buffer_bytes, INT, 0, 4096, 67108864, "262144",      \
 	  "Answer bytes kept for a slow reader before it is cut")             \
-	X(limits, caller_threads, INT, 0, 4, 4096, "640",                     \
+	X(limits, caller_threads, INT, 0, 4, 4096, "576",                     \
 	  "Connections of callers served at once")                            \
 	X(platform, host_list, STR, 0, 0, 512, "",                            \
 	  "URL of the platform's list of live and leaving hosts")             \
--- a/tests/scripts/lib_cluster.sh
+++ b/tests/scripts/lib_cluster.sh
@@ -82,8 +82,12 @@
 
 # The operators' client against all voters.
 op() {
-	DAMASKLUG_TOKEN=$token DAMASKLUG_SERVER=$(operators 1),$(operators 2),$(operators 3) \
-		"$O/damasklug" "$@"
+	local i servers
+	servers=$(operators 1)
+	for i in $(seq 2 "$voters"); do
+		servers=$servers,$(operators "$i")
+	done
+	DAMASKLUG_TOKEN=$token DAMASKLUG_SERVER=$servers "$O/damasklug" "$@"
 }
 ready() { curl -sf -m 2 "http://$(operators "$1")/readyz"; }
 # Number of the host that leads, from the status of any.
