--- a/dev/hostlist.c
+++ b/dev/hostlist.c
@@ -12,6 +12,8 @@
 
 #include <glib.h>
 
+#define HOSTLIST_THREADS 64
+
 static struct {
 	gint port, lag_ms;
 	gchar **names;
@@ -122,7 +124,7 @@
 	rows = g_ptr_array_new();
 	for (gchar **n = opt.names; n && *n; n++)
 		set_state(row_of(*n), "live", 0);
-	if (!http_server_start(&opt.port, 8, handle, NULL)) {
+	if (!http_server_start(&opt.port, HOSTLIST_THREADS, handle, NULL)) {
 		fprintf(stderr, "cannot listen on port %d\n", opt.port);
 		return 1;
 	}
--- a/dev/load.c
+++ b/dev/load.c
@@ -847,7 +847,7 @@
 
 static json_t *report_json(const engine_sums_t *sums)
 {
-	uint32_t answered = 0, on_time = 0;
+	uint32_t answered = 0, on_time = 0, completions = 0;
 	double seconds = (double)(dev_now_us() - started_us) / USEC_PER_SEC;
 	json_t *doc;
 
@@ -856,6 +856,7 @@
 
 		answered += j->answered;
 		on_time += j->on_time;
+		completions += j->answered && j->kind == JOB_COMPLETION;
 	}
 	doc = json_pack("{s:s,s:i,s:i,s:i,s:i,s:f,s:f}", "deployment",
 			deploy.name ? deploy.name : "", "seed", opt.seed,
@@ -863,6 +864,8 @@
 			"on_time_count", (int)on_time, "on_time",
 			jobs->len ? (double)on_time / jobs->len : 0,
 			"requests_per_s", answered / seconds);
+	json_object_set_new(doc, "completions_answered",
+			    json_integer(completions));
 	json_object_set_new(doc, "first_token_ms", stats_json(&first_token_ms));
 	json_object_set_new(doc, "between_tokens_ms", stats_json(&gap_ms));
 	json_object_set_new(doc, "latency_ms", stats_json(&latency_ms));
