--- a/proto/change.pb-c.c
+++ b/proto/change.pb-c.c
@@ -1052,7 +1052,7 @@
   (ProtobufCMessageInit) dk__param__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dk__template_adapter__field_descriptors[4] =
+static const ProtobufCFieldDescriptor dk__template_adapter__field_descriptors[5] =
 {
   {
     "name",
@@ -1102,17 +1102,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "version",
+    5,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Dk__TemplateAdapter, has_version),
+    offsetof(Dk__TemplateAdapter, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dk__template_adapter__field_indices_by_name[] = {
   1,   /* field[1] = base_model */
   2,   /* field[2] = count */
   3,   /* field[3] = load_ms */
   0,   /* field[0] = name */
+  4,   /* field[4] = version */
 };
 static const ProtobufCIntRange dk__template_adapter__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor dk__template_adapter__descriptor =
 {
@@ -1122,7 +1135,7 @@
   "Dk__TemplateAdapter",
   "dk",
   sizeof(Dk__TemplateAdapter),
-  4,
+  5,
   dk__template_adapter__field_descriptors,
   dk__template_adapter__field_indices_by_name,
   1,  dk__template_adapter__number_ranges,
@@ -2430,7 +2443,7 @@
   (ProtobufCMessageInit) dk__claims__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dk__assign__field_descriptors[1] =
+static const ProtobufCFieldDescriptor dk__assign__field_descriptors[2] =
 {
   {
     "pairs",
@@ -2444,14 +2457,27 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "released",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Dk__Assign, n_released),
+    offsetof(Dk__Assign, released),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dk__assign__field_indices_by_name[] = {
   0,   /* field[0] = pairs */
+  1,   /* field[1] = released */
 };
 static const ProtobufCIntRange dk__assign__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor dk__assign__descriptor =
 {
@@ -2461,7 +2487,7 @@
   "Dk__Assign",
   "dk",
   sizeof(Dk__Assign),
-  1,
+  2,
   dk__assign__field_descriptors,
   dk__assign__field_indices_by_name,
   1,  dk__assign__number_ranges,
