--- a/build-address-undefined/src/log.c.d
+++ /dev/null
@@ -1,3 +0,0 @@
-build-address-undefined/src/log.c.o: src/log.c src/log.h src/util.h
-src/log.h:
-src/util.h:
--- a/build-address-undefined/src/main.c.d
+++ /dev/null
@@ -1,1 +0,0 @@
-build-address-undefined/src/main.c.o: src/main.c
--- a/build-address-undefined/src/reason.c.d
+++ /dev/null
@@ -1,4 +0,0 @@
-build-address-undefined/src/reason.c.o: src/reason.c src/reason.h \
- src/util.h
-src/reason.h:
-src/util.h:
--- a/build-address-undefined/src/timer.c.d
+++ /dev/null
@@ -1,3 +0,0 @@
-build-address-undefined/src/timer.c.o: src/timer.c src/timer.h src/util.h
-src/timer.h:
-src/util.h:
--- a/build-address-undefined/src/util.c.d
+++ /dev/null
@@ -1,2 +0,0 @@
-build-address-undefined/src/util.c.o: src/util.c src/util.h
-src/util.h:
--- a/build-thread/src/main.c.d
+++ /dev/null
@@ -1,1 +0,0 @@
-build-thread/src/main.c.o: src/main.c
--- a/build-thread/src/reason.c.d
+++ /dev/null
@@ -1,3 +0,0 @@
-build-thread/src/reason.c.o: src/reason.c src/reason.h src/util.h
-src/reason.h:
-src/util.h:
--- a/build-thread/src/timer.c.d
+++ /dev/null
@@ -1,3 +0,0 @@
-build-thread/src/timer.c.o: src/timer.c src/timer.h src/util.h
-src/timer.h:
-src/util.h:
