Serving: tell a new leader of permits until it must have heard

Cause: each daemon told its permits once, when it learnt of a new leader. A telling that came before the leader knew of its office or of the daemon was lost, and the leader then granted no load for a whole permit lease (10 s). Change: a daemon tells again every 200 ms for one permit lease.

--- a/src/core.h
+++ b/src/core.h
@@ -64,6 +64,8 @@
 	int64_t next_demand_us;
 	int64_t asked_us; /* when the last demand was sent */
 	GHashTable *told; /* hosts that told their permits this term */
+	/* This daemon's telling of the present leader; standing's thread. */
+	int64_t tell_until_us, tell_next_us;
 };
 
 static inline int64_t core_now(const serve_t *s)
--- a/src/serve.c
+++ b/src/serve.c
@@ -12,6 +12,7 @@
 
 #define HOSTS_MAX 4096u
 #define EXPLAIN_MAX 16u
+#define TELL_INTERVAL_US (200 * USEC_PER_MSEC)
 
 /* One message for a shard of this daemon. */
 typedef struct mail {
@@ -576,6 +577,18 @@
 	core_send(s, st->leader, &msg);
 }
 
+/*
+ * Tells a new leader again and again while it may still wait: it may have
+ * learnt of its office, or of this daemon, later than this daemon did.
+ */
+static void tell_again(serve_t *s, const standing_t *st, int64_t now)
+{
+	if (!st->leader || now >= s->tell_until_us || now < s->tell_next_us)
+		return;
+	s->tell_next_us = now + TELL_INTERVAL_US;
+	tell_permits(s, st);
+}
+
 void serve_standing(serve_t *s, const standing_t *st)
 {
 	standing_t old = s->shards[LEAD_SHARD].standing;
@@ -594,8 +607,11 @@
 		core_due(sh, st->lease_until_us);
 		pthread_mutex_unlock(&sh->lock);
 	}
-	if (st->leader && (st->leader != old.leader || st->term != old.term))
-		tell_permits(s, st);
+	if (st->leader != old.leader || st->term != old.term) {
+		s->tell_until_us = now + PERMIT_LEASE_US;
+		s->tell_next_us = 0;
+	}
+	tell_again(s, st, now);
 	serve_pump(s);
 }
 
