--- a/tests/decided_test.cc
+++ b/tests/decided_test.cc
@@ -71,7 +71,8 @@
 	const adapter_t *row = decided_adapter(old, str_c("a42"));
 	d = decided_edit(d);
 	ASSERT_NE(old, d);
-	adapter_t a = adapter("a42");
+	std::string name = "a42";
+	adapter_t a = adapter(name);
 	a.current_version = 7;
 	decided_put_adapter(d, &a);
 	decided_del_adapter(d, decided_adapter(d, str_c("a7"))->id);
--- /dev/null
+++ b/tests/machine_fuzz.cc
@@ -0,0 +1,440 @@
+// The state machine against plain maps: random changes, resends, races,
+// claims and snapshots; then bytes that nobody should have sent.
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "change_util.h"
+
+namespace
+{
+
+struct Adapter {
+	std::set<uint32_t> versions;
+	uint32_t current = 0;
+	bool operator==(const Adapter &o) const
+	{
+		return versions == o.versions && current == o.current;
+	}
+};
+
+// What operators decided, in plain maps.
+struct Oracle {
+	uint64_t revision = 0;
+	std::map<std::string, std::pair<std::string, uint64_t>> decided;
+	std::map<std::string, Adapter> adapters;
+
+	// One operation; false where it is to be refused.
+	bool apply(int kind, const std::string &name, uint32_t version)
+	{
+		auto it = adapters.find(name);
+		bool known = it != adapters.end();
+		bool has = known && it->second.versions.count(version);
+
+		switch (kind) {
+		case 0: // publish; version 0 is the next one
+			if (has)
+				return false;
+			if (!version) {
+				auto &v = adapters[name].versions;
+				version = v.empty() ? 1 : *v.rbegin() + 1;
+			}
+			adapters[name].versions.insert(version);
+			adapters[name].current = version;
+			return true;
+		case 1: // retire
+			if (!has || it->second.current == version)
+				return false;
+			it->second.versions.erase(version);
+			return true;
+		case 2: // pin
+			if (has)
+				it->second.current = version;
+			return has;
+		default: // delete
+			return adapters.erase(name) == 1;
+		}
+	}
+};
+
+struct OpSpec {
+	int kind;
+	int name;
+	uint32_t version;
+};
+
+struct ChangeSpec {
+	int id;
+	int base_back; // 0: the current revision
+	std::vector<OpSpec> ops;
+};
+
+rc::Gen<ChangeSpec> genChange()
+{
+	auto op = rc::gen::construct<OpSpec>(rc::gen::inRange(0, 4),
+					     rc::gen::inRange(0, 6),
+					     rc::gen::inRange<uint32_t>(0, 4));
+	auto ops = rc::gen::resize(
+		3,
+		rc::gen::nonEmpty(rc::gen::container<std::vector<OpSpec>>(op)));
+	return rc::gen::construct<ChangeSpec>(
+		rc::gen::inRange(0, 30),
+		rc::gen::weightedElement<int>({{6, 0}, {1, 1}, {1, 2}}), ops);
+}
+
+std::string pack(const ChangeSpec &c, uint64_t base)
+{
+	static const Dk__Op__OpCase kinds[] = {DK__OP__OP_ADAPTER_PUBLISH,
+					       DK__OP__OP_ADAPTER_RETIRE,
+					       DK__OP__OP_ADAPTER_PIN,
+					       DK__OP__OP_ADAPTER_DEL};
+	ChangeBuilder b("id" + std::to_string(c.id), base);
+
+	for (auto &op : c.ops) {
+		std::string name = "a" + std::to_string(op.name);
+		if (op.kind == 0)
+			b.publish(name, op.version);
+		else if (op.kind == 3)
+			b.named(DK__OP__OP_ADAPTER_DEL, name);
+		else
+			b.version(kinds[op.kind], name, op.version);
+	}
+	return b.pack();
+}
+
+Outcome expect(Oracle &o, const ChangeSpec &c, uint64_t base,
+	       const std::string &body)
+{
+	auto it = o.decided.find("id" + std::to_string(c.id));
+
+	if (it != o.decided.end() && it->second.first == body)
+		return {CHANGE_DECIDED, it->second.second, true, ""};
+	if (it != o.decided.end())
+		return {CHANGE_INVALID, o.revision, false, ""};
+	if (base != o.revision)
+		return {CHANGE_CONFLICT, o.revision, false, ""};
+	Oracle next = o;
+	for (auto &op : c.ops)
+		if (!next.apply(op.kind, "a" + std::to_string(op.name),
+				op.version))
+			return {CHANGE_INVALID, o.revision, false, ""};
+	next.revision++;
+	next.decided["id" + std::to_string(c.id)] = {body, next.revision};
+	o = next;
+	return {CHANGE_DECIDED, o.revision, false, ""};
+}
+
+std::map<std::string, Adapter> adapters_of(const decided_t *d)
+{
+	std::map<std::string, Adapter> all;
+
+	for (size_t i = 0; i < decided_adapter_count(d); i++) {
+		const adapter_t *a = decided_adapter_at(d, i);
+		Adapter &x = all[text(a->name)];
+		x.versions.insert(a->versions, a->versions + a->n_versions);
+		x.current = a->current_version;
+		RC_ASSERT(decided_adapter(d, a->name) == a);
+		RC_ASSERT(decided_adapter_by_id(d, a->id) == a);
+	}
+	return all;
+}
+
+struct Machine {
+	machine_t *m = machine_new();
+	~Machine()
+	{
+		machine_free(m);
+	}
+};
+
+} // namespace
+
+RC_GTEST_PROP(Machine, ChangesMatchAPlainListOfDecisions, ())
+{
+	Machine voter, learner, restored;
+	Oracle oracle;
+	auto changes =
+		*rc::gen::container<std::vector<ChangeSpec>>(60, genChange());
+	auto snap_at = *rc::gen::inRange<size_t>(0, 60);
+	Tables first(voter.m);
+
+	for (size_t i = 0; i < changes.size(); i++) {
+		const ChangeSpec &c = changes[i];
+		uint64_t base =
+			oracle.revision -
+			std::min<uint64_t>(c.base_back, oracle.revision);
+		std::string packed = pack(c, base);
+		Outcome want = expect(oracle, c, base, pack(c, 0));
+		Outcome got = apply_change(voter.m, packed);
+
+		RC_ASSERT(got == want);
+		RC_ASSERT((got.status != CHANGE_DECIDED) == !got.error.empty());
+		apply_change(learner.m, packed);
+		if (i == snap_at) {
+			// A learner that starts from tables alone.
+			std::string bytes = save(voter.m, MACHINE_TABLES);
+			RC_ASSERT(machine_load(restored.m, view(bytes)) == 0);
+		} else if (i > snap_at) {
+			RC_ASSERT(apply_change(restored.m, packed) == want);
+		}
+		RC_ASSERT(adapters_of(Tables(voter.m)) == oracle.adapters);
+	}
+	RC_ASSERT(save(voter.m) == save(learner.m));
+	RC_ASSERT(save(voter.m) == save(restored.m));
+	for (auto &kv : oracle.decided) {
+		change_outcome_t out;
+		RC_ASSERT(machine_outcome(voter.m, view(kv.first), &out));
+		RC_ASSERT(out.revision == kv.second.second);
+	}
+	RC_ASSERT(decided_adapter_count(first) == 0u);
+}
+
+namespace
+{
+
+// The history of one key: who may have run it, and what is known.
+struct KeyOracle {
+	int runs = 0; // grants whose holder may have sent the call
+	std::string holder;
+	std::string answer;
+	uint64_t until = 0;
+	enum {
+		FREE,
+		TAKEN,
+		ANSWERED,
+		UNKNOWN
+	} state = FREE;
+	std::set<std::string> released;
+};
+
+struct ClaimSpec {
+	int op;
+	int key;
+	int holder;
+	int body;
+	int wait_ms;
+};
+
+claim_outcome_t expect(KeyOracle &k, const ClaimSpec &s, uint64_t now)
+{
+	std::string holder = "h" + std::to_string(s.holder);
+
+	if (s.op == CLAIM_TAKE && k.state == KeyOracle::FREE) {
+		if (holder == k.holder)
+			return CLAIM_NOT_TAKEN; // released by itself
+		k.holder = holder;
+		k.state = KeyOracle::TAKEN;
+		k.until = now + 50;
+		return CLAIM_GRANTED;
+	}
+	if (s.op == CLAIM_TAKE) {
+		if (k.state == KeyOracle::ANSWERED)
+			return CLAIM_ANSWERED;
+		if (k.state == KeyOracle::UNKNOWN || now > k.until)
+			return CLAIM_IS_UNKNOWN;
+		return holder == k.holder ? CLAIM_GRANTED : CLAIM_IN_PROGRESS;
+	}
+	if (holder != k.holder)
+		return CLAIM_NOT_TAKEN;
+	if (s.op == CLAIM_RELEASE) {
+		if (k.state != KeyOracle::TAKEN && k.state != KeyOracle::FREE)
+			return CLAIM_NOT_TAKEN;
+		k.state = KeyOracle::FREE;
+		return CLAIM_RECORDED;
+	}
+	if (k.state == KeyOracle::FREE)
+		return CLAIM_NOT_TAKEN;
+	if (s.op == CLAIM_ANSWER && k.state != KeyOracle::ANSWERED) {
+		k.state = KeyOracle::ANSWERED;
+		k.answer = "body" + std::to_string(s.body);
+	}
+	if (s.op == CLAIM_UNKNOWN && k.state == KeyOracle::TAKEN)
+		k.state = KeyOracle::UNKNOWN;
+	return CLAIM_RECORDED;
+}
+
+struct Claimed {
+	claim_outcome_t outcome;
+	std::string body;
+};
+
+Claimed apply_claim(machine_t *m, const ClaimSpec &s, uint64_t now)
+{
+	std::string key = "k" + std::to_string(s.key);
+	std::string holder = "h" + std::to_string(s.holder);
+	std::string body = "body" + std::to_string(s.body);
+	Claimed got = {CLAIM_UNDECIDED, ""};
+	machine_sink_t sink = {};
+	claim_req_t req = {};
+	buf_t entry = {};
+
+	req.op = (claim_op_t)s.op;
+	req.org_id = 1;
+	req.key = view(key);
+	req.holder = view(holder);
+	req.body_hash = 7;
+	req.ttl_ms = 50;
+	if (s.op == CLAIM_ANSWER) {
+		req.http_status = 200;
+		req.body = view(body);
+	}
+	machine_pack_claims(&entry, &req, 1, now);
+	sink.ctx = &got;
+	sink.claimed = [](void *ctx, size_t, const claim_result_t *r) {
+		*(Claimed *)ctx = {r->outcome, text(r->body)};
+	};
+	RC_ASSERT(machine_apply(m, machine_index(m) + 1, ENTRY_CLAIM,
+				buf_str(&entry), &sink) == 0);
+	buf_free(&entry);
+	return got;
+}
+
+} // namespace
+
+RC_GTEST_PROP(Machine, ClaimsNeverRunTwice, ())
+{
+	auto steps = *rc::gen::container<std::vector<ClaimSpec>>(
+		80, rc::gen::construct<ClaimSpec>(
+			    rc::gen::inRange(0, 4), rc::gen::inRange(0, 3),
+			    rc::gen::inRange(0, 4), rc::gen::inRange(0, 3),
+			    rc::gen::weightedElement<int>(
+				    {{6, 0}, {2, 7}, {1, 60}})));
+	auto snap_at = *rc::gen::inRange<size_t>(0, 80);
+	Machine m, copy;
+	std::map<int, KeyOracle> keys;
+	std::map<int, std::set<int>> ran; // holders that may have sent it
+	uint64_t now = 1000;
+
+	for (size_t i = 0; i < steps.size(); i++) {
+		const ClaimSpec &s = steps[i];
+		now += (uint64_t)s.wait_ms;
+		claim_outcome_t want = expect(keys[s.key], s, now);
+		Claimed got = apply_claim(m.m, s, now);
+
+		RC_ASSERT(got.outcome == want);
+		if (want == CLAIM_ANSWERED)
+			RC_ASSERT(got.body == keys[s.key].answer);
+		if (want == CLAIM_GRANTED)
+			ran[s.key].insert(s.holder);
+		if (s.op == CLAIM_RELEASE && want == CLAIM_RECORDED)
+			ran[s.key].erase(s.holder);
+		RC_ASSERT(ran[s.key].size() <= 1u);
+		if (i == snap_at) {
+			std::string bytes = save(m.m);
+			RC_ASSERT(machine_load(copy.m, view(bytes)) == 0);
+		} else if (i > snap_at) {
+			RC_ASSERT(apply_claim(copy.m, s, now).outcome == want);
+		}
+	}
+	RC_ASSERT(save(m.m) == save(copy.m));
+}
+
+namespace
+{
+
+// A machine with a row in each table.
+std::string rich_change()
+{
+	return ChangeBuilder("rich", 0)
+		.district_template("d", "{weight}", 2)
+		.org(true, "o", "d", {{"district", "north"}})
+		.publish("a", 3)
+		.target("t", 9100)
+		.host("h", 9000)
+		.pack();
+}
+
+std::string mutate(std::string s)
+{
+	int n = *rc::gen::inRange(1, 6);
+
+	for (int i = 0; i < n && !s.empty(); i++) {
+		size_t at = *rc::gen::inRange<size_t>(0, s.size());
+		switch (*rc::gen::inRange(0, 4)) {
+		case 0:
+			s[at] = (char)*rc::gen::arbitrary<uint8_t>();
+			break;
+		case 1:
+			s.resize(at);
+			break;
+		case 2:
+			s.insert(at, s.substr(at / 2, 8));
+			break;
+		default:
+			s[at] = (char)(s[at] ^ (1 << *rc::gen::inRange(0, 8)));
+		}
+	}
+	return s;
+}
+
+} // namespace
+
+RC_GTEST_PROP(Machine, SurvivesDamagedSnapshots, ())
+{
+	Machine m, loaded;
+
+	apply_change(m.m, rich_change());
+	apply_claim(m.m, {CLAIM_TAKE, 1, 1, 1, 0}, 1000);
+	std::string good = save(m.m);
+	std::string bad = mutate(good);
+	if (machine_load(loaded.m, view(bad)) == 0)
+		RC_ASSERT(bad == good);
+	else
+		RC_ASSERT(machine_index(loaded.m) == 0u);
+
+	// Damage that the checksum does not show.
+	std::string body = mutate(good.substr(0, good.size() - 8));
+	uint64_t sum = hash_bytes(body.data(), body.size(), 0);
+	body.append((char *)&sum, sizeof(sum));
+	if (machine_load(loaded.m, view(body)))
+		return;
+	std::string again = save(loaded.m);
+	Machine twice;
+	RC_ASSERT(machine_load(twice.m, view(again)) == 0);
+	RC_ASSERT(save(twice.m) == again);
+	Tables d(loaded.m);
+	apply_change(loaded.m, ChangeBuilder("next", decided_revision(d))
+				       .district_template("d", "4", 1)
+				       .pack());
+}
+
+RC_GTEST_PROP(Machine, SurvivesDamagedEntries, ())
+{
+	Machine m;
+	buf_t entry = {};
+	assignment_t a = {1, 1};
+	claim_req_t req = {};
+
+	apply_change(m.m, rich_change());
+	std::string before = save(m.m, MACHINE_TABLES);
+	apply_change(m.m,
+		     mutate(ChangeBuilder("next", 1)
+				    .org(false, "o", "", {{"weight", "3"}})
+				    .version(DK__OP__OP_ADAPTER_PIN, "a", 3)
+				    .publish("b")
+				    .district_template("d", "9", 3)
+				    .pack()));
+	machine_pack_assign(&entry, &a, 1);
+	std::string assign = mutate(text(buf_str(&entry)));
+	machine_apply(m.m, machine_index(m.m) + 1, ENTRY_ASSIGN, view(assign),
+		      nullptr);
+	buf_reset(&entry);
+	req.org_id = 1;
+	req.key = str_c("k");
+	req.holder = str_c("h");
+	machine_pack_claims(&entry, &req, 1, 5);
+	std::string claims = mutate(text(buf_str(&entry)));
+	machine_apply(m.m, machine_index(m.m) + 1, ENTRY_CLAIM, view(claims),
+		      nullptr);
+	buf_free(&entry);
+	// Whatever was applied can be saved, loaded and read.
+	Machine copy;
+	std::string bytes = save(m.m);
+	RC_ASSERT(machine_load(copy.m, view(bytes)) == 0);
+	RC_ASSERT(save(copy.m) == bytes);
+	adapters_of(Tables(copy.m));
+}
