--- a/src/entry.c
+++ b/src/entry.c
@@ -383,6 +383,7 @@
 		return;
 	}
 	e->again_us = now + HOLD_POLL_US;
+	core_due(sh, e->again_us);
 }
 
 static void entry_place(shard_t *sh, entry_t *e)
--- a/src/run.c
+++ b/src/run.c
@@ -137,6 +137,7 @@
 	r->phase = RUN_STARTED;
 	eo.kind = r->resume ? ORDER_RESUME : ORDER_RUN;
 	eo.adapter = r->adapter;
+	eo.base = o->row ? o->row->base : str_n(NULL, 0);
 	eo.run_id = r->run_id;
 	eo.path = r->path;
 	eo.body = r->body;
--- a/src/settings.h
+++ b/src/settings.h
@@ -49,6 +49,8 @@
 	X(timing, drift_ppm, INT, 0, 0, 100000, "1000",                       \
 	  "Bound of clock drift between two hosts, parts per million")        \
 	X(timing, fanout, INT, 0, 1, 64, "4", "Children of one feed relay")   \
+	X(timing, drain_max_ms, INT, 0, 0, 86400000, "120000",                \
+	  "Longest graceful shutdown; what runs then is cut")                 \
 	X(timing, snapshot_entries, INT, 0, 16, 10000000, "4096",             \
 	  "Log entries between two snapshots")                                \
 	X(serving, stall_weight, NUM, 0, 0, 1000, "1",                        \
@@ -85,7 +87,7 @@
 	  "Longest wait for a request body, and for a blocked answer")        \
 	X(limits, reader_buffer_bytes, INT, 0, 4096, 67108864, "262144",      \
 	  "Answer bytes kept for a slow reader before it is cut")             \
-	X(limits, caller_threads, INT, 0, 4, 4096, "640",                     \
+	X(limits, caller_threads, INT, 0, 4, 4096, "576",                     \
 	  "Connections of callers served at once")                            \
 	X(platform, host_list, STR, 0, 0, 512, "",                            \
 	  "URL of the platform's list of live and leaving hosts")             \
