--- a/src/load.c
+++ b/src/load.c
@@ -48,7 +48,7 @@
 	return l;
 }
 
-void load_free(load_t *l)
+void load_discard(load_t *l)
 {
 	cds_list_del(&l->node);
 	str_free(&l->adapter);
@@ -80,7 +80,7 @@
 {
 	if (l->phase != LOAD_WANTED)
 		load_send_ask(o, l, true, false);
-	load_free(l);
+	load_discard(l);
 }
 
 static void load_start(owner_t *o, load_t *l, slot_t *slot)
--- a/src/owner.c
+++ b/src/owner.c
@@ -455,7 +455,7 @@
 	load_t *l, *tmp;
 
 	cds_list_for_each_entry_safe (l, tmp, &o->loads, node)
-		load_free(l);
+		load_discard(l);
 	cds_list_del(&o->node);
 	slots_free(&o->slots);
 	queue_free(&o->queue);
--- a/src/owner.h
+++ b/src/owner.h
@@ -173,7 +173,7 @@
  * ascending; returns how many, at most one for each slot.
  */
 size_t owner_evict_costs(owner_t *o, uint64_t *costs, int64_t now);
-void load_free(load_t *l);
+void load_discard(load_t *l);
 /* Drops a load; its permit, or its ask, goes back to the leader. */
 void load_end(owner_t *o, load_t *l);
 void owner_work_loads(owner_t *o, int64_t now);
