Serving: streams go on with the target's next owner; announced versions

A run that breaks off while its owner is losing the target is handed back to its entry, which resumes it at its offset through the next owner. A new attempt that resumes a stream no longer cancels the run it goes on with. Two requests with one request id no longer end each other's runs at an engine. Popularity is kept by adapter name, so that a new version inherits it; the current version of a resident adapter is loaded ahead with spare permits. replicas_max is kept to.

--- a/src/limit.c
+++ b/src/limit.c
@@ -186,13 +186,15 @@
 	return ok;
 }
 
-share_t *limits_demand(limits_t *l, const decided_t *d, int64_t now, size_t *n)
+share_t *limits_demand(limits_t *l, const decided_t *d, int64_t now, size_t *n,
+		       uint64_t *confirmed)
 {
 	size_t count = decided_org_count(d);
 	share_t *v = xcalloc(count + 1, sizeof(*v));
 
 	*n = 0;
 	pthread_mutex_lock(&l->lock);
+	*confirmed = l->seq;
 	for (size_t i = 0; i < count; i++) {
 		const org_t *org = decided_org_at(d, i);
 		use_t *u =
--- a/src/limit.h
+++ b/src/limit.h
@@ -63,9 +63,11 @@
 
 /*
  * Demand to tell the leader, ascending by organisation; NULL and 0 where
- * nothing is limited. The caller frees it.
+ * nothing is limited. The caller frees it. *confirmed is the newest grant that
+ * is in force here.
  */
-share_t *limits_demand(limits_t *l, const decided_t *d, int64_t now, size_t *n);
+share_t *limits_demand(limits_t *l, const decided_t *d, int64_t now, size_t *n,
+		       uint64_t *confirmed);
 /* Shares granted for a demand that was sent at asked_us. */
 void limits_granted(limits_t *l, const share_t *v, size_t n, uint64_t term,
 		    uint64_t seq, int64_t asked_us);
--- a/src/load.c
+++ b/src/load.c
@@ -11,6 +11,8 @@
 #include "counter.h"
 #include "log.h"
 
+/* What the eviction of an old version costs, against the current one. */
+#define OLD_VERSION_SHARE 0.2
 /* Backoff of failed loads of one adapter on one target. */
 #define LOAD_BACKOFF_US USEC_PER_SEC
 #define LOAD_BACKOFF_MAX_US (60 * USEC_PER_SEC)
@@ -25,6 +27,11 @@
 	return name;
 }
 
+uint32_t adapter_name_hash(str_t adapter)
+{
+	return slot_hash(adapter_name(adapter));
+}
+
 static load_t *load_find(owner_t *o, str_t adapter)
 {
 	load_t *l;
@@ -35,13 +42,13 @@
 	return NULL;
 }
 
-static load_t *load_new(owner_t *o, const run_t *r, int64_t now)
+static load_t *load_new(owner_t *o, str_t adapter, int64_t load_us, int64_t now)
 {
 	load_t *l = xcalloc(1, sizeof(*l));
 
-	l->adapter = str_copy(r->adapter);
-	l->hash = r->hash;
-	l->load_us = r->load_us;
+	l->adapter = str_copy(adapter);
+	l->hash = slot_hash(adapter);
+	l->load_us = load_us;
 	l->since_us = now;
 	cds_list_add_tail(&l->node, &o->loads);
 	o->urgent = true;
@@ -68,6 +75,7 @@
 	m.waiting = l->waiting;
 	m.slack_us = l->due_us - core_now(sh->s);
 	m.cancel = cancel;
+	m.prefetch = l->prefetch && !l->waiting;
 	m.held = held;
 	l->told_waiting = l->waiting;
 	msg.body_case = SERVE__SERVE_MSG__BODY_PERMIT_ASK;
@@ -133,6 +141,47 @@
 	return left;
 }
 
+/* The decided version of the adapter is another one. */
+static bool slot_is_old(const owner_t *o, const slot_t *slot)
+{
+	const adapter_t *a;
+	uint32_t version;
+	str_t name;
+
+	if (model_parse(slot->adapter, &name, &version))
+		return false;
+	a = decided_adapter(o->sh->tables, name);
+	return !a || a->current_version != version;
+}
+
+void owner_prefetch(owner_t *o, int64_t now)
+{
+	const serve_cfg_t *cfg = &o->sh->s->cfg;
+	const adapter_t *a;
+	load_t *l;
+
+	if (!cfg->policy.prefetch || o->leaving)
+		return;
+	for (uint32_t i = 0; i < o->slots.n; i++) {
+		const slot_t *slot = &o->slots.v[i];
+		AUTO_BUF buf_t next = {0};
+
+		if (slot->state != SLOT_RESIDENT || !slot_is_old(o, slot))
+			continue;
+		a = decided_adapter(o->sh->tables, adapter_name(slot->adapter));
+		if (!a || !a->current_version)
+			continue;
+		buf_printf(&next, "%.*s@%u", STR_ARG(a->name),
+			   a->current_version);
+		if (slots_find(&o->slots, buf_str(&next)) ||
+		    load_find(o, buf_str(&next)))
+			continue;
+		l = load_new(o, buf_str(&next), slot->load_us, now);
+		l->prefetch = true;
+		l->due_us = INT64_MAX / 2;
+	}
+}
+
 void owner_price_slots(owner_t *o, int64_t now)
 {
 	for (uint32_t i = 0; i < o->slots.n; i++) {
@@ -282,7 +331,7 @@
 		if (!l && slot)
 			continue;
 		if (!l)
-			l = load_new(o, r, now);
+			l = load_new(o, r->adapter, r->load_us, now);
 		l->waiting++;
 		if (it->deadline_us < l->due_us)
 			l->due_us = it->deadline_us;
@@ -296,7 +345,7 @@
 
 	owner_count_waiting(o, now);
 	cds_list_for_each_entry_safe (l, tmp, &o->loads, node)
-		if (!l->waiting && l->phase <= LOAD_ASKED)
+		if (!l->waiting && !l->prefetch && l->phase <= LOAD_ASKED)
 			load_end(o, l);
 	room = owner_room(o);
 	cds_list_for_each_entry_safe (l, tmp, &o->loads, node) {
--- a/src/owner.c
+++ b/src/owner.c
@@ -536,6 +536,7 @@
 static void owner_lose(owner_t *o)
 {
 	load_t *l, *tmp;
+	run_t *r, *rtmp;
 
 	if (o->state == OWN_NOT)
 		return;
@@ -544,6 +545,9 @@
 	cds_list_for_each_entry_safe (l, tmp, &o->loads, node)
 		if (l->phase <= LOAD_ASKED)
 			load_end(o, l);
+	cds_list_for_each_entry_safe (r, rtmp, &o->started, node)
+		if (r->phase == RUN_BROKEN)
+			run_hand_over(r);
 	log_event(LOG_NOTICE, "target_given_up", kv_u("target", o->id),
 		  kv_u("fence", o->fence));
 }
@@ -555,6 +559,7 @@
 	if (row->fence != o->fence || o->state == OWN_NOT)
 		owner_take_over(o, now);
 	slots_resize(&o->slots, row->slots);
+	owner_prefetch(o, now);
 	owner_set_leaving(o, owner_is_leaving(o));
 }
 
--- a/src/owner.h
+++ b/src/owner.h
@@ -77,6 +77,7 @@
 	str_t adapter; /* owned */
 	uint32_t hash;
 	load_phase_t phase;
+	bool prefetch; /* of an announced version; nobody waits yet */
 	uint32_t waiting;
 	uint32_t told_waiting; /* in the newest ask */
 	int64_t due_us;	       /* deadline of the most urgent waiting request */
@@ -148,6 +149,11 @@
 /* Ends an attempt without a whole answer, tells the entry, and frees r. */
 void run_refuse(run_t *r, reason_t reason, run_state_t run, int retry,
 		uint32_t retry_ms);
+/*
+ * Ends an attempt here whose stream may be resumed through the target's next
+ * owner, and frees r.
+ */
+void run_hand_over(run_t *r);
 /* Most requests that run at once. */
 uint32_t owner_batch(const owner_t *o);
 /* Expected service time of a request in the batch that is likely. */
@@ -174,8 +180,12 @@
  */
 size_t owner_evict_costs(owner_t *o, uint64_t *costs, int64_t now);
 void load_discard(load_t *l);
+/* Hash of the name in "name@version": versions share their popularity. */
+uint32_t adapter_name_hash(str_t adapter);
 /* Drops a load; its permit, or its ask, goes back to the leader. */
 void load_end(owner_t *o, load_t *l);
+/* Wants the current versions of adapters resident in older ones. */
+void owner_prefetch(owner_t *o, int64_t now);
 void owner_work_loads(owner_t *o, int64_t now);
 bool load_backed_off(owner_t *o, uint32_t hash, int64_t now);
 void owner_load_event(owner_t *o, order_t *ord, const engine_event_t *ev,
--- a/src/place.c
+++ b/src/place.c
@@ -404,12 +404,14 @@
 
 /* Keeps what may be chosen: where it is or comes to be resident, and homes. */
 static bool is_candidate(const place_t *p, const place_query_t *q,
-			 const place_score_t *s)
+			 const place_score_t *s, uint32_t copies)
 {
 	if (p->cfg->policy.place != PLACE_COST || q->kind == TARGET_SERVICE ||
 	    !q->adapter.n)
 		return true;
-	return s->resident || s->loading || s->rank < HOMES_MAX;
+	if (s->resident || s->loading)
+		return true;
+	return s->rank < HOMES_MAX && copies < p->cfg->replicas_max;
 }
 
 static size_t score_all(const place_t *p, const decided_t *d,
@@ -418,6 +420,7 @@
 	uint64_t key = hash_bytes(q->name.p, q->name.n, 1);
 	uint64_t draw = key;
 	size_t n = 0, kept = 0, count = decided_target_count(d);
+	uint32_t copies = 0;
 	bool fresh = false;
 
 	if (!q->name.n)
@@ -439,9 +442,11 @@
 		fill_score(p, q, &v[kept], (uint32_t)kept, draw);
 		kept++;
 	}
+	for (size_t i = 0; i < kept; i++)
+		copies += q->adapter.n && (v[i].resident || v[i].loading);
 	n = 0;
 	for (size_t i = 0; i < kept; i++)
-		if (is_candidate(p, q, &v[i]))
+		if (is_candidate(p, q, &v[i], copies))
 			v[n++] = v[i];
 	qsort(v, n, sizeof(*v), by_score);
 	return n;
@@ -539,7 +544,7 @@
 
 	c.score = rendezvous_score(c.key, target);
 	pthread_mutex_lock(&p->lock);
-	rate = rates_get(&p->rates, hash, now) / USEC_PER_SEC;
+	rate = rates_get(&p->rates, slot_hash(name), now) / USEC_PER_SEC;
 	load = (double)expected_load(p, load_us, now);
 	soon = 1 - exp(-rate * REUSE_US);
 	cost = soon * load + rate * load * load / 2;
--- a/src/run.c
+++ b/src/run.c
@@ -45,7 +45,7 @@
 
 static void send_refused(owner_t *o, host_id_t to, Serve__Ref *ref,
 			 reason_t reason, run_state_t run, int retry,
-			 uint32_t retry_ms)
+			 uint32_t retry_ms, bool resumable)
 {
 	serve_msg_t msg = SERVE__SERVE_MSG__INIT;
 	Serve__Refused m = SERVE__REFUSED__INIT;
@@ -56,6 +56,7 @@
 	m.retry = (uint32_t)(retry + 1);
 	m.retry_ms = retry_ms;
 	m.detail = core_bytes(str_c(reason_info(reason)->help));
+	m.resumable = resumable;
 	msg.body_case = SERVE__SERVE_MSG__BODY_REFUSED;
 	msg.refused = &m;
 	core_send(o->sh->s, to, &msg);
@@ -68,7 +69,18 @@
 	Serve__Ref ref = run_ref(r);
 
 	if (!r->gone)
-		send_refused(r->o, r->from, &ref, reason, run, retry, retry_ms);
+		send_refused(r->o, r->from, &ref, reason, run, retry, retry_ms,
+			     false);
+	run_free(r);
+}
+
+void run_hand_over(run_t *r)
+{
+	Serve__Ref ref = run_ref(r);
+
+	if (!r->gone)
+		send_refused(r->o, r->from, &ref, REASON_STREAM_TRUNCATED,
+			     RUN_YES, NO_RETRY, 0, true);
 	run_free(r);
 }
 
@@ -234,7 +246,8 @@
 		if (now < r->item.deadline_us || !r->repeatable)
 			continue;
 		owner_order_cancel(o, r->order);
-		run_refuse(r, REASON_DEADLINE_EXCEEDED, RUN_YES, NO_RETRY, 0);
+		run_refuse(r, REASON_DEADLINE_EXCEEDED,
+			   r->head ? RUN_YES : RUN_UNKNOWN, NO_RETRY, 0);
 	}
 }
 
@@ -245,7 +258,47 @@
 {
 	owner_t fake = {.sh = sh};
 
-	send_refused(&fake, from, m->ref, reason, RUN_NO, retry, retry_ms);
+	send_refused(&fake, from, m->ref, reason, RUN_NO, retry, retry_ms,
+		     m->resume && retry == RETRY_OWNER_MOVED);
+}
+
+/*
+ * An earlier attempt of the same request, here, is ended without a word. Its
+ * run goes on at the engine where the new attempt resumes it.
+ */
+static void owner_drop_older(owner_t *o, host_id_t from, const Serve__Submit *m)
+{
+	run_t *r, *tmp;
+	order_t *ord;
+
+	cds_list_for_each_entry_safe (r, tmp, &o->started, node) {
+		if (r->from != from || r->epoch != m->ref->epoch ||
+		    r->handle != m->ref->handle)
+			continue;
+		ord = g_hash_table_lookup(o->sh->orders, &r->order);
+		if (m->resume && ord)
+			ord->run = NULL;
+		else
+			owner_order_cancel(o, r->order);
+		run_free(r);
+	}
+}
+
+/* A run id that no other run here has, as an engine ends the older of two. */
+static str_t owner_run_id(owner_t *o, const Serve__Submit *m)
+{
+	str_t id = core_str(m->run_id);
+	AUTO_BUF buf_t other = {0};
+	const run_t *r;
+	bool taken = false;
+
+	cds_list_for_each_entry (r, &o->started, node)
+		taken = taken || str_eq(r->run_id, id);
+	if (!taken || m->resume)
+		return str_copy(id);
+	buf_printf(&other, "%.*s.%llx", STR_ARG(id),
+		   (unsigned long long)atomic_load(&o->sh->s->next_order));
+	return str_copy(buf_str(&other));
 }
 
 static run_t *run_new(owner_t *o, host_id_t from, const Serve__Submit *m,
@@ -260,7 +313,7 @@
 	r->handle = m->ref->handle;
 	r->attempt = m->ref->attempt;
 	r->adapter = str_copy(core_str(m->adapter));
-	r->run_id = str_copy(core_str(m->run_id));
+	r->run_id = owner_run_id(o, m);
 	r->path = str_copy(core_str(m->path));
 	r->body = str_copy(core_str(m->body));
 	r->key = str_copy(core_str(m->key));
@@ -280,20 +333,6 @@
 	return r;
 }
 
-/* An earlier attempt of the same request, here, is ended without a word. */
-static void owner_drop_older(owner_t *o, host_id_t from, const Serve__Ref *ref)
-{
-	run_t *r, *tmp;
-
-	cds_list_for_each_entry_safe (r, tmp, &o->started, node) {
-		if (r->from != from || r->epoch != ref->epoch ||
-		    r->handle != ref->handle)
-			continue;
-		owner_order_cancel(o, r->order);
-		run_free(r);
-	}
-}
-
 /* When a request that is refused as late could be on time, in ms. */
 static uint32_t owner_retry_ms(int64_t late_us)
 {
@@ -327,7 +366,7 @@
 	run_t *r = run_new(o, from, m, now);
 
 	if (r->hash && !r->resume)
-		owner_asked(o, r->hash, now);
+		owner_asked(o, adapter_name_hash(r->adapter), now);
 	late = owner_lateness(o, r, now);
 	r->phase = RUN_WAITING;
 	queue_put(&o->queue, &r->item);
@@ -358,7 +397,7 @@
 		return;
 	}
 	owner_add_peer(o, from, now);
-	owner_drop_older(o, from, m->ref);
+	owner_drop_older(o, from, m);
 	if (o->leaving && !m->resume) {
 		o->urgent = true;
 		owner_report(o, now);
@@ -546,17 +585,25 @@
 	run_free(r);
 }
 
+/* Whether the engine may go on with the stream where it broke off. */
+static bool run_resumable(const run_t *r)
+{
+	return r->repeatable && r->offset && r->head &&
+	       (!r->o->row || r->o->row->kind == TARGET_RUNNER);
+}
+
 static bool run_resume(run_t *r, const engine_event_t *ev, int64_t now)
 {
 	owner_t *o = r->o;
 
-	if (!r->repeatable || !r->offset || !r->head ||
-	    r->resumes >= RESUMES_MAX || o->state != OWN_ACTIVE ||
-	    (o->row && o->row->kind == TARGET_SERVICE) ||
-	    ev->reason == REASON_WRONG_VERSION ||
+	if (!run_resumable(r) || r->resumes >= RESUMES_MAX ||
 	    ev->reason == REASON_CANCELLED ||
 	    ev->reason == REASON_TARGET_REFUSED)
 		return false;
+	if (o->state != OWN_ACTIVE) {
+		run_hand_over(r);
+		return true;
+	}
 	counter_retried(RETRY_RESUMED);
 	r->phase = RUN_BROKEN;
 	r->resume = true;
@@ -603,8 +650,12 @@
 	else if (reason_info(ev->reason)->run == RUN_NO)
 		run = RUN_NO;
 	if (ev->old_fence) {
-		run_refuse(r, REASON_NO_OWNER, r->head ? RUN_YES : RUN_NO,
-			   RETRY_OWNER_MOVED, 0);
+		if (run_resumable(r))
+			run_hand_over(r);
+		else
+			run_refuse(r, REASON_NO_OWNER,
+				   r->head ? RUN_YES : RUN_NO,
+				   RETRY_OWNER_MOVED, 0);
 	} else if (ev->target_leaving) {
 		run_refuse(r, REASON_NO_TARGET, r->head ? RUN_YES : RUN_NO,
 			   RETRY_TARGET_LEAVING, 0);
--- a/src/serve.c
+++ b/src/serve.c
@@ -267,7 +267,7 @@
 	if (now < s->next_demand_us || !sh->tables)
 		return s->next_demand_us;
 	s->next_demand_us = now + SHARE_PERIOD_US;
-	v = limits_demand(&s->limits, sh->tables, now, &n);
+	v = limits_demand(&s->limits, sh->tables, now, &n, &m.seq);
 	if (!n || !sh->standing.leader)
 		return s->next_demand_us;
 	rows = xcalloc(n, sizeof(*rows));
@@ -281,7 +281,6 @@
 	}
 	m.n_demand = n;
 	m.demand = refs;
-	m.seq = s->limits.seq;
 	s->asked_us = now;
 	msg.body_case = SERVE__SERVE_MSG__BODY_SHARE_ASK;
 	msg.share_ask = &m;
@@ -566,6 +565,17 @@
 	pthread_mutex_unlock(&sh->lock);
 }
 
+static standing_t serve_standing_now(serve_t *s)
+{
+	shard_t *sh = &s->shards[LEAD_SHARD];
+	standing_t st;
+
+	pthread_mutex_lock(&sh->lock);
+	st = sh->standing;
+	pthread_mutex_unlock(&sh->lock);
+	return st;
+}
+
 static void tell_permits(serve_t *s, const standing_t *st)
 {
 	serve_msg_t msg = SERVE__SERVE_MSG__INIT;
@@ -592,7 +602,7 @@
 
 void serve_standing(serve_t *s, const standing_t *st)
 {
-	standing_t old = s->shards[LEAD_SHARD].standing;
+	standing_t old = serve_standing_now(s);
 	int64_t now = core_now(s);
 
 	place_standing(&s->place, st);
@@ -640,10 +650,11 @@
 		host_lost(s, peer);
 	else
 		each_shard(s, entries_review);
-	if (up && peer == s->shards[LEAD_SHARD].standing.leader) {
-		standing_t st = s->shards[LEAD_SHARD].standing;
+	if (up) {
+		standing_t st = serve_standing_now(s);
 
-		tell_permits(s, &st);
+		if (st.leader == peer)
+			tell_permits(s, &st);
 	}
 	serve_pump(s);
 }
@@ -677,7 +688,7 @@
 
 static bool addr_usable(serve_t *s, const host_t *h)
 {
-	int64_t fresh = s->shards[LEAD_SHARD].standing.fresh_until_us;
+	int64_t fresh = serve_standing_now(s).fresh_until_us;
 
 	if (!h || h->draining || !h->caller_addr.n)
 		return false;
@@ -810,7 +821,7 @@
 
 void serve_status(serve_t *s, buf_t *json)
 {
-	const standing_t *st = &s->shards[LEAD_SHARD].standing;
+	standing_t st = serve_standing_now(s);
 	int64_t now = core_now(s);
 	bool first = true;
 
@@ -819,8 +830,8 @@
 		   "\"lease_ms\":%lld,\"leader\":%u,\"targets\":[",
 		   atomic_load(&s->draining) ? "true" : "false",
 		   atomic_load(&s->n_entries), atomic_load(&s->n_runs),
-		   (long long)((st->lease_until_us - now) / USEC_PER_MSEC),
-		   st->leader);
+		   (long long)((st.lease_until_us - now) / USEC_PER_MSEC),
+		   st.leader);
 	for (uint32_t i = 0; i < SERVE_SHARDS; i++) {
 		pthread_mutex_lock(&s->shards[i].lock);
 		owners_status(&s->shards[i], json, &first);
