Serving: no collapse past saturation, fair under a flood, found runs again

Causes, each found with a failing test or the bench: the learned ratio of service time was set against an estimate that already held it, and swung; the wait of a full batch was halved; a request started though it would end just late; requests that become ready together with a load were not counted; a request sent to a target whose slots are all awaited waited there until late; copies of hot adapters crowded out one that was resident nowhere; the expected load in the placement score left the store's backlog out; a request that was held was looked at again only by chance; a caller that reconnected was refused before a target without an owner could be asked. Changes: one plain estimate for the ratio; admission counts the group that a load makes ready and refuses again when a load ends; a target without a slot to be had gives its requests back to the one that has the adapter, or gives up a spare copy for one that is resident nowhere; loads under way from this daemon count at once; expected wait counts only what exceeds the batch. Tests: 24 new ones for takeover, resumption, reconnection, claims, leaving, drain, limits, permits, versions, overload and fairness.

--- a/proto/serve.pb-c.c
+++ b/proto/serve.pb-c.c
@@ -1409,7 +1409,7 @@
   (ProtobufCMessageInit) serve__done__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor serve__report__field_descriptors[13] =
+static const ProtobufCFieldDescriptor serve__report__field_descriptors[14] =
 {
   {
     "target",
@@ -1567,6 +1567,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "spare_copies",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Serve__Report, spare_copies),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned serve__report__field_indices_by_name[] = {
   7,   /* field[7] = active */
@@ -1578,6 +1590,7 @@
   9,   /* field[9] = loading */
   8,   /* field[8] = resident */
   3,   /* field[3] = running */
+  13,   /* field[13] = spare_copies */
   12,   /* field[12] = store_backlog */
   0,   /* field[0] = target */
   4,   /* field[4] = wait_us */
@@ -1586,7 +1599,7 @@
 static const ProtobufCIntRange serve__report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor serve__report__descriptor =
 {
@@ -1596,7 +1609,7 @@
   "Serve__Report",
   "serve",
   sizeof(Serve__Report),
-  13,
+  14,
   serve__report__field_descriptors,
   serve__report__field_indices_by_name,
   1,  serve__report__number_ranges,
--- a/proto/serve.pb-c.h
+++ b/proto/serve.pb-c.h
@@ -214,10 +214,14 @@
    * Backlog of the store's permits, plus 1, where just learned; else 0.
    */
   uint32_t store_backlog;
+  /*
+   * Slots that could be given up for an adapter that is resident nowhere.
+   */
+  uint32_t spare_copies;
 };
 #define SERVE__REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&serve__report__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0 }
+    , 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0 }
 
 
 /*
--- a/src/entry.c
+++ b/src/entry.c
@@ -386,6 +386,34 @@
 	core_due(sh, e->again_us);
 }
 
+static bool entry_was_tried(const entry_t *e, target_id_t id)
+{
+	for (size_t i = 0; i < e->n_tried; i++)
+		if (e->tried[i] == id)
+			return true;
+	return false;
+}
+
+/*
+ * The run of a caller that reconnects is looked for at each target once, also
+ * at those that have no owner yet.
+ */
+static void entry_place_reconnect(shard_t *sh, entry_t *e)
+{
+	const target_t *t;
+	place_query_t q;
+
+	entry_query(sh, e, &q);
+	t = place_pick(&sh->s->place, sh->tables, &q);
+	if (t && !entry_was_tried(e, t->id))
+		entry_send(sh, e, t);
+	else if (place_pending(&sh->s->place, sh->tables, &q))
+		entry_hold(sh, e);
+	else
+		entry_fail(sh, e, REASON_STREAM_TRUNCATED, 0,
+			   STR("The run is not known any more."));
+}
+
 static void entry_place(shard_t *sh, entry_t *e)
 {
 	const target_t *t;
@@ -395,7 +423,11 @@
 		entry_refuse(sh, e, REASON_STALE);
 		return;
 	}
-	if (e->resume && !(e->reconnect && !e->head)) {
+	if (e->reconnect && !e->head) {
+		entry_place_reconnect(sh, e);
+		return;
+	}
+	if (e->resume) {
 		t = entry_resume_target(sh, e);
 	} else {
 		entry_query(sh, e, &q);
@@ -441,7 +473,7 @@
 static bool retry_is_free(retry_reason_t why)
 {
 	return why == RETRY_OWNER_MOVED || why == RETRY_TARGET_LEAVING ||
-	       why == RETRY_OWNER_UNREACHABLE;
+	       why == RETRY_OWNER_UNREACHABLE || why == RETRY_ADAPTER_MOVED;
 }
 
 static bool entry_may_retry(shard_t *sh, const entry_t *e, retry_reason_t why)
@@ -805,30 +837,6 @@
 	return e->repeatable && !e->offset;
 }
 
-static bool entry_was_tried(const entry_t *e, target_id_t id)
-{
-	for (size_t i = 0; i < e->n_tried; i++)
-		if (e->tried[i] == id)
-			return true;
-	return false;
-}
-
-/* The run of a caller that reconnects is looked for on the next target. */
-static void entry_reconnect_next(shard_t *sh, entry_t *e)
-{
-	const target_t *t;
-	place_query_t q;
-
-	entry_tried(e);
-	entry_query(sh, e, &q);
-	t = place_pick(&sh->s->place, sh->tables, &q);
-	if (t && !entry_was_tried(e, t->id) && e->attempt < ATTEMPTS_MAX)
-		entry_send(sh, e, t);
-	else
-		entry_fail(sh, e, REASON_STREAM_TRUNCATED, 0,
-			   STR("The run is not known any more."));
-}
-
 static void entry_ended(shard_t *sh, entry_t *e, const Serve__Refused *m)
 {
 	run_state_t run = m->run <= RUN_YES ? (run_state_t)m->run : RUN_UNKNOWN;
@@ -842,7 +850,8 @@
 	e->why = reason;
 	if (e->reconnect && !e->head && run == RUN_NO &&
 	    why != RETRY_OWNER_MOVED && !e->gone) {
-		entry_reconnect_next(sh, e);
+		entry_tried(e);
+		entry_place(sh, e);
 		return;
 	}
 	if (m->resumable && e->offset && e->repeatable &&
--- a/src/load.c
+++ b/src/load.c
@@ -11,6 +11,8 @@
 #include "counter.h"
 #include "log.h"
 
+/* An adapter stays at least for as long as this many loads take. */
+#define RESIDENCE_LOADS 4
 /* What the eviction of an old version costs, against the current one. */
 #define OLD_VERSION_SHARE 0.2
 /* Backoff of failed loads of one adapter on one target. */
@@ -127,6 +129,13 @@
 	       !slot->awaited && !slot->foreign && !slot->order;
 }
 
+/* Awaited, but the requests could go to another target that has it too. */
+static bool slot_is_spare_copy(const slot_t *slot)
+{
+	return slot->state == SLOT_RESIDENT && slot->copied && !slot->foreign &&
+	       !slot->order && !slot->closing;
+}
+
 static int64_t slot_free_us(owner_t *o, const slot_t *slot, int64_t now)
 {
 	int64_t left = 0;
@@ -190,10 +199,11 @@
 		if (slot->state != SLOT_RESIDENT)
 			continue;
 		slot->free_us = slot_free_us(o, slot, now);
-		slot->cost_us =
-			place_evict_cost(&o->sh->s->place,
-					 adapter_name(slot->adapter),
-					 slot->hash, o->id, slot->load_us, now);
+		slot->cost_us = place_evict_cost(
+			&o->sh->s->place, adapter_name(slot->adapter),
+			slot->hash, o->id, slot->load_us, now, &slot->copied);
+		if (slot_is_old(o, slot))
+			slot->cost_us *= OLD_VERSION_SHARE;
 	}
 }
 
@@ -338,6 +348,65 @@
 	}
 }
 
+uint32_t owner_spare_copies(const owner_t *o)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < o->slots.n; i++)
+		n += slot_is_spare_copy(&o->slots.v[i]);
+	return n;
+}
+
+/* The cheapest spare copy; NULL also where some slot will be free anyway. */
+static slot_t *owner_closable(owner_t *o, int64_t now)
+{
+	slot_t *best = NULL;
+
+	for (uint32_t i = 0; i < o->slots.n; i++) {
+		slot_t *slot = &o->slots.v[i];
+
+		if (slot->state != SLOT_RESIDENT || !slot->awaited ||
+		    slot->order || slot->closing)
+			return NULL;
+		if (!slot_is_spare_copy(slot) ||
+		    now - slot->loaded_us < RESIDENCE_LOADS * slot->load_us)
+			continue;
+		if (!best || slot->cost_us < best->cost_us)
+			best = slot;
+	}
+	return best;
+}
+
+/*
+ * Where every slot has requests waiting, an adapter that is resident nowhere
+ * would never come: a spare copy starts nothing more, its requests go to the
+ * other target that has it, and it is evicted when its runs end.
+ */
+static void owner_close_slot(owner_t *o, int64_t now)
+{
+	slot_t *slot;
+
+	owner_price_slots(o, now);
+	slot = owner_closable(o, now);
+	if (!slot)
+		return;
+	slot->closing = true;
+	owner_refuse_waiting(o, slot->hash, REASON_NO_TARGET,
+			     RETRY_ADAPTER_MOVED);
+}
+
+/* No slot can be had for the load: it is helped on, or its requests are. */
+static void owner_help_load(owner_t *o, load_t *l, int64_t now)
+{
+	uint32_t hash = l->hash;
+
+	if (!place_is_resident(&o->sh->s->place, hash, now))
+		owner_close_slot(o, now);
+	else if (now - l->since_us > l->load_us / 2)
+		owner_refuse_waiting(o, hash, REASON_NO_TARGET,
+				     RETRY_ADAPTER_MOVED);
+}
+
 void owner_work_loads(owner_t *o, int64_t now)
 {
 	int room;
@@ -348,6 +417,10 @@
 		if (!l->waiting && !l->prefetch && l->phase <= LOAD_ASKED)
 			load_end(o, l);
 	room = owner_room(o);
+	if (room <= 0)
+		cds_list_for_each_entry (l, &o->loads, node)
+			if (l->phase == LOAD_WANTED)
+				owner_help_load(o, l, now);
 	cds_list_for_each_entry_safe (l, tmp, &o->loads, node) {
 		if (l->phase == LOAD_WANTED && room > 0 &&
 		    !load_better_waits(o, l, now)) {
@@ -452,8 +525,11 @@
 		load_end(o, l);
 	if (ev->kind == EVENT_DONE) {
 		slot->state = SLOT_RESIDENT;
+		slot->loaded_us = now;
 		g_hash_table_remove(o->backoffs, GUINT_TO_POINTER(hash));
 		owner_stall_over(o, hash, now);
+		owner_count_waiting(o, now);
+		owner_refuse_late(o, now);
 		return;
 	}
 	counter_add(CTR_LOADS_FAILED, 1);
--- a/src/owner.c
+++ b/src/owner.c
@@ -93,9 +93,10 @@
 	m->waiting = o->queue.n;
 	m->running = o->n_running + o->foreign;
 	m->wait_us = owner_wait_us(o, o->ready_us, now);
-	m->each_us = run_cost(o, 0) / owner_batch(o);
+	m->each_us = (int64_t)o->mean_cost_us / owner_batch(o);
 	m->evict_us = costs;
 	m->n_evict_us = owner_evict_costs(o, costs, now);
+	m->spare_copies = owner_spare_copies(o);
 	m->leaving = o->leaving;
 	m->active = o->state == OWN_ACTIVE && owner_may_send(o, now);
 	m->resident = hashes;
--- a/src/owner.h
+++ b/src/owner.h
@@ -59,7 +59,8 @@
 	uint32_t resumes;
 	int64_t arrived_us;
 	int64_t started_us;
-	int64_t again_us; /* RUN_BROKEN */
+	int64_t plain_cost_us; /* expected at the start, without the ratio */
+	int64_t again_us;      /* RUN_BROKEN */
 	int64_t stall_us;
 	int64_t load_us;
 } run_t;
@@ -131,6 +132,7 @@
 	uint32_t n_orders;    /* all orders out */
 	uint32_t foreign;     /* runs that a past owner started */
 	double ratio;	      /* actual by expected service time */
+	double mean_cost_us;  /* expected service time of recent requests */
 	double call_us;	      /* mean duration of service calls */
 	GHashTable *backoffs; /* adapter hash -> backoff_t */
 	peer_t peers[PEERS_MAX];
@@ -165,6 +167,7 @@
 			  int retry);
 /* Whether a waiting request could start; ctx is not used. */
 bool run_ready(void *ctx, const qitem_t *it);
+void owner_refuse_late(owner_t *o, int64_t now);
 void owner_work_dispatch(owner_t *o, int64_t now);
 void owner_work_broken(owner_t *o, int64_t now);
 void owner_work_deadlines(owner_t *o, int64_t now);
@@ -184,6 +187,8 @@
 uint32_t adapter_name_hash(str_t adapter);
 /* Drops a load; its permit, or its ask, goes back to the leader. */
 void load_end(owner_t *o, load_t *l);
+/* Awaited slots whose adapter another target has too. */
+uint32_t owner_spare_copies(const owner_t *o);
 /* Wants the current versions of adapters resident in older ones. */
 void owner_prefetch(owner_t *o, int64_t now);
 void owner_work_loads(owner_t *o, int64_t now);
--- a/src/place.c
+++ b/src/place.c
@@ -16,6 +16,11 @@
 #define REUSE_US (30 * USEC_PER_SEC)
 /* What the eviction of an adapter costs that another target has too. */
 #define COPY_SHARE 0.1
+/* Loads that are under way to a target count so for this long, and so many. */
+#define HEADING_US (500 * USEC_PER_MSEC)
+#define HEADING_MAX 16u
+/* Expected wait for a slot where none can be had. */
+#define NO_SLOT_US (5 * USEC_PER_SEC)
 /* Hosts tried without a report are taken as lightly loaded. */
 #define UNKNOWN_WAIT_US (5 * USEC_PER_MSEC)
 
@@ -30,7 +35,8 @@
 	uint32_t sent_cold; /* of these, with a load */
 	uint64_t *evict;    /* owned: costs of the next evictions */
 	size_t n_evict;
-	bool known; /* a report has come */
+	uint32_t spare_copies; /* slots free for what is resident nowhere */
+	bool known;	       /* a report has come */
 	bool active;
 	bool leaving;	    /* says the report */
 	bool listed;	    /* says the platform's list */
@@ -39,6 +45,10 @@
 	size_t n_resident;
 	uint32_t *loading; /* owned */
 	size_t n_loading;
+	/* Adapters that this daemon sent requests for, to be loaded there. */
+	uint32_t heading[HEADING_MAX];
+	int64_t heading_until_us[HEADING_MAX];
+	size_t next_heading;
 } hint_t;
 
 static void hint_free(gpointer p)
@@ -148,6 +158,7 @@
 		h->sent_cold = 0;
 		set_costs(h, rep);
 		h->active = rep->active;
+		h->spare_copies = rep->spare_copies;
 		h->leaving = rep->leaving;
 		set_hashes(&h->resident, &h->n_resident, rep->resident,
 			   rep->n_resident);
@@ -303,15 +314,23 @@
 	return !h || (h->active && !h->leaving);
 }
 
-static int64_t expected_wait(const hint_t *h)
+static int64_t expected_wait(const hint_t *h, const target_t *t)
 {
+	uint32_t busy;
+
 	if (!h)
 		return UNKNOWN_WAIT_US;
-	return h->wait_us + h->sent * h->each_us;
+	busy = h->running + h->waiting;
+	if (busy < t->max_batch)
+		busy += h->sent < t->max_batch - busy ? h->sent
+						      : t->max_batch - busy;
+	/* What was sent since the report waits only past the batch. */
+	return h->wait_us +
+	       (h->running + h->waiting + h->sent - busy) * h->each_us;
 }
 
 /* Expected cost of the eviction that a load there needs. */
-static double expected_evict(const place_t *p, const hint_t *h)
+static double expected_evict(const place_t *p, const hint_t *h, bool nowhere)
 {
 	size_t next;
 
@@ -320,13 +339,16 @@
 	next = h->sent_cold;
 	if (next < h->n_evict)
 		return (double)h->evict[next];
-	/* All slots are pinned: it waits for one. */
-	return 2.0 * (double)p->cfg->load_us * (double)(next - h->n_evict + 1);
+	if (nowhere && next < h->n_evict + h->spare_copies)
+		return (double)p->cfg->load_us;
+	/* All slots are pinned or awaited: when one is free is not known. */
+	return (double)NO_SLOT_US * (double)(next - h->n_evict + 1);
 }
 
 /* Score under the cost policy: expected finish, weighted. */
 static double cost_score(const place_t *p, const place_query_t *q,
-			 const hint_t *h, const place_score_t *s)
+			 const hint_t *h, const place_score_t *s,
+			 uint32_t copies)
 {
 	const serve_cfg_t *cfg = p->cfg;
 	double score = (double)s->wait_us;
@@ -335,14 +357,16 @@
 		return score + (double)s->rank;
 	score += cfg->stall_weight * (double)s->stall_us;
 	if (!s->loading)
-		score += cfg->stall_weight * expected_evict(p, h);
+		score += cfg->stall_weight * expected_evict(p, h, !copies);
 	return score + (double)s->rank * HOME_STEP_US;
 }
 
 static double policy_score(const place_t *p, const place_query_t *q,
-			   const hint_t *h, const place_score_t *s,
-			   uint64_t home)
+			   const place_score_t *s, uint32_t copies,
+			   uint64_t seed)
 {
+	const hint_t *h = hint_fresh(p, s->target, q->now_us);
+
 	uint32_t load = h ? h->waiting + h->running + h->sent : 0;
 	uint64_t draw;
 
@@ -353,12 +377,12 @@
 		return (double)s->rank;
 	case PLACE_RANDOM:
 		draw = hash_bytes(&s->target->id, sizeof(s->target->id),
-				  p->seed ^ home);
+				  p->seed ^ seed);
 		return (double)(draw >> 11);
 	case PLACE_COST:
 		break;
 	}
-	return cost_score(p, q, h, s);
+	return cost_score(p, q, h, s, copies);
 }
 
 static int by_home(const void *a, const void *b, void *ctx)
@@ -382,24 +406,41 @@
 	return x->rank < y->rank ? -1 : x->rank > y->rank;
 }
 
+static bool is_heading(const hint_t *h, uint32_t hash, int64_t now)
+{
+	for (size_t i = 0; i < HEADING_MAX; i++)
+		if (h->heading[i] == hash && h->heading_until_us[i] > now)
+			return true;
+	return false;
+}
+
+static void set_heading(hint_t *h, uint32_t hash, int64_t now)
+{
+	h->heading[h->next_heading] = hash;
+	h->heading_until_us[h->next_heading] = now + HEADING_US;
+	h->next_heading = (h->next_heading + 1) % HEADING_MAX;
+}
+
 static void fill_score(const place_t *p, const place_query_t *q,
-		       place_score_t *s, uint32_t rank, uint64_t home)
+		       place_score_t *s, uint32_t rank)
 {
 	const hint_t *h = hint_fresh(p, s->target, q->now_us);
 	uint32_t hash = slot_hash(q->adapter);
 
 	s->rank = rank;
-	s->wait_us = expected_wait(h);
+	s->wait_us = expected_wait(h, s->target);
 	s->resident = !q->adapter.n;
 	s->loading = false;
 	if (h && q->adapter.n) {
 		s->resident = has_hash(h->resident, h->n_resident, hash);
-		s->loading = has_hash(h->loading, h->n_loading, hash);
+		s->loading = has_hash(h->loading, h->n_loading, hash) ||
+			     is_heading(h, hash, q->now_us);
 	}
-	s->stall_us = s->resident  ? 0
-		      : s->loading ? q->load_us / 2
-				   : q->load_us;
-	s->score = policy_score(p, q, h, s, home);
+	s->stall_us = expected_load(p, q->load_us, q->now_us);
+	if (s->resident)
+		s->stall_us = 0;
+	else if (s->loading)
+		s->stall_us /= 2;
 }
 
 /* Keeps what may be chosen: where it is or comes to be resident, and homes. */
@@ -439,15 +480,18 @@
 		if (fresh && was_tried(q, v[i].target->id))
 			continue;
 		v[kept].target = v[i].target;
-		fill_score(p, q, &v[kept], (uint32_t)kept, draw);
+		fill_score(p, q, &v[kept], (uint32_t)kept);
 		kept++;
 	}
 	for (size_t i = 0; i < kept; i++)
 		copies += q->adapter.n && (v[i].resident || v[i].loading);
 	n = 0;
 	for (size_t i = 0; i < kept; i++)
-		if (is_candidate(p, q, &v[i], copies))
-			v[n++] = v[i];
+		if (is_candidate(p, q, &v[i], copies)) {
+			v[n] = v[i];
+			v[n].score = policy_score(p, q, &v[n], copies, draw);
+			n++;
+		}
 	qsort(v, n, sizeof(*v), by_score);
 	return n;
 }
@@ -480,11 +524,29 @@
 	pthread_mutex_lock(&p->lock);
 	h = hint_get(p, best.target->id);
 	h->sent++;
-	h->sent_cold += !best.resident && !best.loading;
+	if (!best.resident && !best.loading) {
+		h->sent_cold++;
+		set_heading(h, slot_hash(q->adapter), q->now_us);
+	}
 	pthread_mutex_unlock(&p->lock);
 	return best.target;
 }
 
+bool place_pending(place_t *p, const decided_t *d, const place_query_t *q)
+{
+	bool found = false;
+
+	pthread_mutex_lock(&p->lock);
+	for (size_t i = 0; i < decided_target_count(d) && !found; i++) {
+		const target_t *t = decided_target_at(d, i);
+
+		found = target_matches(t, q) && !was_tried(q, t->id) &&
+			!target_usable(p, t, q);
+	}
+	pthread_mutex_unlock(&p->lock);
+	return found;
+}
+
 bool place_possible(place_t *p, const decided_t *d, const place_query_t *q)
 {
 	(void)p;
@@ -494,24 +556,6 @@
 	return false;
 }
 
-typedef struct copy_ctx {
-	uint64_t key;
-	uint32_t hash;
-	uint64_t score; /* of the asking target */
-	int64_t now;
-} copy_ctx_t;
-
-static gboolean is_better_copy(gpointer key, gpointer value, gpointer ctx)
-{
-	const copy_ctx_t *c = ctx;
-	const hint_t *h = value;
-
-	return h->known && h->active && !h->leaving && !hint_leaving(h) &&
-	       c->now - h->at_us <= REPORT_LIFE_US &&
-	       rendezvous_score(c->key, GPOINTER_TO_UINT(key)) > c->score &&
-	       has_hash(h->resident, h->n_resident, c->hash);
-}
-
 void place_store_backlog(place_t *p, uint32_t backlog, int64_t now)
 {
 	pthread_mutex_lock(&p->lock);
@@ -529,6 +573,33 @@
 	return us;
 }
 
+typedef struct resident_ctx {
+	uint32_t hash;
+	int64_t now;
+} resident_ctx_t;
+
+static gboolean is_resident_there(gpointer key, gpointer value, gpointer ctx)
+{
+	const resident_ctx_t *c = ctx;
+	const hint_t *h = value;
+
+	(void)key;
+	return h->known && h->active && !h->leaving && !hint_leaving(h) &&
+	       c->now - h->at_us <= REPORT_LIFE_US &&
+	       has_hash(h->resident, h->n_resident, c->hash);
+}
+
+bool place_is_resident(place_t *p, uint32_t hash, int64_t now)
+{
+	resident_ctx_t c = {hash, now};
+	bool found;
+
+	pthread_mutex_lock(&p->lock);
+	found = g_hash_table_find(p->hints, is_resident_there, &c);
+	pthread_mutex_unlock(&p->lock);
+	return found;
+}
+
 void place_asked(place_t *p, uint32_t hash, int64_t now)
 {
 	pthread_mutex_lock(&p->lock);
@@ -536,8 +607,25 @@
 	pthread_mutex_unlock(&p->lock);
 }
 
+typedef struct copy_ctx {
+	uint64_t key;
+	uint32_t hash;
+	uint64_t score; /* of the asking target */
+	int64_t now;
+} copy_ctx_t;
+
+static gboolean is_better_copy(gpointer key, gpointer value, gpointer ctx)
+{
+	const copy_ctx_t *c = ctx;
+	resident_ctx_t there = {c->hash, c->now};
+
+	return is_resident_there(key, value, &there) &&
+	       rendezvous_score(c->key, GPOINTER_TO_UINT(key)) > c->score;
+}
+
 double place_evict_cost(place_t *p, str_t name, uint32_t hash,
-			target_id_t target, int64_t load_us, int64_t now)
+			target_id_t target, int64_t load_us, int64_t now,
+			bool *copied)
 {
 	copy_ctx_t c = {hash_bytes(name.p, name.n, 1), hash, 0, now};
 	double rate, load, soon, cost;
@@ -548,7 +636,8 @@
 	load = (double)expected_load(p, load_us, now);
 	soon = 1 - exp(-rate * REUSE_US);
 	cost = soon * load + rate * load * load / 2;
-	if (g_hash_table_find(p->hints, is_better_copy, &c))
+	*copied = g_hash_table_find(p->hints, is_better_copy, &c);
+	if (*copied)
 		cost *= COPY_SHARE;
 	pthread_mutex_unlock(&p->lock);
 	return cost;
--- a/src/place.h
+++ b/src/place.h
@@ -65,10 +65,13 @@
 /*
  * Expected stall that the eviction of an adapter from a target causes, in
  * microseconds: its load time by the chance that it is asked for soon; little
- * where another target has it too, and is an earlier home of it.
+ * where another target has it too, and is an earlier home of it (*copied).
  */
 double place_evict_cost(place_t *p, str_t name, uint32_t hash,
-			target_id_t target, int64_t load_us, int64_t now);
+			target_id_t target, int64_t load_us, int64_t now,
+			bool *copied);
+/* Whether some known target has the adapter. */
+bool place_is_resident(place_t *p, uint32_t hash, int64_t now);
 /* What the platform's lagging list says of the target. */
 void place_hint(place_t *p, target_id_t target, bool leaving);
 /* What the target itself says; taken back when it has restarted. */
@@ -88,6 +91,8 @@
 /* The best candidate, counted as on its way there; NULL where there is none. */
 const target_t *place_pick(place_t *p, const decided_t *d,
 			   const place_query_t *q);
+/* Whether a target not yet tried could serve it, but has no live owner now. */
+bool place_pending(place_t *p, const decided_t *d, const place_query_t *q);
 /* Whether some target could serve it, had it an owner. */
 bool place_possible(place_t *p, const decided_t *d, const place_query_t *q);
 
--- a/src/queue.c
+++ b/src/queue.c
@@ -111,6 +111,15 @@
 	return best;
 }
 
+static void count_waiting_org(gpointer key, gpointer value, gpointer ctx)
+{
+	const queue_share_t *sh = value;
+	uint32_t *active = ctx;
+
+	(void)key;
+	*active += sh->n > 0;
+}
+
 int64_t queue_ahead_us(queue_t *q, const serve_cfg_t *cfg, const qitem_t *it)
 {
 	int64_t own = 0, others = 0;
@@ -118,7 +127,7 @@
 	const qitem_t *x;
 
 	cds_list_for_each_entry (x, &q->items, node) {
-		if (!x->ready)
+		if (x == it || (!x->ready && x->group != it->group))
 			continue;
 		if (cfg->policy.queue == QUEUE_FIFO) {
 			own += x->cost_us;
@@ -136,7 +145,7 @@
 			own += x->cost_us;
 	}
 	/* Each other organisation is served as much as this one meanwhile. */
-	active = g_hash_table_size(q->orgs);
+	g_hash_table_foreach(q->orgs, count_waiting_org, &active);
 	if (others > (own + it->cost_us) * (int64_t)active)
 		others = (own + it->cost_us) * (int64_t)active;
 	return own + others;
--- a/src/queue.h
+++ b/src/queue.h
@@ -27,7 +27,8 @@
 	int64_t deadline_us;
 	int64_t cost_us; /* expected service time */
 	uint64_t seq;
-	bool ready; /* could be dispatched, as last counted */
+	bool ready;	/* could be dispatched, as last counted */
+	uint32_t group; /* items of one group become ready together; 0: none */
 } qitem_t;
 
 typedef struct queue {
@@ -52,7 +53,10 @@
 		    void *ctx);
 /* Takes a picked item out and charges its organisation. */
 void queue_serve(queue_t *q, qitem_t *it);
-/* Expected service time of the ready items that would be served before it. */
+/*
+ * Expected service time of the items that would be served before it: of those
+ * that are ready or become so together with it.
+ */
 int64_t queue_ahead_us(queue_t *q, const serve_cfg_t *cfg, const qitem_t *it);
 
 #ifdef __cplusplus
--- a/src/reason.h
+++ b/src/reason.h
@@ -128,7 +128,9 @@
 	  "The owner was lost; the request is idempotent, nothing relayed.")  \
 	X(RESUMED, "resumed", "A stream was resumed at its offset.")          \
 	X(CLAIM_AGAIN, "claim_again", "The claim was proposed again.")        \
-	X(TARGET_LEAVING, "target_leaving", "The target is leaving.")
+	X(TARGET_LEAVING, "target_leaving", "The target is leaving.")         \
+	X(ADAPTER_MOVED, "adapter_moved",                                     \
+	  "The target gave up its copy; another one has the adapter.")
 
 typedef enum retry_reason {
 #define X(name, str, help) RETRY_##name,
--- a/src/run.c
+++ b/src/run.c
@@ -132,7 +132,7 @@
 
 	if (busy + o->n_ready < batch)
 		return 0;
-	return (owner_running_left(o, now) / 2 + ahead_us) / batch;
+	return (owner_running_left(o, now) + ahead_us) / batch;
 }
 
 static void run_start(run_t *r, int64_t now)
@@ -147,6 +147,8 @@
 		r->started_us = now;
 	}
 	r->phase = RUN_STARTED;
+	r->plain_cost_us =
+		(int64_t)((double)run_cost(o, r->max_tokens) / o->ratio);
 	eo.kind = r->resume ? ORDER_RESUME : ORDER_RUN;
 	eo.adapter = r->adapter;
 	eo.base = o->row ? o->row->base : str_n(NULL, 0);
@@ -192,7 +194,7 @@
 	if (!r->hash || r->resume)
 		return true;
 	slot = slots_find(&r->o->slots, r->adapter);
-	return slot && slot->state == SLOT_RESIDENT;
+	return slot && slot->state == SLOT_RESIDENT && !slot->closing;
 }
 
 void owner_work_dispatch(owner_t *o, int64_t now)
@@ -221,7 +223,7 @@
 /* The least time that a waiting request needs to its end. */
 static int64_t run_least_us(const run_t *r)
 {
-	int64_t us = r->item.cost_us / 4 * 3;
+	int64_t us = r->item.cost_us / 100 * 104;
 
 	return run_ready(NULL, &r->item) ? us : us + r->load_us;
 }
@@ -330,6 +332,7 @@
 	r->item.priority = m->priority;
 	r->item.deadline_us = now + m->slack_us;
 	r->item.cost_us = run_cost(o, m->max_tokens);
+	r->item.group = r->hash;
 	return r;
 }
 
@@ -358,6 +361,34 @@
 	return now + wait + r->item.cost_us - r->item.deadline_us;
 }
 
+static void average(double *mean, double sample)
+{
+	*mean += AVERAGE_WEIGHT * (sample - *mean);
+}
+
+/*
+ * Refuses what can no longer be on time, newest first, after many requests
+ * have become ready at once.
+ */
+void owner_refuse_late(owner_t *o, int64_t now)
+{
+	struct cds_list_head *at = o->queue.items.prev, *prev;
+
+	if (!o->sh->s->cfg.policy.early_refusal)
+		return;
+	for (; at != &o->queue.items; at = prev) {
+		run_t *r = (run_t *)cds_list_entry(at, qitem_t, node);
+		int64_t late = 0;
+
+		prev = at->prev;
+		if (r->item.ready)
+			late = owner_lateness(o, r, now);
+		if (late > 0)
+			run_refuse(r, REASON_CANNOT_BE_ON_TIME, RUN_NO,
+				   NO_RETRY, owner_retry_ms(late));
+	}
+}
+
 static void owner_accept(owner_t *o, host_id_t from, const Serve__Submit *m)
 {
 	shard_t *sh = o->sh;
@@ -368,6 +399,7 @@
 	if (r->hash && !r->resume)
 		owner_asked(o, adapter_name_hash(r->adapter), now);
 	late = owner_lateness(o, r, now);
+	average(&o->mean_cost_us, (double)r->item.cost_us);
 	r->phase = RUN_WAITING;
 	queue_put(&o->queue, &r->item);
 	atomic_fetch_add(&sh->s->n_runs, 1);
@@ -466,11 +498,6 @@
 		slot->running--;
 }
 
-static void average(double *mean, double sample)
-{
-	*mean += AVERAGE_WEIGHT * (sample - *mean);
-}
-
 static void owner_learn(owner_t *o, const run_t *r, int64_t now)
 {
 	double took = (double)(now - r->started_us);
@@ -479,9 +506,9 @@
 		average(&o->call_us, took);
 		return;
 	}
-	if (r->resumes || r->resume || r->item.cost_us <= 0)
+	if (r->resumes || r->resume || r->plain_cost_us <= 0)
 		return;
-	average(&o->ratio, o->ratio * took / (double)r->item.cost_us);
+	average(&o->ratio, took / (double)r->plain_cost_us);
 	if (o->ratio < 0.02)
 		o->ratio = 0.02;
 	if (o->ratio > 5)
--- a/src/slot.c
+++ b/src/slot.c
@@ -77,7 +77,8 @@
 bool slot_evictable(const slot_t *slot)
 {
 	return slot->state == SLOT_RESIDENT && !slot->running &&
-	       !slot->awaited && !slot->foreign && !slot->order;
+	       (!slot->awaited || slot->closing) && !slot->foreign &&
+	       !slot->order;
 }
 
 slot_t *slots_victim(slots_t *s, const serve_cfg_t *cfg)
--- a/src/slot.h
+++ b/src/slot.h
@@ -27,6 +27,9 @@
 	uint32_t awaited; /* waiting requests for this adapter */
 	/* Runs that the engine reported and this owner did not start. */
 	uint32_t foreign;
+	bool closing;	   /* nothing more starts on it: it is to be evicted */
+	bool copied;	   /* another target has it too, as last priced */
+	int64_t loaded_us; /* resident since */
 	int64_t load_us;
 	int64_t used_us; /* last run started */
 	uint64_t order;	 /* load or unload under way here; 0: none */
--- a/tests/serve_test.cc
+++ b/tests/serve_test.cc
@@ -132,4 +132,510 @@
 	expect_kept(*w);
 }
 
+TEST(Serve, OwnerLostIdempotentRequestRunsElsewhere)
+{
+	auto w = started();
+	uint64_t h = w->ask(2, "a1", "r1");
+
+	w->run(100 * MS);
+	host_id_t owner = 0;
+	for (auto &e : w->engines)
+		if (!e.second.resident.empty())
+			owner = w->owner_of(e.first);
+	if (owner == 2)
+		GTEST_SKIP() << "the entry owns the home";
+	w->kill(owner);
+	w->run(8 * SEC);
+	EXPECT_TRUE(w->replies[h].done)
+		<< reason_info(w->replies[h].reason)->name;
+	EXPECT_GT(w->replies[h].attempt, 1u);
+	expect_kept(*w);
+}
+
+TEST(Serve, StreamGoesOnThroughTheNextOwner)
+{
+	for (bool fencing : {true, false}) {
+		auto w = started(fencing);
+		std::vector<uint64_t> handles;
+		int done = 0;
+
+		for (int i = 0; i < 9; i++)
+			handles.push_back(w->ask(2, "a" + std::to_string(i),
+						 "r" + std::to_string(i)));
+		w->run(SEC + 460 * MS);
+		w->kill(1);
+		w->run(8 * SEC);
+		for (uint64_t h : handles)
+			done += w->replies[h].done;
+		EXPECT_EQ(9, done);
+		expect_kept(*w);
+	}
+}
+
+TEST(Serve, TargetTakesNewWorkWithinLeaseAndOneSecond)
+{
+	auto w = started(false);
+
+	w->kill(3);
+	w->run(w->lease + SEC);
+	buf_t json = {};
+	serve_status(w->daemons[1].s, &json);
+	EXPECT_NE(nullptr, strstr(json.p, "\"target\":3,")) << json.p;
+	EXPECT_EQ(nullptr, strstr(json.p, "\"state\":\"waiting\"")) << json.p;
+	EXPECT_EQ(nullptr, strstr(json.p, "\"state\":\"reading\"")) << json.p;
+	buf_free(&json);
+	expect_kept(*w);
+}
+
+TEST(Serve, TakeoverPinsWhatRuns)
+{
+	auto w = started(false);
+	std::vector<uint64_t> handles;
+
+	w->engines[1].step_us = w->engines[2].step_us = w->engines[3].step_us =
+		200 * MS;
+	for (int i = 0; i < 10; i++)
+		handles.push_back(w->ask(2, "a" + std::to_string(i),
+					 "r" + std::to_string(i)));
+	w->run(SEC);
+	w->assign(1, 3);
+	w->run(100 * MS);
+	for (int i = 0; i < 10; i++)
+		handles.push_back(w->ask(3, "a" + std::to_string(i),
+					 "s" + std::to_string(i)));
+	w->run(12 * SEC);
+	expect_kept(*w);
+}
+
+TEST(Serve, EngineRestartedEmptyIsLoadedAgain)
+{
+	auto w = started();
+	uint64_t a = w->ask(1, "a1", "r1"), b;
+	target_id_t t;
+
+	w->run(2 * SEC);
+	t = w->replies[a].target;
+	w->restart_engine(t);
+	w->run(10 * MS);
+	b = w->ask(1, "a1", "r2");
+	w->run(4 * SEC);
+	EXPECT_TRUE(w->replies[b].done)
+		<< reason_info(w->replies[b].reason)->name;
+	expect_kept(*w);
+}
+
+TEST(Serve, BrokenStreamIsResumedAtItsOffset)
+{
+	auto w = started();
+	uint64_t resumed = counter_get_retried(RETRY_RESUMED);
+	uint64_t h = w->ask(1, "a1", "r1");
+
+	for (auto &e : w->engines)
+		e.second.drops = 2;
+	w->run(4 * SEC);
+	EXPECT_TRUE(w->replies[h].done)
+		<< reason_info(w->replies[h].reason)->name;
+	EXPECT_EQ(1, w->ran["r1"]);
+	EXPECT_EQ(resumed + 2, counter_get_retried(RETRY_RESUMED));
+	expect_kept(*w);
+}
+
+TEST(Serve, CallerReconnectsThroughAnotherDaemon)
+{
+	auto w = started();
+	uint64_t h = w->ask(1, "a1", "r1"), again;
+
+	w->run(400 * MS);
+	Reply first = w->replies[h];
+	ASSERT_FALSE(first.data.empty());
+	w->kill(1);
+	serve_req_t q = w->request("a1@1", "r1");
+	q.resume_offset = first.data.size();
+	q.deadline_us = w->now() + 8 * SEC;
+	again = w->submit(2, q, "a1@1");
+	w->run(9 * SEC);
+	EXPECT_TRUE(w->replies[again].done)
+		<< reason_info(w->replies[again].reason)->name;
+	EXPECT_EQ(World::whole("r1", "a1@1", 20),
+		  first.data + w->replies[again].data);
+	EXPECT_EQ(1, w->ran["r1"]);
+	expect_kept(*w);
+}
+
+TEST(Serve, SilentEngineIsFoundAndTheRequestRunsElsewhere)
+{
+	auto w = started();
+	uint64_t h = w->ask(1, "a1", "r1");
+
+	w->run(50 * MS);
+	for (auto &e : w->engines)
+		e.second.silent = !e.second.resident.empty();
+	w->run(9 * SEC);
+	EXPECT_TRUE(w->replies[h].done)
+		<< reason_info(w->replies[h].reason)->name;
+	expect_kept(*w);
+}
+
+TEST(Serve, FailedLoadsGoToAnotherTargetThenEnd)
+{
+	auto w = started();
+	uint64_t h = w->ask(1, "a1", "r1"), i;
+
+	for (auto &e : w->engines)
+		e.second.load_failures = 1;
+	w->run(5 * SEC);
+	EXPECT_TRUE(w->replies[h].failed || w->replies[h].done);
+	for (auto &e : w->engines)
+		e.second.load_failures = 100;
+	i = w->ask(1, "a2", "r2");
+	w->run(12 * SEC);
+	EXPECT_EQ(REASON_LOAD_FAILED, w->replies[i].reason);
+	EXPECT_EQ(RUN_NO, w->replies[i].run);
+	expect_kept(*w);
+}
+
+// Non-repeatable calls.
+
+TEST(Serve, SameKeyThroughSeveralEntriesRunsOnce)
+{
+	auto w = started();
+	std::vector<uint64_t> handles;
+	int answered = 0;
+
+	for (host_id_t e = 1; e <= 3; e++)
+		handles.push_back(w->call(e, "call1", "key1"));
+	w->run(2 * SEC);
+	handles.push_back(w->call(3, "call1", "key1"));
+	w->run(2 * SEC);
+	for (uint64_t h : handles) {
+		Reply &r = w->replies[h];
+
+		answered += r.done;
+		EXPECT_EQ(r.done ? REASON_NONE : REASON_KEY_IN_PROGRESS,
+			  r.reason);
+	}
+	EXPECT_EQ(1, w->ran["call1"]);
+	EXPECT_TRUE(w->replies[handles[3]].replayed);
+	EXPECT_GE(answered, 2);
+	expect_kept(*w);
+}
+
+TEST(Serve, LostCallIsUnknownAndNeverRunsAgain)
+{
+	auto w = started();
+	uint64_t a, b;
+
+	w->engines[10].silent = true;
+	a = w->call(2, "call1", "key1");
+	w->run(4 * SEC);
+	EXPECT_EQ(REASON_OUTCOME_UNKNOWN, w->replies[a].reason);
+	EXPECT_EQ(RUN_UNKNOWN, w->replies[a].run);
+	w->engines[10].silent = false;
+	b = w->call(3, "call1", "key1");
+	w->run(4 * SEC);
+	EXPECT_EQ(REASON_OUTCOME_UNKNOWN, w->replies[b].reason);
+	EXPECT_EQ(0, w->ran["call1"]);
+	expect_kept(*w);
+}
+
+TEST(Serve, CallThatWasNotSentReleasesItsKey)
+{
+	auto w = started();
+	uint64_t a, b;
+
+	w->engines[10].refusing = true;
+	a = w->call(2, "call1", "key1");
+	w->run(12 * SEC);
+	EXPECT_EQ(RUN_NO, w->replies[a].run);
+	w->engines[10].refusing = false;
+	b = w->call(3, "call1", "key1");
+	w->run(2 * SEC);
+	EXPECT_TRUE(w->replies[b].done)
+		<< reason_info(w->replies[b].reason)->name;
+	expect_kept(*w);
+}
+
+TEST(Serve, KeyOfAnotherBodyIsRefusedAndAMissingKeyToo)
+{
+	auto w = started();
+	uint64_t a = w->call(1, "call1", "key1"), b, c;
+
+	w->run(2 * SEC);
+	b = w->call(1, "call2", "key1");
+	c = w->call(1, "call3", "");
+	w->run(2 * SEC);
+	EXPECT_TRUE(w->replies[a].done);
+	EXPECT_EQ(REASON_KEY_REUSED, w->replies[b].reason);
+	EXPECT_EQ(REASON_KEY_MISSING, w->replies[c].reason);
+	expect_kept(*w);
+}
+
+TEST(Serve, UndecidedClaimsAreProposedAgain)
+{
+	auto w = started();
+	uint64_t h;
+
+	w->claim_faults = 5;
+	h = w->call(1, "call1", "key1");
+	w->run(5 * SEC);
+	EXPECT_TRUE(w->replies[h].done);
+	EXPECT_EQ(1, w->ran["call1"]);
+	expect_kept(*w);
+}
+
+// Leaving.
+
+TEST(Serve, LeavingTargetGetsNoNewWork)
+{
+	auto w = started();
+	int done = 0;
+	std::vector<uint64_t> handles;
+
+	w->engines[2].leaving = true;
+	w->engines[2].leaving_since = w->now();
+	for (int i = 0; i < 60; i++) {
+		handles.push_back(w->ask(1 + (host_id_t)i % 3,
+					 "a" + std::to_string(i % 10),
+					 "r" + std::to_string(i)));
+		w->run(100 * MS);
+	}
+	w->run(5 * SEC);
+	for (uint64_t h : handles)
+		done += w->replies[h].done;
+	EXPECT_EQ(60, done);
+	expect_kept(*w);
+}
+
+TEST(Serve, DrainedDaemonCutsNothing)
+{
+	auto w = started();
+	std::vector<uint64_t> handles;
+	uint64_t late;
+
+	for (int i = 0; i < 6; i++)
+		handles.push_back(w->ask(1, "a" + std::to_string(i),
+					 "r" + std::to_string(i)));
+	w->run(100 * MS);
+	serve_drain(w->daemons[1].s);
+	EXPECT_FALSE(serve_drained(w->daemons[1].s));
+	handles.push_back(w->ask(1, "a7", "kept-address"));
+	w->run(w->cfg.address_ttl_us);
+	late = w->ask(1, "a7", "late");
+	w->run(100 * MS);
+	EXPECT_EQ(REASON_LEAVING, w->replies[late].reason);
+	w->assign(1, 2);
+	w->run(8 * SEC);
+	EXPECT_TRUE(serve_drained(w->daemons[1].s));
+	for (uint64_t h : handles)
+		EXPECT_TRUE(w->replies[h].done)
+			<< reason_info(w->replies[h].reason)->name;
+	expect_kept(*w);
+}
+
+TEST(Serve, StaleDaemonRefusesAndSaysNotRun)
+{
+	auto w = started();
+	uint64_t h;
+
+	w->daemons[2].fresh = false;
+	w->run(SEC);
+	h = w->ask(2, "a1", "r1");
+	EXPECT_EQ(REASON_STALE, w->replies[h].reason);
+	EXPECT_EQ(RUN_NO, w->replies[h].run);
+	expect_kept(*w);
+}
+
+// Limits, permits, versions.
+
+TEST(Serve, ConcurrencyLimitHoldsOverAllDaemons)
+{
+	org_limits_t limits = {};
+	auto w = small_world();
+	uint32_t most = 0, answered = 0;
+
+	limits.concurrency = 6;
+	w->add_org(3, limits);
+	w->start();
+	w->run(SEC);
+	for (int i = 0; i < 400; i++) {
+		serve_req_t q = w->request("a1", "r" + std::to_string(i));
+		uint32_t running = 0;
+		host_id_t entry = i < 200 ? 1 + (host_id_t)i % 3 : 2;
+
+		q.org_id = 3;
+		w->submit(entry, q, "a1@1");
+		w->run(20 * MS);
+		for (auto &e : w->engines)
+			running += e.second.running("");
+		most = std::max(most, running);
+	}
+	w->run(3 * SEC);
+	for (auto &r : w->replies)
+		answered += r.second.done;
+	EXPECT_LE(most, 6u);
+	EXPECT_GE(most, 5u); // the whole limit is usable through one daemon
+	EXPECT_GT(answered, 100u);
+	expect_kept(*w);
+}
+
+TEST(Serve, RateLimitHoldsOverAllDaemons)
+{
+	org_limits_t limits = {};
+	auto w = small_world();
+	uint32_t answered = 0;
+
+	limits.rate_per_s = 20;
+	limits.burst = 10;
+	w->add_org(3, limits);
+	w->start();
+	w->run(SEC);
+	for (int i = 0; i < 1000; i++) {
+		serve_req_t q = w->request("a1", "r" + std::to_string(i));
+
+		q.org_id = 3;
+		w->submit(1 + (host_id_t)i % 3, q, "a1@1");
+		w->run(10 * MS);
+	}
+	w->run(3 * SEC);
+	for (auto &r : w->replies)
+		answered += r.second.done;
+	EXPECT_LE(answered, 10u * 20 + 2 * 10);
+	EXPECT_GE(answered, 10u * 20 / 2);
+	expect_kept(*w);
+}
+
+TEST(Serve, LoadsKeepToTheStorePermitsAcrossALeaderChange)
+{
+	auto w = started();
+	int most = 0;
+
+	for (int i = 0; i < 60; i++) {
+		int loading = 0;
+
+		if (i % 3 == 0)
+			w->ask(2 + (host_id_t)(i / 3) % 2,
+			       "a" + std::to_string(i / 3 % 10),
+			       "r" + std::to_string(i));
+		if (i == 20)
+			w->kill(1);
+		w->run(100 * MS);
+		for (auto &e : w->engines)
+			for (auto &a : e.second.resident)
+				loading += a.second;
+		most = std::max(most, loading);
+	}
+	EXPECT_EQ(1, most);
+	w->run(15 * SEC);
+	expect_kept(*w);
+}
+
+TEST(Serve, ColdAdapterIsLoadedOnceForManyWaiters)
+{
+	auto w = started();
+	uint32_t loads = 0;
+
+	for (int i = 0; i < 12; i++)
+		w->ask(1 + (host_id_t)i % 3, "a1", "r" + std::to_string(i));
+	w->run(5 * SEC);
+	for (auto &e : w->engines)
+		loads += e.second.loads;
+	EXPECT_EQ(1u, loads);
+	expect_kept(*w);
+}
+
+TEST(Serve, AnnouncedVersionIsLoadedAheadAndOldOnesStayUsable)
+{
+	auto w = started();
+	uint64_t a = w->ask(1, "a1", "r1"), b, c;
+
+	w->run(2 * SEC);
+	w->tables = decided_edit(w->tables);
+	w->add_adapter("a1", 2);
+	w->publish();
+	w->run(2 * SEC);
+	b = w->submit(1, w->request("a1", "r2"), "a1@2");
+	c = w->submit(1, w->request("a1@1", "r3"), "a1@1");
+	w->run(3 * SEC);
+	EXPECT_TRUE(w->replies[a].done && w->replies[b].done &&
+		    w->replies[c].done);
+	EXPECT_EQ(0, w->replies[b].stall);
+	expect_kept(*w);
+}
+
+// Overload and fairness.
+
+struct Load {
+	double per_s;
+	uint32_t org;
+	int adapters;
+};
+
+// Runs loads for some seconds; returns on-time answers a second by org.
+std::map<uint32_t, double> offer(World &w, const std::vector<Load> &loads,
+				 int seconds)
+{
+	std::vector<double> due(loads.size(), 0.0);
+	std::map<uint32_t, double> on_time;
+	int64_t start = w.now();
+	int n = 0;
+
+	while (w.now() < start + seconds * SEC) {
+		for (size_t i = 0; i < loads.size(); i++) {
+			due[i] += loads[i].per_s / 200;
+			for (; due[i] >= 1; due[i] -= 1) {
+				std::string m =
+					"a" +
+					std::to_string(n % loads[i].adapters);
+				serve_req_t q =
+					w.request(m, "r" + std::to_string(n));
+
+				q.org_id = loads[i].org;
+				q.deadline_us = w.now() + 2 * SEC;
+				w.submit(1 + (host_id_t)n % 3, q, m + "@1");
+				n++;
+			}
+		}
+		w.run(5 * MS);
+	}
+	w.run(4 * SEC);
+	for (auto &r : w.replies)
+		if (r.second.done && r.second.end <= r.second.deadline &&
+		    r.second.at > start + 5 * SEC)
+			on_time[r.second.org] += 1.0 / (seconds - 5);
+	return on_time;
+}
+
+// Three runners of 8 at 20 steps of 10 ms: about 120 requests a second.
+constexpr double CAPACITY = 120;
+
+TEST(Serve, GoodputStaysNearItsPeakPastSaturation)
+{
+	std::vector<double> goodput;
+	double peak;
+
+	for (double x : {1.0, 2.0, 4.0}) {
+		auto w = started();
+
+		goodput.push_back(offer(*w, {{x * CAPACITY, 1, 10}}, 25)[1]);
+		expect_kept(*w);
+	}
+	peak = *std::max_element(goodput.begin(), goodput.end());
+	EXPECT_GT(peak, 0.8 * CAPACITY);
+	for (double g : goodput)
+		EXPECT_GE(g, 0.95 * peak)
+			<< goodput[0] << " " << goodput[1] << " " << goodput[2];
+}
+
+TEST(Serve, FloodingOrganisationCostsOthersLittle)
+{
+	auto calm = started(), flooded = started();
+	double before = offer(*calm, {{30, 1, 10}, {30, 2, 10}}, 25)[1];
+	double after = offer(*flooded, {{30, 1, 10}, {600, 2, 10}}, 25)[1];
+
+	EXPECT_GT(before, 29);
+	EXPECT_GE(after, 0.95 * before);
+	expect_kept(*calm);
+	expect_kept(*flooded);
+}
+
 } // namespace
--- a/tests/serve_world.h
+++ b/tests/serve_world.h
@@ -138,6 +138,7 @@
 	std::set<target_id_t> listed; // leaving, says the platform's list
 	int claim_faults = 0; // the next claims that fail: 1 not taken, 2 lost
 	serve_cfg_t cfg;
+	std::deque<std::string> kept;
 	using Timed =
 		std::pair<std::pair<int64_t, uint64_t>, std::function<void()>>;
 	struct Later {
@@ -482,15 +483,22 @@
 
 	// Requests.
 
+	// Keeps a string for the requests that view it.
+	str_t keep(const std::string &s)
+	{
+		kept.push_back(s);
+		return view(kept.back());
+	}
+
 	serve_req_t request(const std::string &model, const std::string &tag)
 	{
 		serve_req_t r = {};
 
 		r.handle = next_handle++;
 		r.org_id = 1;
-		r.model = view(model);
-		r.request_id = view(tag);
-		r.body = view(tag);
+		r.model = keep(model);
+		r.request_id = keep(tag);
+		r.body = keep(tag);
 		r.max_tokens = 20;
 		r.deadline_us = now() + 10 * SEC;
 		return r;
@@ -536,7 +544,7 @@
 		r.service = STR("records");
 		r.path = STR("/post");
 		r.not_repeatable = true;
-		r.idempotency_key = view(key);
+		r.idempotency_key = keep(key);
 		return submit(entry, r, "");
 	}
 
