Log: a failed sync ends the voter for good; certain refusals are certain

Change: a failed log takes no other role; a host without leader also asks to join; a refusal is certain only where the host knows what it appended.

--- a/proto/state.pb-c.c
+++ b/proto/state.pb-c.c
@@ -2374,7 +2374,7 @@
   (ProtobufCMessageInit) peer__propose__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__propose_res__field_descriptors[12] =
+static const ProtobufCFieldDescriptor peer__propose_res__field_descriptors[13] =
 {
   {
     "id",
@@ -2520,10 +2520,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "certain",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ProposeRes, certain),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__propose_res__field_indices_by_name[] = {
   2,   /* field[2] = attempt */
   11,   /* field[11] = body */
+  12,   /* field[12] = certain */
   8,   /* field[8] = error */
   10,   /* field[10] = http_status */
   0,   /* field[0] = id */
@@ -2538,7 +2551,7 @@
 static const ProtobufCIntRange peer__propose_res__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor peer__propose_res__descriptor =
 {
@@ -2548,7 +2561,7 @@
   "Peer__ProposeRes",
   "peer",
   sizeof(Peer__ProposeRes),
-  12,
+  13,
   peer__propose_res__field_descriptors,
   peer__propose_res__field_indices_by_name,
   1,  peer__propose_res__number_ranges,
--- a/proto/state.pb-c.h
+++ b/proto/state.pb-c.h
@@ -356,9 +356,13 @@
   uint64_t session;
   uint32_t attempt;
   /*
-   * this attempt was not appended and never will be
+   * by a host that does not lead the attempt's term
    */
   protobuf_c_boolean refused;
+  /*
+   * the attempt was not appended and never will be
+   */
+  protobuf_c_boolean certain;
   /*
    * hint where refused, with its term
    */
@@ -376,7 +380,7 @@
 };
 #define PEER__PROPOSE_RES__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__propose_res__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, {0,NULL}, 0, 0, {0,NULL} }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, {0,NULL}, 0, 0, {0,NULL} }
 
 
 /*
--- a/src/forward.c
+++ b/src/forward.c
@@ -180,7 +180,8 @@
 	if (!r || p->attempt >= r->attempts)
 		return false;
 	if (p->refused) {
-		r->refused |= (uint64_t)1 << p->attempt;
+		if (p->certain)
+			r->refused |= (uint64_t)1 << p->attempt;
 		*leader = p->leader;
 		*term = p->leader_term;
 		return p->leader_term > f->term && p->leader;
--- a/src/forward.h
+++ b/src/forward.h
@@ -56,8 +56,15 @@
 
 intake_t *intake_new(const intake_ops_t *ops, void *ctx);
 void intake_free(intake_t *in);
-/* Forgets all: a term has ended or begun. */
+/* Forgets all: this host begins to lead a term. */
 void intake_reset(intake_t *in);
+/* Its term is over: what was not appended never will be. */
+void intake_end(intake_t *in);
+/*
+ * Whether a request of the term that was led last may have been appended;
+ * answers it where its result is known.
+ */
+bool intake_knows(intake_t *in, host_id_t from, const Peer__Propose *p);
 /* A request for this leader. True where something waits for intake_flush(). */
 bool intake_take(intake_t *in, host_id_t from, const Peer__Propose *p);
 /* Appends what has gathered; now_ms as for machine_pack_claims(). */
--- a/src/intake.c
+++ b/src/intake.c
@@ -143,6 +143,17 @@
 	return it;
 }
 
+static item_t *item_find(const origin_t *o, uint64_t id)
+{
+	item_t *it;
+
+	cds_list_for_each_entry (it, &o->items, node) {
+		if (it->id == id)
+			return it;
+	}
+	return NULL;
+}
+
 bool intake_take(intake_t *in, host_id_t from, const Peer__Propose *p)
 {
 	origin_t *o = origin_get(in, from, p->session);
@@ -151,9 +162,8 @@
 	forget_below(o, p->oldest);
 	if (p->id < o->oldest)
 		return false;
-	cds_list_for_each_entry (it, &o->items, node) {
-		if (it->id != p->id)
-			continue;
+	it = item_find(o, p->id);
+	if (it) {
 		it->attempt = p->attempt;
 		if (it->done)
 			answer(in, it);
@@ -271,6 +281,29 @@
 	finish(in, it);
 }
 
+void intake_end(intake_t *in)
+{
+	item_t *it, *tmp;
+
+	cds_list_for_each_entry_safe (it, tmp, &in->fresh, queue) {
+		item_free(it);
+	}
+	/* Other records may come at their indexes now. */
+	cds_list_for_each_entry_safe (it, tmp, &in->undecided, queue) {
+		cds_list_del(&it->queue);
+		CDS_INIT_LIST_HEAD(&it->queue);
+	}
+}
+
+bool intake_knows(intake_t *in, host_id_t from, const Peer__Propose *p)
+{
+	item_t *it = item_find(origin_get(in, from, p->session), p->id);
+
+	if (it && it->done)
+		answer(in, it);
+	return it != NULL;
+}
+
 void intake_reset(intake_t *in)
 {
 	origin_t *o, *otmp;
--- a/src/rlog.c
+++ b/src/rlog.c
@@ -622,6 +622,8 @@
 {
 	bool changed = l->role != RLOG_FOLLOWER || l->leader != leader;
 
+	if (l->role == RLOG_FAILED)
+		return;
 	l->role = RLOG_FOLLOWER;
 	l->leader = leader;
 	arm_election(l, now_us);
@@ -719,9 +721,8 @@
 		return;
 	/* Peers sync while this host does. */
 	broadcast(l, now_us);
-	if (store(l))
-		return;
-	advance_commit(l);
+	if (store(l) == 0)
+		advance_commit(l);
 }
 
 static void propose_members(rlog_t *l, members_t *m, int64_t now_us)
@@ -765,7 +766,7 @@
 	Peer__VoteReq pb = PEER__VOTE_REQ__INIT;
 
 	arm_election(l, now_us);
-	if (!self_votes(l))
+	if (!self_votes(l) || l->role == RLOG_FAILED)
 		return;
 	l->pre = pre;
 	l->leader = 0;
@@ -1274,6 +1275,20 @@
 	advance_commit(l);
 }
 
+/*
+ * A host that no leader speaks to asks to be let in. It may take itself for a
+ * voter by a record that was never decided, and that the leader does not hold.
+ */
+static void join(rlog_t *l, int64_t now_us)
+{
+	l->join_due_us = now_us + l->cfg.election_us / 2;
+	if (self_votes(l) && l->leader)
+		return;
+	for (size_t i = 0; i < l->n_peers; i++)
+		send_join(l, &l->peers[i]);
+	maybe_found(l, now_us);
+}
+
 int64_t rlog_tick(rlog_t *l, int64_t now_us)
 {
 	if (l->role == RLOG_FAILED)
@@ -1282,18 +1297,18 @@
 		tick_leader(l, now_us);
 		if (l->role == RLOG_LEADER)
 			return l->beat_due_us;
+		if (l->role == RLOG_FAILED)
+			return INT64_MAX;
 	}
-	if (!self_votes(l) && now_us >= l->join_due_us) {
-		l->join_due_us = now_us + l->cfg.election_us / 2;
-		for (size_t i = 0; i < l->n_peers; i++)
-			send_join(l, &l->peers[i]);
-		maybe_found(l, now_us);
-	}
+	if (now_us >= l->join_due_us)
+		join(l, now_us);
 	if (self_votes(l) && now_us >= l->election_due_us)
 		campaign(l, l->members.n > 1, now_us);
 	if (l->role == RLOG_LEADER)
 		return l->beat_due_us;
-	return self_votes(l) ? l->election_due_us : l->join_due_us;
+	if (!self_votes(l) || l->join_due_us < l->election_due_us)
+		return l->join_due_us;
+	return l->election_due_us;
 }
 
 void rlog_want_round(rlog_t *l, int64_t now_us)
--- a/src/state.c
+++ b/src/state.c
@@ -74,7 +74,8 @@
 
 	/* Leader. */
 	bool leading;
-	uint64_t leading_term;
+	uint64_t leading_term; /* latest that this process led */
+	uint64_t led_term;     /* latest that this host may have led */
 	bool clock_set;
 	int64_t clock_base_us; /* cluster time 0 on the own clock */
 	held_renewal_t *held;
@@ -283,6 +284,7 @@
 {
 	st->leading = true;
 	st->leading_term = rlog_term(st->rlog);
+	st->led_term = st->leading_term;
 	st->clock_set = false;
 	st->n_held = 0;
 	st->assign_index = 0;
@@ -299,7 +301,7 @@
 	st->leading = false;
 	st->n_held = 0;
 	st->flush_due_us = INT64_MAX;
-	intake_reset(st->intake);
+	intake_end(st->intake);
 	st->standing_dirty = true;
 }
 
@@ -601,7 +603,8 @@
 	return (uint64_t)((now_us - st->clock_base_us) / USEC_PER_MSEC);
 }
 
-static void refuse_proposal(state_t *st, host_id_t from, const Peer__Propose *p)
+static void refuse_proposal(state_t *st, host_id_t from, const Peer__Propose *p,
+			    bool certain)
 {
 	Peer__ProposeRes pb = PEER__PROPOSE_RES__INIT;
 
@@ -609,6 +612,7 @@
 	pb.session = p->session;
 	pb.attempt = p->attempt;
 	pb.refused = true;
+	pb.certain = certain;
 	pb.leader = st->leader;
 	pb.leader_term = st->leader_term;
 	send_body(st, from, PEER__MSG__BODY_PROPOSE_RES, &pb);
@@ -618,7 +622,12 @@
 		       int64_t now_us)
 {
 	if (!st->leading || p->term != st->leading_term) {
-		refuse_proposal(st, from, p);
+		bool led = p->term == st->leading_term;
+
+		/* Of earlier terms it does not know what it appended. */
+		refuse_proposal(st, from, p,
+				led ? !intake_knows(st->intake, from, p)
+				    : p->term > st->led_term);
 		return;
 	}
 	if (intake_take(st->intake, from, p))
@@ -1109,7 +1118,10 @@
 	if (!wal)
 		return 0;
 	st->rlog = rlog_new(&cfg, &ops, st, wal, now_us, err);
-	return st->rlog ? 0 : -1;
+	if (!st->rlog)
+		return -1;
+	st->led_term = rlog_term(st->rlog);
+	return 0;
 }
 
 state_t *state_new(const state_cfg_t *cfg, const state_ops_t *ops, void *ctx,
