--- a/src/place.c
+++ b/src/place.c
@@ -1,6 +1,7 @@
 /* place.c - scoring of targets from the owners' reports. */
 #include "place.h"
 
+#include <math.h>
 #include <string.h>
 
 #include "slot.h"
@@ -8,9 +9,13 @@
 /* A report counts for this long without a newer one. */
 #define REPORT_LIFE_US (10 * USEC_PER_SEC)
 /* Rendezvous homes that a non-resident adapter may be loaded on. */
-#define HOMES_MAX 3u
-/* Advantage that an earlier home needs to lose its adapter to a later one. */
-#define HOME_STEP_US (150 * USEC_PER_MSEC)
+#define HOMES_MAX 16u
+/* What one rank among the homes is worth, to break ties. */
+#define HOME_STEP_US USEC_PER_MSEC
+/* An adapter that is asked for within this time is missed when evicted. */
+#define REUSE_US (30 * USEC_PER_SEC)
+/* What the eviction of an adapter costs that another target has too. */
+#define COPY_SHARE 0.1
 /* Hosts tried without a report are taken as lightly loaded. */
 #define UNKNOWN_WAIT_US (5 * USEC_PER_MSEC)
 
@@ -19,14 +24,17 @@
 	int64_t at_us;
 	int64_t wait_us;
 	int64_t each_us;
-	int64_t evict_us;
 	uint32_t waiting;
 	uint32_t running;
-	uint32_t sent; /* by this daemon since the report */
-	bool known;    /* a report has come */
+	uint32_t sent;	    /* by this daemon since the report */
+	uint32_t sent_cold; /* of these, with a load */
+	uint64_t *evict;    /* owned: costs of the next evictions */
+	size_t n_evict;
+	bool known; /* a report has come */
 	bool active;
 	bool leaving;	    /* says the report */
-	bool listed;	    /* says the platform's list or the target */
+	bool listed;	    /* says the platform's list */
+	bool said;	    /* said the target itself, in its present life */
 	uint32_t *resident; /* owned */
 	size_t n_resident;
 	uint32_t *loading; /* owned */
@@ -39,6 +47,7 @@
 
 	free(h->resident);
 	free(h->loading);
+	free(h->evict);
 	free(h);
 }
 
@@ -48,6 +57,7 @@
 	pthread_mutex_init(&p->lock, NULL);
 	p->cfg = cfg;
 	p->seed = cfg->seed;
+	rates_init(&p->rates);
 	p->hints = g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL,
 					 hint_free);
 	p->down = g_hash_table_new(g_direct_hash, g_direct_equal);
@@ -57,6 +67,7 @@
 {
 	g_hash_table_destroy(p->hints);
 	g_hash_table_destroy(p->down);
+	rates_free(&p->rates);
 	free(p->live);
 	pthread_mutex_destroy(&p->lock);
 }
@@ -88,11 +99,42 @@
 	*n = count;
 }
 
+static void set_backlog(place_t *p, uint32_t backlog, int64_t now)
+{
+	p->backlog = backlog;
+	p->backlog_at_us = now;
+}
+
+/* Time until a load that is asked for now ends; with the lock held. */
+static int64_t expected_load(const place_t *p, int64_t load_us, int64_t now)
+{
+	uint32_t lanes =
+		p->cfg->store_concurrency ? p->cfg->store_concurrency : 1;
+	int64_t wait = p->backlog * p->cfg->load_us / lanes;
+
+	wait -= now - p->backlog_at_us;
+	return load_us + (wait > 0 ? wait : 0);
+}
+
+static void set_costs(hint_t *h, const Serve__Report *rep)
+{
+	free(h->evict);
+	h->evict = xmalloc(rep->n_evict_us * sizeof(*h->evict) + 1);
+	if (rep->n_evict_us)
+		memcpy(h->evict, rep->evict_us,
+		       rep->n_evict_us * sizeof(*h->evict));
+	h->n_evict = rep->n_evict_us;
+}
+
 void place_report(place_t *p, const Serve__Report *rep, int64_t now)
 {
 	hint_t *h;
 
 	pthread_mutex_lock(&p->lock);
+	for (size_t i = 0; i < rep->n_asked; i++)
+		rates_add(&p->rates, rep->asked[i], 1, now);
+	if (rep->store_backlog)
+		set_backlog(p, rep->store_backlog - 1, now);
 	h = hint_get(p, rep->target);
 	if (!h->known || rep->fence >= h->fence) {
 		h->known = true;
@@ -100,10 +142,11 @@
 		h->at_us = now;
 		h->wait_us = rep->wait_us;
 		h->each_us = rep->each_us;
-		h->evict_us = rep->evict_us;
 		h->waiting = rep->waiting;
 		h->running = rep->running;
 		h->sent = 0;
+		h->sent_cold = 0;
+		set_costs(h, rep);
 		h->active = rep->active;
 		h->leaving = rep->leaving;
 		set_hashes(&h->resident, &h->n_resident, rep->resident,
@@ -115,20 +158,36 @@
 }
 
 void place_hint(place_t *p, target_id_t target, bool leaving)
+{
+	hint_t *h;
+
+	pthread_mutex_lock(&p->lock);
+	h = hint_get(p, target);
+	/* The list lags: only its own change takes back the target's word. */
+	if (h->listed && !leaving)
+		h->said = false;
+	h->listed = leaving;
+	pthread_mutex_unlock(&p->lock);
+}
+
+void place_said(place_t *p, target_id_t target, bool leaving)
 {
 	pthread_mutex_lock(&p->lock);
-	hint_get(p, target)->listed = leaving;
+	hint_get(p, target)->said = leaving;
 	pthread_mutex_unlock(&p->lock);
 }
 
+static bool hint_leaving(const hint_t *h)
+{
+	return h && (h->listed || h->said);
+}
+
 bool place_is_leaving(place_t *p, target_id_t target)
 {
-	const hint_t *h;
 	bool leaving;
 
 	pthread_mutex_lock(&p->lock);
-	h = hint_find(p, target);
-	leaving = h && h->listed;
+	leaving = hint_leaving(hint_find(p, target));
 	pthread_mutex_unlock(&p->lock);
 	return leaving;
 }
@@ -238,7 +297,7 @@
 
 	if (!target_matches(t, q) || !host_live(p, t->owner))
 		return false;
-	if (h && h->listed)
+	if (hint_leaving(h))
 		return false;
 	h = hint_fresh(p, t, q->now_us);
 	return !h || (h->active && !h->leaving);
@@ -251,6 +310,20 @@
 	return h->wait_us + h->sent * h->each_us;
 }
 
+/* Expected cost of the eviction that a load there needs. */
+static double expected_evict(const place_t *p, const hint_t *h)
+{
+	size_t next;
+
+	if (!h)
+		return (double)p->cfg->load_us;
+	next = h->sent_cold;
+	if (next < h->n_evict)
+		return (double)h->evict[next];
+	/* All slots are pinned: it waits for one. */
+	return 2.0 * (double)p->cfg->load_us * (double)(next - h->n_evict + 1);
+}
+
 /* Score under the cost policy: expected finish, weighted. */
 static double cost_score(const place_t *p, const place_query_t *q,
 			 const hint_t *h, const place_score_t *s)
@@ -261,8 +334,8 @@
 	if (q->kind == TARGET_SERVICE || !q->adapter.n || s->resident)
 		return score + (double)s->rank;
 	score += cfg->stall_weight * (double)s->stall_us;
-	if (h)
-		score += cfg->stall_weight * (double)h->evict_us;
+	if (!s->loading)
+		score += cfg->stall_weight * expected_evict(p, h);
 	return score + (double)s->rank * HOME_STEP_US;
 }
 
@@ -402,6 +475,7 @@
 	pthread_mutex_lock(&p->lock);
 	h = hint_get(p, best.target->id);
 	h->sent++;
+	h->sent_cold += !best.resident && !best.loading;
 	pthread_mutex_unlock(&p->lock);
 	return best.target;
 }
@@ -427,21 +501,50 @@
 	const copy_ctx_t *c = ctx;
 	const hint_t *h = value;
 
-	return h->known && h->active && !h->leaving && !h->listed &&
+	return h->known && h->active && !h->leaving && !hint_leaving(h) &&
 	       c->now - h->at_us <= REPORT_LIFE_US &&
 	       rendezvous_score(c->key, GPOINTER_TO_UINT(key)) > c->score &&
 	       has_hash(h->resident, h->n_resident, c->hash);
 }
 
-bool place_copy_elsewhere(place_t *p, str_t name, uint32_t hash,
-			  target_id_t target, int64_t now)
+void place_store_backlog(place_t *p, uint32_t backlog, int64_t now)
+{
+	pthread_mutex_lock(&p->lock);
+	set_backlog(p, backlog, now);
+	pthread_mutex_unlock(&p->lock);
+}
+
+int64_t place_load_us(place_t *p, int64_t load_us, int64_t now)
+{
+	int64_t us;
+
+	pthread_mutex_lock(&p->lock);
+	us = expected_load(p, load_us, now);
+	pthread_mutex_unlock(&p->lock);
+	return us;
+}
+
+void place_asked(place_t *p, uint32_t hash, int64_t now)
+{
+	pthread_mutex_lock(&p->lock);
+	rates_add(&p->rates, hash, 1, now);
+	pthread_mutex_unlock(&p->lock);
+}
+
+double place_evict_cost(place_t *p, str_t name, uint32_t hash,
+			target_id_t target, int64_t load_us, int64_t now)
 {
 	copy_ctx_t c = {hash_bytes(name.p, name.n, 1), hash, 0, now};
-	bool found;
+	double rate, load, soon, cost;
 
 	c.score = rendezvous_score(c.key, target);
 	pthread_mutex_lock(&p->lock);
-	found = g_hash_table_find(p->hints, is_better_copy, &c);
+	rate = rates_get(&p->rates, hash, now) / USEC_PER_SEC;
+	load = (double)expected_load(p, load_us, now);
+	soon = 1 - exp(-rate * REUSE_US);
+	cost = soon * load + rate * load * load / 2;
+	if (g_hash_table_find(p->hints, is_better_copy, &c))
+		cost *= COPY_SHARE;
 	pthread_mutex_unlock(&p->lock);
-	return found;
+	return cost;
 }
--- a/src/target.c
+++ b/src/target.c
@@ -110,6 +110,7 @@
 {
 	str_free(&t->o.url);
 	str_free(&t->o.adapter);
+	str_free(&t->o.base);
 	str_free(&t->o.run_id);
 	str_free(&t->o.path);
 	str_free(&t->o.body);
@@ -131,6 +132,7 @@
 	t->o = *order;
 	t->o.url = str_copy(order->url);
 	t->o.adapter = str_copy(order->adapter);
+	t->o.base = str_copy(order->base);
 	t->o.run_id = str_copy(order->run_id);
 	t->o.path = str_copy(order->path);
 	t->o.body = str_copy(order->body);
@@ -281,10 +283,13 @@
 	return t->o.kind == ORDER_RUN || t->o.kind == ORDER_RESUME;
 }
 
-/* Whether answer bytes are passed on as they come, unparsed. */
+/*
+ * Whether answer bytes are passed on as they come, unparsed. A 503 is looked
+ * at first: it may say that the call was not run.
+ */
 static bool passes_through(const transfer_t *t)
 {
-	return is_run(t) && t->service && t->framed;
+	return is_run(t) && t->service && t->framed && t->status != 503;
 }
 
 static size_t on_body(char *p, size_t size, size_t n, void *arg)
@@ -409,9 +414,27 @@
 	return text;
 }
 
+/* The body of a run with the exact model put first, as engines need it. */
+static char *run_body(const engine_order_t *o)
+{
+	buf_t out = {0};
+	str_t model = o->adapter.n ? o->adapter : o->base;
+	str_t rest = o->body.n ? str_n(o->body.p + 1, o->body.n - 1) : STR("}");
+	json_t *name = json_stringn(model.p ? model.p : "", model.n);
+	AUTO_FREE char *quoted = json_dumps(name, JSON_ENCODE_ANY);
+
+	json_decref(name);
+	buf_printf(&out, "{\"model\":%s%s", quoted ? quoted : "\"\"",
+		   rest.n && rest.p[0] == '}' ? "" : ",");
+	buf_put(&out, rest.p, rest.n);
+	return out.p;
+}
+
 /* The body of an order; NULL for a GET. */
-static char *request_body(const engine_order_t *o)
+static char *request_body(const transfer_t *t)
 {
+	const engine_order_t *o = &t->o;
+
 	switch (o->kind) {
 	case ORDER_LOAD:
 		return json_text(json_pack(
@@ -425,7 +448,7 @@
 					   o->run_id.n));
 	case ORDER_RUN:
 	case ORDER_RESUME:
-		return str_dup(o->body);
+		return t->service ? str_dup(o->body) : run_body(o);
 	case ORDER_STATE:
 		return NULL;
 	}
@@ -485,9 +508,9 @@
 	buf_printf(&url, "%.*s%.*s", STR_ARG(t->o.url),
 		   STR_ARG(order_path(&t->o)));
 	curl_easy_setopt(e, CURLOPT_URL, url.p);
-	t->request = request_body(&t->o);
+	t->request = request_body(t);
 	if (t->request) {
-		size_t n = is_run(t) ? t->o.body.n : strlen(t->request);
+		size_t n = t->service ? t->o.body.n : strlen(t->request);
 
 		curl_easy_setopt(e, CURLOPT_POST, 1L);
 		curl_easy_setopt(e, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)n);
@@ -582,12 +605,34 @@
 		transfer_free(order);
 }
 
+static json_t *held_json(const transfer_t *t)
+{
+	return json_loadb(t->held.p ? t->held.p : "", t->held.n,
+			  JSON_DECODE_ANY, NULL);
+}
+
+/* Whether a service says that it did not run a call. */
+static bool service_refused(const transfer_t *t)
+{
+	json_t *doc;
+	str_t error;
+	bool refused;
+
+	if (!t->service || t->status != 503)
+		return false;
+	doc = held_json(t);
+	error = str_c(json_string_value(json_object_get(doc, "error")));
+	refused =
+		str_eq(error, STR("refused")) || str_eq(error, STR("leaving"));
+	json_decref(doc);
+	return refused;
+}
+
 /* Reads {"error": "..."} of a target's refusal. */
 static void fail_status(transfer_t *t)
 {
 	engine_event_t ev = event_of(t, EVENT_FAILED);
-	json_t *doc =
-		json_loadb(t->held.p ? t->held.p : "", t->held.n, 0, NULL);
+	json_t *doc = held_json(t);
 	str_t error = str_c(json_string_value(json_object_get(doc, "error")));
 
 	ev.sent = true;
@@ -598,6 +643,9 @@
 		ev.reason = REASON_LOAD_FAILED;
 	if (ev.old_fence || ev.target_leaving || str_eq(error, STR("refused")))
 		ev.reason = REASON_TARGET_REFUSED;
+	log_event(LOG_INFO, "target_refused", kv_u("target", t->o.target),
+		  kv_u("order", t->o.id), kv_s("run", t->o.run_id),
+		  kv_i("status", t->status), kv_s("error", error));
 	emit(t, &ev);
 	json_decref(doc);
 }
@@ -605,8 +653,7 @@
 static void finish_state(transfer_t *t)
 {
 	engine_event_t ev = event_of(t, EVENT_STATE);
-	json_t *doc =
-		json_loadb(t->held.p ? t->held.p : "", t->held.n, 0, NULL);
+	json_t *doc = held_json(t);
 	json_t *data = json_object_get(doc, "data");
 	size_t n = json_array_size(data);
 	AUTO_FREE engine_resident_t *resident = xcalloc(n, sizeof(*resident));
@@ -665,16 +712,15 @@
 /* Whole answers of an engine, and answers of services without framing. */
 static void finish_json(transfer_t *t)
 {
-	json_t *doc = json_loadb(t->held.p ? t->held.p : "", t->held.n,
-				 JSON_DECODE_ANY, NULL);
+	json_t *doc = held_json(t);
 	json_t *usage = json_object_get(doc, "usage");
 	json_t *model = json_object_get(doc, "model");
-	bool rest =
-		t->o.kind == ORDER_RESUME && t->o.resume_offset && t->framed;
+	/* Framing tells a whole answer; else only the JSON itself does. */
+	bool framed = t->framed && (t->service || t->o.resume_offset);
 
 	t->tokens = (uint32_t)json_integer_value(
 		json_object_get(usage, "completion_tokens"));
-	if (doc || rest) {
+	if (doc || framed) {
 		release_held(t, str_n(json_string_value(model),
 				      json_string_length(model)));
 		emit_done(t);
@@ -692,7 +738,7 @@
 		if (!t->head_out)
 			emit_head(t, str_n(NULL, 0));
 		emit_done(t);
-	} else if (!status_ok(t) && !t->service) {
+	} else if ((!status_ok(t) && !t->service) || service_refused(t)) {
 		fail_status(t);
 	} else if (!is_run(t)) {
 		emit_done(t);
