--- a/proto/state.pb-c.c
+++ b/proto/state.pb-c.c
@@ -1922,7 +1922,7 @@
   (ProtobufCMessageInit) peer__renew__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__renew_res__field_descriptors[14] =
+static const ProtobufCFieldDescriptor peer__renew_res__field_descriptors[16] =
 {
   {
     "session",
@@ -2092,6 +2092,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "live_since",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RenewRes, live_since),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "live_changes",
+    16,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_SINT32,
+    offsetof(Peer__RenewRes, n_live_changes),
+    offsetof(Peer__RenewRes, live_changes),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__renew_res__field_indices_by_name[] = {
   3,   /* field[3] = fed_index */
@@ -2100,6 +2124,8 @@
   10,   /* field[10] = leader */
   11,   /* field[11] = lease_index */
   6,   /* field[6] = live */
+  15,   /* field[15] = live_changes */
+  14,   /* field[14] = live_since */
   4,   /* field[4] = live_version */
   9,   /* field[9] = not_member */
   13,   /* field[13] = offered */
@@ -2112,7 +2138,7 @@
 static const ProtobufCIntRange peer__renew_res__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor peer__renew_res__descriptor =
 {
@@ -2122,7 +2148,7 @@
   "Peer__RenewRes",
   "peer",
   sizeof(Peer__RenewRes),
-  14,
+  16,
   peer__renew_res__field_descriptors,
   peer__renew_res__field_indices_by_name,
   1,  peer__renew_res__number_ranges,
--- a/proto/state.pb-c.h
+++ b/proto/state.pb-c.h
@@ -295,10 +295,17 @@
    * only the grant counts; renew with it
    */
   protobuf_c_boolean offered;
+  /*
+   * Instead of live: hosts that came and went since live_since, oldest first;
+   * a host that went is negative.
+   */
+  uint64_t live_since;
+  size_t n_live_changes;
+  int32_t *live_changes;
 };
 #define PEER__RENEW_RES__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__renew_res__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL }
 
 
 struct  Peer__ClaimReq
--- a/src/assign.c
+++ b/src/assign.c
@@ -1,29 +1,27 @@
 /* assign.c - owners of targets by rendezvous over live daemons. */
 #include "assign.h"
 
-#include <glib.h>
+#include <stdlib.h>
 
-/* Live hosts that may own targets, in all and by zone. */
+/* A live host that may own targets. */
+typedef struct candidate {
+	host_id_t id;
+	str_t zone; /* of its row in the tables */
+} candidate_t;
+
+/* The candidates, ascending by zone, then id. */
 typedef struct candidates {
-	GArray *all;	     /* host_id_t, ascending */
-	GHashTable *by_zone; /* str_t of a host row -> GArray of host_id_t */
+	candidate_t *v;
+	size_t n;
 } candidates_t;
 
-static guint zone_hash(gconstpointer key)
-{
-	const str_t *zone = key;
-
-	return (guint)hash_bytes(zone->p, zone->n, 0);
-}
-
-static gboolean zone_equal(gconstpointer a, gconstpointer b)
+static int cmp_candidate(const void *pa, const void *pb)
 {
-	return str_eq(*(const str_t *)a, *(const str_t *)b);
-}
+	const candidate_t *a = pa;
+	const candidate_t *b = pb;
+	int r = str_cmp(a->zone, b->zone);
 
-static void free_ids(gpointer ids)
-{
-	g_array_free(ids, TRUE);
+	return r ? r : (a->id > b->id) - (a->id < b->id);
 }
 
 static bool may_own(const decided_t *d, host_id_t id)
@@ -33,57 +31,58 @@
 	return h && !h->draining;
 }
 
-static void candidates_add(candidates_t *c, const host_t *h)
+static candidates_t list_candidates(const decided_t *d, const sessions_t *s)
 {
-	GArray *ids = g_hash_table_lookup(c->by_zone, &h->zone);
+	candidates_t c = {NULL, 0};
+	size_t n;
+	const host_id_t *live = sessions_live(s, &n);
 
-	if (!ids) {
-		ids = g_array_new(FALSE, FALSE, sizeof(host_id_t));
-		g_hash_table_insert(c->by_zone, (gpointer)&h->zone, ids);
+	c.v = xcalloc(n, sizeof(*c.v));
+	for (size_t i = 0; i < n; i++) {
+		if (!may_own(d, live[i]))
+			continue;
+		c.v[c.n].id = live[i];
+		c.v[c.n++].zone = decided_host(d, live[i])->zone;
 	}
-	g_array_append_val(ids, h->id);
-	g_array_append_val(c->all, h->id);
+	qsort(c.v, c.n, sizeof(*c.v), cmp_candidate);
+	return c;
 }
 
-/* Valid as long as the tables and the sessions stay as they are. */
-static void candidates_init(candidates_t *c, const decided_t *d,
-			    const sessions_t *s)
+/* First candidate whose zone is not below zone. */
+static size_t zone_begin(const candidates_t *c, str_t zone)
 {
-	size_t n;
-	const host_id_t *live = sessions_live(s, &n);
+	size_t lo = 0;
+	size_t hi = c->n;
 
-	c->all = g_array_new(FALSE, FALSE, sizeof(host_id_t));
-	c->by_zone =
-		g_hash_table_new_full(zone_hash, zone_equal, NULL, free_ids);
-	for (size_t i = 0; i < n; i++)
-		if (may_own(d, live[i]))
-			candidates_add(c, decided_host(d, live[i]));
-}
+	while (lo < hi) {
+		size_t mid = lo + (hi - lo) / 2;
 
-static void candidates_free(candidates_t *c)
-{
-	free_ids(c->all);
-	g_hash_table_unref(c->by_zone);
+		if (str_cmp(c->v[mid].zone, zone) < 0)
+			lo = mid + 1;
+		else
+			hi = mid;
+	}
+	return lo;
 }
 
-/* Best host for a target, of its zone if that has any; 0: none at all. */
+/* Best host for a target, in its zone if there is one; 0: none at all. */
 static host_id_t best_host(const candidates_t *c, const target_t *t)
 {
 	uint64_t key = hash_bytes(t->name.p, t->name.n, 0);
-	const GArray *ids = g_hash_table_lookup(c->by_zone, &t->zone);
+	size_t begin = zone_begin(c, t->zone);
+	bool near = begin < c->n && str_eq(c->v[begin].zone, t->zone);
 	host_id_t best = 0;
 	uint64_t best_score = 0;
 
-	if (!ids)
-		ids = c->all;
-	for (guint i = 0; i < ids->len; i++) {
-		host_id_t id = g_array_index(ids, host_id_t, i);
-		uint64_t score = rendezvous_score(key, id);
+	for (size_t i = near ? begin : 0; i < c->n; i++) {
+		uint64_t score = rendezvous_score(key, c->v[i].id);
 
-		if (!best || score > best_score) {
-			best = id;
-			best_score = score;
-		}
+		if (near && !str_eq(c->v[i].zone, t->zone))
+			break;
+		if (best && score <= best_score)
+			continue;
+		best = c->v[i].id;
+		best_score = score;
 	}
 	return best;
 }
@@ -107,57 +106,73 @@
 	return row && row->live && row->index >= fence;
 }
 
-/* Next owner of one target; false where nothing changes now. */
+/* Next owner of a target whose owner's session is over. */
+static void replace_owner(const sessions_t *s, const target_t *t,
+			  host_id_t best, assignment_t *out)
+{
+	const session_t *row = sessions_get(s, t->owner);
+
+	out->released = row && row->left;
+	out->owner = best || out->released ? best : t->owner;
+}
+
+/*
+ * Next owner of one target: out->owner, the present one where it stays. True
+ * where it stays only for now.
+ */
 static bool next_owner(const decided_t *d, const sessions_t *s,
-		       const candidates_t *c, const target_t *t, int64_t now_us,
+		       const target_t *t, host_id_t best, int64_t now_us,
 		       int64_t settle_us, size_t *moves, assignment_t *out)
 {
-	host_id_t best = best_host(c, t);
-	bool over;
-
+	out->owner = t->owner;
 	if (!t->owner) {
+		if (!has_let_go(s, t->previous_owner, t->fence, now_us))
+			return true;
 		out->owner = best;
-		return best &&
-		       has_let_go(s, t->previous_owner, t->fence, now_us);
+		return !best;
 	}
-	over = sessions_is_over(s, t->owner, now_us);
-	if (!over && !sessions_is_live(s, t->owner))
-		return false; /* unknown yet to a new leader */
-	if (over) {
-		const session_t *row = sessions_get(s, t->owner);
-
-		out->released = row && row->left;
-		out->owner = best;
-		return best || out->released;
+	if (sessions_is_over(s, t->owner, now_us)) {
+		replace_owner(s, t, best, out);
+		return out->owner == t->owner;
 	}
-	out->owner = 0;
-	if (!may_own(d, t->owner))
-		return true;
-	if (best == t->owner || !*moves || !settled(s, best, now_us, settle_us))
+	if (!sessions_is_live(s, t->owner))
+		return true; /* a new leader does not know yet */
+	if (!may_own(d, t->owner)) {
+		out->owner = 0;
+		return false;
+	}
+	if (!best || best == t->owner)
 		return false;
+	if (!*moves || !settled(s, best, now_us, settle_us))
+		return true;
 	(*moves)--;
-	return true;
+	out->owner = 0;
+	return false;
 }
 
 size_t assign_pick(const decided_t *d, const sessions_t *s, int64_t now_us,
-		   int64_t settle_us, size_t max_moves, assignment_t *out)
+		   int64_t settle_us, size_t max_moves, assignment_t *out,
+		   bool *waits)
 {
-	candidates_t c;
+	candidates_t c = list_candidates(d, s);
 	size_t n = 0;
 
-	candidates_init(&c, d, s);
+	*waits = false;
 	for (size_t i = 0; i < decided_target_count(d); i++) {
 		const target_t *t = decided_target_at(d, i);
 
-		if (n == ASSIGN_MAX)
+		if (n == ASSIGN_MAX) {
+			*waits = true;
 			break;
+		}
 		out[n].target = t->id;
 		out[n].released = false;
-		if (next_owner(d, s, &c, t, now_us, settle_us, &max_moves,
-			       &out[n]) &&
-		    out[n].owner != t->owner)
+		if (next_owner(d, s, t, best_host(&c, t), now_us, settle_us,
+			       &max_moves, &out[n]))
+			*waits = true;
+		if (out[n].owner != t->owner)
 			n++;
 	}
-	candidates_free(&c);
+	free(c.v);
 	return n;
 }
--- a/src/assign.h
+++ b/src/assign.h
@@ -28,10 +28,12 @@
  * decision in force, or its session is over. So no two hosts that are within
  * their leases take themselves for the owner of one target.
  *
- * Fills at most ASSIGN_MAX pairs and returns the number.
+ * Fills at most ASSIGN_MAX pairs and returns the number. *waits tells that
+ * calling again makes sense although neither tables nor live hosts change.
  */
 size_t assign_pick(const decided_t *d, const sessions_t *s, int64_t now_us,
-		   int64_t settle_us, size_t max_moves, assignment_t *out);
+		   int64_t settle_us, size_t max_moves, assignment_t *out,
+		   bool *waits);
 
 #ifdef __cplusplus
 }
--- a/src/session.c
+++ b/src/session.c
@@ -11,7 +11,10 @@
 	uint32_t drift_ppm;
 	int64_t grace_us;
 	uint64_t version;
+	uint64_t first_version; /* of this term */
 	uint64_t next_grant;
+	live_change_t changes[LIVE_CHANGES_KEPT]; /* by version */
+	bool live_stale;
 	session_t *rows; /* ascending by host */
 	size_t n;
 	size_t cap;
@@ -73,9 +76,23 @@
 	return i < s->n && s->rows[i].host == host ? &s->rows[i] : NULL;
 }
 
-static void rebuild_live(sessions_t *s)
+static void set_live(sessions_t *s, session_t *row, bool live)
 {
+	live_change_t *change;
+
+	if (row->live == live)
+		return;
+	row->live = live;
 	s->version++;
+	change = &s->changes[s->version % LIVE_CHANGES_KEPT];
+	change->host = row->host;
+	change->live = live;
+	s->live_stale = true;
+}
+
+static void rebuild_live(sessions_t *s)
+{
+	s->live_stale = false;
 	s->n_live = 0;
 	for (size_t i = 0; i < s->n; i++)
 		if (s->rows[i].live)
@@ -103,6 +120,7 @@
 	s->n = 0;
 	s->n_live = 0;
 	s->version = term << 32;
+	s->first_version = s->version;
 	s->next_grant = term << 32;
 	s->grace_us = now_us + lease_granter_us(s->lease_us, s->drift_ppm);
 	s->due_us = INT64_MAX;
@@ -141,10 +159,7 @@
 		row->revision = r->revision;
 	if (end < s->due_us)
 		s->due_us = end;
-	if (row->live)
-		return;
-	row->live = true;
-	rebuild_live(s);
+	set_live(s, row, true);
 }
 
 session_event_t sessions_renew(sessions_t *s, const session_renewal_t *r,
@@ -169,9 +184,8 @@
 		event = SESSION_BEGUN;
 	}
 	if (r->leave) {
-		row->live = false;
+		set_live(s, row, false);
 		row->left = true;
-		rebuild_live(s);
 		return SESSION_LEFT;
 	}
 	note_renewal(s, row, r, now_us);
@@ -200,14 +214,12 @@
 		if (!row->live)
 			continue;
 		if (now_us >= row->renewed_us + wait) {
-			row->live = false;
+			set_live(s, row, false);
 			changed = true;
 		} else if (row->renewed_us + wait < s->due_us) {
 			s->due_us = row->renewed_us + wait;
 		}
 	}
-	if (changed)
-		rebuild_live(s);
 	return changed;
 }
 
@@ -251,10 +263,24 @@
 
 const host_id_t *sessions_live(const sessions_t *s, size_t *n)
 {
+	if (s->live_stale)
+		rebuild_live((sessions_t *)s);
 	*n = s->n_live;
 	return s->live;
 }
 
+bool sessions_changes(const sessions_t *s, uint64_t since, live_change_t *out,
+		      size_t *n)
+{
+	*n = 0;
+	if (since < s->first_version || since > s->version ||
+	    s->version - since > LIVE_CHANGES_KEPT)
+		return false;
+	for (uint64_t v = since + 1; v <= s->version; v++)
+		out[(*n)++] = s->changes[v % LIVE_CHANGES_KEPT];
+	return true;
+}
+
 size_t sessions_revisions(const sessions_t *s, host_revision_t *out, size_t max)
 {
 	size_t n = 0;
--- a/src/session.h
+++ b/src/session.h
@@ -78,6 +78,18 @@
 uint64_t sessions_version(const sessions_t *s);
 /* Live hosts, ascending. */
 const host_id_t *sessions_live(const sessions_t *s, size_t *n);
+/* One host that came (live) or went. */
+typedef struct live_change {
+	host_id_t host;
+	bool live;
+} live_change_t;
+#define LIVE_CHANGES_KEPT 256u
+/*
+ * What has changed since a version, oldest first, at most LIVE_CHANGES_KEPT;
+ * false where that is not known any more.
+ */
+bool sessions_changes(const sessions_t *s, uint64_t since, live_change_t *out,
+		      size_t *n);
 size_t sessions_revisions(const sessions_t *s, host_revision_t *out,
 			  size_t max);
 
--- a/src/state.c
+++ b/src/state.c
@@ -44,6 +44,11 @@
 	uint32_t feed_try;
 } held_renewal_t;
 
+typedef struct place {
+	host_id_t host;
+	size_t place;
+} place_t;
+
 /* An answered renewal, until what it asks for is in force here. */
 typedef struct confirm {
 	int64_t sent_us;      /* 0: unused */
@@ -84,8 +89,12 @@
 	int64_t flush_due_us;
 	int64_t assign_due_us;
 	uint64_t assign_index; /* of the latest assignment, may be undecided */
-	uint64_t sink_index;   /* record being applied */
-	host_id_t *order;      /* live hosts in the order of the feed tree */
+	bool assign_waits;     /* something hangs on time or on an owner */
+	uint64_t assigned_index; /* tables and live hosts looked at last */
+	uint64_t assigned_version;
+	uint64_t sink_index; /* record being applied */
+	host_id_t *order;    /* live hosts in the order of the feed tree */
+	place_t *places;     /* of the same hosts, ascending by host */
 	size_t n_order;
 	uint64_t order_version;
 
@@ -288,6 +297,7 @@
 	st->clock_set = false;
 	st->n_held = 0;
 	st->assign_index = 0;
+	st->assign_waits = true;
 	st->assign_due_us = now_us;
 	st->flush_due_us = INT64_MAX;
 	st->order_version = 0;
@@ -410,6 +420,14 @@
 	return (a > b) - (a < b);
 }
 
+static int cmp_place(const void *pa, const void *pb)
+{
+	host_id_t a = ((const place_t *)pa)->host;
+	host_id_t b = ((const place_t *)pb)->host;
+
+	return (a > b) - (a < b);
+}
+
 /*
  * The tree of the feed: live hosts in one order, the leader first, then the
  * voters, then the others by zone; the parent of place i is at (i - 1) /
@@ -430,19 +448,34 @@
 		if (live[i] != st->cfg.self)
 			st->order[st->n_order++] = live[i];
 	qsort_r(st->order, st->n_order, sizeof(*st->order), cmp_order, st);
+	st->places = xrealloc(st->places, st->n_order * sizeof(*st->places));
+	for (size_t i = 0; i < st->n_order; i++) {
+		st->places[i].host = st->order[i];
+		st->places[i].place = i;
+	}
+	qsort(st->places, st->n_order, sizeof(*st->places), cmp_place);
+}
+
+/* Place of a host in the tree; 0, the leader's, where it has none yet. */
+static size_t place_of(const state_t *st, host_id_t host)
+{
+	const place_t key = {.host = host};
+	const place_t *p = bsearch(&key, st->places, st->n_order,
+				   sizeof(*st->places), cmp_place);
+
+	return p ? p->place : 0;
 }
 
 static host_id_t parent_of(state_t *st, host_id_t host, uint32_t attempt)
 {
-	size_t place = 0;
+	size_t place;
 	uint64_t pick;
 
 	build_order(st);
 	if (rlog_is_voter(st->rlog, host))
 		return 0;
-	while (place < st->n_order && st->order[place] != host)
-		place++;
-	if (place == st->n_order || place == 0)
+	place = place_of(st, host);
+	if (place == 0)
 		return st->cfg.self;
 	if (attempt == 0)
 		return st->order[(place - 1) / st->cfg.fanout];
@@ -467,6 +500,9 @@
 {
 	Peer__RenewRes pb = PEER__RENEW_RES__INIT;
 	const session_t *row = sessions_get(st->sessions, h->from);
+	live_change_t changes[LIVE_CHANGES_KEPT];
+	int32_t signs[LIVE_CHANGES_KEPT];
+	size_t n;
 
 	pb.session = h->session;
 	pb.sent_us = h->sent_us;
@@ -477,7 +513,15 @@
 	pb.leader = st->cfg.self;
 	pb.live_version = sessions_version(st->sessions);
 	pb.parent = parent_of(st, h->from, h->feed_try);
-	if (h->live_version != pb.live_version) {
+	if (h->live_version != pb.live_version &&
+	    sessions_changes(st->sessions, h->live_version, changes, &n)) {
+		for (size_t i = 0; i < n; i++)
+			signs[i] = changes[i].live ? (int32_t)changes[i].host
+						   : -(int32_t)changes[i].host;
+		pb.live_since = h->live_version;
+		pb.live_changes = signs;
+		pb.n_live_changes = n;
+	} else if (h->live_version != pb.live_version) {
 		pb.has_live = true;
 		pb.live = (uint32_t *)sessions_live(st->sessions, &pb.n_live);
 	}
@@ -581,8 +625,14 @@
 	    rlog_commit(st->rlog) < st->assign_index)
 		return;
 	publish_tables(st);
+	if (!st->assign_waits &&
+	    st->assigned_index == decided_index(st->tables) &&
+	    st->assigned_version == sessions_version(st->sessions))
+		return;
+	st->assigned_index = decided_index(st->tables);
+	st->assigned_version = sessions_version(st->sessions);
 	n = assign_pick(st->tables, st->sessions, now_us, settle, BALANCE_MOVES,
-			picks);
+			picks, &st->assign_waits);
 	if (!n)
 		return;
 	machine_pack_assign(&data, picks, n);
@@ -762,16 +812,51 @@
 	st->standing_dirty = true;
 }
 
+static void note_live(state_t *st, uint64_t version)
+{
+	st->live_version = version;
+	st->feed_try = 0;
+	st->standing_dirty = true;
+}
+
+/* Host > 0 has come, -host has gone. */
+static void change_live(state_t *st, int32_t change)
+{
+	host_id_t host = (host_id_t)(change < 0 ? -change : change);
+	size_t i = 0;
+
+	while (i < st->n_live && st->live[i] < host)
+		i++;
+	if (i < st->n_live && st->live[i] == host) {
+		if (change > 0)
+			return;
+		st->n_live--;
+		memmove(&st->live[i], &st->live[i + 1],
+			(st->n_live - i) * sizeof(*st->live));
+		return;
+	}
+	if (change < 0)
+		return;
+	st->live = xrealloc(st->live, (st->n_live + 1) * sizeof(*st->live));
+	memmove(&st->live[i + 1], &st->live[i],
+		(st->n_live - i) * sizeof(*st->live));
+	st->live[i] = host;
+	st->n_live++;
+}
+
 static void take_live(state_t *st, const Peer__RenewRes *r)
 {
+	if (r->n_live_changes && r->live_since == st->live_version) {
+		for (size_t i = 0; i < r->n_live_changes; i++)
+			change_live(st, r->live_changes[i]);
+		note_live(st, r->live_version);
+	}
 	if (!r->has_live)
 		return;
 	st->live = xrealloc(st->live, r->n_live * sizeof(*st->live) + 1);
 	memcpy(st->live, r->live, r->n_live * sizeof(*st->live));
 	st->n_live = r->n_live;
-	st->live_version = r->live_version;
-	st->feed_try = 0;
-	st->standing_dirty = true;
+	note_live(st, r->live_version);
 }
 
 static void on_renew_res(state_t *st, host_id_t from, const Peer__RenewRes *r,
@@ -1176,6 +1261,7 @@
 	free(st->first_voters);
 	free(st->held);
 	free(st->order);
+	free(st->places);
 	free(st->live);
 	pthread_mutex_destroy(&st->lock);
 	free(st);
