Tables: look targets up by URL, so that a put costs no scan

Ruled out: copying of tables, which is by chunk. Change: a second hash index for each table that has a second key: tokens of organisations as before, URLs of targets. capacity starts the learners after the tables are made.

--- a/dev/capacity.c
+++ b/dev/capacity.c
@@ -282,7 +282,7 @@
 	node_t *to = &net->nodes[pkt->to - 1];
 	int64_t start;
 
-	if (to->down || net->nodes[pkt->from - 1].down)
+	if (to->down || !to->st || net->nodes[pkt->from - 1].down)
 		return;
 	to->bytes += pkt->n;
 	to->msgs++;
@@ -302,7 +302,7 @@
 			node_t *node = &net->nodes[i];
 			int64_t start;
 
-			if (node->down)
+			if (node->down || !node->st)
 				continue;
 			if (timer_svc_next_due(node->timers) > net->now_us) {
 				timer_svc_run_until(node->timers, net->now_us);
@@ -526,7 +526,8 @@
 	packet_t *pkt;
 
 	for (size_t i = 0; i < net->n; i++) {
-		state_free(net->nodes[i].st);
+		if (net->nodes[i].st)
+			state_free(net->nodes[i].st);
 		timer_svc_free(net->nodes[i].timers);
 	}
 	while ((pkt = g_queue_pop_head(&net->packets)))
@@ -542,7 +543,7 @@
 
 	net.nodes = xcalloc(members, sizeof(*net.nodes));
 	g_queue_init(&net.packets);
-	for (size_t i = 0; i < members; i++)
+	for (size_t i = 0; i < VOTERS; i++)
 		node_start(&net, i);
 	limit = net.now_us + SETTLE_MAX_US;
 	while (!net_leader(&net) && net.now_us < limit)
@@ -553,6 +554,9 @@
 		net_free(&net);
 		return -1;
 	}
+	/* The others start now and take a snapshot of the tables. */
+	for (size_t i = VOTERS; i < members; i++)
+		node_start(&net, i);
 	net_run(&net, net.now_us + WARM_UP_US);
 	if (!all_fresh(&net))
 		printf("members=%zu: not all daemons are fresh\n", members);
--- a/src/change.c
+++ b/src/change.c
@@ -668,6 +668,8 @@
 
 static int check_target(apply_t *ap, const target_t *t)
 {
+	const target_t *other;
+
 	if (!url_valid(t->url))
 		return fail(ap, "url", "'%.*s' is not http://ip:port",
 			    STR_ARG(t->url));
@@ -683,13 +685,10 @@
 	if (!t->max_batch || t->max_batch > BATCH_MAX)
 		return fail(ap, "max_batch", "%u is not within 1 and %u",
 			    t->max_batch, BATCH_MAX);
-	for (size_t i = 0; i < decided_target_count(ap->d); i++) {
-		const target_t *o = decided_target_at(ap->d, i);
-
-		if (o->id != t->id && str_eq(o->url, t->url))
-			return fail(ap, "url", "target '%.*s' has it already",
-				    STR_ARG(o->name));
-	}
+	other = decided_target_by_url(ap->d, t->url);
+	if (other && other->id != t->id)
+		return fail(ap, "url", "target '%.*s' has it already",
+			    STR_ARG(other->name));
 	return 0;
 }
 
--- a/src/decided.c
+++ b/src/decided.c
@@ -177,11 +177,13 @@
 typedef enum index_key {
 	KEY_NAME,
 	KEY_TOKEN, /* of organisations */
+	KEY_URL,   /* of targets */
 } index_key_t;
 
 typedef struct table {
-	vec_t *rows;  /* ascending by id */
-	vec_t *names; /* hash index of ids, open addressing; power of two */
+	vec_t *rows;	/* ascending by id */
+	vec_t *names;	/* hash index of ids, open addressing; power of two */
+	vec_t *seconds; /* as names, by the second key of the table, if any */
 	uint32_t next_id;
 } table_t;
 
@@ -190,7 +192,6 @@
 	uint64_t index;
 	uint64_t revision;
 	table_t tables[TABLE_COUNT];
-	vec_t *tokens; /* hash index of organisations by token hash */
 };
 
 static void ref_get(uint32_t *refs)
@@ -458,7 +459,19 @@
 
 static str_t row_index_key(const row_t *row, index_key_t key)
 {
-	return key == KEY_TOKEN ? row->u.org.token_hash : row->u.key.name;
+	if (key == KEY_TOKEN)
+		return row->u.org.token_hash;
+	if (key == KEY_URL)
+		return row->u.target.url;
+	return row->u.key.name;
+}
+
+/* The second key of a table's rows; KEY_NAME where there is none. */
+static index_key_t second_key(table_id_t t)
+{
+	if (t == TABLE_ORG)
+		return KEY_TOKEN;
+	return t == TABLE_TARGET ? KEY_URL : KEY_NAME;
 }
 
 static size_t index_slot(const vec_t *v, str_t key)
@@ -543,10 +556,10 @@
 	decided_t *d = xcalloc(1, sizeof(*d));
 
 	d->refs = 1;
-	d->tokens = index_alloc(INDEX_MIN_WORDS);
 	for (size_t t = 0; t < TABLE_COUNT; t++) {
 		d->tables[t].rows = vec_alloc(true, 0);
 		d->tables[t].names = index_alloc(INDEX_MIN_WORDS);
+		d->tables[t].seconds = index_alloc(INDEX_MIN_WORDS);
 		d->tables[t].next_id = 1;
 	}
 	return d;
@@ -567,8 +580,8 @@
 	for (size_t t = 0; t < TABLE_COUNT; t++) {
 		vec_unref(d->tables[t].rows);
 		vec_unref(d->tables[t].names);
+		vec_unref(d->tables[t].seconds);
 	}
-	vec_unref(d->tokens);
 	free(d);
 }
 
@@ -584,8 +597,8 @@
 	for (size_t t = 0; t < TABLE_COUNT; t++) {
 		ref_get(&copy->tables[t].rows->refs);
 		ref_get(&copy->tables[t].names->refs);
+		ref_get(&copy->tables[t].seconds->refs);
 	}
-	ref_get(&copy->tokens->refs);
 	decided_unref(d);
 	return copy;
 }
@@ -617,30 +630,43 @@
 			  name);
 }
 
+static row_t *find_second(const decided_t *d, table_id_t t, str_t key)
+{
+	return index_find(d->tables[t].seconds, d->tables[t].rows,
+			  second_key(t), key);
+}
+
+static bool has_second(table_id_t t, const row_t *row)
+{
+	index_key_t key = second_key(t);
+
+	return key != KEY_NAME && row_index_key(row, key).n;
+}
+
 static void index_row(decided_t *d, table_id_t t, const row_t *row)
 {
-	vec_t *rows = d->tables[t].rows;
+	table_t *tab = &d->tables[t];
 
-	index_add(&d->tables[t].names, rows, KEY_NAME, row);
-	if (t == TABLE_ORG && row->u.org.token_hash.n)
-		index_add(&d->tokens, rows, KEY_TOKEN, row);
+	index_add(&tab->names, tab->rows, KEY_NAME, row);
+	if (has_second(t, row))
+		index_add(&tab->seconds, tab->rows, second_key(t), row);
 }
 
 static void unindex_row(decided_t *d, table_id_t t, const row_t *row)
 {
-	vec_t *rows = d->tables[t].rows;
+	table_t *tab = &d->tables[t];
 
-	index_del(&d->tables[t].names, rows, KEY_NAME, row);
-	if (t == TABLE_ORG && row->u.org.token_hash.n)
-		index_del(&d->tokens, rows, KEY_TOKEN, row);
+	index_del(&tab->names, tab->rows, KEY_NAME, row);
+	if (has_second(t, row))
+		index_del(&tab->seconds, tab->rows, second_key(t), row);
 }
 
 static bool same_keys(table_id_t t, const row_t *a, const row_t *b)
 {
 	if (!str_eq(a->u.key.name, b->u.key.name))
 		return false;
-	return t != TABLE_ORG ||
-	       str_eq(a->u.org.token_hash, b->u.org.token_hash);
+	return str_eq(row_index_key(a, second_key(t)),
+		      row_index_key(b, second_key(t)));
 }
 
 static void replace_row(decided_t *d, table_id_t t, row_t *old, row_t *row)
@@ -817,11 +843,17 @@
 	if (!token.n)
 		return NULL;
 	token_hash(token, hash);
-	row = index_find(d->tokens, d->tables[TABLE_ORG].rows, KEY_TOKEN,
-			 str_n((char *)hash, sizeof(hash)));
+	row = find_second(d, TABLE_ORG, str_n((char *)hash, sizeof(hash)));
 	return row ? &row->u.org : NULL;
 }
 
+const target_t *decided_target_by_url(const decided_t *d, str_t url)
+{
+	row_t *row = find_second(d, TABLE_TARGET, url);
+
+	return row ? &row->u.target : NULL;
+}
+
 const adapter_t *decided_adapter(const decided_t *d, str_t name)
 {
 	return adapter_by_name(d, name);
--- a/src/decided.h
+++ b/src/decided.h
@@ -125,6 +125,8 @@
 const host_t *decided_host_by_name(const decided_t *d, str_t name);
 const target_t *decided_target(const decided_t *d, target_id_t id);
 const target_t *decided_target_by_name(const decided_t *d, str_t name);
+/* Any target with this URL; operators' changes allow no second one. */
+const target_t *decided_target_by_url(const decided_t *d, str_t url);
 const org_t *decided_org(const decided_t *d, uint32_t id);
 const org_t *decided_org_by_name(const decided_t *d, str_t name);
 const org_t *decided_org_by_token(const decided_t *d, str_t token);
