--- a/src/serve.c
+++ b/src/serve.c
@@ -159,6 +159,7 @@
 	m.target = ask->target;
 	m.adapter = core_bytes(ask->adapter);
 	m.term = s->shards[LEAD_SHARD].standing.term;
+	m.backlog = s->permits.backlog;
 	msg.body_case = SERVE__SERVE_MSG__BODY_PERMIT_GRANT;
 	msg.permit_grant = &m;
 	core_send(s, ask->host, &msg);
@@ -511,7 +512,7 @@
 	shard_t *sh = core_target_shard(s, ev->target);
 
 	if (ev->target_leaving)
-		place_hint(&s->place, ev->target, true);
+		place_said(&s->place, ev->target, true);
 	pthread_mutex_lock(&sh->lock);
 	owner_event(sh, ev);
 	pthread_mutex_unlock(&sh->lock);
