Fuzz: what a voter acknowledges is on its disk by then

Change: the fuzz network checks each vote and acknowledgement against the durable image of the sender's disk.

--- a/tests/state_net.h
+++ b/tests/state_net.h
@@ -15,6 +15,7 @@
 
 #include "change_util.h"
 #include "state.h"
+#include "state.pb-c.h"
 #include "wal.h"
 
 // A disk that loses what was not synced, up to a torn part of it.
@@ -590,11 +591,37 @@
 		return static_cast<Daemon *>(ctx);
 	}
 
+	// What a voter says to have stored or voted is on its disk by then.
+	void check_durable(const Daemon &d, host_id_t to,
+			   const std::string &bytes)
+	{
+		Peer__Msg *m = peer__msg__unpack(nullptr, bytes.size(),
+						 (const uint8_t *)bytes.data());
+		const FuzzDisk::Image &im = d.disk->durable();
+		uint64_t last =
+			im.recs.empty() ? im.snap_index : im.recs.back().index;
+
+		if (m->body_case == PEER__MSG__BODY_VOTE_RES &&
+		    m->vote_res->granted && !m->vote_res->pre &&
+		    (im.term != m->vote_res->term || im.voted_for != to))
+			problem("a vote was granted before it was synced");
+		if (m->body_case == PEER__MSG__BODY_VOTE_REQ &&
+		    !m->vote_req->pre &&
+		    (im.term != m->vote_req->term || im.voted_for != d.id))
+			problem("a candidate's vote was not synced");
+		if (m->body_case == PEER__MSG__BODY_APPEND_RES &&
+		    m->append_res->ok && m->append_res->match > last)
+			problem("records were acknowledged before the sync");
+		peer__msg__free_unpacked(m, nullptr);
+	}
+
 	static void on_send(void *ctx, host_id_t to, const void *p, size_t n)
 	{
 		Daemon *d = self(ctx);
 		std::string bytes((const char *)p, n);
 
+		if (!d->dying && d->disk)
+			d->net->check_durable(*d, to, bytes);
 		if (d->dying || to == 0 || to > d->net->daemons.size())
 			return;
 		d->net->post(d->id, to, bytes);
