--- /dev/null
+++ b/src/rlog_members.c
@@ -0,0 +1,306 @@
+/*
+ * rlog_members.c - the members of the log: how it is founded, how hosts with
+ * a disk join and leave. See docs/design/state.md, "Emptied disks".
+ */
+#include "rlog_int.h"
+
+#include "log.h"
+
+#include <string.h>
+
+/* A peer outside the members that was silent for so long is forgotten. */
+#define FORGET_ELECTIONS 10
+
+int rlog_members_parse(members_t *m, uint64_t index, str_t data)
+{
+	Peer__Members *pb =
+		peer__members__unpack(NULL, data.n, (const uint8_t *)data.p);
+
+	if (!pb)
+		return -1;
+	memset(m, 0, sizeof(*m));
+	m->index = index;
+	m->log_id = pb->log_id;
+	for (size_t i = 0; i < pb->n_voters && m->n < RLOG_VOTERS_MAX; i++) {
+		m->v[m->n].id = pb->voters[i]->id;
+		m->v[m->n++].incarnation = pb->voters[i]->incarnation;
+	}
+	peer__members__free_unpacked(pb, NULL);
+	return 0;
+}
+
+void rlog_members_pack(const members_t *m, buf_t *out)
+{
+	Peer__Members pb = PEER__MEMBERS__INIT;
+	Peer__Voter voters[RLOG_VOTERS_MAX];
+	Peer__Voter *ptrs[RLOG_VOTERS_MAX];
+	size_t n;
+
+	pb.log_id = m->log_id;
+	for (size_t i = 0; i < m->n; i++) {
+		peer__voter__init(&voters[i]);
+		voters[i].id = m->v[i].id;
+		voters[i].incarnation = m->v[i].incarnation;
+		ptrs[i] = &voters[i];
+	}
+	pb.n_voters = m->n;
+	pb.voters = ptrs;
+	n = peer__members__get_packed_size(&pb);
+	peer__members__pack(&pb, (uint8_t *)buf_room(out, n));
+	out->n += n;
+}
+
+const rlog_member_t *rlog_member(const members_t *m, host_id_t id)
+{
+	for (size_t i = 0; i < m->n; i++)
+		if (m->v[i].id == id)
+			return &m->v[i];
+	return NULL;
+}
+
+/* The members that hold as of index. */
+members_t rlog_members_at(const rlog_t *l, uint64_t index)
+{
+	members_t m = l->snap_members;
+
+	for (size_t i = l->n_recs; i-- > 0;) {
+		const wal_rec_t *rec = &l->recs[i];
+
+		if (rec->index > index || rec->kind != ENTRY_MEMBERS)
+			continue;
+		if (rec->index > m.index)
+			rlog_members_parse(&m, rec->index, rec->data);
+		break;
+	}
+	return m;
+}
+
+bool rlog_foreign(const rlog_t *l, uint64_t log_id)
+{
+	return l->members.log_id && log_id && log_id != l->members.log_id;
+}
+
+bool rlog_self_votes(const rlog_t *l)
+{
+	const rlog_member_t *m = rlog_member(&l->members, l->cfg.self);
+
+	return m && m->incarnation == l->incarnation;
+}
+
+peer_t *rlog_peer(rlog_t *l, host_id_t id)
+{
+	for (size_t i = 0; i < l->n_peers; i++)
+		if (l->peers[i].id == id)
+			return &l->peers[i];
+	return NULL;
+}
+
+peer_t *rlog_peer_get(rlog_t *l, host_id_t id)
+{
+	peer_t *p = rlog_peer(l, id);
+
+	if (p || id == l->cfg.self)
+		return p;
+	if (l->n_peers == PEERS_MAX)
+		return NULL;
+	p = &l->peers[l->n_peers++];
+	memset(p, 0, sizeof(*p));
+	p->id = id;
+	p->next = rlog_last_index(l) + 1;
+	return p;
+}
+
+static bool is_first_voter(const rlog_t *l, host_id_t id)
+{
+	for (size_t i = 0; i < l->cfg.n_voters; i++)
+		if (l->first_voters[i] == id)
+			return true;
+	return false;
+}
+
+void rlog_peer_set_incarnation(rlog_t *l, peer_t *p, uint64_t incarnation)
+{
+	if (p->incarnation == incarnation)
+		return;
+	p->incarnation = incarnation;
+	p->match = 0;
+	p->next = rlog_last_index(l) + 1;
+	p->acked_round = 0;
+	p->sending_snapshot = false;
+	p->granted = false;
+}
+
+void rlog_use_members(rlog_t *l, const members_t *m)
+{
+	l->members = *m;
+	for (size_t i = 0; i < m->n; i++) {
+		peer_t *p = rlog_peer_get(l, m->v[i].id);
+
+		if (p && !p->incarnation)
+			rlog_peer_set_incarnation(l, p, m->v[i].incarnation);
+	}
+}
+
+void rlog_send(rlog_t *l, host_id_t to, Peer__Msg__BodyCase which, void *body)
+{
+	Peer__Msg msg = PEER__MSG__INIT;
+
+	msg.body_case = which;
+	msg.vote_req = body; /* all members of the union are pointers */
+	l->ops.send(l->ctx, to, &msg);
+}
+
+static void propose_members(rlog_t *l, members_t *m, int64_t now_us)
+{
+	AUTO_BUF buf_t data = {0};
+
+	rlog_members_pack(m, &data);
+	m->index = rlog_propose(l, ENTRY_MEMBERS, buf_str(&data));
+	rlog_use_members(l, m);
+	rlog_flush(l, now_us);
+}
+
+static void send_join(rlog_t *l, peer_t *p)
+{
+	Peer__Join pb = PEER__JOIN__INIT;
+
+	pb.incarnation = l->incarnation;
+	pb.log_id = l->members.log_id;
+	pb.echo = p->empty_inc;
+	rlog_send(l, p->id, PEER__MSG__BODY_JOIN, &pb);
+}
+
+/* Starts a log once all first voters are known to hold nothing. */
+static void maybe_found(rlog_t *l, int64_t now_us)
+{
+	AUTO_BUF buf_t data = {0};
+	members_t m = {.index = 1};
+
+	if (l->members.n || !is_first_voter(l, l->cfg.self))
+		return;
+	for (size_t i = 0; i < l->cfg.n_voters; i++) {
+		host_id_t id = l->first_voters[i];
+		const peer_t *p = rlog_peer(l, id);
+
+		if (id < l->cfg.self || m.n == RLOG_VOTERS_MAX)
+			return;
+		m.v[m.n].id = id;
+		if (id == l->cfg.self) {
+			m.v[m.n++].incarnation = l->incarnation;
+			continue;
+		}
+		if (!p || !p->empty_inc || p->empty_echo != l->incarnation)
+			return;
+		m.v[m.n++].incarnation = p->empty_inc;
+	}
+	m.log_id = rlog_random(l) | 1;
+	rlog_members_pack(&m, &data);
+	if (rlog_save_vote(l, l->term ? l->term : 1, l->voted_for))
+		return;
+	rlog_rec_push(l, 1, 1, ENTRY_MEMBERS, buf_str(&data));
+	if (rlog_store(l))
+		return;
+	rlog_use_members(l, &m);
+	log_event(LOG_NOTICE, "log_founded", kv_u("host", l->cfg.self),
+		  kv_u("voters", m.n));
+	rlog_campaign(l, m.n > 1, now_us);
+}
+
+void rlog_on_join(rlog_t *l, host_id_t from, const Peer__Join *j,
+		  int64_t now_us)
+{
+	const rlog_member_t *m = rlog_member(&l->members, from);
+	peer_t *p;
+
+	if (rlog_foreign(l, j->log_id) || !j->incarnation)
+		return;
+	if (!l->members.n) {
+		p = is_first_voter(l, from) ? rlog_peer_get(l, from) : NULL;
+		if (!p)
+			return;
+		p->empty_inc = j->log_id ? 0 : j->incarnation;
+		p->empty_echo = j->echo;
+		maybe_found(l, now_us);
+		return;
+	}
+	if (l->role != RLOG_LEADER || (m && m->incarnation == j->incarnation))
+		return;
+	p = rlog_peer_get(l, from);
+	if (!p)
+		return;
+	rlog_peer_set_incarnation(l, p, j->incarnation);
+	p->heard_us = now_us;
+}
+
+/*
+ * Brings the members one step nearer to what is wanted: a voter whose folder
+ * was emptied leaves before its new folder may join, and a host joins only
+ * once it holds everything decided.
+ */
+void rlog_tend_members(rlog_t *l, int64_t now_us)
+{
+	members_t m = l->members;
+	uint64_t lag = (uint64_t)l->cfg.heartbeat_us * RESEND_HEARTBEATS;
+
+	if (l->commit < l->term_start || l->members.index > l->commit)
+		return;
+	for (size_t i = 0; i < m.n; i++) {
+		const peer_t *p = rlog_peer(l, m.v[i].id);
+		bool emptied = p && p->incarnation &&
+			       p->incarnation != m.v[i].incarnation;
+
+		if (!emptied && l->ops.wanted(l->ctx, m.v[i].id))
+			continue;
+		if (m.n == 1)
+			continue;
+		log_event(LOG_NOTICE, "voter_removed", kv_u("host", m.v[i].id),
+			  KV_C("reason", emptied ? "its disk was emptied"
+						 : "operators' change"));
+		m.v[i] = m.v[--m.n];
+		propose_members(l, &m, now_us);
+		return;
+	}
+	for (size_t i = 0; i < l->n_peers; i++) {
+		const peer_t *p = &l->peers[i];
+
+		if (rlog_member(&m, p->id) || !p->incarnation ||
+		    m.n == RLOG_VOTERS_MAX || p->match < l->commit ||
+		    !p->match || p->acked_round + lag < l->round ||
+		    !l->ops.wanted(l->ctx, p->id))
+			continue;
+		log_event(LOG_NOTICE, "voter_added", kv_u("host", p->id));
+		m.v[m.n].id = p->id;
+		m.v[m.n++].incarnation = p->incarnation;
+		propose_members(l, &m, now_us);
+		return;
+	}
+}
+
+void rlog_forget_silent(rlog_t *l, int64_t now_us)
+{
+	int64_t bound = l->cfg.election_us * FORGET_ELECTIONS;
+
+	for (size_t i = 0; i < l->n_peers;) {
+		const peer_t *p = &l->peers[i];
+
+		if (rlog_member(&l->members, p->id) ||
+		    now_us - p->heard_us < bound)
+			i++;
+		else
+			l->peers[i] = l->peers[--l->n_peers];
+	}
+}
+
+/*
+ * A host that no leader speaks to asks to be let in. It may take itself for a
+ * voter by a record that was never decided, and that the leader does not hold.
+ */
+void rlog_join(rlog_t *l, int64_t now_us)
+{
+	l->join_due_us = now_us + l->cfg.election_us / 2;
+	if (rlog_self_votes(l) && l->leader)
+		return;
+	for (size_t i = 0; i < l->n_peers; i++)
+		send_join(l, &l->peers[i]);
+	maybe_found(l, now_us);
+}
