--- a/src/intake.c
+++ b/src/intake.c
@@ -254,12 +254,23 @@
 	answer(in, it);
 }
 
+static void count_change(const change_outcome_t *o)
+{
+	if (o->status == CHANGE_CONFLICT)
+		counter_add(CTR_CHANGES_CONFLICT, 1);
+	else if (o->status == CHANGE_DECIDED && o->resent)
+		counter_add(CTR_CHANGES_RESENT, 1);
+	else if (o->status == CHANGE_DECIDED)
+		counter_add(CTR_CHANGES_DECIDED, 1);
+}
+
 void intake_changed(intake_t *in, uint64_t index, const change_outcome_t *o)
 {
 	item_t *it = find_undecided(in, index, 0);
 
 	if (!it)
 		return;
+	count_change(o);
 	it->status = o->status;
 	it->revision = o->revision;
 	it->resent = o->resent;
--- a/tests/state_test.cc
+++ b/tests/state_test.cc
@@ -183,6 +183,89 @@
 	expect_clean(net);
 }
 
+static std::map<std::string, host_id_t> owners(const Net &net)
+{
+	std::map<std::string, host_id_t> m;
+	const decided_t *d = net.daemons[0]->tables;
+
+	for (size_t i = 0; d && i < decided_target_count(d); i++) {
+		const target_t *t = decided_target_at(d, i);
+		m[text(t->name)] = t->owner;
+	}
+	return m;
+}
+
+TEST(State, AHostThatComesBackGetsItsTargetsAgainAndNoOthersMove)
+{
+	Net net(Net::Options{});
+
+	net.start_all();
+	net.run_until(5000000, [&] { return net.leader(); });
+	change(net, 1, "hosts", hosts(net, 0));
+	ChangeBuilder b("targets", 1);
+	for (int i = 0; i < 20; i++)
+		b.target("t" + std::to_string(i), 9000 + i);
+	change(net, 1, "targets", b.pack());
+	net.run(12 * net.lease_us);
+	auto before = owners(net);
+	net.stop(net.at(5));
+	net.run(net.lease_us + 1000000);
+	auto without = owners(net);
+	for (auto &o : before)
+		if (o.second != 5)
+			EXPECT_EQ(o.second, without[o.first]) << o.first;
+		else
+			EXPECT_NE(5u, without[o.first]) << o.first;
+	net.start(net.at(5));
+	net.run(2 * net.lease_us);
+	EXPECT_EQ(without, owners(net)); // not before it has settled
+	net.run(6 * net.lease_us);
+	EXPECT_EQ(before, owners(net));
+	expect_clean(net);
+}
+
+TEST(State, TheFeedTreeReachesManyAndReplacesASilentRelay)
+{
+	Net::Options o;
+	o.learners = 60;
+	o.fanout = 3;
+	Net net(o);
+
+	net.start_all();
+	EXPECT_TRUE(net.run_until(10000000, [&] {
+		for (auto &d : net.daemons)
+			if (!net.fresh(*d) || d->live.size() != 63)
+				return false;
+		return true;
+	}));
+	net.run(2000000);
+	int64_t worst = 0;
+	for (uint64_t i = 0; i < 20; i++) {
+		std::string id = "c" + std::to_string(i);
+		ASSERT_EQ(CHANGE_DECIDED,
+			  change(net, 1, id, publish(id, i)).status);
+		int64_t accepted = net.now_us;
+		ASSERT_TRUE(net.run_until(1000000,
+					  [&] { return all_at(net, i + 1); }));
+		worst = std::max(worst, net.now_us - accepted);
+	}
+	EXPECT_LT(worst, 100000);
+	// Relays become silent, without a word.
+	for (host_id_t id : {4, 5, 6, 7})
+		net.isolate(id, true);
+	ASSERT_EQ(CHANGE_DECIDED,
+		  change(net, 1, "late", publish("late", 20)).status);
+	EXPECT_TRUE(net.run_until(3000000, [&] {
+		for (auto &d : net.daemons)
+			if ((d->id < 4 || d->id > 7) && d->revision() < 21)
+				return false;
+		return true;
+	}));
+	net.heal();
+	EXPECT_TRUE(net.run_until(3000000, [&] { return all_at(net, 21); }));
+	expect_clean(net);
+}
+
 TEST(State, ClaimsAreGrantedOnce)
 {
 	Net net(Net::Options{});
