--- a/tests/cli_test.cc
+++ b/tests/cli_test.cc
@@ -34,7 +34,7 @@
 class Server
 {
       public:
-	explicit Server(FakeAdmin &f) : admin(f)
+	Server()
 	{
 		httpd_cfg_t cfg = {};
 
@@ -54,7 +54,7 @@
 		httpd_stop(h);
 	}
 
-	FakeAdmin &admin;
+	FakeAdmin *admin = nullptr; // of the test in hand
 	std::string addr;
 	int lose_before = 0; // POSTs dropped before they are taken in
 	int lose_after = 0;  // POSTs whose reply is dropped
@@ -76,10 +76,10 @@
 		} else if (method == "POST" && s->lose_before-- > 0) {
 			httpd_drop(conn);
 		} else {
-			s->admin.handle(method, ri->local_uri,
-					ri->query_string ? ri->query_string
-							 : "",
-					text(buf_str(&body)), &reply);
+			s->admin->handle(method, ri->local_uri,
+					 ri->query_string ? ri->query_string
+							  : "",
+					 text(buf_str(&body)), &reply);
 			if (method == "POST" && s->lose_after-- > 0)
 				httpd_drop(conn);
 			else
@@ -95,8 +95,25 @@
 class Cli : public ::testing::Test
 {
       protected:
+	// Shared, since a port takes seconds to stop.
+	static void SetUpTestSuite()
+	{
+		first = new Server;
+		second = new Server;
+	}
+
+	static void TearDownTestSuite()
+	{
+		delete first;
+		delete second;
+	}
+
 	void SetUp() override
 	{
+		for (Server *s : {first, second}) {
+			s->admin = &f;
+			s->lose_before = s->lose_after = 0;
+		}
 		setenv("DAMASKLUG_TOKEN", "right", 1);
 		unsetenv("DAMASKLUG_SERVER");
 	}
@@ -125,11 +142,15 @@
 	}
 
 	FakeAdmin f;
-	Server a{f};
-	Server b{f};
+	Server &a = *first;
+	Server &b = *second;
+	static Server *first, *second;
 	std::string out, err;
 };
 
+Server *Cli::first;
+Server *Cli::second;
+
 static std::string temp_file(const std::string &content)
 {
 	char path[] = "/tmp/damasklug_cli_XXXXXX";
