--- a/src/change.c
+++ b/src/change.c
@@ -1,5 +1,5 @@
 /* change.c - checks and applies the operations of a change, one by one. */
-#include "change.h"
+#include "change_int.h"
 
 #include <arpa/inet.h>
 #include <stdarg.h>
@@ -7,8 +7,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "template.h"
-
 #define MODEL_NAME_MAX 128u
 #define PORT_MAX 65535u
 #define LOAD_MS_MAX 600000u
@@ -19,14 +17,6 @@
 /* Larger changes are kept by their summary only. */
 #define KEPT_BODY_MAX 512u
 
-typedef struct apply {
-	decided_t *d; /* private to this change */
-	uint64_t index;
-	size_t op;
-	const char *op_name;
-	buf_t *error;
-} apply_t;
-
 static bool name_char(char c)
 {
 	return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
@@ -92,9 +82,7 @@
 	       addr_valid(str_n(url.p + n, url.n - n));
 }
 
-/* Starts the error with operation and field; returns -1. */
-__attribute__((format(printf, 3, 4))) static int
-fail(apply_t *ap, const char *field, const char *fmt, ...)
+int change_fail(apply_t *ap, const char *field, const char *fmt, ...)
 {
 	char text[256];
 	va_list args;
@@ -107,25 +95,25 @@
 	return -1;
 }
 
-static int check_name(apply_t *ap, const char *field, const char *name)
+int change_check_name(apply_t *ap, const char *field, const char *name)
 {
 	if (name && name_valid(str_c(name)))
 		return 0;
-	return fail(ap, field,
-		    "'%.80s' is not a name: 1 to %u letters, digits, '.', "
-		    "'_', '-', the first a letter or digit",
-		    name ? name : "", NAME_MAX_BYTES);
+	return change_fail(
+		ap, field,
+		"'%.80s' is not a name: 1 to %u letters, digits, '.', "
+		"'_', '-', the first a letter or digit",
+		name ? name : "", NAME_MAX_BYTES);
 }
 
-static int unknown(apply_t *ap, const char *field, const char *what,
+int change_unknown(apply_t *ap, const char *field, const char *what,
 		   const char *name)
 {
-	return fail(ap, field, "there is no %s '%.80s'", what,
-		    name ? name : "");
+	return change_fail(ap, field, "there is no %s '%.80s'", what,
+			   name ? name : "");
 }
 
-/* Appends a packed message. */
-static void pack_message(const void *msg, buf_t *out)
+void change_pack_message(const void *msg, buf_t *out)
 {
 	size_t n = protobuf_c_message_get_packed_size(msg);
 
@@ -133,368 +121,6 @@
 	out->n += n;
 }
 
-/* Templates and organisations. */
-
-static Dk__Template *unpack_template(const decided_t *d, str_t name)
-{
-	const template_row_t *row = decided_template_by_name(d, name);
-
-	if (!row)
-		return NULL;
-	return dk__template__unpack(NULL, row->spec.n,
-				    (const uint8_t *)row->spec.p);
-}
-
-static void cleanup_template(Dk__Template **t)
-{
-	if (*t)
-		dk__template__free_unpacked(*t, NULL);
-}
-
-static void cleanup_settings(Dk__OrgSettings **s)
-{
-	if (*s)
-		dk__org_settings__free_unpacked(*s, NULL);
-}
-
-static Dk__OrgSettings *unpack_settings(const org_t *org)
-{
-	return dk__org_settings__unpack(
-		NULL, org->settings.n,
-		(const uint8_t *)(org->settings.p ? org->settings.p : ""));
-}
-
-static bool resolved_has(const resolved_t *r, str_t name)
-{
-	for (size_t i = 0; i < r->n_adapters; i++)
-		if (str_eq(r->adapters[i].name, name))
-			return true;
-	return false;
-}
-
-/* Makes, or updates, one adapter that a template gives an organisation. */
-static int put_org_adapter(apply_t *ap, const org_t *org,
-			   const resolved_adapter_t *ra)
-{
-	const adapter_t *old = decided_adapter(ap->d, ra->name);
-	adapter_t row = {0};
-
-	if (old && old->org_id != org->id)
-		return fail(ap, "adapters",
-			    "adapter '%.*s' of organisation '%.*s' exists "
-			    "already and belongs to another",
-			    STR_ARG(ra->name), STR_ARG(org->name));
-	if (old)
-		row = *old;
-	row.name = ra->name;
-	row.org_id = org->id;
-	row.load_ms = ra->load_ms;
-	if (!row.n_versions)
-		row.base = ra->base;
-	if (row.n_versions && !str_eq(row.base, ra->base))
-		return fail(ap, "adapters",
-			    "adapter '%.*s' has published versions; its base "
-			    "cannot change",
-			    STR_ARG(ra->name));
-	if (old && old->load_ms == row.load_ms && str_eq(old->base, row.base))
-		return 0;
-	if (!old && ra->version) {
-		row.current_version = ra->version;
-		row.versions = &ra->version;
-		row.n_versions = 1;
-	}
-	decided_put_adapter(ap->d, &row);
-	return 0;
-}
-
-/* An operator has published more than the template did. */
-static bool published_by_hand(const adapter_t *a, uint32_t template_version)
-{
-	if (a->n_versions == 0)
-		return false;
-	return a->n_versions > 1 || a->versions[0] != template_version;
-}
-
-/* Deletes what the template no longer gives and nobody has published to. */
-static void drop_old_adapters(apply_t *ap, uint32_t org_id,
-			      const resolved_t *before, const resolved_t *now)
-{
-	for (size_t i = 0; i < before->n_adapters; i++) {
-		str_t name = before->adapters[i].name;
-		const adapter_t *a = decided_adapter(ap->d, name);
-
-		if (!a || a->org_id != org_id ||
-		    published_by_hand(a, before->adapters[i].version))
-			continue;
-		if (!resolved_has(now, name))
-			decided_del_adapter(ap->d, a->id);
-	}
-}
-
-/*
- * Puts an organisation with what template and settings give it now. row has
- * id 0 for a new one; before holds the adapters that it had from its template
- * so far.
- */
-static int put_org(apply_t *ap, org_t *row, const Dk__Template *t,
-		   const Dk__OrgSettings *s, const resolved_t *before)
-{
-	CLEANUP(resolved_free) resolved_t now = {0};
-	AUTO_BUF buf_t packed = {0};
-	AUTO_BUF buf_t why = {0};
-	AUTO_FREE char *name = str_dup(row->name);
-
-	if (template_resolve(t, s, row->name, &now, &why))
-		return fail(ap, "", "organisation '%s': %s", name,
-			    why.p ? why.p : "");
-	pack_message(s, &packed);
-	row->settings = buf_str(&packed);
-	row->priority = now.priority;
-	row->limits = now.limits;
-	row->id = decided_put_org(ap->d, row);
-	row = NULL;
-	for (size_t i = 0; i < now.n_adapters; i++) {
-		const org_t *org = decided_org_by_name(ap->d, str_c(name));
-
-		if (put_org_adapter(ap, org, &now.adapters[i]))
-			return -1;
-	}
-	drop_old_adapters(ap, decided_org_by_name(ap->d, str_c(name))->id,
-			  before, &now);
-	return 0;
-}
-
-/* Carries a changed template over to one organisation that uses it. */
-static int carry_over(apply_t *ap, const org_t *org, const Dk__Template *old,
-		      const Dk__Template *t)
-{
-	CLEANUP(cleanup_settings) Dk__OrgSettings *s = unpack_settings(org);
-	CLEANUP(resolved_free) resolved_t before = {0};
-	AUTO_BUF buf_t ignored = {0};
-	org_t row = *org;
-
-	if (!s)
-		return fail(ap, "", "the stored settings are damaged");
-	template_resolve(old, s, org->name, &before, &ignored);
-	return put_org(ap, &row, t, s, &before);
-}
-
-static int template_put(apply_t *ap, const Dk__Template *t)
-{
-	str_t name = str_c(t->name);
-	CLEANUP(cleanup_template)
-	Dk__Template *old = unpack_template(ap->d, name);
-	AUTO_BUF buf_t why = {0};
-	AUTO_BUF buf_t spec = {0};
-	template_row_t row = {0};
-
-	if (template_check(t, &why))
-		return fail(ap, "", "%s", why.p ? why.p : "");
-	pack_message(t, &spec);
-	row.name = name;
-	row.spec = buf_str(&spec);
-	decided_put_template(ap->d, &row);
-	for (size_t i = 0; old && i < decided_org_count(ap->d); i++) {
-		const org_t *org = decided_org_at(ap->d, i);
-
-		if (str_eq(org->template_name, name) &&
-		    carry_over(ap, org, old, t))
-			return -1;
-	}
-	return 0;
-}
-
-static int template_del(apply_t *ap, const char *name)
-{
-	const template_row_t *row =
-		decided_template_by_name(ap->d, str_c(name));
-
-	if (!row)
-		return unknown(ap, "name", "template", name);
-	for (size_t i = 0; i < decided_org_count(ap->d); i++) {
-		const org_t *org = decided_org_at(ap->d, i);
-
-		if (str_eq(org->template_name, row->name))
-			return fail(ap, "name", "organisation '%.*s' uses it",
-				    STR_ARG(org->name));
-	}
-	decided_del_template(ap->d, row->id);
-	return 0;
-}
-
-static int check_token(apply_t *ap, const Dk__Org *o, const org_t *self)
-{
-	str_t hash = str_n((char *)o->token_hash.data, o->token_hash.len);
-
-	if (!o->has_token_hash)
-		return 0;
-	if (hash.n != TOKEN_HASH_BYTES)
-		return fail(ap, "token_hash", "must have %u bytes",
-			    TOKEN_HASH_BYTES);
-	for (size_t i = 0; i < decided_org_count(ap->d); i++) {
-		const org_t *org = decided_org_at(ap->d, i);
-
-		if (org != self && str_eq(org->token_hash, hash))
-			return fail(ap, "token_hash",
-				    "organisation '%.*s' has this token",
-				    STR_ARG(org->name));
-	}
-	return 0;
-}
-
-/* True with *t NULL where no template is named. */
-static int find_template(apply_t *ap, const char *name, Dk__Template **t)
-{
-	*t = NULL;
-	if (!name || !name[0])
-		return 0;
-	*t = unpack_template(ap->d, str_c(name));
-	return *t ? 0 : unknown(ap, "template", "template", name);
-}
-
-static int org_create(apply_t *ap, const Dk__Org *o)
-{
-	CLEANUP(cleanup_template) Dk__Template *t = NULL;
-	Dk__OrgSettings none = DK__ORG_SETTINGS__INIT;
-	resolved_t before = {0};
-	org_t row = {0};
-
-	if (check_name(ap, "name", o->name) || check_token(ap, o, NULL))
-		return -1;
-	row.name = str_c(o->name);
-	if (decided_org_by_name(ap->d, row.name))
-		return fail(ap, "name", "organisation '%s' exists already",
-			    o->name);
-	if (o->n_unset)
-		return fail(ap, "unset", "has no meaning for a new one");
-	if (find_template(ap, o->template_name, &t))
-		return -1;
-	row.template_name = str_c(o->template_name);
-	row.token_hash = str_n((char *)o->token_hash.data, o->token_hash.len);
-	return put_org(ap, &row, t, o->settings ? o->settings : &none, &before);
-}
-
-static void set_param(Dk__OrgSettings *s, const Dk__Setting *from)
-{
-	Dk__Setting *p;
-
-	for (size_t i = 0; i < s->n_params; i++) {
-		if (strcmp(s->params[i]->name, from->name) == 0) {
-			free(s->params[i]->value);
-			s->params[i]->value = str_dup(str_c(from->value));
-			return;
-		}
-	}
-	s->params = xrealloc(s->params, (s->n_params + 1) * sizeof(*s->params));
-	p = xmalloc(sizeof(*p));
-	dk__setting__init(p);
-	p->name = str_dup(str_c(from->name));
-	p->value = str_dup(str_c(from->value));
-	s->params[s->n_params++] = p;
-}
-
-static void merge_settings(Dk__OrgSettings *s, const Dk__OrgSettings *from)
-{
-	for (size_t i = 0; i < from->n_params; i++)
-		set_param(s, from->params[i]);
-#define MERGE(field)                    \
-	if (from->has_##field) {        \
-		s->has_##field = true;  \
-		s->field = from->field; \
-	}
-	MERGE(priority)
-	MERGE(rate_per_s)
-	MERGE(burst)
-	MERGE(concurrency)
-	MERGE(retry_percent)
-#undef MERGE
-}
-
-static int unset_param(Dk__OrgSettings *s, const char *name)
-{
-	for (size_t i = 0; i < s->n_params; i++) {
-		if (strcmp(s->params[i]->name, name))
-			continue;
-		dk__setting__free_unpacked(s->params[i], NULL);
-		s->params[i] = s->params[--s->n_params];
-		return 0;
-	}
-	return -1;
-}
-
-static int unset_setting(Dk__OrgSettings *s, const char *name)
-{
-#define UNSET(field)                     \
-	if (strcmp(name, #field) == 0) { \
-		s->has_##field = false;  \
-		s->field = 0;            \
-		return 0;                \
-	}
-	UNSET(priority)
-	UNSET(rate_per_s)
-	UNSET(burst)
-	UNSET(concurrency)
-	UNSET(retry_percent)
-#undef UNSET
-	return unset_param(s, name);
-}
-
-static int org_set(apply_t *ap, const Dk__Org *o)
-{
-	const org_t *org = decided_org_by_name(ap->d, str_c(o->name));
-	CLEANUP(cleanup_settings) Dk__OrgSettings *s = NULL;
-	CLEANUP(cleanup_template) Dk__Template *old = NULL;
-	CLEANUP(cleanup_template) Dk__Template *t = NULL;
-	CLEANUP(resolved_free) resolved_t before = {0};
-	AUTO_BUF buf_t ignored = {0};
-	org_t row;
-
-	if (!org)
-		return unknown(ap, "name", "organisation", o->name);
-	if (check_token(ap, o, org))
-		return -1;
-	s = unpack_settings(org);
-	if (!s)
-		return fail(ap, "", "the stored settings are damaged");
-	old = unpack_template(ap->d, org->template_name);
-	template_resolve(old, s, org->name, &before, &ignored);
-	row = *org;
-	if (o->template_name)
-		row.template_name = str_c(o->template_name);
-	t = unpack_template(ap->d, row.template_name);
-	if (row.template_name.n && !t)
-		return unknown(ap, "template", "template", o->template_name);
-	if (o->has_token_hash)
-		row.token_hash =
-			str_n((char *)o->token_hash.data, o->token_hash.len);
-	for (size_t i = 0; i < o->n_unset; i++)
-		if (unset_setting(s, o->unset[i]))
-			return fail(ap, "unset", "'%.80s' is not set",
-				    o->unset[i]);
-	if (o->settings)
-		merge_settings(s, o->settings);
-	return put_org(ap, &row, t, s, &before);
-}
-
-static int org_del(apply_t *ap, const char *name)
-{
-	const org_t *org = decided_org_by_name(ap->d, str_c(name));
-
-	if (!org)
-		return unknown(ap, "name", "organisation", name);
-	for (size_t i = 0; i < decided_adapter_count(ap->d); i++) {
-		const adapter_t *a = decided_adapter_at(ap->d, i);
-
-		if (a->org_id == org->id)
-			return fail(ap, "name",
-				    "it has adapter '%.*s' still; delete its "
-				    "adapters first",
-				    STR_ARG(a->name));
-	}
-	decided_del_org(ap->d, org->id);
-	return 0;
-}
-
 /* Adapters. */
 
 /* Fills the row of an adapter that does not exist yet. */
@@ -503,19 +129,19 @@
 {
 	const org_t *org;
 
-	if (check_name(ap, "names", name))
+	if (change_check_name(ap, "names", name))
 		return -1;
 	if (!p->base_model || !model_name_valid(str_c(p->base_model)))
-		return fail(ap, "base",
-			    "new adapter '%.80s' needs a valid base model",
-			    name);
+		return change_fail(
+			ap, "base",
+			"new adapter '%.80s' needs a valid base model", name);
 	row->name = str_c(name);
 	row->base = str_c(p->base_model);
 	if (!p->org || !p->org[0])
 		return 0;
 	org = decided_org_by_name(ap->d, str_c(p->org));
 	if (!org)
-		return unknown(ap, "org", "organisation", p->org);
+		return change_unknown(ap, "org", "organisation", p->org);
 	row->org_id = org->id;
 	return 0;
 }
@@ -526,17 +152,18 @@
 	const org_t *org;
 
 	if (p->base_model && !str_eq(str_c(p->base_model), a->base))
-		return fail(ap, "base", "adapter '%.*s' has base '%.*s'",
-			    STR_ARG(a->name), STR_ARG(a->base));
+		return change_fail(ap, "base", "adapter '%.*s' has base '%.*s'",
+				   STR_ARG(a->name), STR_ARG(a->base));
 	if (!p->org)
 		return 0;
 	org = decided_org_by_name(ap->d, str_c(p->org));
 	if (p->org[0] && !org)
-		return unknown(ap, "org", "organisation", p->org);
+		return change_unknown(ap, "org", "organisation", p->org);
 	if ((org ? org->id : 0) != a->org_id)
-		return fail(ap, "org",
-			    "adapter '%.*s' belongs to another organisation",
-			    STR_ARG(a->name));
+		return change_fail(
+			ap, "org",
+			"adapter '%.*s' belongs to another organisation",
+			STR_ARG(a->name));
 	return 0;
 }
 
@@ -566,16 +193,17 @@
 	if (old)
 		row = *old;
 	if (row.n_versions >= VERSIONS_MAX)
-		return fail(ap, "names",
-			    "adapter '%s' has %u versions; retire some", name,
-			    VERSIONS_MAX);
+		return change_fail(ap, "names",
+				   "adapter '%s' has %u versions; retire some",
+				   name, VERSIONS_MAX);
 	latest = row.n_versions ? row.versions[row.n_versions - 1] : 0;
 	version = p->has_version ? p->version : latest + 1;
 	if (version == 0 || latest == UINT32_MAX)
-		return fail(ap, "version", "must be above 0");
+		return change_fail(ap, "version", "must be above 0");
 	if (adapter_has_version(&row, version))
-		return fail(ap, "version", "'%s@%u' is published already", name,
-			    version);
+		return change_fail(ap, "version",
+				   "'%s@%u' is published already", name,
+				   version);
 	if (row.n_versions)
 		memcpy(versions, row.versions,
 		       row.n_versions * sizeof(*versions));
@@ -592,10 +220,10 @@
 static int adapter_publish(apply_t *ap, const Dk__Publish *p)
 {
 	if (!p->n_names)
-		return fail(ap, "names", "is missing");
+		return change_fail(ap, "names", "is missing");
 	if (p->has_load_ms && p->load_ms > LOAD_MS_MAX)
-		return fail(ap, "load_ms", "is above the most, %u",
-			    LOAD_MS_MAX);
+		return change_fail(ap, "load_ms", "is above the most, %u",
+				   LOAD_MS_MAX);
 	for (size_t i = 0; i < p->n_names; i++)
 		if (publish_one(ap, p, p->names[i]))
 			return -1;
@@ -607,12 +235,12 @@
 	const adapter_t *a = decided_adapter(ap->d, str_c(v->name));
 
 	if (!a) {
-		unknown(ap, "name", "adapter", v->name);
+		change_unknown(ap, "name", "adapter", v->name);
 		return NULL;
 	}
 	if (!adapter_has_version(a, v->version)) {
-		fail(ap, "version", "there is no '%.80s@%u'", v->name,
-		     v->version);
+		change_fail(ap, "version", "there is no '%.80s@%u'", v->name,
+			    v->version);
 		return NULL;
 	}
 	return a;
@@ -628,9 +256,10 @@
 	if (!a)
 		return -1;
 	if (a->current_version == v->version)
-		return fail(ap, "version",
-			    "'%s@%u' is the current one; pin another first",
-			    v->name, v->version);
+		return change_fail(
+			ap, "version",
+			"'%s@%u' is the current one; pin another first",
+			v->name, v->version);
 	for (size_t i = 0; i < a->n_versions && n < VERSIONS_MAX; i++)
 		if (a->versions[i] != v->version)
 			versions[n++] = a->versions[i];
@@ -659,7 +288,7 @@
 	const adapter_t *a = decided_adapter(ap->d, str_c(name));
 
 	if (!a)
-		return unknown(ap, "name", "adapter", name);
+		return change_unknown(ap, "name", "adapter", name);
 	decided_del_adapter(ap->d, a->id);
 	return 0;
 }
@@ -669,26 +298,28 @@
 static int check_target(apply_t *ap, const target_t *t)
 {
 	if (!url_valid(t->url))
-		return fail(ap, "url", "'%.*s' is not http://ip:port",
-			    STR_ARG(t->url));
+		return change_fail(ap, "url", "'%.*s' is not http://ip:port",
+				   STR_ARG(t->url));
 	if (!name_valid(t->zone))
-		return fail(ap, "zone", "'%.*s' is not a name",
-			    STR_ARG(t->zone));
+		return change_fail(ap, "zone", "'%.*s' is not a name",
+				   STR_ARG(t->zone));
 	if (!model_name_valid(t->base))
-		return fail(ap, "base", "'%.*s' is not a base model or service",
-			    STR_ARG(t->base));
+		return change_fail(ap, "base",
+				   "'%.*s' is not a base model or service",
+				   STR_ARG(t->base));
 	if (t->kind == TARGET_RUNNER && (!t->slots || t->slots > SLOTS_MAX))
-		return fail(ap, "slots", "%u is not within 1 and %u", t->slots,
-			    SLOTS_MAX);
+		return change_fail(ap, "slots", "%u is not within 1 and %u",
+				   t->slots, SLOTS_MAX);
 	if (!t->max_batch || t->max_batch > BATCH_MAX)
-		return fail(ap, "max_batch", "%u is not within 1 and %u",
-			    t->max_batch, BATCH_MAX);
+		return change_fail(ap, "max_batch", "%u is not within 1 and %u",
+				   t->max_batch, BATCH_MAX);
 	for (size_t i = 0; i < decided_target_count(ap->d); i++) {
 		const target_t *o = decided_target_at(ap->d, i);
 
 		if (o->id != t->id && str_eq(o->url, t->url))
-			return fail(ap, "url", "target '%.*s' has it already",
-				    STR_ARG(o->name));
+			return change_fail(ap, "url",
+					   "target '%.*s' has it already",
+					   STR_ARG(o->name));
 	}
 	return 0;
 }
@@ -698,7 +329,7 @@
 	const target_t *old = decided_target_by_name(ap->d, str_c(p->name));
 	target_t row = {0};
 
-	if (check_name(ap, "name", p->name))
+	if (change_check_name(ap, "name", p->name))
 		return -1;
 	if (old)
 		row = *old;
@@ -731,7 +362,7 @@
 	target_t row;
 
 	if (!t)
-		return unknown(ap, "name", "target", name);
+		return change_unknown(ap, "name", "target", name);
 	row = *t;
 	row.state = state;
 	decided_put_target(ap->d, &row);
@@ -743,7 +374,7 @@
 	const target_t *t = decided_target_by_name(ap->d, str_c(name));
 
 	if (!t)
-		return unknown(ap, "name", "target", name);
+		return change_unknown(ap, "name", "target", name);
 	decided_del_target(ap->d, t->id);
 	return 0;
 }
@@ -753,30 +384,30 @@
 static int check_host(apply_t *ap, const host_t *h)
 {
 	if (!name_valid(h->zone))
-		return fail(ap, "zone", "'%.*s' is not a name",
-			    STR_ARG(h->zone));
+		return change_fail(ap, "zone", "'%.*s' is not a name",
+				   STR_ARG(h->zone));
 	if (h->region.n && !name_valid(h->region))
-		return fail(ap, "region", "'%.*s' is not a name",
-			    STR_ARG(h->region));
+		return change_fail(ap, "region", "'%.*s' is not a name",
+				   STR_ARG(h->region));
 	if (!addr_valid(h->caller_addr))
-		return fail(ap, "caller_addr", "'%.*s' is not ip:port",
-			    STR_ARG(h->caller_addr));
+		return change_fail(ap, "caller_addr", "'%.*s' is not ip:port",
+				   STR_ARG(h->caller_addr));
 	if (!addr_valid(h->peer_addr))
-		return fail(ap, "peer_addr", "'%.*s' is not ip:port",
-			    STR_ARG(h->peer_addr));
+		return change_fail(ap, "peer_addr", "'%.*s' is not ip:port",
+				   STR_ARG(h->peer_addr));
 	for (size_t i = 0; i < decided_host_count(ap->d); i++) {
 		const host_t *o = decided_host_at(ap->d, i);
 
 		if (o->id == h->id)
 			continue;
 		if (str_eq(o->peer_addr, h->peer_addr))
-			return fail(ap, "peer_addr",
-				    "host '%.*s' has it already",
-				    STR_ARG(o->name));
+			return change_fail(ap, "peer_addr",
+					   "host '%.*s' has it already",
+					   STR_ARG(o->name));
 		if (str_eq(o->caller_addr, h->caller_addr))
-			return fail(ap, "caller_addr",
-				    "host '%.*s' has it already",
-				    STR_ARG(o->name));
+			return change_fail(ap, "caller_addr",
+					   "host '%.*s' has it already",
+					   STR_ARG(o->name));
 	}
 	return 0;
 }
@@ -786,17 +417,18 @@
 	const host_t *old = decided_host_by_name(ap->d, str_c(p->name));
 	host_t row = {0};
 
-	if (check_name(ap, "name", p->name))
+	if (change_check_name(ap, "name", p->name))
 		return -1;
 	if (old)
 		row = *old;
 	row.name = str_c(p->name);
 	if (old && p->has_id && p->id != old->id)
-		return fail(ap, "id", "host '%s' has id %u", p->name, old->id);
+		return change_fail(ap, "id", "host '%s' has id %u", p->name,
+				   old->id);
 	if (!old && p->has_id) {
 		if (p->id == 0 || p->id == UINT32_MAX ||
 		    decided_host(ap->d, p->id))
-			return fail(ap, "id", "%u is not free", p->id);
+			return change_fail(ap, "id", "%u is not free", p->id);
 		row.id = p->id;
 	}
 	if (p->zone)
@@ -821,7 +453,7 @@
 	host_t row;
 
 	if (!h)
-		return unknown(ap, "name", "host", name);
+		return change_unknown(ap, "name", "host", name);
 	row = *h;
 	row.draining = draining;
 	decided_put_host(ap->d, &row);
@@ -848,10 +480,10 @@
 	const host_t *h = decided_host_by_name(ap->d, str_c(name));
 
 	if (!h)
-		return unknown(ap, "name", "host", name);
+		return change_unknown(ap, "name", "host", name);
 	if (h->voter)
-		return fail(ap, "name",
-			    "it is a voter; make it a learner first");
+		return change_fail(ap, "name",
+				   "it is a voter; make it a learner first");
 	disown(ap, h->id);
 	decided_del_host(ap->d, h->id);
 	return 0;
@@ -861,11 +493,13 @@
 
 /* X(CASE, field, call) - every operation, by its name in JSON. */
 #define OPS(X)                                                             \
-	X(TEMPLATE_PUT, template_put, template_put(ap, op->template_put))  \
-	X(TEMPLATE_DEL, template_del, template_del(ap, op->template_del))  \
-	X(ORG_CREATE, org_create, org_create(ap, op->org_create))          \
-	X(ORG_SET, org_set, org_set(ap, op->org_set))                      \
-	X(ORG_DEL, org_del, org_del(ap, op->org_del))                      \
+	X(TEMPLATE_PUT, template_put,                                      \
+	  change_template_put(ap, op->template_put))                       \
+	X(TEMPLATE_DEL, template_del,                                      \
+	  change_template_del(ap, op->template_del))                       \
+	X(ORG_CREATE, org_create, change_org_create(ap, op->org_create))   \
+	X(ORG_SET, org_set, change_org_set(ap, op->org_set))               \
+	X(ORG_DEL, org_del, change_org_del(ap, op->org_del))               \
 	X(ADAPTER_PUBLISH, adapter_publish,                                \
 	  adapter_publish(ap, op->adapter_publish))                        \
 	X(ADAPTER_RETIRE, adapter_retire,                                  \
@@ -895,7 +529,7 @@
 #undef X
 	default:
 		ap->op_name = "?";
-		return fail(ap, "", "is not a known operation");
+		return change_fail(ap, "", "is not a known operation");
 	}
 }
 
@@ -970,7 +604,7 @@
 	body.author = c->author;
 	body.ops = c->ops;
 	body.n_ops = c->n_ops;
-	pack_message(&body, &packed);
+	change_pack_message(&body, &packed);
 	return hash_bytes(packed.p, packed.n, 0);
 }
 
