--- a/tests/cli_test.cc
+++ b/tests/cli_test.cc
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 #include <string>
@@ -289,6 +290,21 @@
 		unlink(f.c_str());
 }
 
+TEST_F(Cli, ChecksAllExamples)
+{
+	std::vector<std::string> words = {"check"};
+
+	for (auto &e :
+	     std::filesystem::recursive_directory_iterator("examples")) {
+		std::string path = e.path();
+		if (e.path().extension() == ".toml" &&
+		    e.path().filename() != "bench.toml")
+			words.push_back(path);
+	}
+	ASSERT_GT(words.size(), 4u);
+	EXPECT_EQ(CLI_OK, run(words, false)) << err;
+}
+
 static std::string file_text(const std::string &path)
 {
 	std::ifstream in(path);
