Links: wake descriptor exists before the first send; larger stacks

Cause: under thread sanitizer the daemon did not start (256 KB stacks are too small there), and a message queued before links_start() raced with the making of the wake descriptor and left it marked as woken. Change: the descriptor is made with the links; stacks are 1 MB (virtual). The scripted run waits for each change to be in force and stops early where no daemon comes up.

--- a/src/daemon.c
+++ b/src/daemon.c
@@ -36,7 +36,7 @@
 #include "target.h"
 
 #define ARENAS_MAX 2 /* malloc arenas; each thread keeps some memory */
-#define THREAD_STACK_BYTES (256u << 10)
+#define THREAD_STACK_BYTES (1u << 20)
 #define FRAME_MAX (8u << 20)
 #define LINK_QUEUE_MAX (16u << 20)
 #define SILENT_HEARTBEATS 8
--- a/src/link.c
+++ b/src/link.c
@@ -862,7 +862,8 @@
 	l->timers = timers;
 	l->listen_fd = -1;
 	l->epoll_fd = -1;
-	l->wake_fd = -1;
+	/* Here, for messages may be queued before the start. */
+	l->wake_fd = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
 	crypto_generichash(l->key, sizeof(l->key),
 			   (const unsigned char *)cfg->secret.p, cfg->secret.n,
 			   NULL, 0);
@@ -895,7 +896,6 @@
 	struct epoll_event ev = {.events = EPOLLIN};
 
 	l->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
-	l->wake_fd = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
 	if (l->epoll_fd < 0 || l->wake_fd < 0)
 		return -1;
 	ev.data.ptr = &l->listen_fd;
--- a/tests/scripts/cluster.sh
+++ b/tests/scripts/cluster.sh
@@ -33,7 +33,12 @@
 verdict() { # NAME COMMAND...
 	local name=$1
 	shift
-	if "$@" >/dev/null 2>&1; then pass "$name"; else fail "$name"; fi
+	if "$@" >/dev/null 2>&1; then
+		pass "$name"
+	else
+		fail "$name"
+		return 1
+	fi
 }
 
 make_settings 5
@@ -41,18 +46,20 @@
 for i in 1 2 3; do start_daemon "$i"; done
 start_standin engine "$O/dev/engine" --count 2 --slots 4 --load-ms 20 --step-us 4000 --base heritage
 start_standin service "$O/dev/service" --name records --delay-ms 1
-for i in 1 2 3; do verdict "voter_${i}_ready" eventually ready "$i"; done
+for i in 1 2 3; do
+	verdict "voter_${i}_ready" eventually ready "$i" || exit 1
+done
 
-put_hosts 1 3 --voter >/dev/null
-put_hosts 4 5 >/dev/null
+put_hosts 1 3 --voter --wait 20 >/dev/null
+put_hosts 4 5 --wait 20 >/dev/null
 start_daemon 4
 op target put runner-1 --url "http://$(address engine runner-1)" --zone a --base-model heritage \
-	--slots 4 --max-batch 16 --checks-fence >/dev/null
+	--slots 4 --max-batch 16 --checks-fence --wait 20 >/dev/null
 op target put runner-2 --url "http://$(address engine runner-2)" --zone b --base-model heritage \
-	--slots 4 --max-batch 16 --checks-fence >/dev/null
+	--slots 4 --max-batch 16 --checks-fence --wait 20 >/dev/null
 op target put records-1 --url "http://$(address service records)" --zone a --base-model records \
-	--service --max-batch 8 >/dev/null
-op org create estate --org-token "$caller" >/dev/null
+	--service --max-batch 8 --wait 20 >/dev/null
+op org create estate --org-token "$caller" --wait 20 >/dev/null
 verdict learner_ready eventually ready 4
 verdict change_in_force_everywhere op adapter publish notice@1 --base-model heritage \
 	--org estate --load-ms 20 --wait 20
@@ -87,7 +94,7 @@
 wait "${pid_of[host-5]}" 2>/dev/null
 
 # The leader dies; the others decide and serve on.
-lead=$(leader)
+lead=$(leader) || { fail no_leader; exit 1; }
 kill -9 "${pid_of[host-$lead]}"
 wait "${pid_of[host-$lead]}" 2>/dev/null
 rest=$(seq 3 | grep -v "^$lead$")
@@ -121,7 +128,11 @@
 done
 verdict drain_cuts_nothing test "$cut" = 0
 wait "${pid_of[host-4]}"
-verdict drain_exits_0 test $? = 0
+rc=$?
+verdict drain_exits_0 test "$rc" = 0 || {
+	echo "exit code $rc"
+	tail -n 20 "$dir/host-4.log"
+}
 unset "pid_of[host-4]"
 served() { complete "$first" notice 5 >"$dir/answer" && whole "$dir/answer" 5; }
 verdict others_take_over_the_targets eventually served
