Log: tell the voters at once what is decided

Cause: voters, which feed the others, heard of a commit only with the next heartbeat. Change: a commit makes the next heartbeat due.

--- a/src/rlog.c
+++ b/src/rlog.c
@@ -216,8 +216,11 @@
 	if (!n)
 		return;
 	at = match[quorum(l) - 1];
-	if (at > l->commit && rlog_term_at(l, at, &term) && term == l->term)
+	if (at > l->commit && rlog_term_at(l, at, &term) && term == l->term) {
 		l->commit = at;
+		/* The others hear of it with the next tick, not beat. */
+		l->beat_due_us = (int64_t)l->round;
+	}
 	rlog_apply_committed(l);
 }
 
