--- a/dev/lib_sim.c
+++ b/dev/lib_sim.c
@@ -9,6 +9,9 @@
 
 #define LEASE_US (1500 * USEC_PER_MSEC)
 #define DRIFT_US (50 * USEC_PER_MSEC)
+/* Until links notice silence, and until they are dialed again. */
+#define LINK_SILENT_US (2 * USEC_PER_SEC)
+#define LINK_DIAL_US (50 * USEC_PER_MSEC)
 #define FOREVER_US (INT64_MAX / 4)
 #define OUTCOME_BOUND_US (30 * USEC_PER_SEC)
 
@@ -93,8 +96,7 @@
 /* The daemon that the event was meant for still runs and is reachable. */
 bool event_host_there(const event_t *ev)
 {
-	return ev->host->core && ev->host->life == ev->life &&
-	       !ev->host->silent;
+	return ev->host->core && ev->host->life == ev->life;
 }
 
 int64_t sim_zone_delay(const sim_t *s, size_t a, size_t b)
@@ -126,7 +128,7 @@
 
 static void deliver_message(sim_t *s, event_t *ev)
 {
-	if (event_host_there(ev))
+	if (event_host_there(ev) && !ev->host->silent)
 		serve_recv(ev->host->core, (host_id_t)ev->x, ev->data.p,
 			   ev->data.n);
 }
@@ -284,6 +286,8 @@
 
 	if (!h->core)
 		return;
+	if (s->cfg.state)
+		state_host_down(s, h);
 	serve_free(h->core);
 	h->core = NULL;
 	h->life++;
@@ -302,7 +306,10 @@
 	h->life++;
 	h->silent = false;
 	h->draining = false;
+	h->drained = false;
 	h->core = serve_new(&cfg, &sim_ops, h, s->timers);
+	if (s->cfg.state)
+		state_host_boot(s, h);
 }
 
 void sim_host_start(sim_t *s, host_id_t id)
@@ -313,17 +320,38 @@
 		return;
 	host_boot(s, h);
 	sim_log(s, "host-%u is up", id);
-	sim_publish(s, id);
-	stand_all(s);
+	if (!s->cfg.state) {
+		sim_publish(s, id);
+		stand_all(s);
+	}
 	for (size_t i = 0; i < s->n_hosts; i++)
 		if (s->hosts[i].core && s->hosts[i].id != id)
 			serve_link(h->core, s->hosts[i].id, true);
 	tell_links(s, id, true);
 }
 
+/* The links of a daemon that was cut off go down, or come up again. */
+static void links_notice(sim_t *s, event_t *ev)
+{
+	sim_host_t *h = ev->host;
+
+	if (!event_host_there(ev) || h->silent != (ev->x != 0))
+		return;
+	tell_links(s, h->id, !h->silent);
+	for (size_t i = 0; i < s->n_hosts; i++)
+		if (s->hosts[i].core && s->hosts[i].id != h->id)
+			serve_link(h->core, s->hosts[i].id, !h->silent);
+}
+
 void sim_host_silence(sim_t *s, host_id_t id, bool silent)
 {
-	sim_host(s, id)->silent = silent;
+	sim_host_t *h = sim_host(s, id);
+	event_t *ev = event_new(s, links_notice);
+
+	h->silent = silent;
+	event_to_host(ev, h);
+	ev->x = silent;
+	event_after(ev, silent ? LINK_SILENT_US : LINK_DIAL_US);
 	sim_log(s, "host-%u is %s", id, silent ? "cut off" : "back");
 }
 
@@ -335,6 +363,8 @@
 	sim_log(s, "host-%u drains", id);
 	if (h->core)
 		serve_drain(h->core);
+	if (h->core && s->cfg.state)
+		state_drain(s, h);
 }
 
 static void lease_over(sim_t *s, event_t *ev)
@@ -349,6 +379,13 @@
 	event_after(event_new(s, lease_over), LEASE_US + DRIFT_US);
 }
 
+host_id_t sim_owner(const sim_t *s, const sim_engine_t *e)
+{
+	const target_t *t = decided_target(s->tables, e->id);
+
+	return t ? t->owner : 0;
+}
+
 host_id_t sim_some_owner(sim_t *s)
 {
 	for (size_t i = 0; i < s->n_engines; i++) {
@@ -415,12 +452,10 @@
 	}
 }
 
-static void put_target(sim_t *s, decided_t *d, size_t i)
+static void engine_init(sim_t *s, size_t i)
 {
 	const deploy_t *dep = s->cfg.deploy;
 	sim_engine_t *e = &s->engines[i];
-	char url[64];
-	target_t row = {.id = (target_id_t)i + 1};
 
 	e->id = (target_id_t)i + 1;
 	e->service = i >= (size_t)dep->runners;
@@ -435,7 +470,17 @@
 					  i - (size_t)dep->runners + 1);
 	else
 		e->name = g_strdup_printf("%s-%zu", dep->runner_name, i + 1);
-	snprintf(url, sizeof(url), "http://10.1.0.%zu", i + 1);
+}
+
+static void put_target(sim_t *s, decided_t *d, size_t i)
+{
+	const deploy_t *dep = s->cfg.deploy;
+	sim_engine_t *e = &s->engines[i];
+	target_t row = {.id = (target_id_t)i + 1};
+	char url[64];
+
+	engine_init(s, i);
+	snprintf(url, sizeof(url), "http://10.1.0.%zu:80", i + 1);
 	row.name = str_c(e->name);
 	row.kind = e->service ? TARGET_SERVICE : TARGET_RUNNER;
 	row.url = str_c(url);
@@ -444,6 +489,7 @@
 	row.slots = e->n_slots;
 	row.max_batch = (uint32_t)dep->max_batch;
 	row.checks_fence = true;
+	row.repeatable = true;
 	decided_put_target(d, &row);
 }
 
@@ -494,6 +540,32 @@
 					   true);
 }
 
+/* All tables at once, every standing granted. */
+static void found_by_hand(sim_t *s)
+{
+	put_hosts(s, s->tables);
+	for (size_t i = 0; i < s->n_engines; i++)
+		put_target(s, s->tables, i);
+	put_adapters(s, s->tables);
+	s->index = 1;
+	decided_set_position(s->tables, s->index, 1);
+	boot_all(s);
+	sim_assign(s);
+	stand_all(s);
+}
+
+/* The daemons elect a leader, and an operator's first change is decided. */
+static void found_by_log(sim_t *s)
+{
+	for (size_t i = 0; i < s->n_engines; i++)
+		engine_init(s, i);
+	boot_all(s);
+	if (!state_found(s)) {
+		fprintf(stderr, "sim: the cluster could not be founded\n");
+		abort();
+	}
+}
+
 sim_t *sim_new(const sim_cfg_t *cfg)
 {
 	sim_t *s = xcalloc(1, sizeof(*s));
@@ -515,6 +587,12 @@
 					  claim_row_free);
 	p->key_runs =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	p->changes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					   sim_change_free);
+	p->accepted =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free);
+	p->revisions = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					     g_free, g_free);
 	p->evicted =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free);
 	s->n_hosts = (size_t)cfg->deploy->hosts;
@@ -522,15 +600,10 @@
 	s->n_engines = (size_t)(cfg->deploy->runners + cfg->deploy->services);
 	s->engines = xcalloc(s->n_engines, sizeof(*s->engines));
 	s->tables = decided_new();
-	put_hosts(s, s->tables);
-	for (size_t i = 0; i < s->n_engines; i++)
-		put_target(s, s->tables, i);
-	put_adapters(s, s->tables);
-	s->index = 1;
-	decided_set_position(s->tables, s->index, 1);
-	boot_all(s);
-	sim_assign(s);
-	stand_all(s);
+	if (cfg->state)
+		found_by_log(s);
+	else
+		found_by_hand(s);
 	return s;
 }
 
@@ -541,6 +614,7 @@
 	cds_list_for_each_entry_safe (ev, next, &s->p->events, node) {
 		engine_event_drop(ev);
 		claim_event_drop(ev);
+		state_event_drop(ev);
 		timer_svc_cancel(s->timers, &ev->sub);
 		buf_free(&ev->data);
 		free(ev);
@@ -551,9 +625,11 @@
 {
 	load_t *l, *next;
 
-	for (size_t i = 0; i < s->n_hosts; i++)
+	for (size_t i = 0; i < s->n_hosts; i++) {
 		if (s->hosts[i].core)
 			serve_free(s->hosts[i].core);
+		state_host_free(&s->hosts[i]);
+	}
 	free_pending(s);
 	cds_list_for_each_entry_safe (l, next, &s->p->loads, node) {
 		load_free(l);
@@ -571,6 +647,9 @@
 	g_hash_table_destroy(s->p->claims);
 	g_hash_table_destroy(s->p->key_runs);
 	g_hash_table_destroy(s->p->evicted);
+	g_hash_table_destroy(s->p->changes);
+	g_hash_table_destroy(s->p->accepted);
+	g_hash_table_destroy(s->p->revisions);
 	g_ptr_array_free(s->requests, TRUE);
 	decided_unref(s->tables);
 	timer_svc_free(s->timers);
--- a/dev/lib_sim.h
+++ b/dev/lib_sim.h
@@ -12,6 +12,7 @@
 #include "lib_deploy.h"
 #include "lib_stats.h"
 #include "serve.h"
+#include "state.h"
 
 #include <urcu/list.h>
 
@@ -30,7 +31,11 @@
 	X(DOUBLE_RUN, "double_run")                 \
 	X(WORK_FOR_LEAVING, "work_for_leaving")     \
 	X(CUT_OFF_BY_DRAIN, "cut_off_by_drain")     \
-	X(NO_OUTCOME, "no_outcome")
+	X(NO_OUTCOME, "no_outcome")                 \
+	X(STALE_VERSION, "stale_version")           \
+	X(REVERTED, "reverted")                     \
+	X(DECISION_LOST, "decision_lost")           \
+	X(TWO_DECIDED, "two_decided")
 
 typedef enum sim_violation {
 #define X(name, str) SIM_##name,
@@ -51,8 +56,17 @@
 	serve_t *core; /* NULL while down */
 	uint32_t life; /* changes with each start */
 	sim_t *sim;
-	bool silent; /* cut off: neither sends nor receives */
+	bool silent; /* cut off from the other daemons */
 	bool draining;
+	/* With state cores; NULL otherwise or while down. */
+	state_t *state;
+	struct sim_disk *disk;	/* of a voter; outlives the daemon */
+	decided_t *tables;	/* in force here */
+	int64_t fresh_until_us; /* as last told by its standing */
+	host_id_t leader;
+	bool is_leader;
+	int64_t drain_us; /* draining: when it may return its lease */
+	bool drained;	  /* ended gracefully */
 } sim_host_t;
 
 typedef struct sim_slot {
@@ -115,6 +129,11 @@
 	serve_cfg_t serve; /* what all cores share; self, zone, seed are set */
 	uint64_t seed;
 	bool retry; /* callers come back after refusals */
+	/*
+	 * With state cores: leases, owners and tables are decided by the real
+	 * log; otherwise standings are always granted and owners assigned here.
+	 */
+	bool state;
 	/* One line for each event of interest; may be NULL. */
 	void (*log)(void *ctx, int64_t now, const char *line);
 	void *log_ctx;
@@ -153,12 +172,12 @@
 void sim_log(sim_t *s, const char *fmt, ...)
 	__attribute__((format(printf, 2, 3)));
 
-/* A request comes at its arrival time; the arrival outlives the simulation. */
+/* A request at its arrival time; the arrival outlives the simulation. */
 sim_request_t *sim_request(sim_t *s, const arrival_t *a);
-/* A call of the plain service, under a key. */
-sim_request_t *sim_call(sim_t *s, const arrival_t *a, const char *key,
-			bool not_repeatable);
-/* A request that a caller sends to one daemon at once, without asking. */
+/* The same in two steps, so that it can be made a call in between. */
+sim_request_t *sim_request_make(sim_t *s, const arrival_t *a);
+void sim_request_start(sim_t *s, sim_request_t *r);
+/* Sends a made request to one daemon at once, without asking for addresses. */
 void sim_send(sim_t *s, sim_request_t *r, host_id_t host);
 
 /* The daemon stops at once; nothing that it had under way comes back. */
@@ -176,6 +195,40 @@
 void sim_publish(sim_t *s, host_id_t id);
 /* Kills a daemon, and after its lease gives its targets to others. */
 void sim_lose_host(sim_t *s, host_id_t id);
+/*
+ * With state cores: proposes a change in JSON (change_json.h) at a daemon;
+ * sim_change_t of the id tells its outcome.
+ */
+typedef struct sim_change {
+	char *id;
+	uint64_t tag; /* of the latest proposal */
+	buf_t packed;
+	bool done; /* the latest proposal has its outcome */
+	change_status_t status;
+	uint64_t revision;
+	bool resent;
+	bool decided; /* some proposal was told that it is decided */
+	char error[160];
+	/* What it publishes, for the oracle. */
+	char *adapter;
+	uint32_t version;
+} sim_change_t;
+sim_change_t *sim_change(sim_t *s, const char *id);
+/* 0, or -1 where the JSON is no change. */
+int sim_propose(sim_t *s, host_id_t host, const char *id, const char *json);
+/* Proposes the same bytes again. */
+void sim_resend(sim_t *s, host_id_t host, const char *id);
+/* The daemon's disk loses all; it must be down. */
+void sim_disk_wipe(sim_t *s, host_id_t id);
+/* The live daemon that leads; 0 where none does. */
+host_id_t sim_leader(const sim_t *s);
+/* All live, connected daemons hold the newest tables and may serve. */
+bool sim_in_force(const sim_t *s);
+/* Owner of a target in the newest tables; 0: none. */
+host_id_t sim_owner(const sim_t *s, const sim_engine_t *e);
+/* Checks of the oracle over decided state, at the end. */
+void sim_check_decided(sim_t *s);
+
 /* A daemon that owns targets and does not lead. */
 host_id_t sim_some_owner(sim_t *s);
 /* The decided version that requests without one get. */
--- a/dev/lib_sim_caller.c
+++ b/dev/lib_sim_caller.c
@@ -125,8 +125,6 @@
 	sim_t *s = h->sim;
 	event_t *ev;
 
-	if (h->silent)
-		return;
 	ev = event_new(s, deliver_reply);
 	ev->x = handle;
 	ev->u.reply = *rep;
@@ -230,8 +228,15 @@
 void op_claim(void *ctx, const claim_req_t *req)
 {
 	sim_host_t *h = ctx;
-	claim_copy_t *c = xcalloc(1, sizeof(*c));
-	event_t *ev = event_new(h->sim, claim_arrives);
+	claim_copy_t *c;
+	event_t *ev;
+
+	if (h->sim->cfg.state) {
+		state_claim_at(h, req);
+		return;
+	}
+	c = xcalloc(1, sizeof(*c));
+	ev = event_new(h->sim, claim_arrives);
 
 	c->req = *req;
 	c->name = g_strdup_printf("%u %.*s", req->org_id, STR_ARG(req->key));
@@ -296,10 +301,11 @@
 		request_end(s, r, SIM_REFUSED);
 }
 
-static void expected_adapter(const sim_t *s, const arrival_t *a, char *out,
+/* The adapter and version by the tables in force at the daemon. */
+static void expected_adapter(const decided_t *d, const arrival_t *a, char *out,
 			     size_t n)
 {
-	const adapter_t *row = decided_adapter(s->tables, str_c(a->adapter));
+	const adapter_t *row = decided_adapter(d, str_c(a->adapter));
 	uint32_t v = a->version;
 
 	if (!v)
@@ -327,7 +333,8 @@
 	const arrival_t *a = r->arrival;
 	AUTO_BUF buf_t body = {0};
 	char model[160], id[64];
-	const org_t *org = decided_org_by_name(s->tables, str_c(a->org));
+	const decided_t *tables;
+	const org_t *org;
 	serve_req_t req = {.handle = sub->handle};
 	event_t *gone;
 
@@ -337,7 +344,9 @@
 		event_after(gone, DETECT_US);
 		return;
 	}
-	expected_adapter(s, a, sub->expect, sizeof(sub->expect));
+	tables = ev->host->tables ? ev->host->tables : s->tables;
+	org = decided_org_by_name(tables, str_c(a->org));
+	expected_adapter(tables, a, sub->expect, sizeof(sub->expect));
 	make_body(&body, sub);
 	if (a->version)
 		snprintf(model, sizeof(model), "%s@%u", a->adapter, a->version);
@@ -374,6 +383,7 @@
 	sub->req = r;
 	sub->host = sim_host(s, id);
 	sub->life = sub->host->life;
+	sub->sent_us = sim_now(s);
 	r->attempts++;
 	r->expecting = true;
 	ev = event_new(s, submit_arrives);
@@ -427,9 +437,8 @@
 	event_to_host(ev, h);
 	ev->p = r;
 	r->expecting = true;
-	event_after(ev, h->core && !h->silent
-				? 2 * s->cfg.deploy->caller_delay_us
-				: DETECT_US);
+	event_after(ev,
+		    h->core ? 2 * s->cfg.deploy->caller_delay_us : DETECT_US);
 }
 
 static void request_go(sim_t *s, sim_request_t *r)
@@ -448,7 +457,7 @@
 	g_free(key);
 }
 
-static sim_request_t *request_new(sim_t *s, const arrival_t *a)
+sim_request_t *sim_request_make(sim_t *s, const arrival_t *a)
 {
 	sim_request_t *r = xcalloc(1, sizeof(*r));
 	guint callers = (guint)MAX(s->cfg.deploy->callers, 1);
@@ -461,27 +470,33 @@
 	return r;
 }
 
-sim_request_t *sim_request(sim_t *s, const arrival_t *a)
+void sim_request_start(sim_t *s, sim_request_t *r)
 {
-	sim_request_t *r = request_new(s, a);
 	event_t *ev = event_new(s, again_due);
 
 	ev->p = r;
-	event_at(ev, a->at_us);
-	return r;
+	event_at(ev, r->arrival->at_us);
 }
 
-sim_request_t *sim_call(sim_t *s, const arrival_t *a, const char *key,
-			bool not_repeatable)
+sim_request_t *sim_request(sim_t *s, const arrival_t *a)
 {
-	sim_request_t *r = sim_request(s, a);
+	sim_request_t *r = sim_request_make(s, a);
 
-	r->call = true;
-	r->not_repeatable = not_repeatable;
-	snprintf(r->key, sizeof(r->key), "%s", key);
+	sim_request_start(s, r);
 	return r;
 }
 
+bool callers_wait_for(sim_t *s, const sim_host_t *h)
+{
+	for (guint i = 0; i < s->p->submits->len; i++) {
+		const submit_t *sub = s->p->submits->pdata[i];
+
+		if (!sub->final && sub->host == h && sub->life == h->life)
+			return true;
+	}
+	return false;
+}
+
 void callers_lose_host(sim_t *s, sim_host_t *h)
 {
 	for (guint i = 0; i < s->p->submits->len; i++) {
--- a/dev/lib_sim_engine.c
+++ b/dev/lib_sim_engine.c
@@ -472,6 +472,21 @@
 	return at ? (uint32_t)strtoul(at + 13, NULL, 10) : 1;
 }
 
+/* A request that names no version runs on one that is in force. */
+static void check_version(sim_t *s, sim_engine_t *e, const order_t *o,
+			  const submit_t *sub)
+{
+	const char *at = strchr(o->adapter, '@');
+	uint32_t oldest;
+
+	if (e->service || sub->req->arrival->version || !at)
+		return;
+	oldest = state_oldest_version(s, sub->req->arrival->adapter,
+				      sub->sent_us);
+	if (strtoul(at + 1, NULL, 10) < oldest)
+		sim_violation(s, SIM_STALE_VERSION, o->adapter);
+}
+
 /* Checks of the oracle when an engine or service starts a run. */
 static void check_start(sim_t *s, sim_engine_t *e, const order_t *o,
 			submit_t *sub)
@@ -485,6 +500,7 @@
 		sim_violation(s, SIM_RAN_THOUGH_REFUSED, what);
 	if (!e->service && strcmp(sub->expect, o->adapter))
 		sim_violation(s, SIM_WRONG_ADAPTER, what);
+	check_version(s, e, o, sub);
 	if (e->leaving && sim_now(s) > e->leaving_us + LEAVING_BOUND_US)
 		sim_violation(s, SIM_WORK_FOR_LEAVING, what);
 	sim_log(s, "run request=%u target=%s adapter=%s", sub->req->id, e->name,
--- a/dev/lib_sim_priv.h
+++ b/dev/lib_sim_priv.h
@@ -15,6 +15,7 @@
 	sim_host_t *host;
 	uint32_t life;
 	char expect[160]; /* adapter@version decided when it was accepted */
+	int64_t sent_us;
 	uint32_t runs;
 	bool final;
 	bool refused_not_run;
@@ -72,6 +73,12 @@
 	buf_t body;
 } claim_row_t;
 
+/* A version that operators were told is accepted. */
+typedef struct accepted {
+	uint32_t version;
+	int64_t at_us;
+} accepted_t;
+
 typedef struct event event_t;
 typedef void (*event_fn_t)(sim_t *s, event_t *ev);
 
@@ -91,6 +98,10 @@
 		engine_event_t engine_event;
 		serve_reply_t reply;
 		claim_result_t claim;
+		struct {
+			uint64_t revision;
+			bool resent;
+		} change;
 	} u;
 	char text[160];
 };
@@ -101,10 +112,14 @@
 	event_t *load_event; /* end of the next load; NULL: none */
 	int64_t loads_at_us;
 	GPtrArray *submits;
-	GHashTable *kept;     /* "caller model" -> kept_t */
-	GHashTable *claims;   /* "org key" -> claim_row_t */
-	GHashTable *key_runs; /* key -> count */
-	GHashTable *evicted;  /* adapter -> int64_t of the last eviction */
+	GHashTable *kept;      /* "caller model" -> kept_t */
+	GHashTable *claims;    /* "org key" -> claim_row_t */
+	GHashTable *key_runs;  /* key -> count */
+	GHashTable *changes;   /* id -> sim_change_t */
+	GHashTable *accepted;  /* adapter -> accepted_t, for the oracle */
+	GHashTable *revisions; /* revision -> change id */
+	uint64_t next_incarnation, next_tag;
+	GHashTable *evicted; /* adapter -> int64_t of the last eviction */
 	uint64_t next_boot;
 	bool log_orders;
 };
@@ -132,6 +147,20 @@
 void engine_event_drop(event_t *ev);
 void load_free(load_t *l);
 
+/* State cores (lib_sim_state.c). */
+void state_host_boot(sim_t *s, sim_host_t *h);
+void state_host_down(sim_t *s, sim_host_t *h);
+void state_host_free(sim_host_t *h);
+void state_claim_at(sim_host_t *h, const claim_req_t *req);
+void state_event_drop(event_t *ev);
+/* Leader elected and all tables decided; false where it takes too long. */
+bool state_found(sim_t *s);
+void state_drain(sim_t *s, sim_host_t *h);
+/* The oldest version that a request sent at the time may run; 0: any. */
+uint32_t state_oldest_version(sim_t *s, const char *adapter, int64_t sent_us);
+void sim_change_free(gpointer p);
+bool callers_wait_for(sim_t *s, const sim_host_t *h);
+
 /* Callers and claims (lib_sim_caller.c). */
 void op_reply(void *ctx, uint64_t handle, const serve_reply_t *rep);
 void op_claim(void *ctx, const claim_req_t *req);
