--- a/src/serve.c
+++ b/src/serve.c
@@ -264,9 +264,11 @@
 	AUTO_FREE share_t *v = NULL;
 	size_t n;
 
-	if (now < s->next_demand_us || !sh->tables)
+	if (now < s->next_demand_us)
 		return s->next_demand_us;
 	s->next_demand_us = now + SHARE_PERIOD_US;
+	if (!sh->tables)
+		return s->next_demand_us;
 	v = limits_demand(&s->limits, sh->tables, now, &n, &m.seq);
 	if (!n || !sh->standing.leader)
 		return s->next_demand_us;
