--- a/dev/scenario.c
+++ b/dev/scenario.c
@@ -632,14 +632,14 @@
 		fprintf(stderr, "usage: scenario [--log] FILE\n");
 		return 2;
 	}
+	if (deploy_load(&sc.deploy, SMALL))
+		return 2;
 	f = fopen(sc.path, "r");
 	if (!f) {
 		perror(sc.path);
 		return 2;
 	}
 	log_set_level(log ? LOG_DEBUG : LOG_CRIT);
-	if (deploy_load(&sc.deploy, SMALL))
-		return 2;
 	sc.cfg.deploy = &sc.deploy;
 	sc.cfg.seed = 1;
 	sc.cfg.retry = true;
