--- a/src/admin.c
+++ b/src/admin.c
@@ -15,6 +15,8 @@
 #define PROPOSE_TIMEOUT_US (10 * USEC_PER_SEC)
 #define WAIT_MAX_MS 120000u
 #define WAIT_POLL_MS 10
+#define OWN_TABLES_WAIT_MS 1000u
+#define OWN_TABLES_POLL_MS 1
 #define PAGE_DEFAULT 1000u
 #define PAGE_MAX 20000u
 #define HOSTS_MAX 4096u
@@ -517,6 +519,26 @@
 		counter_add(CTR_CHANGES_DECIDED, 1);
 }
 
+/*
+ * Waits until this daemon's own tables hold a revision, so that an operator
+ * who goes on here starts from his own change.
+ */
+static void wait_for_tables(admin_call_t *c, uint64_t revision)
+{
+	const struct timespec poll = {0, OWN_TABLES_POLL_MS * 1000000L};
+	uint64_t end = now_ms(CLOCK_MONOTONIC) + OWN_TABLES_WAIT_MS;
+
+	for (;;) {
+		decided_t *d = c->ops->tables(c->ctx);
+		bool held = decided_revision(d) >= revision;
+
+		decided_unref(d);
+		if (held || now_ms(CLOCK_MONOTONIC) >= end)
+			return;
+		nanosleep(&poll, NULL);
+	}
+}
+
 static void propose(admin_call_t *c, str_t packed, const char *change_id,
 		    uint64_t wait_ms)
 {
@@ -527,6 +549,8 @@
 	c->ops->propose(c->ctx, packed.p, packed.n, PROPOSE_TIMEOUT_US, &out,
 			&error);
 	count(&out);
+	if (out.status == CHANGE_DECIDED || out.status == CHANGE_CONFLICT)
+		wait_for_tables(c, out.revision);
 	j = outcome_json(&out, &error);
 	json_object_set_new(j, "change_id", json_string(change_id));
 	if (out.status == CHANGE_DECIDED && wait_ms) {
