--- a/src/http.c
+++ b/src/http.c
@@ -18,6 +18,8 @@
 
 #define SHARDS 64u
 #define GONE_CHECK_MS 250
+#define STOP_TICK_MS 10
+#define STOP_MAX_MS 2000 /* for answers of the end */
 #define ID_MAX 128u
 #define KEY_MAX 255u
 #define NAME_MAX_BYTES 256u
@@ -737,8 +739,16 @@
 
 void http_stop(http_t *h)
 {
-	for (uint32_t i = 0; i < SHARDS; i++)
-		fail_readers(&h->shards[i]);
+	struct timespec tick = {0, STOP_TICK_MS * 1000000L};
+
+	/* CivetWeb sends nothing any more once it is told to stop. */
+	for (int ms = 0; ms < STOP_MAX_MS; ms += STOP_TICK_MS) {
+		for (uint32_t i = 0; i < SHARDS; i++)
+			fail_readers(&h->shards[i]);
+		if (!http_active(h))
+			break;
+		nanosleep(&tick, NULL);
+	}
 	httpd_stop(h->port);
 	h->port = NULL;
 }
--- a/tests/scripts/lib_cluster.sh
+++ b/tests/scripts/lib_cluster.sh
@@ -3,7 +3,7 @@
 dir=$(mktemp -d)
 token=operators-token-0123456789
 declare -A pid_of
-voters=3
+voters=${voters:-3}
 
 cluster_cleanup() {
 	local p
