--- a/src/counter.h
+++ b/src/counter.h
@@ -50,6 +50,8 @@
 	X(LINK_CUT_MALFORMED, "link_cut_malformed", "Peers cut: bad frame")    \
 	X(LINK_CUT_SLOW, "link_cut_slow_reader", "Peers cut: queue full")      \
 	X(LINK_CUT_SILENT, "link_cut_silent", "Peers cut: no heartbeat")       \
+	X(LINK_DROPPED, "link_dropped",                                        \
+	  "Messages dropped: peer down, unknown or its queue full")            \
 	X(LINK_BYTES_IN, "link_bytes_in", "Bytes received from peers")         \
 	X(LINK_BYTES_OUT, "link_bytes_out", "Bytes sent to peers")
 
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -954,12 +954,24 @@
 	pthread_attr_destroy(&attr);
 }
 
-static char *parse_options(int argc, char **argv)
+static void print_manual(void)
+{
+	AUTO_BUF buf_t page = {0};
+
+	settings_manual(&page);
+	fputs(page.p, stdout);
+}
+
+/* The settings file; NULL where there is nothing to run, with *rc set. */
+static char *parse_options(int argc, char **argv, int *rc)
 {
 	char *config = NULL;
+	gboolean manual = FALSE;
 	GOptionEntry entries[] = {
 		{"config", 'c', 0, G_OPTION_ARG_FILENAME, &config,
 		 "Settings of this daemon", "FILE"},
+		{"manual", 0, 0, G_OPTION_ARG_NONE, &manual,
+		 "Print the page of settings", NULL},
 		{0},
 	};
 	GOptionContext *options = g_option_context_new(NULL);
@@ -972,6 +984,9 @@
 	if (!g_option_context_parse(options, &argc, &argv, &error)) {
 		fprintf(stderr, "damasklug serve: %s\n", error->message);
 		g_error_free(error);
+	} else if (manual) {
+		*rc = 0;
+		print_manual();
 	} else if (!config) {
 		fprintf(stderr, "damasklug serve: --config FILE is missing\n");
 	} else if (argc > 1) {
@@ -987,13 +1002,13 @@
 int serve_main(int argc, char **argv)
 {
 	AUTO_BUF buf_t errors = {0};
-	char *config = parse_options(argc, argv);
+	int rc = 2;
+	char *config = parse_options(argc, argv, &rc);
 	daemon_t d = {0};
 	sigset_t set;
-	int rc = 1;
 
 	if (!config)
-		return 2;
+		return rc;
 	rc = settings_load(&d.set, config, &errors);
 	g_free(config);
 	if (rc < 0) {
--- a/src/link.c
+++ b/src/link.c
@@ -1064,16 +1064,17 @@
 	bool sent = false;
 	peer_t *peer;
 
-	/* Room for the fields around the payload. */
-	if (n + HELLO_FRAME_MAX > l->cfg.frame_max)
-		return false;
 	pthread_mutex_lock(&l->lock);
-	peer = find_peer(l, to);
+	/* Room for the fields around the payload. */
+	peer = n + HELLO_FRAME_MAX <= l->cfg.frame_max ? find_peer(l, to)
+						       : NULL;
 	if (peer && peer->conn)
 		sent = send_up(l, peer->conn, ch, p, n);
 	else if (peer)
 		sent = send_queued(l, peer, ch, p, n);
 	pthread_mutex_unlock(&l->lock);
+	if (!sent)
+		counter_add(CTR_LINK_DROPPED, 1);
 	return sent;
 }
 
--- a/src/settings.c
+++ b/src/settings.c
@@ -106,25 +106,25 @@
 	}
 }
 
-/* Appends what a row expects, e.g. "expected an integer from 1 to 64". */
-static void describe(buf_t *out, const setting_t *row)
+/* Appends lead and what a row expects, e.g. "an integer from 1 to 64". */
+static void describe(buf_t *out, const setting_t *row, const char *lead)
 {
+	buf_puts(out, lead);
 	switch (row->type) {
 	case SET_STR:
-		buf_printf(out, "expected a string of %.0f to %.0f bytes",
-			   row->lo, row->hi);
+		buf_printf(out, "a string of %.0f to %.0f bytes", row->lo,
+			   row->hi);
 		break;
 	case SET_ADDR:
-		buf_puts(out, "expected \"ip:port\" with a port from 1 to "
+		buf_puts(out, "\"ip:port\" with a port from 1 to "
 			      "65535");
 		break;
 	case SET_INT:
-		buf_printf(out, "expected an integer from %.0f to %.0f",
-			   row->lo, row->hi);
+		buf_printf(out, "an integer from %.0f to %.0f", row->lo,
+			   row->hi);
 		break;
 	case SET_NUM:
-		buf_printf(out, "expected a number from %g to %g", row->lo,
-			   row->hi);
+		buf_printf(out, "a number from %g to %g", row->lo, row->hi);
 		break;
 	}
 }
@@ -161,7 +161,7 @@
 	AUTO_BUF buf_t expected = {0};
 
 	if (!value_fits(row, item)) {
-		describe(&expected, row);
+		describe(&expected, row, "expected ");
 		fault(ld, item->line, row->section, row->key, expected.p);
 		return;
 	}
@@ -295,7 +295,7 @@
 			continue;
 		buf_reset(&expected);
 		buf_puts(&expected, "missing; ");
-		describe(&expected, &rows[i]);
+		describe(&expected, &rows[i], "expected ");
 		fault(ld, 0, rows[i].section, rows[i].key, expected.p);
 	}
 }
@@ -492,6 +492,12 @@
 {
 	const char *section = "";
 
+	buf_puts(
+		out,
+		"# Settings of a daemon\n\nMade by `damasklug serve --manual`. "
+		"`damasklug check FILE` checks a file offline; each fault is "
+		"told as `file:line: key: what is expected`. Examples of a "
+		"voter and of a learner: `examples/*/host-*.toml`.\n");
 	for (size_t i = 0; i < ARRAY_SIZE(rows); i++) {
 		const setting_t *row = &rows[i];
 
@@ -502,7 +508,7 @@
 				   row->section);
 		section = row->section;
 		buf_printf(out, "| `%s` | ", row->key);
-		describe(out, row);
+		describe(out, row, "");
 		buf_printf(out, " | %s | %s |\n",
 			   row->need	  ? "must be given"
 			   : row->dflt[0] ? row->dflt
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cstring>
 #include <fstream>
+#include <iterator>
 #include <string>
 
 #include <unistd.h>
@@ -174,6 +175,18 @@
 		}
 }
 
+TEST(SettingsPage, IsMadeFromTheTable)
+{
+	std::ifstream in("docs/settings.md");
+	std::string page{std::istreambuf_iterator<char>(in),
+			 std::istreambuf_iterator<char>()};
+	buf_t made = {};
+
+	settings_manual(&made);
+	EXPECT_EQ(page, made.p) << "run: damasklug serve --manual";
+	buf_free(&made);
+}
+
 TEST(Toml, ArraysAndNestedTablesAreFlat)
 {
 	buf_t errors = {};
