--- /dev/null
+++ b/dev/changes.c
@@ -0,0 +1,247 @@
+/*
+ * changes.c - operators' changes one after the other against real daemons:
+ * each publishes one adapter, is sent again under its id until it has an
+ * outcome, and is timed.
+ *
+ *   changes --server IP:PORT... --token T --count N [--wait-ms N] [--verify]
+ *
+ * Prints one JSON object: accepted (and in force) in milliseconds by
+ * percentile, the longest time between two acceptances, and what went wrong.
+ * --verify then asks every server for the adapters: exactly those of the
+ * accepted changes, each at version 1. Exit 1 where that does not hold.
+ */
+#include "client.h"
+#include "lib_stats.h"
+
+#include <glib.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#define CHANGE_MS_MAX 60000
+#define LIST_MAX 20000
+/* A change is in force everywhere within this, and polled for so often. */
+#define SETTLE_MS_MAX 4000
+#define SETTLE_POLL_MS 20
+
+static gchar **servers;
+static char *token;
+static char *prefix;
+static int count = 100;
+static int wait_ms;
+static gboolean verify;
+
+static const GOptionEntry entries[] = {
+	{"server", 's', 0, G_OPTION_ARG_STRING_ARRAY, &servers,
+	 "Operators' address of a daemon; repeat", "IP:PORT"},
+	{"token", 't', 0, G_OPTION_ARG_STRING, &token, "Operators' token",
+	 "TOKEN"},
+	{"prefix", 'p', 0, G_OPTION_ARG_STRING, &prefix,
+	 "Of adapter names and change ids", "TEXT"},
+	{"count", 'n', 0, G_OPTION_ARG_INT, &count, "Changes", "N"},
+	{"wait-ms", 'w', 0, G_OPTION_ARG_INT, &wait_ms,
+	 "Wait until in force everywhere, at most", "MS"},
+	{"verify", 0, 0, G_OPTION_ARG_NONE, &verify,
+	 "Check the adapters on every server", NULL},
+	{0},
+};
+
+typedef struct totals {
+	int decided;
+	int resent;   /* decided, as answered to a later submission */
+	int conflict; /* another change went first; sent anew */
+	int failed;   /* no outcome within CHANGE_MS_MAX */
+	int late;     /* not in force everywhere within --wait-ms */
+	stats_t ms;
+	double gap_ms; /* longest between two acceptances */
+} totals_t;
+
+static double now_ms(void)
+{
+	return (double)g_get_monotonic_time() / 1000;
+}
+
+/* One submission, resent by the client library until there is an outcome. */
+static json_t *submit(client_t *c, int i, json_int_t base)
+{
+	g_autofree char *body = NULL;
+	json_t *reply = NULL;
+
+	body = g_strdup_printf(
+		"{\"change_id\":\"%s-%d-%" PRId64
+		"\",\"base_revision\":%" PRId64
+		",\"wait_ms\":%d,\"ops\":[{\"adapter_publish\":{\"names\":"
+		"[\"%s-%d\"],\"version\":1,\"base_model\":\"base\"}}]}",
+		prefix, i, (int64_t)base, (int64_t)base, wait_ms, prefix, i);
+	client_post(c, "/v1/admin/change", body, CHANGE_MS_MAX, &reply);
+	return reply;
+}
+
+static const char *text(const json_t *j, const char *name)
+{
+	const char *s = json_string_value(json_object_get(j, name));
+
+	return s ? s : "";
+}
+
+/* 0 when decided, 1 to try again from *base, -1 when there is no outcome. */
+static int take_outcome(const json_t *reply, totals_t *t, json_int_t *base)
+{
+	json_int_t revision =
+		json_integer_value(json_object_get(reply, "revision"));
+	const json_t *in_force = json_object_get(reply, "in_force");
+
+	if (strcmp(text(reply, "status"), "conflict") == 0) {
+		t->conflict++;
+		*base = revision;
+		return 1;
+	}
+	if (strcmp(text(reply, "status"), "decided") != 0)
+		return -1;
+	*base = revision;
+	t->decided++;
+	if (json_is_true(json_object_get(reply, "resent")))
+		t->resent++;
+	if (wait_ms && !json_is_true(json_object_get(in_force, "in_force")))
+		t->late++;
+	return 0;
+}
+
+static int one_change(client_t *c, int i, totals_t *t, json_int_t *base)
+{
+	int rc = 1;
+
+	while (rc == 1) {
+		json_t *reply = submit(c, i, *base);
+
+		rc = take_outcome(reply, t, base);
+		if (rc < 0) {
+			g_autofree char *said = json_dumps(reply, 0);
+
+			fprintf(stderr, "changes: %d: status=%ld %s %s\n", i,
+				c->http_status, c->error, said ? said : "");
+		}
+		json_decref(reply);
+	}
+	return rc;
+}
+
+static json_int_t current_revision(client_t *c)
+{
+	json_t *reply = NULL;
+	json_int_t revision;
+
+	client_get(c, "/v1/admin/status", &reply);
+	revision = json_integer_value(json_object_get(reply, "revision"));
+	json_decref(reply);
+	return revision;
+}
+
+static void run(client_t *c, totals_t *t)
+{
+	json_int_t base = current_revision(c);
+	double last = now_ms();
+
+	for (int i = 0; i < count; i++) {
+		double start = now_ms();
+
+		if (one_change(c, i, t, &base)) {
+			t->failed++;
+			base = current_revision(c);
+			continue;
+		}
+		stats_add(&t->ms, now_ms() - start);
+		t->gap_ms = MAX(t->gap_ms, now_ms() - last);
+		last = now_ms();
+	}
+}
+
+/* Adapters with our prefix on one server; -1 where one is not at version 1. */
+static int adapters_at(client_t *c, const char *addr)
+{
+	g_autofree char *path = NULL;
+	json_t *reply = NULL;
+	json_t *rows, *row;
+	size_t i;
+	int n = 0;
+
+	path = g_strdup_printf("/v1/admin/adapters?prefix=%s-&limit=%d", prefix,
+			       LIST_MAX);
+	client_get_at(c, addr, path, &reply);
+	rows = json_object_get(reply, "adapters");
+	json_array_foreach(rows, i, row)
+	{
+		json_t *v = json_object_get(row, "versions");
+
+		if (json_array_size(v) != 1 ||
+		    json_integer_value(json_array_get(v, 0)) != 1)
+			n = G_MININT;
+		n++;
+	}
+	json_decref(reply);
+	return n;
+}
+
+/* Waits until a server has what was accepted; adapters it has then. */
+static int settled_at(client_t *c, const char *addr, int wanted)
+{
+	double end = now_ms() + SETTLE_MS_MAX;
+	int n = adapters_at(c, addr);
+
+	while (n >= 0 && n < wanted && now_ms() < end) {
+		g_usleep(SETTLE_POLL_MS * 1000);
+		n = adapters_at(c, addr);
+	}
+	return n;
+}
+
+static int check(client_t *c, const totals_t *t)
+{
+	int wrong = 0;
+
+	for (size_t i = 0; servers[i]; i++) {
+		int n = settled_at(c, servers[i], t->decided);
+
+		if (n >= t->decided && n <= t->decided + t->failed)
+			continue;
+		fprintf(stderr, "changes: %s has %d adapters, not %d\n",
+			servers[i], n, t->decided);
+		wrong++;
+	}
+	return wrong;
+}
+
+int main(int argc, char **argv)
+{
+	g_autoptr(GOptionContext) opts = g_option_context_new(NULL);
+	g_autoptr(GError) err = NULL;
+	client_t c = {0};
+	totals_t t = {0};
+	int wrong = 0;
+
+	g_option_context_add_main_entries(opts, entries, NULL);
+	if (!g_option_context_parse(opts, &argc, &argv, &err) || !servers ||
+	    !token) {
+		fprintf(stderr, "changes: %s\n",
+			err ? err->message : "--server and --token are needed");
+		return 2;
+	}
+	if (client_init(&c))
+		return 2;
+	prefix = prefix ? prefix : "probe";
+	c.token = g_strdup(token);
+	c.timeout_ms = 10000;
+	for (size_t i = 0; servers[i]; i++)
+		client_add_servers(&c, servers[i]);
+	run(&c, &t);
+	if (verify)
+		wrong = check(&c, &t);
+	printf("{\"changes\":%d,\"decided\":%d,\"resent\":%d,\"conflict\":%d,"
+	       "\"failed\":%d,\"late\":%d,\"p50_ms\":%.1f,\"p99_ms\":%.1f,"
+	       "\"max_ms\":%.1f,\"gap_max_ms\":%.1f,\"wrong_servers\":%d}\n",
+	       count, t.decided, t.resent, t.conflict, t.failed, t.late,
+	       stats_percentile(&t.ms, 50), stats_percentile(&t.ms, 99),
+	       stats_percentile(&t.ms, 100), t.gap_ms, wrong);
+	client_free(&c);
+	return wrong || t.failed ? 1 : 0;
+}
--- a/dev/ports.c
+++ b/dev/ports.c
@@ -1,37 +1,67 @@
-/* ports.c - prints N free loopback ports, one a line: ports N */
+/*
+ * ports.c - prints N free loopback ports, one a line: ports N
+ *
+ * Outside the range that outgoing connections take their ports from, so that
+ * a daemon that restarts finds its port free.
+ */
 #include <stdio.h>
 #include <stdlib.h>
 #include <unistd.h>
 
 #include <arpa/inet.h>
+#include <sys/random.h>
 #include <sys/socket.h>
 
-/* Binds a free port and keeps it, so that the next one differs; or -1. */
-static int free_port(void)
+#define PORT_MIN 10000u
+#define RANGE_FILE "/proc/sys/net/ipv4/ip_local_port_range"
+#define RANGE_MIN_DEFAULT 32768u
+
+/* First port that outgoing connections may take. */
+static unsigned int outgoing_min(void)
+{
+	unsigned int min = RANGE_MIN_DEFAULT;
+	FILE *f = fopen(RANGE_FILE, "r");
+
+	if (!f)
+		return min;
+	if (fscanf(f, "%u", &min) != 1 || min <= PORT_MIN)
+		min = RANGE_MIN_DEFAULT;
+	fclose(f);
+	return min;
+}
+
+/* Binds the port and keeps it, so that the next one differs; or -1. */
+static int take_port(unsigned int port)
 {
 	struct sockaddr_in sa = {.sin_family = AF_INET};
-	socklen_t n = sizeof(sa);
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
 
 	sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	if (fd < 0 || bind(fd, (struct sockaddr *)&sa, n) ||
-	    getsockname(fd, (struct sockaddr *)&sa, &n))
-		return -1;
-	return ntohs(sa.sin_port);
+	sa.sin_port = htons((unsigned short)port);
+	if (fd >= 0 && bind(fd, (struct sockaddr *)&sa, sizeof(sa)) == 0)
+		return 0;
+	if (fd >= 0)
+		close(fd);
+	return -1;
 }
 
 int main(int argc, char **argv)
 {
-	int n = argc > 1 ? atoi(argv[1]) : 1;
+	unsigned int n = argc > 1 ? (unsigned int)atoi(argv[1]) : 1;
+	unsigned int range = outgoing_min() - PORT_MIN;
+	unsigned int start = 0;
 
-	for (int i = 0; i < n; i++) {
-		int port = free_port();
+	if (getrandom(&start, sizeof(start), 0) < 0)
+		start = (unsigned int)getpid();
+	for (unsigned int i = 0; n && i < range; i++) {
+		unsigned int port = PORT_MIN + (start + i) % range;
 
-		if (port < 0) {
-			perror("ports");
-			return 1;
-		}
-		printf("%d\n", port);
+		if (take_port(port))
+			continue;
+		printf("%u\n", port);
+		n--;
 	}
-	return 0;
+	if (n)
+		fprintf(stderr, "ports: no free ports left\n");
+	return n ? 1 : 0;
 }
--- a/tests/scripts/lib_cluster.sh
+++ b/tests/scripts/lib_cluster.sh
@@ -11,7 +11,7 @@
 		kill -9 "$p" 2>/dev/null
 	done
 	wait 2>/dev/null
-	rm -rf "$dir"
+	[ "${KEEP_DIR:-}" ] || rm -rf "$dir"
 }
 trap cluster_cleanup EXIT
 
@@ -27,23 +27,10 @@
 	return 1
 }
 
-# N ports that were free a moment ago.
-free_ports() {
-	python3 - "$1" <<'PY' 2>/dev/null || seq 21000 $((21000 + $1 - 1))
-import socket, sys
-held = []
-for _ in range(int(sys.argv[1])):
-    s = socket.socket()
-    s.bind(("127.0.0.1", 0))
-    held.append(s)
-print(" ".join(str(s.getsockname()[1]) for s in held))
-PY
-}
-
 # HOSTS: settings host-I.toml for hosts 1..HOSTS; the first $voters vote.
 make_settings() {
 	local n=$1 i v zone
-	read -r -a ports <<<"$(free_ports $((n * 3)))"
+	mapfile -t ports < <("$O/dev/ports" $((n * 3)))
 	for i in $(seq "$n"); do
 		zone=$(printf '%s' abc | cut -c $(((i - 1) % 3 + 1)))
 		{
