Capacity: let the targets settle before the steady state is measured

Cause: with 800 members and more the leader seemed to send ten times the messages of 600 members, and a change seemed to take 4.9 s. Traced by message kind: the fed index kept growing, as targets were still moving to the daemons that had joined (4 moves each half second), and the probe took the time of the latest tables instead of the first that hold the change. Change: wait until no target has moved for 4 s and report the time as a series; note the time when the revision first grows. Conclusion: no cliff in the code; the measurement was wrong.

--- a/dev/capacity.c
+++ b/dev/capacity.c
@@ -28,6 +28,9 @@
 #define WARM_UP_US (20 * USEC_PER_SEC)
 #define MEASURE_US (20 * USEC_PER_SEC)
 #define SETTLE_MAX_US (60 * USEC_PER_SEC)
+/* Without a decision for this long the targets have settled. */
+#define QUIET_US (4 * USEC_PER_SEC)
+#define REBALANCE_MAX_US (900 * USEC_PER_SEC)
 #define STEP_US (5 * USEC_PER_MSEC)
 #define HOSTS_PER_CHANGE 100u
 #define SIZES_MAX 8u
@@ -207,8 +210,9 @@
 {
 	node_t *node = ctx;
 
+	if (decided_revision(d) > node->revision)
+		node->in_force_us = node->net->now_us;
 	node->revision = decided_revision(d);
-	node->in_force_us = node->net->now_us;
 }
 
 static void node_standing(void *ctx, const standing_t *s)
@@ -535,6 +539,34 @@
 	free(net->nodes);
 }
 
+static uint64_t leader_index(net_t *net)
+{
+	node_t *leader = net_leader(net);
+	decided_t *d = leader ? state_tables(leader->st) : NULL;
+	uint64_t index = d ? decided_index(d) : 0;
+
+	decided_unref(d);
+	return index;
+}
+
+/* Until no target has moved for a while; the time that it took. */
+static int64_t rebalanced_us(net_t *net)
+{
+	int64_t start = net->now_us;
+	int64_t moved = start;
+	uint64_t index = leader_index(net);
+
+	while (net->now_us - moved < QUIET_US &&
+	       net->now_us - start < REBALANCE_MAX_US) {
+		net_run(net, net->now_us + USEC_PER_SEC / 4);
+		if (leader_index(net) == index)
+			continue;
+		index = leader_index(net);
+		moved = net->now_us;
+	}
+	return moved - start;
+}
+
 static int measure_members(size_t members)
 {
 	net_t net = {.n = members, .now_us = USEC_PER_SEC};
@@ -558,6 +590,8 @@
 	for (size_t i = VOTERS; i < members; i++)
 		node_start(&net, i);
 	net_run(&net, net.now_us + WARM_UP_US);
+	series_add("rebalance after all join", "s", (double)members,
+		   (double)(WARM_UP_US + rebalanced_us(&net)) / USEC_PER_SEC);
 	if (!all_fresh(&net))
 		printf("members=%zu: not all daemons are fresh\n", members);
 	series_add("heap per member", "B", (double)members,
