--- a/tests/scripts/readme.sh
+++ b/tests/scripts/readme.sh
@@ -5,7 +5,8 @@
 voters=1
 . "$(dirname "$0")/lib_cluster.sh"
 
-read -r callers operators peers engine <<<"$(free_ports 4)"
+mapfile -t free < <("$O/dev/ports" 4)
+callers=${free[0]} operators=${free[1]} peers=${free[2]} engine=${free[3]}
 ports_in() {
 	sed "s/:7001/:$callers/g; s/:7101/:$operators/g; s/:7201/:$peers/g
 		s/:8001/:$engine/g; s/--port 8001/--port $engine/
