Assignment: a part of the targets moves at once, not a fixed few

Cause: after 800 and more daemons joined, 3,200 targets moved back four at a time, each pass of half a second: some 400 s; 9,200 would take 19 minutes. Change: at least four, or one in 256 of all targets. Conclusion: small sites move as gently as before.

--- a/src/state_lead.c
+++ b/src/state_lead.c
@@ -13,7 +13,9 @@
 #define ASSIGN_HEARTBEATS 5
 /* A host that came back gets targets again after so many leases. */
 #define SETTLE_LEASES 3
+/* Targets that move to their first choice at once: this many, or this part. */
 #define BALANCE_MOVES 4u
+#define BALANCE_PART 256u
 
 void state_lead_begin(state_t *st, int64_t now_us)
 {
@@ -267,6 +269,7 @@
 	assignment_t picks[ASSIGN_MAX];
 	AUTO_BUF buf_t data = {0};
 	int64_t settle = st->cfg.lease_us * SETTLE_LEASES;
+	size_t moves;
 	size_t n;
 
 	st->assign_due_us = now_us + st->cfg.heartbeat_us * ASSIGN_HEARTBEATS;
@@ -281,8 +284,11 @@
 		return;
 	st->assigned_index = decided_index(st->tables);
 	st->assigned_version = sessions_version(st->sessions);
-	n = assign_pick(st->tables, st->sessions, now_us, settle, BALANCE_MOVES,
-			picks, &st->assign_waits);
+	moves = decided_target_count(st->tables) / BALANCE_PART;
+	if (moves < BALANCE_MOVES)
+		moves = BALANCE_MOVES;
+	n = assign_pick(st->tables, st->sessions, now_us, settle, moves, picks,
+			&st->assign_waits);
 	if (!n)
 		return;
 	machine_pack_assign(&data, picks, n);
