--- a/dev/lib_sim_caller.c
+++ b/dev/lib_sim_caller.c
@@ -22,12 +22,17 @@
 
 static void request_again(sim_t *s, sim_request_t *r, int64_t wait_us);
 
+/* All tokens of one run, in order: no run's answer is like another's. */
 static bool text_is_whole(const submit_t *sub)
 {
 	AUTO_BUF buf_t expected = {0};
+	const char *first = sub->text.p ? strchr(sub->text.p, '.') : NULL;
+	const char *second = first ? strchr(first + 1, '.') : NULL;
+	uint64_t serial = second ? strtoull(second + 1, NULL, 10) : 0;
 
 	for (uint32_t i = 0; i < sub->req->arrival->output_tokens; i++)
-		buf_printf(&expected, " %" PRIu64 ".%u", sub->handle, i);
+		buf_printf(&expected, " %" PRIu64 ".%u.%" PRIu64, sub->handle,
+			   i, serial);
 	return str_eq(buf_str(&expected), buf_str(&sub->text));
 }
 
--- a/dev/lib_sim_engine.c
+++ b/dev/lib_sim_engine.c
@@ -424,7 +424,8 @@
 		r->prefill_steps--;
 		return;
 	}
-	buf_printf(&r->text, " %" PRIu64 ".%u", r->submit, r->tokens);
+	buf_printf(&r->text, " %" PRIu64 ".%u.%" PRIu64, r->submit, r->tokens,
+		   r->serial);
 	r->tokens++;
 	if (r->tokens == 1 || r->tokens % CHUNK_TOKENS == 0 ||
 	    r->tokens == r->max_tokens)
@@ -472,6 +473,13 @@
 	return at ? (uint32_t)strtoul(at + 13, NULL, 10) : 1;
 }
 
+/* New work is not even offered to a target that has been leaving for long. */
+static void check_leaving(sim_t *s, const sim_engine_t *e, const order_t *o)
+{
+	if (sim_now(s) > e->leaving_us + LEAVING_BOUND_US)
+		sim_violation(s, SIM_WORK_FOR_LEAVING, o->adapter);
+}
+
 /* A request that names no version runs on one that is in force. */
 static void check_version(sim_t *s, sim_engine_t *e, const order_t *o,
 			  const submit_t *sub)
@@ -501,8 +509,6 @@
 	if (!e->service && strcmp(sub->expect, o->adapter))
 		sim_violation(s, SIM_WRONG_ADAPTER, what);
 	check_version(s, e, o, sub);
-	if (e->leaving && sim_now(s) > e->leaving_us + LEAVING_BOUND_US)
-		sim_violation(s, SIM_WORK_FOR_LEAVING, what);
 	sim_log(s, "run request=%u target=%s adapter=%s", sub->req->id, e->name,
 		o->adapter);
 }
@@ -563,6 +569,7 @@
 	sim_run_t *r;
 
 	if (e->leaving) {
+		check_leaving(s, e, o);
 		engine_fail(s, e, o, REASON_TARGET_REFUSED, 503, false);
 		return false;
 	}
@@ -582,6 +589,7 @@
 	r->id = str_dup(str_c(o->run_id));
 	r->adapter = str_dup(str_c(o->adapter));
 	r->submit = sub->handle;
+	r->serial = ++s->p->next_run;
 	r->max_tokens = max_tokens_of(o->body);
 	r->prefill_steps =
 		1 + sub->req->arrival->prompt_tokens / PREFILL_TOKENS_PER_STEP;
@@ -653,6 +661,8 @@
 	bool stall = e->faults.stall > 0, drop = e->faults.drop > 0;
 	event_t *ev;
 
+	if (e->leaving)
+		check_leaving(s, e, o);
 	if (e->leaving || e->faults.refuse) {
 		e->faults.refuse -= e->faults.refuse > 0;
 		engine_fail(s, e, o, REASON_TARGET_REFUSED, 503, false);
--- a/dev/lib_sim_priv.h
+++ b/dev/lib_sim_priv.h
@@ -35,6 +35,7 @@
 	order_t *order; /* whom the answer goes to; NULL once it ended */
 	char *id, *adapter;
 	uint64_t submit; /* handle of the attempt that it runs for */
+	uint64_t serial; /* no two runs give the same answer */
 	uint32_t max_tokens, tokens, prefill_steps;
 	int32_t priority;
 	bool running, head_sent, stalled;
@@ -118,7 +119,7 @@
 	GHashTable *changes;   /* id -> sim_change_t */
 	GHashTable *accepted;  /* adapter -> accepted_t, for the oracle */
 	GHashTable *revisions; /* revision -> change id */
-	uint64_t next_incarnation, next_tag;
+	uint64_t next_incarnation, next_tag, next_run;
 	GHashTable *evicted; /* adapter -> int64_t of the last eviction */
 	uint64_t next_boot;
 	bool log_orders;
