--- a/dev/lib_sim.c
+++ b/dev/lib_sim.c
@@ -112,6 +112,18 @@
 
 /* --- what the cores ask of their daemon --------------------------------- */
 
+/* A daemon changes nothing at a target once its lease has ended. */
+static void check_lease(sim_t *s, const sim_host_t *h, const engine_order_t *o)
+{
+	char what[64];
+
+	if (!s->cfg.state || o->kind == ORDER_STATE ||
+	    o->kind == ORDER_CANCEL || sim_now(s) < h->lease_until_us)
+		return;
+	snprintf(what, sizeof(what), "host-%u target=%u", h->id, o->target);
+	sim_violation(s, SIM_ORDER_WITHOUT_LEASE, what);
+}
+
 static void op_order(void *ctx, const engine_order_t *o)
 {
 	sim_host_t *h = ctx;
@@ -120,6 +132,7 @@
 
 	if (!o->target || o->target > s->n_engines)
 		return;
+	check_lease(s, h, o);
 	ev = event_new(s, order_arrives);
 	ev->engine = &s->engines[o->target - 1];
 	ev->p = order_copy(h, o);
--- a/dev/lib_sim.h
+++ b/dev/lib_sim.h
@@ -35,7 +35,8 @@
 	X(STALE_VERSION, "stale_version")           \
 	X(REVERTED, "reverted")                     \
 	X(DECISION_LOST, "decision_lost")           \
-	X(TWO_DECIDED, "two_decided")
+	X(TWO_DECIDED, "two_decided")               \
+	X(ORDER_WITHOUT_LEASE, "order_without_lease")
 
 typedef enum sim_violation {
 #define X(name, str) SIM_##name,
@@ -60,9 +61,10 @@
 	bool draining;
 	/* With state cores; NULL otherwise or while down. */
 	state_t *state;
-	struct sim_disk *disk;	/* of a voter; outlives the daemon */
-	decided_t *tables;	/* in force here */
-	int64_t fresh_until_us; /* as last told by its standing */
+	struct sim_disk *disk; /* of a voter; outlives the daemon */
+	decided_t *tables;     /* in force here */
+	/* As last told by its standing. */
+	int64_t lease_until_us, fresh_until_us;
 	host_id_t leader;
 	bool is_leader;
 	int64_t drain_us; /* draining: when it may return its lease */
--- a/dev/lib_sim_state.c
+++ b/dev/lib_sim_state.c
@@ -289,6 +289,7 @@
 	standing_t *st = ev->p;
 
 	if (event_host_there(ev)) {
+		ev->host->lease_until_us = st->lease_until_us;
 		ev->host->fresh_until_us = st->fresh_until_us;
 		ev->host->leader = st->leader;
 		ev->host->is_leader = st->is_leader;
@@ -577,6 +578,7 @@
 		pending_clear(h->disk);
 	decided_unref(h->tables);
 	h->tables = NULL;
+	h->lease_until_us = 0;
 	h->fresh_until_us = 0;
 	h->is_leader = false;
 	h->leader = 0;
