--- a/src/load.c
+++ b/src/load.c
@@ -11,6 +11,10 @@
 #include "counter.h"
 #include "log.h"
 
+/* An adapter stays at least for as long as this many loads take. */
+#define RESIDENCE_LOADS 4
+/* What the eviction of an old version costs, against the current one. */
+#define OLD_VERSION_SHARE 0.2
 /* Backoff of failed loads of one adapter on one target. */
 #define LOAD_BACKOFF_US USEC_PER_SEC
 #define LOAD_BACKOFF_MAX_US (60 * USEC_PER_SEC)
@@ -25,6 +29,11 @@
 	return name;
 }
 
+uint32_t adapter_name_hash(str_t adapter)
+{
+	return slot_hash(adapter_name(adapter));
+}
+
 static load_t *load_find(owner_t *o, str_t adapter)
 {
 	load_t *l;
@@ -35,13 +44,13 @@
 	return NULL;
 }
 
-static load_t *load_new(owner_t *o, const run_t *r, int64_t now)
+static load_t *load_new(owner_t *o, str_t adapter, int64_t load_us, int64_t now)
 {
 	load_t *l = xcalloc(1, sizeof(*l));
 
-	l->adapter = str_copy(r->adapter);
-	l->hash = r->hash;
-	l->load_us = r->load_us;
+	l->adapter = str_copy(adapter);
+	l->hash = slot_hash(adapter);
+	l->load_us = load_us;
 	l->since_us = now;
 	cds_list_add_tail(&l->node, &o->loads);
 	o->urgent = true;
@@ -68,6 +77,7 @@
 	m.waiting = l->waiting;
 	m.slack_us = l->due_us - core_now(sh->s);
 	m.cancel = cancel;
+	m.prefetch = l->prefetch && !l->waiting;
 	m.held = held;
 	l->told_waiting = l->waiting;
 	msg.body_case = SERVE__SERVE_MSG__BODY_PERMIT_ASK;
@@ -119,6 +129,13 @@
 	       !slot->awaited && !slot->foreign && !slot->order;
 }
 
+/* Awaited, but the requests could go to another target that has it too. */
+static bool slot_is_spare_copy(const slot_t *slot)
+{
+	return slot->state == SLOT_RESIDENT && slot->copied && !slot->foreign &&
+	       !slot->order && !slot->closing;
+}
+
 static int64_t slot_free_us(owner_t *o, const slot_t *slot, int64_t now)
 {
 	int64_t left = 0;
@@ -133,6 +150,47 @@
 	return left;
 }
 
+/* The decided version of the adapter is another one. */
+static bool slot_is_old(const owner_t *o, const slot_t *slot)
+{
+	const adapter_t *a;
+	uint32_t version;
+	str_t name;
+
+	if (model_parse(slot->adapter, &name, &version))
+		return false;
+	a = decided_adapter(o->sh->tables, name);
+	return !a || a->current_version != version;
+}
+
+void owner_prefetch(owner_t *o, int64_t now)
+{
+	const serve_cfg_t *cfg = &o->sh->s->cfg;
+	const adapter_t *a;
+	load_t *l;
+
+	if (!cfg->policy.prefetch || o->leaving)
+		return;
+	for (uint32_t i = 0; i < o->slots.n; i++) {
+		const slot_t *slot = &o->slots.v[i];
+		AUTO_BUF buf_t next = {0};
+
+		if (slot->state != SLOT_RESIDENT || !slot_is_old(o, slot))
+			continue;
+		a = decided_adapter(o->sh->tables, adapter_name(slot->adapter));
+		if (!a || !a->current_version)
+			continue;
+		buf_printf(&next, "%.*s@%u", STR_ARG(a->name),
+			   a->current_version);
+		if (slots_find(&o->slots, buf_str(&next)) ||
+		    load_find(o, buf_str(&next)))
+			continue;
+		l = load_new(o, buf_str(&next), slot->load_us, now);
+		l->prefetch = true;
+		l->due_us = INT64_MAX / 2;
+	}
+}
+
 void owner_price_slots(owner_t *o, int64_t now)
 {
 	for (uint32_t i = 0; i < o->slots.n; i++) {
@@ -141,10 +199,11 @@
 		if (slot->state != SLOT_RESIDENT)
 			continue;
 		slot->free_us = slot_free_us(o, slot, now);
-		slot->cost_us =
-			place_evict_cost(&o->sh->s->place,
-					 adapter_name(slot->adapter),
-					 slot->hash, o->id, slot->load_us, now);
+		slot->cost_us = place_evict_cost(
+			&o->sh->s->place, adapter_name(slot->adapter),
+			slot->hash, o->id, slot->load_us, now, &slot->copied);
+		if (slot_is_old(o, slot))
+			slot->cost_us *= OLD_VERSION_SHARE;
 	}
 }
 
@@ -282,13 +341,72 @@
 		if (!l && slot)
 			continue;
 		if (!l)
-			l = load_new(o, r, now);
+			l = load_new(o, r->adapter, r->load_us, now);
 		l->waiting++;
 		if (it->deadline_us < l->due_us)
 			l->due_us = it->deadline_us;
 	}
 }
 
+uint32_t owner_spare_copies(const owner_t *o)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < o->slots.n; i++)
+		n += slot_is_spare_copy(&o->slots.v[i]);
+	return n;
+}
+
+/* The cheapest spare copy; NULL also where some slot will be free anyway. */
+static slot_t *owner_closable(owner_t *o, int64_t now)
+{
+	slot_t *best = NULL;
+
+	for (uint32_t i = 0; i < o->slots.n; i++) {
+		slot_t *slot = &o->slots.v[i];
+
+		if (slot->state != SLOT_RESIDENT || !slot->awaited ||
+		    slot->order || slot->closing)
+			return NULL;
+		if (!slot_is_spare_copy(slot) ||
+		    now - slot->loaded_us < RESIDENCE_LOADS * slot->load_us)
+			continue;
+		if (!best || slot->cost_us < best->cost_us)
+			best = slot;
+	}
+	return best;
+}
+
+/*
+ * Where every slot has requests waiting, an adapter that is resident nowhere
+ * would never come: a spare copy starts nothing more, its requests go to the
+ * other target that has it, and it is evicted when its runs end.
+ */
+static void owner_close_slot(owner_t *o, int64_t now)
+{
+	slot_t *slot;
+
+	owner_price_slots(o, now);
+	slot = owner_closable(o, now);
+	if (!slot)
+		return;
+	slot->closing = true;
+	owner_refuse_waiting(o, slot->hash, REASON_NO_TARGET,
+			     RETRY_ADAPTER_MOVED);
+}
+
+/* No slot can be had for the load: it is helped on, or its requests are. */
+static void owner_help_load(owner_t *o, load_t *l, int64_t now)
+{
+	uint32_t hash = l->hash;
+
+	if (!place_is_resident(&o->sh->s->place, hash, now))
+		owner_close_slot(o, now);
+	else if (now - l->since_us > l->load_us / 2)
+		owner_refuse_waiting(o, hash, REASON_NO_TARGET,
+				     RETRY_ADAPTER_MOVED);
+}
+
 void owner_work_loads(owner_t *o, int64_t now)
 {
 	int room;
@@ -296,9 +414,13 @@
 
 	owner_count_waiting(o, now);
 	cds_list_for_each_entry_safe (l, tmp, &o->loads, node)
-		if (!l->waiting && l->phase <= LOAD_ASKED)
+		if (!l->waiting && !l->prefetch && l->phase <= LOAD_ASKED)
 			load_end(o, l);
 	room = owner_room(o);
+	if (room <= 0)
+		cds_list_for_each_entry (l, &o->loads, node)
+			if (l->phase == LOAD_WANTED)
+				owner_help_load(o, l, now);
 	cds_list_for_each_entry_safe (l, tmp, &o->loads, node) {
 		if (l->phase == LOAD_WANTED && room > 0 &&
 		    !load_better_waits(o, l, now)) {
@@ -403,8 +525,11 @@
 		load_end(o, l);
 	if (ev->kind == EVENT_DONE) {
 		slot->state = SLOT_RESIDENT;
+		slot->loaded_us = now;
 		g_hash_table_remove(o->backoffs, GUINT_TO_POINTER(hash));
 		owner_stall_over(o, hash, now);
+		owner_count_waiting(o, now);
+		owner_refuse_late(o, now);
 		return;
 	}
 	counter_add(CTR_LOADS_FAILED, 1);
--- a/src/owner.c
+++ b/src/owner.c
@@ -93,9 +93,10 @@
 	m->waiting = o->queue.n;
 	m->running = o->n_running + o->foreign;
 	m->wait_us = owner_wait_us(o, o->ready_us, now);
-	m->each_us = run_cost(o, 0) / owner_batch(o);
+	m->each_us = (int64_t)o->mean_cost_us / owner_batch(o);
 	m->evict_us = costs;
 	m->n_evict_us = owner_evict_costs(o, costs, now);
+	m->spare_copies = owner_spare_copies(o);
 	m->leaving = o->leaving;
 	m->active = o->state == OWN_ACTIVE && owner_may_send(o, now);
 	m->resident = hashes;
@@ -536,6 +537,7 @@
 static void owner_lose(owner_t *o)
 {
 	load_t *l, *tmp;
+	run_t *r, *rtmp;
 
 	if (o->state == OWN_NOT)
 		return;
@@ -544,6 +546,9 @@
 	cds_list_for_each_entry_safe (l, tmp, &o->loads, node)
 		if (l->phase <= LOAD_ASKED)
 			load_end(o, l);
+	cds_list_for_each_entry_safe (r, rtmp, &o->started, node)
+		if (r->phase == RUN_BROKEN)
+			run_hand_over(r);
 	log_event(LOG_NOTICE, "target_given_up", kv_u("target", o->id),
 		  kv_u("fence", o->fence));
 }
@@ -555,6 +560,7 @@
 	if (row->fence != o->fence || o->state == OWN_NOT)
 		owner_take_over(o, now);
 	slots_resize(&o->slots, row->slots);
+	owner_prefetch(o, now);
 	owner_set_leaving(o, owner_is_leaving(o));
 }
 
--- a/src/owner.h
+++ b/src/owner.h
@@ -59,7 +59,8 @@
 	uint32_t resumes;
 	int64_t arrived_us;
 	int64_t started_us;
-	int64_t again_us; /* RUN_BROKEN */
+	int64_t plain_cost_us; /* expected at the start, without the ratio */
+	int64_t again_us;      /* RUN_BROKEN */
 	int64_t stall_us;
 	int64_t load_us;
 } run_t;
@@ -77,6 +78,7 @@
 	str_t adapter; /* owned */
 	uint32_t hash;
 	load_phase_t phase;
+	bool prefetch; /* of an announced version; nobody waits yet */
 	uint32_t waiting;
 	uint32_t told_waiting; /* in the newest ask */
 	int64_t due_us;	       /* deadline of the most urgent waiting request */
@@ -130,6 +132,7 @@
 	uint32_t n_orders;    /* all orders out */
 	uint32_t foreign;     /* runs that a past owner started */
 	double ratio;	      /* actual by expected service time */
+	double mean_cost_us;  /* expected service time of recent requests */
 	double call_us;	      /* mean duration of service calls */
 	GHashTable *backoffs; /* adapter hash -> backoff_t */
 	peer_t peers[PEERS_MAX];
@@ -148,6 +151,11 @@
 /* Ends an attempt without a whole answer, tells the entry, and frees r. */
 void run_refuse(run_t *r, reason_t reason, run_state_t run, int retry,
 		uint32_t retry_ms);
+/*
+ * Ends an attempt here whose stream may be resumed through the target's next
+ * owner, and frees r.
+ */
+void run_hand_over(run_t *r);
 /* Most requests that run at once. */
 uint32_t owner_batch(const owner_t *o);
 /* Expected service time of a request in the batch that is likely. */
@@ -159,6 +167,7 @@
 			  int retry);
 /* Whether a waiting request could start; ctx is not used. */
 bool run_ready(void *ctx, const qitem_t *it);
+void owner_refuse_late(owner_t *o, int64_t now);
 void owner_work_dispatch(owner_t *o, int64_t now);
 void owner_work_broken(owner_t *o, int64_t now);
 void owner_work_deadlines(owner_t *o, int64_t now);
@@ -174,8 +183,14 @@
  */
 size_t owner_evict_costs(owner_t *o, uint64_t *costs, int64_t now);
 void load_discard(load_t *l);
+/* Hash of the name in "name@version": versions share their popularity. */
+uint32_t adapter_name_hash(str_t adapter);
 /* Drops a load; its permit, or its ask, goes back to the leader. */
 void load_end(owner_t *o, load_t *l);
+/* Awaited slots whose adapter another target has too. */
+uint32_t owner_spare_copies(const owner_t *o);
+/* Wants the current versions of adapters resident in older ones. */
+void owner_prefetch(owner_t *o, int64_t now);
 void owner_work_loads(owner_t *o, int64_t now);
 bool load_backed_off(owner_t *o, uint32_t hash, int64_t now);
 void owner_load_event(owner_t *o, order_t *ord, const engine_event_t *ev,
