--- a/src/entry.c
+++ b/src/entry.c
@@ -10,6 +10,7 @@
 #include "counter.h"
 #include "log.h"
 
+#define TICK_LEAST_US (5 * USEC_PER_MSEC)
 #define ATTEMPTS_MAX 12u
 #define TRIED_MAX 8u
 /* Attempts up to this one are followed at once, later ones after a delay. */
@@ -1041,7 +1042,7 @@
 
 static void entry_tick(shard_t *sh, entry_t *e, int64_t now)
 {
-	if (!e->gone && now >= e->deadline_us) {
+	if (!e->gone && e->phase != PHASE_RECORD && now >= e->deadline_us) {
 		entry_deadline(sh, e, now);
 		return;
 	}
@@ -1084,7 +1085,7 @@
 		due = e->deadline_us;
 		if (due <= now)
 			due += DEADLINE_GRACE_US;
-		if (e->gone)
+		if (e->gone || e->phase == PHASE_RECORD)
 			due = e->phase == PHASE_SENT
 				      ? e->deadline_us + RECORD_MAX_US
 				      : INT64_MAX;
@@ -1093,5 +1094,8 @@
 		if (due < next)
 			next = due;
 	}
+	/* A tick that is already due would spin. */
+	if (next <= now)
+		next = now + TICK_LEAST_US;
 	return next;
 }
--- a/tests/serve_test.cc
+++ b/tests/serve_test.cc
@@ -363,6 +363,21 @@
 	expect_kept(*w);
 }
 
+TEST(Serve, CallSentToALostOwnerIsNeverSaidNotToHaveRun)
+{
+	auto w = started();
+	uint64_t a;
+
+	w->engines[10].silent = true;
+	a = w->call(2, "call1", "key1");
+	w->run(100 * MS);
+	w->kill(1);
+	w->run(3 * SEC);
+	EXPECT_EQ(REASON_OUTCOME_UNKNOWN, w->replies[a].reason);
+	EXPECT_EQ(RUN_UNKNOWN, w->replies[a].run);
+	expect_kept(*w);
+}
+
 // What was relayed is never followed by another run's answer.
 TEST(Serve, BrokenStreamIsNotReplacedByAnotherRun)
 {
@@ -423,6 +438,25 @@
 	expect_kept(*w);
 }
 
+TEST(Serve, AnswerIsRecordedAgainAfterTheDeadline)
+{
+	auto w = started();
+	serve_req_t q = w->request("", "call1");
+
+	w->engines[10].step_us = 900 * MS;
+	q.is_call = q.not_repeatable = true;
+	q.service = STR("records");
+	q.idempotency_key = STR("key1");
+	q.deadline_us = w->now() + 2 * SEC;
+	w->submit(2, q, "");
+	w->run(SEC);
+	w->claim_faults = 4;
+	w->run(4 * SEC);
+	EXPECT_TRUE(w->replies[q.handle].done);
+	EXPECT_EQ(2, w->claims["key1"].state);
+	expect_kept(*w);
+}
+
 // Leaving.
 
 TEST(Serve, LeavingTargetGetsNoNewWork)
