--- a/dev/capacity.c
+++ b/dev/capacity.c
@@ -33,6 +33,7 @@
 #define REBALANCE_MAX_US (900 * USEC_PER_SEC)
 #define STEP_US (5 * USEC_PER_MSEC)
 #define HOSTS_PER_CHANGE 100u
+#define CLAIMS_PER_BATCH 64u
 #define SIZES_MAX 8u
 #define SERIES_MAX 24u
 
@@ -677,8 +678,52 @@
 	machine_free(m);
 }
 
+/* Claims taken and answered, a batch a record, as the leader packs them. */
+static void measure_claims(size_t count)
+{
+	size_t heap = heap_bytes();
+	machine_t *m = machine_new();
+	uint64_t index = 0;
+	uint64_t log_bytes = 0;
+	int64_t cpu = 0;
+
+	for (size_t at = 0; at < count; at += CLAIMS_PER_BATCH) {
+		for (int op = CLAIM_TAKE; op <= CLAIM_ANSWER; op++) {
+			AUTO_BUF buf_t packed = {0};
+			claim_req_t reqs[CLAIMS_PER_BATCH] = {0};
+			char keys[CLAIMS_PER_BATCH][24];
+			int64_t start;
+
+			for (size_t i = 0; i < CLAIMS_PER_BATCH; i++) {
+				snprintf(keys[i], sizeof(keys[i]), "key-%zu",
+					 at + i);
+				reqs[i].op = (claim_op_t)op;
+				reqs[i].org_id = 1;
+				reqs[i].key = str_c(keys[i]);
+				reqs[i].holder = STR("holder-0123456789");
+				reqs[i].http_status = 200;
+				reqs[i].body = STR("{\"entry\":1,\"ok\":true}");
+			}
+			machine_pack_claims(&packed, reqs, CLAIMS_PER_BATCH,
+					    at);
+			log_bytes += packed.n;
+			start = cpu_ns();
+			machine_apply(m, ++index, ENTRY_CLAIM, buf_str(&packed),
+				      NULL);
+			cpu += cpu_ns() - start;
+		}
+	}
+	series_add("claims heap", "B", (double)count,
+		   (double)(heap_bytes() - heap));
+	series_add("claims log", "B", (double)count, (double)log_bytes);
+	series_add("claims apply", "us", (double)count, (double)cpu / 1000);
+	machine_free(m);
+}
+
 static void measure_tables(void)
 {
+	static const size_t claims[] = {2560, 5120, 10240, 20480};
+
 	static const size_t adapters[] = {1000, 3000, 6000, 12000};
 	static const size_t targets[] = {1000, 2500, 5000, 10000};
 	static const size_t hosts[] = {250, 500, 1000, 2300};
@@ -689,6 +734,8 @@
 	for (size_t i = 0; i < ARRAY_SIZE(targets); i++)
 		measure_table("target rows heap", "target rows apply",
 			      "target rows log", target_op, targets[i]);
+	for (size_t i = 0; i < ARRAY_SIZE(claims); i++)
+		measure_claims(claims[i]);
 	for (size_t i = 0; i < ARRAY_SIZE(hosts); i++)
 		measure_table("host rows heap", "host rows apply",
 			      "host rows log", host_op, hosts[i]);
