--- a/proto/state.pb-c.c
+++ b/proto/state.pb-c.c
@@ -1793,7 +1793,7 @@
   (ProtobufCMessageInit) peer__join__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__renew__field_descriptors[8] =
+static const ProtobufCFieldDescriptor peer__renew__field_descriptors[9] =
 {
   {
     "session",
@@ -1891,8 +1891,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "feed",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Renew, feed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__renew__field_indices_by_name[] = {
+  8,   /* field[8] = feed */
   5,   /* field[5] = feed_try */
   7,   /* field[7] = grant */
   2,   /* field[2] = index */
@@ -1905,7 +1918,7 @@
 static const ProtobufCIntRange peer__renew__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor peer__renew__descriptor =
 {
@@ -1915,7 +1928,7 @@
   "Peer__Renew",
   "peer",
   sizeof(Peer__Renew),
-  8,
+  9,
   peer__renew__field_descriptors,
   peer__renew__field_indices_by_name,
   1,  peer__renew__number_ranges,
--- a/proto/state.pb-c.h
+++ b/proto/state.pb-c.h
@@ -252,10 +252,14 @@
    * of the session, by the leader
    */
   uint64_t grant;
+  /*
+   * has no log and needs a parent
+   */
+  protobuf_c_boolean feed;
 };
 #define PEER__RENEW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__renew__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Peer__RenewRes
--- a/src/state_hold.c
+++ b/src/state_hold.c
@@ -63,6 +63,7 @@
 	pb.feed_try = st->feed_try;
 	pb.leave = st->left;
 	pb.grant = st->grant;
+	pb.feed = !state_has_log(st);
 	state_send(st, to, PEER__MSG__BODY_RENEW, &pb);
 }
 
--- a/src/state_int.h
+++ b/src/state_int.h
@@ -27,6 +27,7 @@
 	uint64_t sent_us;
 	uint64_t live_version;
 	uint32_t feed_try;
+	bool feed;
 } held_renewal_t;
 
 typedef struct place {
--- a/src/state_lead.c
+++ b/src/state_lead.c
@@ -122,8 +122,6 @@
 	uint64_t pick;
 
 	build_order(st);
-	if (rlog_is_voter(st->rlog, host))
-		return 0;
 	place = place_of(st, host);
 	if (place == 0)
 		return st->cfg.self;
@@ -162,7 +160,8 @@
 	pb.not_member = !is_member(st, h->from);
 	pb.leader = st->cfg.self;
 	pb.live_version = sessions_version(st->sessions);
-	pb.parent = parent_of(st, h->from, h->feed_try);
+	if (h->feed)
+		pb.parent = parent_of(st, h->from, h->feed_try);
 	if (h->live_version != pb.live_version &&
 	    sessions_changes(st->sessions, h->live_version, changes, &n)) {
 		for (size_t i = 0; i < n; i++)
@@ -212,6 +211,7 @@
 	h->sent_us = r->sent_us;
 	h->live_version = r->live_version;
 	h->feed_try = r->feed_try;
+	h->feed = r->feed;
 	rlog_want_round(st->rlog, now_us);
 }
 
--- a/tests/state_test.cc
+++ b/tests/state_test.cc
@@ -266,6 +266,31 @@
 	expect_clean(net);
 }
 
+TEST(State, AVoterWhoseDiskFailsGoesOnWithoutIt)
+{
+	Net net(Net::Options{});
+
+	net.start_all();
+	net.run_until(5000000, [&] { return net.leader(); });
+	Daemon *failing = net.leader();
+	failing->disk->on_sync = [] { return false; };
+	for (uint64_t i = 0; i < 20; i++) {
+		std::string id = "c" + std::to_string(i);
+		// The first one may be refused or unknown: it is sent again.
+		while (change(net, 4, id, publish(id, i)).status !=
+		       CHANGE_DECIDED)
+			ASSERT_LT(net.now_us, 60000000);
+	}
+	EXPECT_TRUE(net.run_until(5000000, [&] {
+		return all_at(net, 20) && net.fresh(*failing);
+	}));
+	buf_t b = {};
+	state_status(failing->st, &b);
+	EXPECT_NE(nullptr, strstr(b.p, "\"role\":\"failed\"")) << b.p;
+	buf_free(&b);
+	expect_clean(net);
+}
+
 TEST(State, ClaimsAreGrantedOnce)
 {
 	Net net(Net::Options{});
