Scripted run: a daemon that is not up yet has cut nobody

Cause: an empty metric made a syntax error in the sum, which ended the check wrong_secret_is_cut without a verdict (seen under address sanitizer, where host 5 starts slowly: 25 verdicts in place of 26). Change: an empty metric counts as 0, so that the check waits.

--- a/tests/scripts/cluster.sh
+++ b/tests/scripts/cluster.sh
@@ -83,8 +83,11 @@
 
 # A peer with another secret is cut, counted, and never takes part.
 cut_by_secret() {
-	local i n=0
-	for i in 1 2 3 4 5; do n=$((n + $(metric "$i" link_cut_secret))); done
+	local i m n=0
+	for i in 1 2 3 4 5; do
+		m=$(metric "$i" link_cut_secret)
+		n=$((n + ${m:-0}))
+	done
 	[ "$n" -gt 0 ]
 }
 start_daemon 5
