--- a/dev/load.c
+++ b/dev/load.c
@@ -33,7 +33,7 @@
 	gchar **entries, **engines, **services;
 	gint seed;
 	gdouble seconds, rate, warm_up;
-	gboolean quiet;
+	gboolean quiet, direct;
 } opt = {.seed = 1, .warm_up = -1};
 
 static const GOptionEntry options[] = {
@@ -62,6 +62,8 @@
 	 "FILE"},
 	{"csv", 0, 0, G_OPTION_ARG_FILENAME, &opt.csv,
 	 "write one line for each request", "FILE"},
+	{"direct", 0, 0, G_OPTION_ARG_NONE, &opt.direct,
+	 "the entries are engines: ask them without any daemon", NULL},
 	{"quiet", 0, 0, G_OPTION_ARG_NONE, &opt.quiet, "no progress lines",
 	 NULL},
 	G_OPTION_ENTRY_NULL};
@@ -247,7 +249,7 @@
 {
 	size_t n = strlen(j->arrival->adapter);
 
-	if (j->arrival->version)
+	if (j->arrival->version || !strcmp(model, deploy.base_model))
 		return !strcmp(model, j->model);
 	return !strncmp(model, j->arrival->adapter, n) && model[n] == '@';
 }
@@ -453,7 +455,10 @@
 		j->due_us = j->arrived_us + j->arrival->deadline_us;
 		n_running++;
 	}
-	if (a && a->n && a->until_us > dev_now_us())
+	if (opt.direct)
+		send_request(j,
+			     opt.entries[j->id % g_strv_length(opt.entries)]);
+	else if (a && a->n && a->until_us > dev_now_us())
 		send_request(j, a->addr[j->attempt % a->n]);
 	else
 		ask_addresses(j);
@@ -730,8 +735,9 @@
 	uint64_t loads, evicted_running;
 } engine_sums_t;
 
-static void check_run(const json_t *run)
+static void check_run(const json_t *run, engine_sums_t *sums)
 {
+	const char *state = json_string_value(json_object_get(run, "state"));
 	const char *hash =
 		json_string_value(json_object_get(run, "prompt_hash"));
 	json_int_t resident =
@@ -746,6 +752,8 @@
 			"but ran\n",
 			j ? j->id : 0);
 	}
+	if (j && j->on_time && state && !strcmp(state, "done"))
+		sums->useful += j->tokens;
 	if (j && j->answered && !j->arrival->warm_up)
 		stats_add(&stall_ms,
 			  MAX(0, (double)(resident - j->arrived_us) / 1000));
@@ -761,7 +769,7 @@
 		json_int_t steps = 0, filled = 0, batch = 1, loads = 0,
 			   evicted = 0;
 
-		json_array_foreach(runs, i, run) check_run(run);
+		json_array_foreach(runs, i, run) check_run(run, sums);
 		json_unpack(v, "{s:I,s:I,s:I,s:I,s:I}", "steps", &steps,
 			    "step_runs", &filled, "max_batch", &batch, "loads",
 			    &loads, "evicted_running", &evicted);
@@ -772,12 +780,6 @@
 		json_decref(runs);
 		json_decref(v);
 	}
-	for (guint i = 0; i < jobs->len; i++) {
-		const job_t *j = jobs->pdata[i];
-
-		if (j->on_time && j->kind == JOB_COMPLETION)
-			sums->useful += j->tokens;
-	}
 }
 
 static uint32_t runs_of(GPtrArray *docs, const char *key)
