--- a/dev/scenario.c
+++ b/dev/scenario.c
@@ -52,6 +52,7 @@
 	sim_t *sim;	      /* NULL before the first command that needs it */
 	GHashTable *requests; /* name -> sim_request_t */
 	GHashTable *hosts;    /* name -> host id */
+	GPtrArray *arrivals;  /* of arrival_t, owned */
 	const char *path;
 	unsigned line;
 	bool bad;
@@ -168,6 +169,7 @@
 	const char *deadline = option(argc, argv, "deadline");
 	const char *priority = option(argc, argv, "priority");
 
+	g_ptr_array_add(sc->arrivals, a);
 	a->at_us = sim_now(sim_of(sc)) + 1;
 	a->org = g_intern_string(sc->deploy.orgs[0]);
 	a->prompt_tokens = 100;
@@ -395,7 +397,8 @@
 	if (argc > 3 && !strcmp(argv[argc - 2], "within")) {
 		by = sim_now(s) + parse_time(sc, argv[argc - 1]);
 		argc -= 2;
-		argv[argc] = NULL;
+		g_clear_pointer(&argv[argc + 1], g_free);
+		g_clear_pointer(&argv[argc], g_free);
 	}
 	words = g_strjoinv(" ", argv + 1);
 	while (!sc->bad) {
@@ -621,6 +624,16 @@
 	cfg->address_ttl_us = d->address_ttl_ms * USEC_PER_MSEC;
 }
 
+static void script_free(script_t *sc)
+{
+	if (sc->sim)
+		sim_free(sc->sim);
+	g_hash_table_destroy(sc->requests);
+	g_hash_table_destroy(sc->hosts);
+	g_ptr_array_free(sc->arrivals, TRUE);
+	deploy_free(&sc->deploy);
+}
+
 int main(int argc, char **argv)
 {
 	bool log = argc > 2 && !strcmp(argv[1], "--log");
@@ -649,7 +662,9 @@
 	sc.requests =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	sc.hosts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	sc.arrivals = g_ptr_array_new_with_free_func(free);
 	rc = run_file(&sc, f);
 	fclose(f);
+	script_free(&sc);
 	return rc;
 }
