Load reports: paced by their bytes, and counted

Cause: at the two-year size a daemon owns 4.35 targets, and each told up to 16 daemons of its load every 0.5 s: at some 90 bytes a report 12 KB/s, against 4 KB/s allowed for all control. Worked out, not seen at that size. Change: 2 s between reports, and longer where one round takes more than 300 bytes a second and target; urgent ones go at once as before. Counters of reports and their bytes.

--- a/src/counter.h
+++ b/src/counter.h
@@ -26,6 +26,10 @@
 	X(LOADS, "loads", "Adapter loads started")                             \
 	X(LOADS_FAILED, "loads_failed", "Adapter loads failed")                \
 	X(EVICTIONS, "evictions", "Adapters evicted from a slot")              \
+	X(LOAD_REPORTS, "load_reports",                                        \
+	  "Load reports of owned targets sent to other daemons")               \
+	X(LOAD_REPORT_BYTES, "load_report_bytes",                              \
+	  "Bytes of load reports sent to other daemons")                       \
 	X(STALL_US, "load_stall_us", "Microseconds requests waited for loads")
 
 #define COUNTERS_STATE(X)                                                    \
--- a/src/owner.c
+++ b/src/owner.c
@@ -18,7 +18,9 @@
 /* Loads told in one report. */
 #define LOADS_TOLD_MAX 32u
 /* Between reports to other daemons. */
-#define REPORT_US (500 * USEC_PER_MSEC)
+#define REPORT_US (2 * USEC_PER_SEC)
+/* Bytes a second that the reports of one target may take, all receivers. */
+#define REPORT_BYTES_PER_S 300
 #define REPORT_IDLE_US (4 * USEC_PER_SEC)
 /* Daemons that get reports sent work this recently. */
 #define PEER_LIFE_US (30 * USEC_PER_SEC)
@@ -112,23 +114,42 @@
 			m->loading[m->n_loading++] = l->hash;
 }
 
-static void owner_report_peers(owner_t *o, Serve__Report *m, int64_t now)
+/* Those that may send work here: all daemons if few, else who did lately. */
+static size_t owner_receivers(const owner_t *o, host_id_t *out, int64_t now)
 {
+	serve_t *s = o->sh->s;
 	host_id_t live[PEERS_MAX + 1];
-	size_t n = place_live(&o->sh->s->place, live, ARRAY_SIZE(live));
+	size_t n_live = place_live(&s->place, live, ARRAY_SIZE(live));
+	size_t n = 0;
+
+	if (n_live <= ARRAY_SIZE(live)) {
+		for (size_t i = 0; i < n_live; i++)
+			if (live[i] != s->cfg.self)
+				out[n++] = live[i];
+		return n;
+	}
+	for (size_t i = 0; i < o->n_peers; i++)
+		if (now - o->peers[i].at_us < PEER_LIFE_US)
+			out[n++] = o->peers[i].host;
+	return n;
+}
+
+static void owner_report_peers(owner_t *o, Serve__Report *m, int64_t now)
+{
+	host_id_t to[PEERS_MAX + 1];
+	size_t n = owner_receivers(o, to, now);
 	serve_msg_t msg = SERVE__SERVE_MSG__INIT;
+	int64_t bytes, pace_us;
 
 	msg.body_case = SERVE__SERVE_MSG__BODY_REPORT;
 	msg.report = m;
-	if (n <= ARRAY_SIZE(live)) {
-		for (size_t i = 0; i < n; i++)
-			if (live[i] != o->sh->s->cfg.self)
-				core_send(o->sh->s, live[i], &msg);
-		return;
-	}
-	for (size_t i = 0; i < o->n_peers; i++)
-		if (now - o->peers[i].at_us < PEER_LIFE_US)
-			core_send(o->sh->s, o->peers[i].host, &msg);
+	for (size_t i = 0; i < n; i++)
+		core_send(o->sh->s, to[i], &msg);
+	bytes = (int64_t)(n * serve__serve_msg__get_packed_size(&msg));
+	pace_us = bytes * USEC_PER_SEC / REPORT_BYTES_PER_S;
+	o->report_wait_us = pace_us > REPORT_US ? pace_us : REPORT_US;
+	counter_add(CTR_LOAD_REPORTS, n);
+	counter_add(CTR_LOAD_REPORT_BYTES, (uint64_t)bytes);
 }
 
 /* Tells this daemon's placement at once, other daemons at a bounded rate. */
@@ -142,7 +163,7 @@
 	costs = xcalloc(o->slots.n + 1, sizeof(*costs));
 	owner_fill_report(o, &m, hashes, costs, now);
 	place_report(&o->sh->s->place, &m, now);
-	if (!o->urgent && now < o->report_us + REPORT_US)
+	if (!o->urgent && now < o->report_us + o->report_wait_us)
 		return;
 	if (!o->urgent && !o->changed && now < o->report_us + REPORT_IDLE_US)
 		return;
--- a/src/owner.h
+++ b/src/owner.h
@@ -144,6 +144,7 @@
 	bool changed; /* since the last report to peers */
 	bool urgent;  /* the report must not wait */
 	int64_t report_us;
+	int64_t report_wait_us; /* until the next that is not urgent */
 };
 
 /* run.c */
