Claims: a claim lasts until its entry can no longer record the answer

Cause: entries took claims without a lifetime, so a call with a deadline above 60 s lapsed to unknown while it still ran. Change: TAKE carries the time to the deadline plus the longest time to record. Conclusion: resends hear 'in progress' as long as that may be true.

--- a/src/entry.c
+++ b/src/entry.c
@@ -154,6 +154,14 @@
 
 /* Claims. */
 
+/* Until when this entry may still record how the call ended. */
+static uint64_t claim_ttl_ms(const shard_t *sh, const entry_t *e)
+{
+	int64_t left = e->deadline_us + RECORD_MAX_US - core_now(sh->s);
+
+	return (uint64_t)(left / USEC_PER_MSEC);
+}
+
 static void entry_propose(shard_t *sh, entry_t *e, claim_op_t op)
 {
 	claim_req_t req = {0};
@@ -167,6 +175,8 @@
 	req.holder = str_c(e->holder);
 	req.body_hash = hash_bytes(e->body.p, e->body.n,
 				   hash_bytes(e->path.p, e->path.n, 0));
+	if (op == CLAIM_TAKE)
+		req.ttl_ms = claim_ttl_ms(sh, e);
 	if (op == CLAIM_ANSWER) {
 		req.http_status = e->status;
 		req.body = buf_str(&e->answer);
--- a/tests/serve_test.cc
+++ b/tests/serve_test.cc
@@ -363,6 +363,28 @@
 	expect_kept(*w);
 }
 
+// A claim whose entry is lost lapses to unknown, but not while the entry may
+// still record the answer.
+TEST(Serve, ClaimOutlivesTheDeadlineOfItsCall)
+{
+	auto w = started();
+	serve_req_t q = w->request("", "call1");
+
+	q.is_call = true;
+	q.model = STR("");
+	q.service = STR("records");
+	q.path = STR("/post");
+	q.not_repeatable = true;
+	q.idempotency_key = STR("key1");
+	q.deadline_us = w->now() + 120 * SEC;
+	uint64_t h = w->submit(2, q, "");
+	w->run(2 * SEC);
+	EXPECT_TRUE(w->replies[h].done);
+	EXPECT_GE(w->taken_for_ms, 120u * 1000);
+	EXPECT_LE(w->taken_for_ms, 180u * 1000);
+	expect_kept(*w);
+}
+
 TEST(Serve, CallWhoseOwnerIsLostIsUnknownAndNeverRunsAgain)
 {
 	auto w = started();
--- a/tests/serve_world.h
+++ b/tests/serve_world.h
@@ -136,6 +136,7 @@
 	std::vector<std::string> broken;
 	host_id_t leader = 1;
 	uint64_t term = 1, next_handle = 1;
+	uint64_t taken_for_ms = 0; // of the latest TAKE
 	int64_t net = 1 * MS, lease = SEC;
 	std::map<uint64_t, int64_t> assigned; // fence -> when
 	std::set<target_id_t> listed; // leaving, says the platform's list
@@ -675,6 +676,8 @@
 		host_id_t id = d->id;
 		int fault = 0;
 
+		if (q->op == CLAIM_TAKE)
+			w->taken_for_ms = q->ttl_ms;
 		if (w->claim_faults > 0)
 			fault = w->claim_faults-- % 3;
 		w->after(3 * w->net, [=] {
