Simulation: one way for messages between daemons

Cause: the read-through found the sending of a message, with its delay and the checks for silent and stopped daemons, written twice: for the serving and for the state cores. Change: sim_message() serves both; only the delivery differs. Conclusion: behaviour unchanged.

--- a/dev/lib_sim.c
+++ b/dev/lib_sim.c
@@ -146,14 +146,15 @@
 			   ev->data.n);
 }
 
-static void op_send(void *ctx, host_id_t to, const void *p, size_t n)
+void sim_message(sim_host_t *from, host_id_t to, event_fn_t deliver,
+		 const void *p, size_t n)
 {
-	sim_host_t *from = ctx, *h = sim_host(from->sim, to);
+	sim_host_t *h = sim_host(from->sim, to);
 	event_t *ev;
 
 	if (!h || from->silent || !h->core)
 		return;
-	ev = event_new(from->sim, deliver_message);
+	ev = event_new(from->sim, deliver);
 	event_to_host(ev, h);
 	ev->x = from->id;
 	buf_put(&ev->data, p, n);
@@ -162,6 +163,11 @@
 			      : sim_zone_delay(from->sim, from->zone, h->zone));
 }
 
+static void op_send(void *ctx, host_id_t to, const void *p, size_t n)
+{
+	sim_message(ctx, to, deliver_message, p, n);
+}
+
 static const serve_ops_t sim_ops = {
 	.order = op_order,
 	.send = op_send,
--- a/dev/lib_sim_priv.h
+++ b/dev/lib_sim_priv.h
@@ -132,6 +132,12 @@
 void event_at(event_t *ev, int64_t us);
 void event_after(event_t *ev, int64_t us);
 void event_to_host(event_t *ev, sim_host_t *h);
+/*
+ * A message between daemons: deliver is called at the other after the delay of
+ * the link; lost where one is silent or down. The bytes are in ev->data.
+ */
+void sim_message(sim_host_t *from, host_id_t to, event_fn_t deliver,
+		 const void *p, size_t n);
 /* The daemon that the event was meant for still runs and is reachable. */
 bool event_host_there(const event_t *ev);
 int64_t sim_zone_delay(const sim_t *s, size_t a, size_t b);
--- a/dev/lib_sim_state.c
+++ b/dev/lib_sim_state.c
@@ -230,18 +230,7 @@
 
 static void op_state_send(void *ctx, host_id_t to, const void *p, size_t n)
 {
-	sim_host_t *from = ctx, *h = sim_host(from->sim, to);
-	event_t *ev;
-
-	if (!h || from->silent || !h->core)
-		return;
-	ev = event_new(from->sim, deliver_state);
-	event_to_host(ev, h);
-	ev->x = from->id;
-	buf_put(&ev->data, p, n);
-	event_after(ev,
-		    h == from ? 1
-			      : sim_zone_delay(from->sim, from->zone, h->zone));
+	sim_message(ctx, to, deliver_state, p, n);
 }
 
 static void newest_tables(sim_t *s, decided_t *d)
