Dispatch: the time of a load is learnt from what refused requests show

Cause: on a cold start all adapters that the store brings at once are on their way before the first one has shown how long it takes. Each first request that came too early raised the estimate by 8 ms, 40 of them from 250 to 570 ms where 288 was right; it sank by 0.27 ms a success. While it stood too high a copy that was there counted as on its way, so that 138 adapters a second were ordered where the store brings 250.

Ruled out: the store (72 on their way at the most, as it allows), orders not taken (9 in a second), places for adapters (560 of 1120 free).

Change: a refused request shows that a load takes longer than it has been on its way. The estimate is the longest shown, 8 ms on top, and sinks as before. The wait after a refusal counts from when the copy was first due, so that one that never comes is doubted again.

--- a/src/dispatch_int.h
+++ b/src/dispatch_int.h
@@ -56,6 +56,8 @@
 	int64_t wanted_us;
 	int64_t ready_us;
 	int64_t ordered_us;
+	int64_t taken_us;  /* when the runner took the order to load it */
+	int64_t due_us;	   /* when it should have been ready, as was thought */
 	int64_t unsure_us; /* since when */
 	int64_t used_us;
 	uint32_t users;	  /* places granted for it */
@@ -200,6 +202,8 @@
 /* A copy that was refused though it should be there. */
 void copy_doubt(dispatch_t *d, runner_t *r, copy_t *c, int64_t now_us);
 void copy_set_state(dispatch_t *d, copy_t *c, copy_state_t state);
+/* When it is, or was, to be ready, as far as is known now. */
+void copy_due(copy_t *c, int64_t at_us);
 /* Requests that wait for it choose again. */
 void runner_drop_copy(dispatch_t *d, runner_t *r, copy_t *c);
 /* Whether the copy can serve the decided version. */
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -71,6 +71,12 @@
 		c->there = true;
 }
 
+void copy_due(copy_t *c, int64_t at_us)
+{
+	c->ready_us = at_us;
+	c->due_us = at_us;
+}
+
 copy_t *runner_add_copy(dispatch_t *d, runner_t *r, str_t model, str_t adapter,
 			copy_state_t state)
 {
@@ -272,7 +278,7 @@
 	if (c->state == COPY_READY)
 		return;
 	copy_set_state(d, c, COPY_READY);
-	c->ready_us = now_us;
+	copy_due(c, now_us);
 }
 
 /* Whether the store brought a copy in the usual time beside many others. */
@@ -304,7 +310,7 @@
 	copy_set_state(d, c, COPY_LOADING);
 	c->there = false; /* unless the report shows an older version too */
 	c->version = version;
-	c->ready_us = now_us + REPORT_LAG_US;
+	copy_due(c, now_us + REPORT_LAG_US);
 }
 
 static void take_held(dispatch_t *d, copy_t *c, uint64_t version, bool late,
@@ -329,7 +335,7 @@
 	if (c->state == COPY_READY)
 		return;
 	copy_set_state(d, c, COPY_READY);
-	c->ready_us = now_us;
+	copy_due(c, now_us);
 	asks_copy_ready(d, c, now_us);
 }
 
--- a/src/orders.c
+++ b/src/orders.c
@@ -8,8 +8,8 @@
 
 #include "log.h"
 
-/* What is learnt from requests that come just after a load should be done: one
- * in so many may come too early. */
+/* A load takes at least as long as a refused request has shown, and so much
+ * more; one in so many requests may come too early. */
 #define LEARN_UP_US (8 * USEC_PER_MSEC)
 #define LEARN_DOWN_US (LEARN_UP_US / 30)
 #define ADAPTER_MIN_US (50 * USEC_PER_MSEC)
@@ -41,22 +41,31 @@
 /* Between two loads of models from the store. */
 #define MODEL_GAP_MIN_US (400 * USEC_PER_MSEC)
 
+/* The copy was not there yet: loads take longer than it has been on its way. */
+static void learn_longer(dispatch_t *d, copy_t *c, int64_t now_us)
+{
+	int64_t shown = now_us - c->taken_us - LOAD_MARGIN_US + LEARN_UP_US;
+
+	copy_set_state(d, c, COPY_LOADING);
+	c->ready_us = now_us + LOAD_MARGIN_US;
+	if (c->fresh && d->adapter_us < shown)
+		d->adapter_us = shown < ADAPTER_MAX_US ? shown : ADAPTER_MAX_US;
+}
+
 void orders_learn_time(dispatch_t *d, copy_t *c, bool refused, int64_t now_us)
 {
-	if (now_us - c->ready_us > FRESH_US)
+	if (now_us - c->due_us > FRESH_US)
 		return;
 	if (refused) {
-		copy_set_state(d, c, COPY_LOADING);
-		c->ready_us = now_us + LOAD_MARGIN_US;
+		learn_longer(d, c, now_us);
+		return;
 	}
 	if (!c->fresh)
 		return;
 	c->fresh = false;
-	d->adapter_us += refused ? LEARN_UP_US : -LEARN_DOWN_US;
+	d->adapter_us -= LEARN_DOWN_US;
 	if (d->adapter_us < ADAPTER_MIN_US)
 		d->adapter_us = ADAPTER_MIN_US;
-	if (d->adapter_us > ADAPTER_MAX_US)
-		d->adapter_us = ADAPTER_MAX_US;
 }
 
 int64_t orders_load_us(const dispatch_t *d, const runner_t *r, str_t adapter,
@@ -390,11 +399,12 @@
 	}
 	if (holds) {
 		copy_set_state(d, c, COPY_READY);
-		c->ready_us = now_us;
+		copy_due(c, now_us);
 		asks_copy_ready(d, c, now_us);
 		return;
 	}
-	c->ready_us = now_us + load_us(d, r, c);
+	c->taken_us = now_us;
+	copy_due(c, now_us + load_us(d, r, c));
 	c->seen = true;
 	c->may_leave = false;
 	c->replaces = c->there;
--- a/tests/dispatch_world.h
+++ b/tests/dispatch_world.h
@@ -23,6 +23,14 @@
 constexpr host_id_t ENTRY = 7;
 constexpr uint32_t ADAPTER_SLOTS = 4;
 
+// The store and the places that a world has.
+struct Sizes {
+	size_t n_runners = 3;
+	size_t n_adapters = 20;
+	double loads_per_s = 3; // of models, as the manifest says
+	int64_t load_us = 250 * MS;
+};
+
 struct Faults {
 	double order_lost = 0;	   // taken or not, the answer is lost
 	double order_late = 0;	   // carried out seconds later
@@ -64,18 +72,17 @@
 class World
 {
       public:
-	explicit World(uint64_t seed, Faults f, size_t n_runners = 3,
-		       size_t n_adapters = 20)
-	    : faults(f), rng(seed), n_adapters(n_adapters)
+	explicit World(uint64_t seed, Faults f, Sizes sizes = Sizes())
+	    : faults(f), sizes(sizes), rng(seed)
 	{
 		static const dispatch_ops_t ops = {on_send, on_order, on_probe};
 		dispatch_cfg_t cfg = {STR("host-1"), 100 * MS, 0.2, 64,
 				      10000 * MS};
 
 		d = dispatch_new(&cfg, &ops, this);
-		manifest = make_manifest();
+		manifest = make_manifest(sizes.loads_per_s);
 		tables = decided_new();
-		for (size_t i = 0; i < n_runners; i++) {
+		for (size_t i = 0; i < sizes.n_runners; i++) {
 			TrueRunner r;
 
 			r.id = "i-" + std::to_string(i);
@@ -163,8 +170,8 @@
 	}
 
 	Faults faults;
+	Sizes sizes;
 	std::mt19937_64 rng;
-	size_t n_adapters;
 	dispatch_t *d;
 	manifest_t *manifest;
 	decided_t *tables;
@@ -181,7 +188,7 @@
 	{
 		return {strlen(s), (uint8_t *)s};
 	}
-	static manifest_t *make_manifest()
+	static manifest_t *make_manifest(double loads_per_s)
 	{
 		manifest_t *m = manifest_new();
 		service_t *s = manifest_add_service(m);
@@ -192,7 +199,7 @@
 		s->slots = 16;
 		s->kv_tokens = 100000;
 		s->adapter_slots = ADAPTER_SLOTS;
-		s->loads_per_s = 3;
+		s->loads_per_s = loads_per_s;
 		model = service_add_model(s);
 		model->name = str_copy(STR("base"));
 		model->load_us = 1000 * MS;
@@ -435,7 +442,7 @@
 			faults_seen.push_back("loaded more than slots hold");
 			show_belief(r.id);
 		}
-		r.coming[adapter] = {version, now + 250 * MS};
+		r.coming[adapter] = {version, now + sizes.load_us};
 		r.seq++;
 		loads++;
 		note(r);
@@ -632,8 +639,8 @@
 
 		if (u < 0.1)
 			return "";
-		return "a" +
-		       std::to_string((size_t)((double)n_adapters * u * u));
+		return "a" + std::to_string((size_t)((double)sizes.n_adapters *
+						     u * u));
 	}
 };
 
