Dispatch: cold adapters are spread over runners, the longest unused gives way

Cause: of runners that hold an adapter no better than others, the first in the list got all loads until eight were wanted there. What gave way was the longest unused of that runner only.

Ruled out: the platform's rate for orders (none refused), the store's limit (a third of it idle).

Change: an offer to load counts what is on its way to the runner (in time and cost) and how long what gives way was unused. The wait for the store is that of the places that have to become free first; before, half the store busy counted as half a load to wait.

Tests, all failed before: AdaptersAreLoadedAllOverTheFleet, TheAdapterUsedLongestAgoGivesWay, AStoreWithRoomMakesNobodyWait.

--- a/src/choice.c
+++ b/src/choice.c
@@ -27,7 +27,11 @@
 #define COST_ZONE 8.0	 /* bytes between failure domains */
 #define COST_STORE 330.0 /* an adapter brought from the weight store */
 #define COST_HOST 15.0	 /* an adapter that the runner held recently */
-#define COST_STREAM 1.0	 /* one more beside each stream that runs */
+#define COST_COMING 10.0 /* each adapter that is on its way there already */
+/* An adapter that gives way is brought again if it is asked for; it costs half of
+ * that if it was unused for so long. */
+#define EVICT_HALF_US (1 * USEC_PER_SEC)
+#define COST_STREAM 1.0 /* one more beside each stream that runs */
 
 /* Places of a plain service for each of its slots. */
 #define PLAIN_ROUNDS 3u
@@ -54,6 +58,7 @@
 
 typedef struct offer {
 	double cost;
+	load_room_t room; /* where the adapter has to be loaded */
 	int64_t first_us; /* until the first event */
 	int64_t read_us;  /* the part of it that prompts take to be read */
 	int64_t room_us;  /* until it may be granted; 0: now */
@@ -119,13 +124,13 @@
 
 /* Time until the adapter can be used there; -1: it cannot be had. */
 static int64_t adapter_wait_us(const dispatch_t *d, const runner_t *r,
-			       const query_t *q, bool *load, int64_t now_us)
+			       const query_t *q, offer_t *o, int64_t now_us)
 {
 	const copy_t *c = runner_find(r, q->model_key);
 	str_t adapter = pb_str(q->a->adapter);
 	bool may_load = d->mode == DISPATCH_ALL;
 
-	*load = false;
+	o->load = false;
 	if (!c || c->state != COPY_READY)
 		return -1;
 	if (!adapter.n)
@@ -139,11 +144,28 @@
 		return c->ready_us > now_us ? c->ready_us - now_us : 0;
 	if (c && c->state != COPY_READY)
 		return orders_load_us(d, r, adapter, q->version);
-	*load = true;
+	o->load = true;
+	o->room = orders_room(d, r, now_us);
 	/* A successor has to wait for the runs on what it replaces. */
-	if (!may_load || (c ? c->users > 0 : !orders_have_room(d, r)))
+	if (!may_load || (c ? c->users > 0 : !o->room.any))
 		return -1;
-	return orders_load_us(d, r, adapter, q->version);
+	/* A runner takes in only so many at a time. */
+	return orders_load_us(d, r, adapter, q->version) +
+	       d->adapter_us * (o->room.coming / ADAPTERS_COMING_MAX);
+}
+
+/* What loading the adapter there costs. */
+static double load_cost(const runner_t *r, const query_t *q,
+			const load_room_t *room)
+{
+	bool held = runner_held_recently(r, pb_str(q->a->adapter), q->version);
+	double cost = held ? COST_HOST : COST_STORE;
+
+	cost += COST_COMING * room->coming;
+	if (room->idle_us != INT64_MAX)
+		cost += COST_STORE * EVICT_HALF_US /
+			(double)(EVICT_HALF_US + room->idle_us);
+	return cost;
 }
 
 static bool engine_offer(const dispatch_t *d, const service_t *s,
@@ -151,7 +173,7 @@
 			 offer_t *o)
 {
 	const Dispatch__Ask *a = q->a;
-	int64_t wait_us = adapter_wait_us(d, r, q, &o->load, now_us);
+	int64_t wait_us = adapter_wait_us(d, r, q, o, now_us);
 	double unread = (double)runner_unread(r, a, &q->parts);
 	double ahead = reading(r, now_us);
 	double memory = (double)s->kv_tokens * MEMORY_SHARE;
@@ -178,10 +200,7 @@
 	o->cost = (double)o->first_us / USEC_PER_MSEC * COST_PER_MS +
 		  r->n_places * COST_STREAM;
 	if (o->load)
-		o->cost +=
-			runner_held_recently(r, pb_str(a->adapter), q->version)
-				? COST_HOST
-				: COST_STORE;
+		o->cost += load_cost(r, q, &o->room);
 	return true;
 }
 
@@ -314,7 +333,7 @@
 		return best;
 	q = make_query(d, a);
 	cds_list_for_each_entry (r, &d->runners, node) {
-		offer_t o;
+		offer_t o = {0};
 
 		if (!is_candidate(s, r, a, now_us))
 			continue;
--- a/src/dispatch_int.h
+++ b/src/dispatch_int.h
@@ -18,6 +18,8 @@
 #define ADAPTERS_PER_RATE 1.8
 /* How long one takes, until more is known. */
 #define ADAPTER_START_US (250 * USEC_PER_MSEC)
+/* Adapters on their way to one runner. */
+#define ADAPTERS_COMING_MAX 4u
 /* A report shows what was some hundred milliseconds ago. */
 #define REPORT_LAG_US (150 * USEC_PER_MSEC)
 /* Prompt parts remembered for each runner, direct-mapped. */
@@ -239,8 +241,14 @@
 /* How long an adapter that is ordered now takes until it can be used. */
 int64_t orders_load_us(const dispatch_t *d, const runner_t *r, str_t adapter,
 		       uint64_t version);
-/* Whether the runner can make room for one more adapter. */
-bool orders_have_room(const dispatch_t *d, const runner_t *r);
+/* What one more adapter would meet at a runner. */
+typedef struct load_room {
+	bool any;	 /* it can be loaded there */
+	uint32_t coming; /* adapters that are wanted or on their way there */
+	int64_t idle_us; /* how long what gives way was unused; INT64_MAX: none */
+} load_room_t;
+
+load_room_t orders_room(const dispatch_t *d, const runner_t *r, int64_t now_us);
 /* A request for a copy that should have been ready was refused, or was not. */
 void orders_learn_time(dispatch_t *d, copy_t *c, bool refused, int64_t now_us);
 /* Marks copies that must be ready by now; when the next one is. */
--- a/src/orders.c
+++ b/src/orders.c
@@ -19,7 +19,6 @@
 #define HELD_SPEEDUP 10
 /* From the order's answer to its effect being sure. */
 #define LOAD_MARGIN_US (15 * USEC_PER_MSEC)
-#define COMING_MAX 4u /* adapters on their way to one runner */
 #define SLOTS_DEFAULT 8u
 /* A copy that was used last within this time is not dropped for another. */
 #define KEEP_USED_US (300 * USEC_PER_MSEC)
@@ -68,15 +67,23 @@
 		d->adapter_us = ADAPTER_MIN_US;
 }
 
+/* How long the store lets one more adapter wait: each place is free again once in
+ * the time that a load takes. */
+static int64_t store_wait_us(const dispatch_t *d)
+{
+	uint32_t ahead = d->loading + d->wanted;
+
+	if (ahead < d->at_once)
+		return 0;
+	return d->adapter_us * (int64_t)(ahead - d->at_once + 1) / d->at_once;
+}
+
 int64_t orders_load_us(const dispatch_t *d, const runner_t *r, str_t adapter,
 		       uint64_t version)
 {
 	if (runner_held_recently(r, adapter, version))
 		return d->adapter_us / HELD_SPEEDUP + LOAD_MARGIN_US;
-	/* The store brings so many at once; the others wait for them. */
-	return d->adapter_us * (d->loading + d->wanted + d->at_once) /
-		       d->at_once +
-	       LOAD_MARGIN_US;
+	return d->adapter_us + store_wait_us(d) + LOAD_MARGIN_US;
 }
 
 /* Whether the runner need not fetch the copy from the store. */
@@ -134,20 +141,32 @@
 	return best;
 }
 
-bool orders_have_room(const dispatch_t *d, const runner_t *r)
+load_room_t orders_room(const dispatch_t *d, const runner_t *r, int64_t now_us)
 {
+	load_room_t room = {.idle_us = INT64_MAX};
+	uint32_t slots = slots_of(d, r);
+	const copy_t *victim;
 	const copy_t *c;
 	uint32_t taken = 0;
-	uint32_t wanted = 0;
+	uint32_t held = 0;
 
 	cds_list_for_each_entry (c, &r->copies, node) {
 		if (!c->adapter.n)
 			continue;
-		wanted += c->state == COPY_WANTED || c->state == COPY_ORDERED ||
-			  c->state == COPY_LOADING;
+		room.coming += c->state == COPY_WANTED ||
+			       c->state == COPY_ORDERED ||
+			       c->state == COPY_LOADING;
 		taken += c->users || c->waiting || c->state != COPY_READY;
+		held += 1 + c->replaces;
 	}
-	return taken < slots_of(d, r) && wanted < COMING_MAX * 2;
+	room.any = taken < slots && room.coming < ADAPTERS_COMING_MAX * 2;
+	if (held < slots)
+		return room;
+	victim = pick_victim(d, r, now_us);
+	room.idle_us = victim ? now_us - victim->used_us : 0;
+	if (victim && !copy_is_current(d, victim))
+		room.idle_us = INT64_MAX;
+	return room;
 }
 
 static bool may_order(const dispatch_t *d, const runner_t *r, int64_t now_us)
@@ -287,7 +306,7 @@
 		return false;
 	if (!c->adapter.n)
 		return true;
-	if (count_coming(r) >= COMING_MAX)
+	if (count_coming(r) >= ADAPTERS_COMING_MAX)
 		return false;
 	return d->loading < store_limit(d, now_us) || is_at_hand(d, r, c);
 }
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -46,4 +46,66 @@
 	EXPECT_LE(w.d->adapter_us, 310 * MS);
 }
 
+// Four may be on their way to one runner: the others would wait there.
+TEST(Dispatch, AdaptersAreLoadedAllOverTheFleet)
+{
+	Sizes sizes;
+
+	sizes.n_runners = 8;
+	sizes.loads_per_s = 40;
+	World w(1, {}, sizes);
+
+	w.run(1000 * MS, 0);
+	for (size_t i = 0; i < 8; i++)
+		w.ask(adapter(i));
+	w.run(400 * MS, 0);
+	for (auto &r : w.runners)
+		EXPECT_EQ(r.adapters.size(), 1u) << r.id;
+}
+
+// An adapter takes the place of the one that was used longest ago anywhere.
+TEST(Dispatch, TheAdapterUsedLongestAgoGivesWay)
+{
+	Sizes sizes;
+
+	sizes.n_runners = 2;
+	World w(1, {}, sizes);
+
+	w.run(1000 * MS, 0);
+	for (size_t i = 0; i < 2 * ADAPTER_SLOTS; i++) {
+		w.ask(adapter(i));
+		w.run(3000 * MS, 0);
+	}
+	w.ask("new");
+	w.run(1000 * MS, 0);
+	EXPECT_FALSE(w.runners[0].adapters.count(adapter(0)) ||
+		     w.runners[1].adapters.count(adapter(0)));
+	for (size_t i = 1; i < 2 * ADAPTER_SLOTS; i++)
+		EXPECT_EQ(w.runners[0].adapters.count(adapter(i)) +
+				  w.runners[1].adapters.count(adapter(i)),
+			  1u)
+			<< i;
+}
+
+// As long as the store brings it at once nothing has to be waited for.
+TEST(Dispatch, AStoreWithRoomMakesNobodyWait)
+{
+	Sizes sizes;
+
+	sizes.n_runners = 8;
+	sizes.loads_per_s = 40;
+	World w(1, {}, sizes);
+
+	w.run(1000 * MS, 0);
+	int64_t alone =
+		orders_load_us(w.d, fleet_find(w.d, STR("i-0")), STR("x"), 0);
+
+	for (size_t i = 0; i < 16; i++)
+		w.ask(adapter(i));
+	w.run(50 * MS, 0);
+	EXPECT_EQ(w.d->loading, 16u);
+	EXPECT_EQ(orders_load_us(w.d, fleet_find(w.d, STR("i-7")), STR("x"), 0),
+		  alone);
+}
+
 } // namespace
