Gateway: connections wait, unread, for a host that has just started

Cause: a host without a disk learns the manifest 0.2 to 1.0 s after its start, after all hosts have lost power 0.8 s. A caller repeats once, and its first try had met no power.

Ruled out: places never freed (the dispatcher's own counts fit what is sent), the queue bound of the plain service (it refuses 1,683 others, at full load).

Change: what is accepted in the first 5 s of a process while requests would be refused is not read for up to 0.9 s, or until they are taken; callers take an unread request for not run. A refusal before a request is taken is logged like the others.

Tests: RequestsWaitForAHostThatStarts (503 before), RequestsDoNotWaitForeverForAHostThatStarts.

--- a/src/gateway.c
+++ b/src/gateway.c
@@ -26,6 +26,10 @@
 #define IDLE_TIMEOUT_US (15 * USEC_PER_SEC)
 #define HEAD_TIMEOUT_US (3 * USEC_PER_SEC)
 #define HEAD_MAX 16384u
+/* How long a connection waits for a host that starts: callers take one that is
+ * not read for a second to be dead. */
+#define HOLD_US (900 * USEC_PER_MSEC)
+#define HOLD_LOOK_US (10 * USEC_PER_MSEC)
 
 static int64_t ask_again_us(const request_t *r)
 {
@@ -196,6 +200,12 @@
 	return (gateway_now(r->gw) - r->arrived_us) / USEC_PER_MSEC;
 }
 
+static void caller_free(caller_t *c)
+{
+	cds_list_del(&c->held);
+	free(c);
+}
+
 static void caller_done(caller_t *c, bool keep)
 {
 	if (keep && c->keep && !c->gw->ops.leaving(c->gw->ctx)) {
@@ -203,7 +213,7 @@
 		return;
 	}
 	http1_finish(c->conn);
-	free(c);
+	caller_free(c);
 }
 
 /* An answer of this daemon's own. */
@@ -263,7 +273,7 @@
 		/* Nothing that was sent may look complete. */
 		counter_refused(reason);
 		http1_reset(c->conn);
-		free(c);
+		caller_free(c);
 	} else if (r->spare.n) {
 		http1_send(c->conn, r->spare.p, r->spare.n);
 		caller_done(c, true);
@@ -583,10 +593,16 @@
 	if (reason != REASON_NONE) {
 		bool close = h->length != 0 || h->chunked || !h->keep_alive;
 
+		log_event(LOG_INFO, "refused", kv_s("id", info.id),
+			  KV_C("route", ""),
+			  KV_C("reason", reason_info(reason)->name),
+			  kv_i("status", reason_info(reason)->http_status),
+			  KV_C("run", run_name(reason_info(reason)->run)),
+			  kv_u("tries", 0), kv_i("after_ms", 0));
 		answer(c, info.id, reason, 0, close);
 		if (close) {
 			http1_finish(c->conn);
-			free(c);
+			caller_free(c);
 			return;
 		}
 		c->discard = true;
@@ -609,7 +625,7 @@
 		r->caller = NULL;
 		request_free(r);
 		http1_finish(c->conn);
-		free(c);
+		caller_free(c);
 		return;
 	}
 	buf_put(&r->body, piece.p, piece.n);
@@ -654,7 +670,7 @@
 		counter_refused(REASON_CANCELLED);
 		request_free(r);
 	}
-	free(c);
+	caller_free(c);
 }
 
 static void on_drained(void *ctx)
@@ -673,12 +689,52 @@
 	.drained = on_drained,
 };
 
+/* A host that starts. */
+
+static void look_again(gateway_t *g)
+{
+	timer_svc_arm(loop_timers(g->loop), &g->held_timer,
+		      gateway_now(g) + HOLD_LOOK_US);
+}
+
+static void hold(caller_t *c)
+{
+	gateway_t *g = c->gw;
+
+	c->held_until_us = gateway_now(g) + HOLD_US;
+	http1_pause(c->conn, true);
+	cds_list_add_tail(&c->held, &g->held);
+	look_again(g);
+}
+
+/* Reads from those that need not wait, or have waited long enough. */
+static void on_held_timer(void *ctx, int64_t now)
+{
+	gateway_t *g = ctx;
+	bool serves = g->ops.refusal(g->ctx) == REASON_NONE;
+	caller_t *c, *tmp;
+
+	cds_list_for_each_entry_safe (c, tmp, &g->held, held) {
+		if (!serves && now < c->held_until_us)
+			continue;
+		cds_list_del(&c->held);
+		CDS_INIT_LIST_HEAD(&c->held);
+		http1_pause(c->conn, false);
+	}
+	if (!cds_list_empty(&g->held))
+		look_again(g);
+}
+
 static void *on_accepted(void *ctx, http1_conn_t *conn)
 {
+	gateway_t *g = ctx;
 	caller_t *c = xcalloc(1, sizeof(*c));
 
-	c->gw = ctx;
+	c->gw = g;
 	c->conn = conn;
+	CDS_INIT_LIST_HEAD(&c->held);
+	if (g->ops.refusal(g->ctx) != REASON_NONE && g->ops.starting(g->ctx))
+		hold(c);
 	return c;
 }
 
@@ -698,6 +754,8 @@
 	g->limits.head_timeout_us = HEAD_TIMEOUT_US;
 	g->limits.idle_timeout_us = IDLE_TIMEOUT_US;
 	CDS_INIT_LIST_HEAD(&g->requests);
+	CDS_INIT_LIST_HEAD(&g->held);
+	timer_sub_init(&g->held_timer, on_held_timer, g);
 	return g;
 }
 
@@ -718,6 +776,7 @@
 {
 	if (!g)
 		return;
+	timer_svc_cancel(loop_timers(g->loop), &g->held_timer);
 	http1_unlisten(g->listener);
 	manifest_unref(g->manifest);
 	str_free(&g->zone);
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -25,6 +25,11 @@
 	void (*silent)(void *ctx);
 	/* Why new requests are not taken; REASON_NONE: they are. */
 	reason_t (*refusal)(void *ctx);
+	/*
+	 * Whether this host has just started and is about to learn what is
+	 * decided: connections that come before wait for it, unread.
+	 */
+	bool (*starting)(void *ctx);
 	/* Whether callers are told to use this connection no more. */
 	bool (*leaving)(void *ctx);
 } gateway_ops_t;
--- a/src/gateway_int.h
+++ b/src/gateway_int.h
@@ -92,6 +92,9 @@
 	request_t *req; /* under way; NULL: none */
 	bool keep;	/* the connection, as far as the caller says */
 	bool discard;	/* a refused request that ends now */
+	/* While the host starts; empty: not held. */
+	struct cds_list_head held;
+	int64_t held_until_us;
 } caller_t;
 
 struct gateway {
@@ -108,6 +111,8 @@
 	manifest_t *manifest;
 	struct cds_list_head requests;
 	size_t n_requests;
+	struct cds_list_head held; /* callers whose connections are not read */
+	timer_sub_t held_timer;
 };
 
 static inline int64_t gateway_now(const gateway_t *g)
--- a/src/site.c
+++ b/src/site.c
@@ -47,6 +47,8 @@
 /* Between two of them passes so many times what one took. */
 #define DISPATCH_TICK_PART 4
 #define SETTINGS_EVERY_US (1 * USEC_PER_SEC)
+/* A host that has started has learnt by then what is decided, or cannot. */
+#define START_US (5 * USEC_PER_SEC)
 /* Leaving: new connections are taken for so long, then what runs is ended. */
 #define LEAVE_LISTEN_US (1200 * USEC_PER_MSEC)
 #define LEAVE_TICK_US (50 * USEC_PER_MSEC)
@@ -482,6 +484,13 @@
 	return REASON_STALE;
 }
 
+static bool is_starting(void *ctx)
+{
+	const site_t *s = ctx;
+
+	return !s->leaving && site_now(s) - s->started_us < START_US;
+}
+
 static bool is_leaving(void *ctx)
 {
 	return ((const site_t *)ctx)->leaving;
@@ -536,8 +545,8 @@
 
 static int make_serving(site_t *s)
 {
-	static const gateway_ops_t gateway_ops = {to_dispatcher, begin_alone,
-						  refusal, is_leaving};
+	static const gateway_ops_t gateway_ops = {
+		to_dispatcher, begin_alone, refusal, is_starting, is_leaving};
 	static const dispatch_ops_t dispatch_ops = {to_entry, site_order,
 						    site_probe};
 	const dispatch_cfg_t cfg = {
@@ -573,6 +582,7 @@
 {
 	struct sockaddr_in addr;
 
+	s->started_us = site_now(s);
 	if (timer_svc_start(s->state_timers) || mailbox_start(s->to_state)) {
 		log_event(LOG_ERR, "thread_start_failed",
 			  KV_C("error", strerror(errno)));
--- a/src/site_int.h
+++ b/src/site_int.h
@@ -63,6 +63,7 @@
 	runner_list_t list; /* pages so far */
 	bool list_reading;
 	uint32_t list_failures; /* in a row */
+	int64_t started_us;
 	/* Leaving. */
 	bool leaving;
 	int64_t leave_us;
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -165,7 +165,12 @@
 	{
 		static const gateway_ops_t ops = {
 			on_send, [](void *) {},
-			[](void *ctx) { return ((World *)ctx)->refusal; },
+			[](void *ctx) -> reason_t {
+				return ((World *)ctx)->refusal;
+			},
+			[](void *ctx) -> bool {
+				return ((World *)ctx)->starting;
+			},
 			[](void *) { return false; }};
 		struct sockaddr_in a = any_addr();
 
@@ -218,7 +223,8 @@
 	upstream_t *up;
 	manifest_t *manifest;
 	uint16_t port;
-	reason_t refusal = REASON_NONE;
+	std::atomic<reason_t> refusal{REASON_NONE};
+	std::atomic<bool> starting{false};
 	bool grants = true;
 	bool reset = false;
 	std::atomic<int> asks{0};
@@ -433,6 +439,32 @@
 	EXPECT_EQ(503, status(w.ask("/nowhere/x")));
 }
 
+// A host that has just started learns within a moment what is decided.
+TEST(Gateway, RequestsWaitForAHostThatStarts)
+{
+	Target t({good()});
+	World w({&t});
+	std::string got;
+
+	w.refusal = REASON_NO_MANIFEST;
+	w.starting = true;
+	std::thread caller([&] { got = w.ask("/once/x"); });
+
+	usleep(100000);
+	w.refusal = REASON_NONE;
+	caller.join();
+	EXPECT_EQ(200, status(got));
+}
+
+TEST(Gateway, RequestsDoNotWaitForeverForAHostThatStarts)
+{
+	World w({});
+
+	w.refusal = REASON_NO_MANIFEST;
+	w.starting = true;
+	EXPECT_EQ(503, status(w.ask("/once/x")));
+}
+
 TEST(Gateway, SilenceAfterSendingIsNeverNotRun)
 {
 	Target t({{"", false, false, true}});
