Dispatch: requests wait for a place where their adapter is

Cause: a runner with all places taken made no offer at all, so that a request whose adapter is there had another copy loaded, or was refused where none could be. A place is free again after some 50 ms, a load takes 288 and more.

Ruled out: holders with too much to read (170), suspended holders (410), memory (0).

Change: a full runner offers a place after what a place is usually taken for, divided by its places, behind those that wait there already; such a wait costs 5 a ms, so that a queue of about 80 ms brings another copy.

Tests: RequestsWaitForAPlaceWhereTheirAdapterIs (refused before), LongQueuesBringAnotherCopy.

--- a/src/choice.c
+++ b/src/choice.c
@@ -24,6 +24,9 @@
 #define STREAM_US 400
 
 #define COST_PER_MS 0.15 /* of waiting within the objective */
+/* Of waiting for a place: a queue that grows shall bring another copy before
+ * its requests are late. */
+#define COST_QUEUE_PER_MS 5.0
 #define COST_ZONE 8.0	 /* bytes between failure domains */
 #define COST_STORE 330.0 /* an adapter brought from the weight store */
 #define COST_HOST 15.0	 /* an adapter that the runner held recently */
@@ -168,6 +171,33 @@
 	return cost;
 }
 
+/* Until a place is free there, behind those that wait for one. */
+static int64_t place_wait_us(const dispatch_t *d, const service_t *s,
+			     const runner_t *r)
+{
+	double places = (double)slots_of(r, s) * d->share + 1;
+
+	if ((double)r->n_places < places)
+		return 0;
+	return r->stay_us * (r->queued + 1) / r->n_places;
+}
+
+/* Until so much of what is ahead has been read that the prompt may follow. */
+static int64_t read_wait_us(const dispatch_t *d, const runner_t *r,
+			    double ahead, double unread)
+{
+	if (ahead <= READ_LITTLE * d->share ||
+	    ahead + unread <= READ_BURST * d->share)
+		return 0;
+	return (int64_t)((ahead + unread - READ_BURST * d->share) /
+			 read_rate(r));
+}
+
+static int64_t later(int64_t a, int64_t b)
+{
+	return a > b ? a : b;
+}
+
 static bool engine_offer(const dispatch_t *d, const service_t *s,
 			 const runner_t *r, const query_t *q, int64_t now_us,
 			 offer_t *o)
@@ -177,27 +207,22 @@
 	double unread = (double)runner_unread(r, a, &q->parts);
 	double ahead = reading(r, now_us);
 	double memory = (double)s->kv_tokens * MEMORY_SHARE;
+	int64_t own_us = FIRST_EVENT_US + (int64_t)(unread / read_rate(r));
+	int64_t place_us = place_wait_us(d, s, r);
 
-	if (wait_us < 0 ||
-	    (double)r->n_places >= (double)slots_of(r, s) * d->share + 1)
+	if (wait_us < 0)
 		return false;
 	if (memory > 0 &&
 	    (double)(r->held_tokens + a->tokens_in + a->tokens_out) > memory)
 		return false;
-	o->room_us = 0;
-	if (ahead > READ_LITTLE * d->share &&
-	    ahead + unread > READ_BURST * d->share)
-		o->room_us =
-			(int64_t)((ahead + unread - READ_BURST * d->share) /
-				  read_rate(r));
+	o->room_us = later(place_us, read_wait_us(d, r, ahead, unread));
 	o->read_us = FIRST_EVENT_US + r->n_places * STREAM_US +
 		     (int64_t)((ahead + unread) / read_rate(r));
-	o->first_us = o->read_us;
-	/* Prompts ahead are read while the adapter is on its way. */
-	if (wait_us + (int64_t)(unread / read_rate(r)) > o->read_us)
-		o->first_us = wait_us + FIRST_EVENT_US +
-			      (int64_t)(unread / read_rate(r));
+	/* Prompts ahead are read while the adapter is on its way, or a place
+	 * becomes free. */
+	o->first_us = later(o->read_us, later(wait_us, place_us) + own_us);
 	o->cost = (double)o->first_us / USEC_PER_MSEC * COST_PER_MS +
+		  (double)place_us / USEC_PER_MSEC * COST_QUEUE_PER_MS +
 		  r->n_places * COST_STREAM;
 	if (o->load)
 		o->cost += load_cost(r, q, &o->room);
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -23,6 +23,7 @@
 #define FULL_US (100 * USEC_PER_MSEC)
 #define ASK_TRIES_MAX 4u
 #define PACE_WEIGHT 0.1
+#define STAY_DIV 16 /* a new time counts so much less than what was learnt */
 #define PACE_MIN 0.5
 #define PACE_MAX 6.0
 #define NO_BUDGET_RETRY_US (1 * USEC_PER_SEC)
@@ -212,12 +213,29 @@
 	free(p);
 }
 
+static void unqueue(ask_t *k)
+{
+	if (k->queued_at)
+		k->queued_at->queued--;
+	k->queued_at = NULL;
+}
+
+static void queue_at(ask_t *k, runner_t *r)
+{
+	k->queued_at = r;
+	r->queued++;
+}
+
 void places_runner_gone(dispatch_t *d, runner_t *r)
 {
 	grant_place_t *p, *tmp;
+	ask_t *k;
 
 	cds_list_for_each_entry_safe (p, tmp, &r->places, node)
 		place_free(d, p, 0);
+	cds_list_for_each_entry (k, &d->asks, node)
+		if (k->queued_at == r)
+			unqueue(k);
 }
 
 static grant_place_t *place_add(dispatch_t *d, const place_key_t *key,
@@ -273,6 +291,7 @@
 
 static void ask_free(ask_t *k)
 {
+	unqueue(k);
 	if (k->copy)
 		k->copy->waiting--;
 	cds_list_del(&k->node);
@@ -320,7 +339,6 @@
 		  kv_s("runner", ch->runner->id), kv_s("adapter", adapter),
 		  kv_u("tries", k->tries));
 	k->wait_from_us = now_us;
-	k->runner = ch->runner;
 	k->copy = c;
 	c->waiting++;
 	c->used_us = now_us;
@@ -346,14 +364,17 @@
 
 	if (!d->have_list || !d->manifest)
 		return; /* decided again once they are known */
+	unqueue(k);
 	ch = choose_runner(d, a, now_us - k->asked_us, k->load_us, now_us);
 	if (!ch.runner) {
 		ask_refuse(d, k, ch.reason, ch.retry_us);
 		return;
 	}
 	if (!ch.load && copy_ready(ch.runner, a)) {
-		if (ch.room_us > 0)
-			return; /* decided again once something has been read */
+		if (ch.room_us > 0) {
+			queue_at(k, ch.runner); /* decided again soon */
+			return;
+		}
 		grant(d, &k->key, a, ch.runner, ch.first_us, now_us);
 		ask_free(k);
 		return;
@@ -461,6 +482,14 @@
 		r->pace = PACE_MAX;
 }
 
+static void learn_stay(const grant_place_t *p, int64_t now_us)
+{
+	int64_t stay = now_us - p->granted_us;
+
+	if (p->granted_us)
+		p->runner->stay_us += (stay - p->runner->stay_us) / STAY_DIV;
+}
+
 static void on_started(dispatch_t *d, const place_key_t *key,
 		       const Dispatch__Started *m, int64_t now_us)
 {
@@ -500,6 +529,8 @@
 			  kv_i("granted_ms",
 			       (now_us - p->granted_us) / USEC_PER_MSEC),
 			  kv_i("load_ms", d->adapter_us / USEC_PER_MSEC));
+	if (o == PLACE_ANSWERED)
+		learn_stay(p, now_us);
 	place_free(d, p, now_us);
 	if (c && c->state == COPY_READY &&
 	    (o == PLACE_NOT_RUN || o == PLACE_NO_ADAPTER)) {
--- a/src/dispatch_int.h
+++ b/src/dispatch_int.h
@@ -96,6 +96,8 @@
 	/* Load. */
 	struct cds_list_head places;
 	uint32_t n_places;
+	uint32_t queued;	/* requests that wait for a place here */
+	int64_t stay_us;	/* how long a place is taken, as learnt */
 	uint64_t unread_tokens; /* of prompts granted and not started */
 	uint64_t held_tokens; /* of all granted, with what they may generate */
 	double pace; /* how long a first event takes against the estimate */
@@ -135,9 +137,9 @@
 typedef struct ask {
 	struct cds_list_head node;
 	place_key_t key;
-	Dispatch__Msg *msg; /* owned; holds the Ask */
-	runner_t *runner;
-	copy_t *copy;
+	Dispatch__Msg *msg;  /* owned; holds the Ask */
+	copy_t *copy;	     /* that it waits for; else NULL */
+	runner_t *queued_at; /* where it waits for a place; else NULL */
 	int64_t asked_us;
 	int64_t wait_from_us; /* for the copy it waits for now */
 	int64_t load_us;      /* spent waiting for copies */
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -15,6 +15,7 @@
 #define SUSPEND_MIN_US (500 * USEC_PER_MSEC)
 #define SUSPEND_SHIFT_MAX 4u
 #define PACE_START 1.0
+#define STAY_START_US (500 * USEC_PER_MSEC)
 /* When a report shows a copy that came in the usual time. */
 #define COMES_TIMES 2
 /* So many in a row that came in the usual time show that the store is fast. */
@@ -178,6 +179,7 @@
 	r->zone = str_copy(info->zone);
 	r->born_ms = info->born_ms;
 	r->pace = PACE_START;
+	r->stay_us = STAY_START_US;
 	r->probe_due_us = INT64_MAX;
 	CDS_INIT_LIST_HEAD(&r->copies);
 	CDS_INIT_LIST_HEAD(&r->places);
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -108,4 +108,47 @@
 		  alone);
 }
 
+// A place becomes free sooner than another copy is loaded.
+TEST(Dispatch, RequestsWaitForAPlaceWhereTheirAdapterIs)
+{
+	Sizes sizes;
+
+	sizes.n_runners = 1;
+	World w(1, {}, sizes);
+
+	w.run(1000 * MS, 0);
+	w.ask("rare");
+	w.ask("hot");
+	w.run(3000 * MS, 0);
+	for (size_t i = 0; i < 17; i++)
+		w.ask("hot", 800 * MS, 8000 * MS, 100);
+	uint64_t id = w.ask("rare", 800 * MS, 8000 * MS, 100);
+
+	w.run(20 * MS, 0);
+	EXPECT_EQ(w.asks[id].grants, 0);
+	EXPECT_EQ(w.asks[id].refusals, 0);
+	w.run(800 * MS, 0);
+	EXPECT_EQ(w.asks[id].grants, 1);
+	EXPECT_EQ(w.loads, 2u);
+}
+
+// A queue that grows brings a second copy before its requests are late.
+TEST(Dispatch, LongQueuesBringAnotherCopy)
+{
+	Sizes sizes;
+
+	sizes.n_runners = 2;
+	World w(1, {}, sizes);
+
+	w.run(1000 * MS, 0);
+	w.ask("hot");
+	w.run(3000 * MS, 0);
+	for (size_t i = 0; i < 34; i++)
+		w.ask("hot", 800 * MS, 8000 * MS, 100);
+	w.run(800 * MS, 0);
+	EXPECT_EQ(w.loads, 2u);
+	for (auto &a : w.asks)
+		EXPECT_EQ(a.second.grants, 1) << a.first;
+}
+
 } // namespace
