Dispatch: runners that fail requests get fewer

Cause: an answer of 500 counted as a runner's good health, and a runner that fails at once has always places free, so that it drew requests: of two that hold the same, the failing one got 100 of 100.

Change: each runner has the share of its answers that were failures, halved for each 2 s without news; what is above the usual 0.15 costs its part of an answer.

Test: RunnersThatFailRequestsGetFew (100 of 100 before).

--- a/src/choice.c
+++ b/src/choice.c
@@ -48,7 +48,10 @@
 /* Callers give up after four objectives or two seconds without an event. */
 #define PATIENCE_TARGETS 3
 #define PATIENCE_MIN_US (1600 * USEC_PER_MSEC)
-#define COST_LATE 700.0 /* the first event comes after the objective */
+#define COST_LATE 700.0	   /* the first event comes after the objective */
+#define COST_FAILED 1000.0 /* the answer is a failure */
+/* Some requests fail wherever they are sent. */
+#define FAILING_USUAL 0.15
 #define RETRY_MIN_US (150 * USEC_PER_MSEC)
 #define RETRY_MAX_US (2 * USEC_PER_SEC)
 /* The part of a runner's memory that prompts and answers may take. */
@@ -306,6 +309,13 @@
 	       !is_avoided(a, r) && (!s->engine || r->models_known);
 }
 
+static double failure_cost(const runner_t *r, int64_t now_us)
+{
+	double share = runner_failing(r, now_us) - FAILING_USUAL;
+
+	return share > 0 ? share * COST_FAILED : 0;
+}
+
 /* What the runner offers, with all that it costs; false: it has no room. */
 static bool make_offer(const dispatch_t *d, const service_t *s,
 		       const runner_t *r, const query_t *q, const margin_t *m,
@@ -318,6 +328,7 @@
 		return false;
 	if (!str_eq(r->zone, pb_str(a->zone)))
 		o->cost += COST_ZONE;
+	o->cost += failure_cost(r, now_us);
 	/* Daemons that know nothing of each other spread out. */
 	if (d->mode == DISPATCH_ALONE)
 		o->cost += spread(d, r, a);
--- a/src/dispatch_int.h
+++ b/src/dispatch_int.h
@@ -108,7 +108,9 @@
 	uint64_t recent[RECENT_KEPT];
 	int64_t started_us; /* last time that an answer began */
 	/* Health. */
-	uint32_t failures; /* in a row */
+	uint32_t failures; /* in a row, without an answer */
+	double failing;	   /* share of its answers that were failures, as of */
+	int64_t failing_us;
 	int64_t suspended_until_us;
 	bool on_trial;
 	int64_t full_until_us; /* it refused requests that it had places for */
@@ -219,6 +221,8 @@
 /* Gets nothing until then, and one request for a trial next. */
 void runner_suspend(runner_t *r, int64_t until_us);
 bool runner_usable(const runner_t *r, int64_t now_us);
+/* The share of its answers that are failures; what is long ago counts little. */
+double runner_failing(const runner_t *r, int64_t now_us);
 /* Keys of a prompt's parts, each with all before it. */
 typedef struct part_keys {
 	size_t n;
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -1,6 +1,7 @@
 /* fleet.c - what the dispatcher knows of the runners. */
 #include "dispatch_int.h"
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -14,6 +15,10 @@
 #define FAILURES_MAX 2u
 #define SUSPEND_MIN_US (500 * USEC_PER_MSEC)
 #define SUSPEND_SHIFT_MAX 4u
+/* An answer counts so much less than all before it. */
+#define FAILING_DIV 8
+/* What was seen counts half after so long without news. */
+#define FAILING_HALF_US (2 * USEC_PER_SEC)
 #define PACE_START 1.0
 #define STAY_START_US (500 * USEC_PER_MSEC)
 /* When a report shows a copy that came in the usual time. */
@@ -154,6 +159,7 @@
 	r->models_known = false;
 	r->probe_due_us = 0;
 	r->failures = 0;
+	r->failing = 0;
 	r->suspended_until_us = 0;
 	r->on_trial = false;
 }
@@ -475,6 +481,22 @@
 	r->on_trial = true;
 }
 
+double runner_failing(const runner_t *r, int64_t now_us)
+{
+	double halves =
+		(double)(now_us - r->failing_us) / (double)FAILING_HALF_US;
+
+	return r->failing > 0 ? r->failing * exp2(-halves) : 0;
+}
+
+static void note_answer(runner_t *r, bool failed, int64_t now_us)
+{
+	double share = runner_failing(r, now_us);
+
+	r->failing = share + ((failed ? 1 : 0) - share) / FAILING_DIV;
+	r->failing_us = now_us;
+}
+
 void runner_note(runner_t *r, place_outcome_t o, int64_t now_us)
 {
 	uint32_t shift;
@@ -485,6 +507,7 @@
 	if (now_us < r->suspended_until_us && o != PLACE_ANSWERED)
 		return;
 	if (o == PLACE_ANSWERED || o == PLACE_FAILED) {
+		note_answer(r, o == PLACE_FAILED, now_us);
 		r->failures = 0;
 		r->on_trial = false;
 		return;
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -151,4 +151,32 @@
 		EXPECT_EQ(a.second.grants, 1) << a.first;
 }
 
+// One that fails at once has always room; that must not draw requests to it.
+TEST(Dispatch, RunnersThatFailRequestsGetFew)
+{
+	Sizes sizes;
+
+	sizes.n_runners = 2;
+	World w(1, {}, sizes);
+
+	w.run(1000 * MS, 0);
+	w.runners[0].fails = true;
+	for (size_t i = 0; i < 100; i++) {
+		w.ask("");
+		w.run(100 * MS, 0);
+	}
+	EXPECT_LE(w.runners[0].runs, 20u);
+	// It is tried now and then, and has its share again once it is well.
+	EXPECT_GE(w.runners[0].runs, 4u);
+	w.runners[0].fails = false;
+	w.run(4000 * MS, 0);
+	size_t before = w.runners[0].runs;
+
+	for (size_t i = 0; i < 100; i++) {
+		w.ask("");
+		w.run(100 * MS, 0);
+	}
+	EXPECT_GE(w.runners[0].runs - before, 30u);
+}
+
 } // namespace
--- a/tests/dispatch_world.h
+++ b/tests/dispatch_world.h
@@ -52,6 +52,8 @@
 	uint64_t born = 1;
 	bool draining = false;
 	bool gone = false;
+	bool fails = false; // answers every request with an error, at once
+	size_t runs = 0;
 	uint64_t seq = 0, fence = 0;
 	std::map<std::string, uint64_t> adapters; // name -> version
 	std::map<std::string, std::pair<uint64_t, int64_t>> coming;
@@ -556,6 +558,17 @@
 		}
 		uint64_t born = r->born;
 
+		r->runs++;
+		if (r->fails) {
+			in(5 * MS, [=]() {
+				TrueRunner *at = find(runner);
+
+				if (at && !adapter.empty())
+					leave(*at, adapter);
+				tell(id, PLACE_FAILED);
+			});
+			return;
+		}
 		in(between(30, 80) * MS, [=]() { started(id); });
 		in(between(300, 1500) * MS, [=]() {
 			TrueRunner *at = find(runner);
