Relay: events are bounded; prompt parts belong to their model

An event of a stream that never ends was kept whole, without a bound; past 256 KiB it is passed on in pieces now, and the stream is not resumed, as its last whole event is not certain. The key of a prompt's first part held the length of its model's name, so that parts of two models with names of one length counted as the same.

Tests, both failed before: EventsBeyondTheBoundAreNotKept, PromptPartsBelongToTheirModel.

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -531,8 +531,7 @@
 
 void part_keys(const Dispatch__Ask *a, part_keys_t *out)
 {
-	uint64_t key =
-		hash_bytes(a->adapter.data, a->adapter.len, a->model.len);
+	uint64_t key = copy_key(pb_str(a->model), pb_str(a->adapter));
 
 	out->n = a->n_parts < PROMPT_PARTS_MAX ? a->n_parts : PROMPT_PARTS_MAX;
 	for (size_t i = 0; i < out->n; i++) {
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -321,6 +321,8 @@
 		return !r->head_sent || r->route->resumable;
 	if (!request_may_repeat(r) || r->runs >= r->route->attempts)
 		return false;
+	if (r->event_cut)
+		return false;
 	return !r->head_sent || (r->route->resumable && r->have_event);
 }
 
--- a/src/gateway_int.h
+++ b/src/gateway_int.h
@@ -83,6 +83,7 @@
 	/* Over all attempts of a stream. */
 	bool head_sent;
 	bool have_event;
+	bool event_cut;	     /* one was passed on in pieces: never resumed */
 	uint64_t last_event; /* passed on */
 } request_t;
 
--- a/src/relay.c
+++ b/src/relay.c
@@ -16,6 +16,8 @@
 
 /* Answers above this are passed on piece by piece. */
 #define WHOLE_MAX (256u << 10)
+/* An event beyond this is passed on in pieces. */
+#define EVENT_MAX (256u << 10)
 /* Bytes that a slow caller has not taken; the target is not read meanwhile. */
 #define AHEAD_MAX (256u << 10)
 
@@ -188,8 +190,15 @@
 
 	buf_put(&r->event, piece.p, piece.n);
 	n = whole_events(buf_str(&r->event));
-	if (!n)
+	if (!n && r->event.n <= EVENT_MAX)
 		return;
+	if (!n) {
+		/* Memory for one request is bounded; it is not resumed then. */
+		r->event_cut = true;
+		pass_on(r, buf_str(&r->event), -1);
+		buf_reset(&r->event);
+		return;
+	}
 	note_ids(r, str_n(r->event.p, n));
 	pass_on(r, str_n(r->event.p, n), -1);
 	buf_eat(&r->event, n);
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -199,4 +199,23 @@
 	EXPECT_GE(w.runners[0].runs - before, 30u);
 }
 
+// The same text read for another model is no use.
+TEST(Dispatch, PromptPartsBelongToTheirModel)
+{
+	Dispatch__PromptPart part = DISPATCH__PROMPT_PART__INIT;
+	Dispatch__PromptPart *parts[] = {&part};
+	Dispatch__Ask a = DISPATCH__ASK__INIT;
+	part_keys_t one, other;
+
+	part.id = 7;
+	part.tokens = 100;
+	a.parts = parts;
+	a.n_parts = 1;
+	a.model = {4, (uint8_t *)"one1"};
+	part_keys(&a, &one);
+	a.model = {4, (uint8_t *)"two2"};
+	part_keys(&a, &other);
+	EXPECT_NE(one.key[0], other.key[0]);
+}
+
 } // namespace
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -551,6 +551,21 @@
 	EXPECT_TRUE(has(b.seen().at(0), "Last-Event-Id: 2\r\n"));
 }
 
+// An event that does not end is passed on in pieces, and not sent again.
+TEST(Gateway, EventsBeyondTheBoundAreNotKept)
+{
+	std::string piece = "data: " + std::string(600000, 'x');
+	Target a({{STREAM_HEAD + chunk("id: 1\ndata: a\n\n") + chunk(piece),
+		   true}});
+	Target b({{STREAM_HEAD + chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n"}});
+	World w({&a, &b});
+	std::string got = w.ask("/resume/x");
+
+	EXPECT_GT(got.size(), 300000u);
+	EXPECT_FALSE(has(got, "data: b"));
+	EXPECT_EQ(0u, b.seen().size());
+}
+
 TEST(Gateway, StreamThatMayNotBeResumedIsNot)
 {
 	Target a({{std::string(STREAM_HEAD) + chunk("id: 1\ndata: a\n\n"),
