Tests for faults that nothing caught; a longer way back is taken back

Each has a test now: what must not repeat where its route allows two attempts, two codings in one head, a runner that started again, orders before those of an earlier holder are out, orders after the lease, the decided version, an emptied disk that votes.

Tried and taken back: a daemon without a dispatcher told callers to come back after 1 s, when another is elected, not after 150 ms.

--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -218,4 +218,70 @@
 	EXPECT_NE(one.key[0], other.key[0]);
 }
 
+TEST(Dispatch, ARunnerThatStartedAgainHoldsNothing)
+{
+	World w(1, {});
+
+	w.run(1000 * MS, 0);
+	w.ask("a");
+	w.run(4000 * MS, 0);
+	TrueRunner *holder = nullptr;
+
+	for (auto &r : w.runners)
+		if (r.adapters.count("a"))
+			holder = &r;
+	ASSERT_NE(nullptr, holder);
+	w.restart(*holder);
+	w.run(1500 * MS, 0);
+	runner_t *r = fleet_find(w.d, str_c(holder->id.c_str()));
+
+	EXPECT_EQ(holder->born, r->born_ms);
+	EXPECT_EQ(nullptr, runner_copy(r, STR("base"), STR("a")));
+}
+
+// Until then those of an earlier holder may still be on their way.
+TEST(Dispatch, OrdersWaitForThoseOfAnEarlierHolder)
+{
+	World w(1, {});
+
+	w.run(1000 * MS, 0);
+	w.begin(false);
+	w.ask("a");
+	w.run(90 * MS, 0);
+	EXPECT_EQ(0u, w.loads);
+	w.run(500 * MS, 0);
+	EXPECT_EQ(1u, w.loads);
+}
+
+TEST(Dispatch, NoOrdersAfterTheLease)
+{
+	World w(1, {});
+
+	w.run(1000 * MS, 0);
+	w.leased = false;
+	w.run(1100 * MS, 0);
+	w.ask("a");
+	w.run(500 * MS, 0);
+	EXPECT_EQ(0u, w.loads);
+	w.leased = true;
+	w.run(100 * MS, 0);
+	EXPECT_EQ(1u, w.loads);
+}
+
+TEST(Dispatch, OnlyTheDecidedVersionServes)
+{
+	World w(1, {});
+
+	w.decide_version("a", 1);
+	w.run(1000 * MS, 0);
+	w.ask("a");
+	w.run(3000 * MS, 0);
+	w.decide_version("a", 2);
+	uint64_t id = w.ask("a");
+
+	w.run(1000 * MS, 0);
+	EXPECT_EQ(1, w.asks[id].grants);
+	EXPECT_EQ(2u, w.asks[id].version);
+}
+
 } // namespace
--- a/tests/dispatch_world.h
+++ b/tests/dispatch_world.h
@@ -69,6 +69,7 @@
 	std::string adapter;
 	int grants = 0;
 	int refusals = 0;
+	uint64_t version = 0; // granted
 	bool over = false;
 };
 
@@ -185,6 +186,7 @@
 	std::vector<std::string> faults_seen; // rules that were broken
 	size_t served = 0, refused = 0, missed = 0, loads = 0;
 	bool lists_flow = true;
+	bool leased = true;
 
       private:
 	static ProtobufCBinaryData bytes(const char *s)
@@ -529,6 +531,7 @@
 
 		if (w->asks[id].grants++)
 			return; // said twice
+		w->asks[id].version = version;
 		w->in(w->between(1, 2) * MS,
 		      [=]() { w->use(id, runner, version); });
 	}
@@ -654,7 +657,8 @@
 		}
 		if (chance(asks_per_s * per_step))
 			ask(some_adapter());
-		dispatch_lease(d, now + 1000 * MS);
+		if (leased)
+			dispatch_lease(d, now + 1000 * MS);
 		dispatch_tick(d, now);
 	}
 	std::string some_adapter()
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -239,6 +239,7 @@
 			uint32_t attempts;
 		} routes[] = {
 			{"/once/", ROUTE_NON_IDEMPOTENT, false, 1},
+			{"/twice/", ROUTE_NON_IDEMPOTENT, false, 2},
 			{"/again/", ROUTE_IDEMPOTENT, false, 2},
 			{"/stream/", ROUTE_STREAMING, false, 1},
 			{"/resume/", ROUTE_STREAMING, true, 2},
@@ -381,6 +382,17 @@
 	EXPECT_EQ(std::vector<int>{PLACE_BROKEN}, w.outcomes());
 }
 
+// Whatever number of attempts its route allows.
+TEST(Gateway, WhatMustNotRepeatHasOneAttempt)
+{
+	Target a({{"", true}});
+	Target b({good()});
+	World w({&a, &b});
+
+	EXPECT_EQ(502, status(w.ask("/twice/x")));
+	EXPECT_EQ(0u, b.seen().size());
+}
+
 TEST(Gateway, WhatMayRepeatIsTriedAgain)
 {
 	Target t({{"", false, true, false}});
--- a/tests/http1_test.cc
+++ b/tests/http1_test.cc
@@ -139,6 +139,8 @@
 		"4\r\n\r\nabcd",
 		"POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"
 		"0\r\n\r\n",
+		"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
+		"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
 		"POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n"
 		"0\r\n\r\n",
 		"GET / HTTP/1.1\nHost: h\n\n",
--- a/tests/state_test.cc
+++ b/tests/state_test.cc
@@ -138,6 +138,34 @@
 	}
 }
 
+// A disk that lost what it had acknowledged must not elect a leader without it.
+TEST(State, EmptiedDiskElectsNobodyWhoMissesWhatWasDecided)
+{
+	Net::Options o;
+	o.learners = 0;
+	Net net(o);
+
+	net.start_all();
+	net.run(4000000);
+	Daemon *lead = net.leader();
+	ASSERT_NE(nullptr, lead);
+	host_id_t stale = lead->id % 3 + 1;
+	host_id_t other = stale % 3 + 1;
+
+	net.stop(net.at(stale));
+	ASSERT_EQ(CHANGE_DECIDED,
+		  change(net, lead->id, "a", publish("a", 0)).status);
+	net.stop(*lead);
+	net.wipe(net.at(other));
+	net.start(net.at(other));
+	net.start(net.at(stale));
+	net.run(20000000);
+	EXPECT_EQ(nullptr, net.leader());
+	net.start(*lead);
+	EXPECT_TRUE(net.run_until(30000000, [&] { return all_at(net, 1); }));
+	expect_clean(net);
+}
+
 TEST(State, CutOffLeaderKeepsNobodyFresh)
 {
 	Net net(Net::Options{});
