Property runs: hosts that join and replace voters, disks lost at an acknowledgement

The histories of the state core knew voters named by operators only; on the users' platform hosts with a disk join and replace each other by themselves, and only the first start founds a log. SparesTakeOver plays that, and all properties have two steps more: a disk that goes in the moment of an acknowledgement, and all hosts that start again at once.

DeafVoterDoesNotEndATerm: without the check that a leader lives, which the table of deliberate faults had as caught by nothing, it fails.

--- a/src/choice.c
+++ b/src/choice.c
@@ -53,7 +53,6 @@
 /* Some requests fail wherever they are sent. */
 #define FAILING_USUAL 0.15
 #define RETRY_MIN_US (150 * USEC_PER_MSEC)
-/* Where there is no dispatcher: by then another is elected. */
 #define RETRY_MAX_US (2 * USEC_PER_SEC)
 /* The part of a runner's memory that prompts and answers may take. */
 #define MEMORY_SHARE 0.95
--- a/tests/state_fuzz.cc
+++ b/tests/state_fuzz.cc
@@ -17,6 +17,8 @@
 	FAIL_SYNC,
 	RESTART,
 	WIPE,
+	WIPE_AFTER_ACK,
+	RESTART_ALL,
 	ISOLATE,
 	SPLIT,
 	ONE_WAY,
@@ -35,10 +37,11 @@
 };
 
 static const char *const step_names[] = {
-	"propose", "race",    "resend",	       "burst",	    "take",
-	"answer",  "crash",   "crash_at_sync", "fail_sync", "restart",
-	"wipe",	   "isolate", "split",	       "one_way",   "heal",
-	"pause",   "leave",   "lossy",	       "run_short", "run_long",
+	"propose",   "race",	       "resend",	"burst",     "take",
+	"answer",    "crash",	       "crash_at_sync", "fail_sync", "restart",
+	"wipe",	     "wipe_after_ack", "restart_all",	"isolate",   "split",
+	"one_way",   "heal",	       "pause",		"leave",     "lossy",
+	"run_short", "run_long",
 };
 
 static void showValue(const Step &s, std::ostream &os)
@@ -247,6 +250,16 @@
 				net.start(v);
 			}
 			break;
+		case WIPE_AFTER_ACK:
+			if (may_wipe())
+				wipe_after_ack(v, d);
+			break;
+		case RESTART_ALL:
+			for (auto &x : net.daemons)
+				net.stop(*x);
+			for (auto &x : net.daemons)
+				restart(*x);
+			break;
 		case ISOLATE:
 			net.isolate(d.id, true);
 			break;
@@ -287,6 +300,23 @@
 		net.run((int64_t)(s.b % 10) * 10000);
 	}
 
+	// The disk goes in the very moment in which a change is acknowledged.
+	void wipe_after_ack(Daemon &v, Daemon &at)
+	{
+		if (!at.st || at.paused)
+			return;
+		propose(at, newest());
+		uint64_t tag = net.changes.rbegin()->first;
+
+		if (!net.run_until(2 * SEC,
+				   [&] { return net.changes[tag].done; }) ||
+		    !may_wipe())
+			return;
+		wiped.insert(v.id);
+		net.wipe(v);
+		net.start(v);
+	}
+
 	static bool side(host_id_t id, const Step &s)
 	{
 		return (s.a + s.b * 7) >> (id % 6) & 1;
@@ -574,6 +604,19 @@
 	check_history(o, steps);
 }
 
+// Hosts with a disk that join, and take the place of voters that stay away.
+RC_GTEST_PROP(StateFuzz, SparesTakeOver, (std::vector<Step> steps))
+{
+	Net::Options o;
+
+	o.seed = *rc::gen::noShrink(rc::gen::arbitrary<uint64_t>());
+	o.spares = *rc::gen::inRange(1, 3);
+	o.auto_voters = 3;
+	o.learners = 2;
+	o.snapshot_entries = *rc::gen::element(8u, 64u);
+	check_history(o, steps);
+}
+
 RC_GTEST_PROP(StateFuzz, OneVoter, (std::vector<Step> steps))
 {
 	Net::Options o;
@@ -582,7 +625,7 @@
 	o.voters = 1;
 	// Its disk is the only copy.
 	for (auto &s : steps)
-		if (s.kind == WIPE)
+		if (s.kind == WIPE || s.kind == WIPE_AFTER_ACK)
 			s.kind = RESTART;
 	check_history(o, steps);
 }
--- a/tests/state_net.h
+++ b/tests/state_net.h
@@ -32,6 +32,7 @@
 	state_t *st = nullptr;
 	bool dying = false; // crashed inside a callback; ends after it
 	bool paused = false;
+	bool started = false; // once, at least
 	decided_t *tables = nullptr;
 	standing_t standing = {};
 	std::vector<host_id_t> live;
@@ -84,6 +85,9 @@
 		uint32_t drift_ppm = 0;
 		uint64_t snapshot_entries = 64;
 		uint32_t fanout = 2;
+		// As on the users' platform: hosts with a disk join and replace
+		// each other without operators, and only the first start founds.
+		uint32_t auto_voters = 0;
 		// Whom a daemon asks first; empty: the first voters.
 		std::vector<host_id_t> seeds;
 	};
@@ -147,6 +151,9 @@
 		cfg.drift_ppm = opt.drift_ppm;
 		cfg.snapshot_entries = opt.snapshot_entries;
 		cfg.fanout = opt.fanout;
+		cfg.auto_voters = opt.auto_voters;
+		cfg.no_founding = opt.auto_voters && d.started;
+		d.started = true;
 		d.timers = timer_svc_new_virtual(d.local(now_us));
 		d.dying = false;
 		d.paused = false;
--- a/tests/state_test.cc
+++ b/tests/state_test.cc
@@ -166,6 +166,24 @@
 	expect_clean(net);
 }
 
+// A voter that does not hear the leader deposes nobody whom the others hear.
+TEST(State, DeafVoterDoesNotEndATerm)
+{
+	Net net(Net::Options{});
+
+	net.start_all();
+	net.run(4000000);
+	Daemon *lead = net.leader();
+	ASSERT_NE(nullptr, lead);
+	uint64_t term = lead->standing.term;
+
+	net.block(lead->id, lead->id % 3 + 1, true);
+	net.run(5000000);
+	ASSERT_EQ(lead, net.leader());
+	EXPECT_EQ(term, lead->standing.term);
+	expect_clean(net);
+}
+
 TEST(State, CutOffLeaderKeepsNobodyFresh)
 {
 	Net net(Net::Options{});
