--- a/src/choice.c
+++ b/src/choice.c
@@ -31,8 +31,8 @@
 #define COST_STORE 330.0 /* an adapter brought from the weight store */
 #define COST_HOST 15.0	 /* an adapter that the runner held recently */
 #define COST_COMING 10.0 /* each adapter that is on its way there already */
-/* An adapter that gives way is brought again if it is asked for; it costs half of
- * that if it was unused for so long. */
+/* An adapter that gives way is brought again if it is asked for; it costs half
+ * of that if it was unused for so long. */
 #define EVICT_HALF_US (1 * USEC_PER_SEC)
 #define COST_STREAM 1.0 /* one more beside each stream that runs */
 
@@ -64,10 +64,10 @@
 
 typedef struct offer {
 	double cost;
-	load_room_t room; /* where the adapter has to be loaded */
-	int64_t first_us; /* until the first event */
-	int64_t read_us;  /* the part of it that prompts take to be read */
-	int64_t room_us;  /* until it may be granted; 0: now */
+	load_room_t load_room; /* where the adapter has to be loaded */
+	int64_t first_us;      /* until the first event */
+	int64_t read_us;       /* the part of it that prompts take to be read */
+	int64_t room_us;       /* until it may be granted; 0: now */
 	bool load;
 } offer_t;
 
@@ -151,13 +151,13 @@
 	if (c && c->state != COPY_READY)
 		return orders_load_us(d, r, adapter, q->version);
 	o->load = true;
-	o->room = orders_room(d, r, now_us);
+	o->load_room = orders_room(d, r, now_us);
 	/* A successor has to wait for the runs on what it replaces. */
-	if (!may_load || (c ? c->users > 0 : !o->room.any))
+	if (!may_load || (c ? c->users > 0 : !o->load_room.any))
 		return -1;
 	/* A runner takes in only so many at a time. */
 	return orders_load_us(d, r, adapter, q->version) +
-	       d->adapter_us * (o->room.coming / ADAPTERS_COMING_MAX);
+	       d->adapter_us * (o->load_room.coming / ADAPTERS_COMING_MAX);
 }
 
 /* What loading the adapter there costs. */
@@ -228,7 +228,7 @@
 		  (double)place_us / USEC_PER_MSEC * COST_QUEUE_PER_MS +
 		  r->n_places * COST_STREAM;
 	if (o->load)
-		o->cost += load_cost(r, q, &o->room);
+		o->cost += load_cost(r, q, &o->load_room);
 	return true;
 }
 
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -249,20 +249,28 @@
 	http1_send(c->conn, out.p, out.n);
 }
 
+/* r: NULL where the request was not taken at all. */
+static void log_refused(str_t id, const request_t *r, reason_t reason)
+{
+	const reason_info_t *info = reason_info(reason);
+	bool begun = r && (r->head_sent || r->spare.n);
+
+	log_event(LOG_INFO, "refused", kv_s("id", id),
+		  kv_s("route", r ? r->route->name : str_n(NULL, 0)),
+		  KV_C("reason", info->name),
+		  kv_i("status", begun ? 0 : info->http_status),
+		  KV_C("run", run_name(info->run)),
+		  kv_u("tries", r ? r->tries : 0),
+		  kv_i("after_ms", r ? age_ms(r) : 0));
+}
+
 void request_refuse(request_t *r, reason_t reason, int64_t retry_us)
 {
 	caller_t *c = r->caller;
 	bool reading = r->state == REQUEST_READING;
 
 	r->state = REQUEST_OVER;
-	log_event(LOG_INFO, "refused", kv_s("id", r->info.id),
-		  kv_s("route", r->route->name),
-		  KV_C("reason", reason_info(reason)->name),
-		  kv_i("status", r->head_sent || r->spare.n
-					 ? 0
-					 : reason_info(reason)->http_status),
-		  KV_C("run", run_name(reason_info(reason)->run)),
-		  kv_u("tries", r->tries), kv_i("after_ms", age_ms(r)));
+	log_refused(r->info.id, r, reason);
 	if (!c) {
 		request_free(r);
 		return;
@@ -595,12 +603,7 @@
 	if (reason != REASON_NONE) {
 		bool close = h->length != 0 || h->chunked || !h->keep_alive;
 
-		log_event(LOG_INFO, "refused", kv_s("id", info.id),
-			  KV_C("route", ""),
-			  KV_C("reason", reason_info(reason)->name),
-			  kv_i("status", reason_info(reason)->http_status),
-			  KV_C("run", run_name(reason_info(reason)->run)),
-			  kv_u("tries", 0), kv_i("after_ms", 0));
+		log_refused(info.id, NULL, reason);
 		answer(c, info.id, reason, 0, close);
 		if (close) {
 			http1_finish(c->conn);
--- a/src/orders.c
+++ b/src/orders.c
@@ -40,8 +40,8 @@
 /* Between two loads of models from the store. */
 #define MODEL_GAP_MIN_US (400 * USEC_PER_MSEC)
 
-/* Whether more than usual was asked of the store while the copy was on its way,
- * so that all took longer. */
+/* Whether more than usual was asked of the store while the copy was on its
+ * way, so that all took longer. */
 static bool met_trial(const dispatch_t *d, const copy_t *c, int64_t now_us)
 {
 	return d->trial_ends_us && now_us > d->trial_ends_us - TRIAL_US &&
@@ -84,8 +84,8 @@
 		d->adapter_us = ADAPTER_MIN_US;
 }
 
-/* How long the store lets one more adapter wait: each place is free again once in
- * the time that a load takes. */
+/* How long the store lets one more adapter wait: each of its places is free
+ * again once in the time that a load takes. */
 static int64_t store_wait_us(const dispatch_t *d)
 {
 	uint32_t ahead = d->loading + d->wanted;
--- a/src/rlog.c
+++ b/src/rlog.c
@@ -14,7 +14,7 @@
 #define WINDOW_RECORDS 8192u
 /* Wanted rounds are at least heartbeat / ROUND_DIV apart. */
 #define ROUND_DIV 4
-/* Part of the election timeout after which a host that starts asks for votes. */
+/* A host that starts asks for votes after this part of the election timeout. */
 #define START_ELECTION_PART 4
 
 uint64_t rlog_random(rlog_t *l)
