Read-through: what was written twice, and work for runners that offer nothing

No behaviour meant to change. The two ways in which events are passed on share their end.

Tests are as they were and pass: dispatch_test, gateway_test, dispatch_fuzz.

--- a/src/choice.c
+++ b/src/choice.c
@@ -93,23 +93,26 @@
 	return READ_TOKENS_PER_MS / (double)USEC_PER_MSEC / r->pace;
 }
 
+/* What is left now of the tokens that were granted to be read. */
+static double recent_left(const runner_t *r, int64_t now_us)
+{
+	double left = r->recent_tokens -
+		      (double)(now_us - r->recent_us) * read_rate(r);
+
+	return MAX(left, 0);
+}
+
 /* Tokens that the runner has yet to read, or has read just now. */
 static double reading(const runner_t *r, int64_t now_us)
 {
-	double recent = r->recent_tokens -
-			(double)(now_us - r->recent_us) * read_rate(r);
+	double left = recent_left(r, now_us);
 
-	if (recent < (double)r->unread_tokens)
-		recent = (double)r->unread_tokens;
-	return recent > 0 ? recent : 0;
+	return MAX(left, (double)r->unread_tokens);
 }
 
 void choice_note_grant(runner_t *r, uint32_t unread, int64_t now_us)
 {
-	double recent = r->recent_tokens -
-			(double)(now_us - r->recent_us) * read_rate(r);
-
-	r->recent_tokens = (recent > 0 ? recent : 0) + unread;
+	r->recent_tokens = recent_left(r, now_us) + unread;
 	r->recent_us = now_us;
 }
 
@@ -122,19 +125,12 @@
 	part_keys_t parts;
 } query_t;
 
-static uint64_t wanted_version(const dispatch_t *d, const Dispatch__Ask *a)
-{
-	return decided_version(d,
-			       copy_key(pb_str(a->model), pb_str(a->adapter)));
-}
-
 /* Time until the adapter can be used there; -1: it cannot be had. */
 static int64_t adapter_wait_us(const dispatch_t *d, const runner_t *r,
 			       const query_t *q, offer_t *o, int64_t now_us)
 {
 	const copy_t *c = runner_find(r, q->model_key);
 	str_t adapter = pb_str(q->a->adapter);
-	bool may_load = d->mode == DISPATCH_ALL;
 
 	o->load = false;
 	if (!c || c->state != COPY_READY)
@@ -150,10 +146,12 @@
 		return c->ready_us > now_us ? c->ready_us - now_us : 0;
 	if (c && c->state != COPY_READY)
 		return orders_load_us(d, r, adapter, q->version);
+	if (d->mode != DISPATCH_ALL)
+		return -1;
 	o->load = true;
 	o->load_room = orders_room(d, r, now_us);
 	/* A successor has to wait for the runs on what it replaces. */
-	if (!may_load || (c ? c->users > 0 : !o->load_room.any))
+	if (c ? c->users > 0 : !o->load_room.any)
 		return -1;
 	/* A runner takes in only so many at a time. */
 	return orders_load_us(d, r, adapter, q->version) +
@@ -196,34 +194,33 @@
 			 read_rate(r));
 }
 
-static int64_t later(int64_t a, int64_t b)
-{
-	return a > b ? a : b;
-}
-
 static bool engine_offer(const dispatch_t *d, const service_t *s,
 			 const runner_t *r, const query_t *q, int64_t now_us,
 			 offer_t *o)
 {
 	const Dispatch__Ask *a = q->a;
-	int64_t wait_us = adapter_wait_us(d, r, q, o, now_us);
-	double unread = (double)runner_unread(r, a, &q->parts);
-	double ahead = reading(r, now_us);
 	double memory = (double)s->kv_tokens * MEMORY_SHARE;
-	int64_t own_us = FIRST_EVENT_US + (int64_t)(unread / read_rate(r));
-	int64_t place_us = place_wait_us(d, s, r);
+	int64_t wait_us = adapter_wait_us(d, r, q, o, now_us);
+	int64_t place_us, read_room_us, own_us, begin_us;
+	double unread, ahead;
 
 	if (wait_us < 0)
 		return false;
 	if (memory > 0 &&
 	    (double)(r->held_tokens + a->tokens_in + a->tokens_out) > memory)
 		return false;
-	o->room_us = later(place_us, read_wait_us(d, r, ahead, unread));
+	unread = (double)runner_unread(r, a, &q->parts);
+	ahead = reading(r, now_us);
+	place_us = place_wait_us(d, s, r);
+	read_room_us = read_wait_us(d, r, ahead, unread);
+	o->room_us = MAX(place_us, read_room_us);
 	o->read_us = FIRST_EVENT_US + r->n_places * STREAM_US +
 		     (int64_t)((ahead + unread) / read_rate(r));
+	own_us = FIRST_EVENT_US + (int64_t)(unread / read_rate(r));
 	/* Prompts ahead are read while the adapter is on its way, or a place
 	 * becomes free. */
-	o->first_us = later(o->read_us, later(wait_us, place_us) + own_us);
+	begin_us = MAX(wait_us, place_us);
+	o->first_us = MAX(o->read_us, begin_us + own_us);
 	o->cost = (double)o->first_us / USEC_PER_MSEC * COST_PER_MS +
 		  (double)place_us / USEC_PER_MSEC * COST_QUEUE_PER_MS +
 		  r->n_places * COST_STREAM;
@@ -277,11 +274,6 @@
 	return (int64_t)((double)a->target_us * share);
 }
 
-static int64_t clamp_us(int64_t v, int64_t lo, int64_t hi)
-{
-	return v < lo ? lo : v > hi ? hi : v;
-}
-
 /* How long a request may still take. */
 typedef struct margin {
 	int64_t read_us;  /* for its prompt, of its objective */
@@ -346,9 +338,9 @@
 		.a = a,
 		.model_key = copy_key(model, str_n(NULL, 0)),
 		.adapter_key = copy_key(model, pb_str(a->adapter)),
-		.version = wanted_version(d, a),
 	};
 
+	q.version = decided_version(d, q.adapter_key);
 	part_keys(a, &q.parts);
 	return q;
 }
@@ -390,8 +382,8 @@
 	best.load = taken.load;
 	best.read_us = taken.read_us;
 	if (taken.cost >= HOPELESS) {
-		best.retry_us = clamp_us(taken.read_us - margin.read_us,
-					 RETRY_MIN_US, RETRY_MAX_US);
+		best.retry_us = CLAMP(taken.read_us - margin.read_us,
+				      RETRY_MIN_US, RETRY_MAX_US);
 		best.reason = REASON_CANNOT_BE_ON_TIME;
 		best.runner = NULL;
 	}
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -130,11 +130,6 @@
 	return true;
 }
 
-static int64_t earlier(int64_t a, int64_t b)
-{
-	return a < b ? a : b;
-}
-
 /* Messages. */
 
 static void send_refusal(dispatch_t *d, const place_key_t *key, reason_t reason,
@@ -462,7 +457,7 @@
 	if (!ask_find(d, key))
 		return;
 	send_waiting(d, key);
-	d->decide_due_us = earlier(d->decide_due_us, now_us + QUEUE_US);
+	d->decide_due_us = MIN(d->decide_due_us, now_us + QUEUE_US);
 }
 
 /* Messages of entries. */
@@ -885,6 +880,5 @@
 			if (r->n_places)
 				sweep_runner(d, r, now_us);
 	}
-	return earlier(d->sweep_due_us,
-		       earlier(d->orders_due_us, d->decide_due_us));
+	return MIN(d->sweep_due_us, MIN(d->orders_due_us, d->decide_due_us));
 }
--- a/src/orders.c
+++ b/src/orders.c
@@ -65,7 +65,7 @@
 		return;
 	}
 	if (d->adapter_us < shown)
-		d->adapter_us = shown < ADAPTER_MAX_US ? shown : ADAPTER_MAX_US;
+		d->adapter_us = MIN(shown, ADAPTER_MAX_US);
 }
 
 void orders_learn_time(dispatch_t *d, copy_t *c, bool refused, int64_t now_us)
@@ -80,8 +80,7 @@
 		return;
 	c->fresh = false;
 	d->adapter_us -= LEARN_DOWN_US;
-	if (d->adapter_us < ADAPTER_MIN_US)
-		d->adapter_us = ADAPTER_MIN_US;
+	d->adapter_us = MAX(d->adapter_us, ADAPTER_MIN_US);
 }
 
 /* How long the store lets one more adapter wait: each of its places is free
@@ -109,7 +108,7 @@
 	return runner_held_recently(r, c->adapter, decided_version(d, c->key));
 }
 
-static uint32_t slots_of(const dispatch_t *d, const runner_t *r)
+static uint32_t adapter_slots(const dispatch_t *d, const runner_t *r)
 {
 	const service_t *s =
 		d->manifest ? manifest_service(d->manifest, r->service) : NULL;
@@ -161,7 +160,7 @@
 load_room_t orders_room(const dispatch_t *d, const runner_t *r, int64_t now_us)
 {
 	load_room_t room = {.idle_us = INT64_MAX};
-	uint32_t slots = slots_of(d, r);
+	uint32_t slots = adapter_slots(d, r);
 	const copy_t *victim;
 	const copy_t *c;
 	uint32_t taken = 0;
@@ -345,7 +344,7 @@
 {
 	copy_t *victim;
 
-	if (!c->adapter.n || adapters_held(r) < slots_of(d, r)) {
+	if (!c->adapter.n || adapters_held(r) < adapter_slots(d, r)) {
 		give(d, r, c, true, now_us);
 		return;
 	}
--- a/src/relay.c
+++ b/src/relay.c
@@ -190,16 +190,15 @@
 
 	buf_put(&r->event, piece.p, piece.n);
 	n = whole_events(buf_str(&r->event));
-	if (!n && r->event.n <= EVENT_MAX)
-		return;
-	if (!n) {
+	if (!n && r->event.n > EVENT_MAX) {
 		/* Memory for one request is bounded; it is not resumed then. */
 		r->event_cut = true;
-		pass_on(r, buf_str(&r->event), -1);
-		buf_reset(&r->event);
-		return;
+		n = r->event.n;
+	} else if (n) {
+		note_ids(r, str_n(r->event.p, n));
 	}
-	note_ids(r, str_n(r->event.p, n));
+	if (!n)
+		return;
 	pass_on(r, str_n(r->event.p, n), -1);
 	buf_eat(&r->event, n);
 }
