--- a/src/fleet.c
+++ b/src/fleet.c
@@ -359,10 +359,10 @@
 	if (!c) {
 		c = runner_add_copy(d, r, a->model, a->adapter,
 				    a->coming ? COPY_LOADING : COPY_READY);
-		c->ready_us =
-			a->coming ? now_us + orders_load_us(d, r, a->adapter,
-							    a->version)
-				  : now_us;
+		copy_due(c,
+			 now_us + (a->coming ? orders_load_us(d, r, a->adapter,
+							      a->version)
+					     : 0));
 		c->version = a->version;
 		return;
 	}
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -284,4 +284,26 @@
 	EXPECT_EQ(2u, w.asks[id].version);
 }
 
+// One that an earlier dispatcher had ordered is waited for like one's own.
+TEST(Dispatch, AnAdapterFoundComingIsDueWhenItIsExpected)
+{
+	Sizes sizes;
+
+	sizes.n_runners = 1;
+	sizes.load_us = 2000 * MS;
+	World w(1, {}, sizes);
+
+	w.run(1000 * MS, 0);
+	w.ask("a");
+	w.run(50 * MS, 0);
+	w.begin(false);
+	w.ask("b");
+	w.run(800 * MS, 0);
+	copy_t *c =
+		runner_copy(fleet_find(w.d, STR("i-0")), STR("base"), STR("a"));
+
+	ASSERT_NE(nullptr, c);
+	EXPECT_EQ(c->ready_us, c->due_us);
+}
+
 } // namespace
