--- a/proto/state.pb-c.c
+++ b/proto/state.pb-c.c
@@ -862,6 +862,51 @@
   assert(message->base.descriptor == &peer__leads__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   peer__handover__init
+                     (Peer__Handover         *message)
+{
+  static const Peer__Handover init_value = PEER__HANDOVER__INIT;
+  *message = init_value;
+}
+size_t peer__handover__get_packed_size
+                     (const Peer__Handover *message)
+{
+  assert(message->base.descriptor == &peer__handover__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__handover__pack
+                     (const Peer__Handover *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__handover__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__handover__pack_to_buffer
+                     (const Peer__Handover *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__handover__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__Handover *
+       peer__handover__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__Handover *)
+     protobuf_c_message_unpack (&peer__handover__descriptor,
+                                allocator, len, data);
+}
+void   peer__handover__free_unpacked
+                     (Peer__Handover *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__handover__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   peer__feed_pull__init
                      (Peer__FeedPull         *message)
 {
@@ -1374,7 +1419,7 @@
   (ProtobufCMessageInit) peer__snapshot_file__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__vote_req__field_descriptors[5] =
+static const ProtobufCFieldDescriptor peer__vote_req__field_descriptors[6] =
 {
   {
     "term",
@@ -1436,8 +1481,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "handover",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__VoteReq, handover),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__vote_req__field_indices_by_name[] = {
+  5,   /* field[5] = handover */
   1,   /* field[1] = last_index */
   2,   /* field[2] = last_term */
   4,   /* field[4] = log_id */
@@ -1447,7 +1505,7 @@
 static const ProtobufCIntRange peer__vote_req__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor peer__vote_req__descriptor =
 {
@@ -1457,7 +1515,7 @@
   "Peer__VoteReq",
   "peer",
   sizeof(Peer__VoteReq),
-  5,
+  6,
   peer__vote_req__field_descriptors,
   peer__vote_req__field_indices_by_name,
   1,  peer__vote_req__number_ranges,
@@ -2895,6 +2953,57 @@
   (ProtobufCMessageInit) peer__leads__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor peer__handover__field_descriptors[2] =
+{
+  {
+    "term",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Handover, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "idle",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Handover, idle),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__handover__field_indices_by_name[] = {
+  1,   /* field[1] = idle */
+  0,   /* field[0] = term */
+};
+static const ProtobufCIntRange peer__handover__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor peer__handover__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.Handover",
+  "Handover",
+  "Peer__Handover",
+  "peer",
+  sizeof(Peer__Handover),
+  2,
+  peer__handover__field_descriptors,
+  peer__handover__field_indices_by_name,
+  1,  peer__handover__number_ranges,
+  (ProtobufCMessageInit) peer__handover__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor peer__feed_pull__field_descriptors[4] =
 {
   {
@@ -3113,7 +3222,7 @@
   (ProtobufCMessageInit) peer__feed_chunk__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__msg__field_descriptors[15] =
+static const ProtobufCFieldDescriptor peer__msg__field_descriptors[16] =
 {
   {
     "vote_req",
@@ -3295,6 +3404,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "handover",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Msg, body_case),
+    offsetof(Peer__Msg, handover),
+    &peer__handover__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__msg__field_indices_by_name[] = {
   2,   /* field[2] = append */
@@ -3302,6 +3423,7 @@
   13,   /* field[13] = feed_chunk */
   11,   /* field[11] = feed_pull */
   12,   /* field[12] = feed_push */
+  15,   /* field[15] = handover */
   6,   /* field[6] = join */
   14,   /* field[14] = leads */
   9,   /* field[9] = propose */
@@ -3316,7 +3438,7 @@
 static const ProtobufCIntRange peer__msg__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor peer__msg__descriptor =
 {
@@ -3326,7 +3448,7 @@
   "Peer__Msg",
   "peer",
   sizeof(Peer__Msg),
-  15,
+  16,
   peer__msg__field_descriptors,
   peer__msg__field_indices_by_name,
   1,  peer__msg__number_ranges,
--- a/proto/state.pb-c.h
+++ b/proto/state.pb-c.h
@@ -34,6 +34,7 @@
 typedef struct Peer__Propose Peer__Propose;
 typedef struct Peer__ProposeRes Peer__ProposeRes;
 typedef struct Peer__Leads Peer__Leads;
+typedef struct Peer__Handover Peer__Handover;
 typedef struct Peer__FeedPull Peer__FeedPull;
 typedef struct Peer__FeedPush Peer__FeedPush;
 typedef struct Peer__FeedChunk Peer__FeedChunk;
@@ -144,10 +145,14 @@
   uint64_t last_term;
   protobuf_c_boolean pre;
   uint64_t log_id;
+  /*
+   * the leader has asked the sender to take over
+   */
+  protobuf_c_boolean handover;
 };
 #define PEER__VOTE_REQ__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__vote_req__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 struct  Peer__VoteRes
@@ -431,7 +436,8 @@
 
 
 /*
- * From the leader to a seed that has no session.
+ * From the leader to the hosts that may not know it: at the beginning of its
+ * term to all that had a session, later to seeds without one.
  */
 struct  Peer__Leads
 {
@@ -443,6 +449,23 @@
     , 0 }
 
 
+/*
+ * From a leader that shuts down to the voter that is to lead next.
+ */
+struct  Peer__Handover
+{
+  ProtobufCMessage base;
+  uint64_t term;
+  /*
+   * no work that the sender began as leader is outstanding
+   */
+  protobuf_c_boolean idle;
+};
+#define PEER__HANDOVER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__handover__descriptor) \
+    , 0, 0 }
+
+
 /*
  * From child to parent: position and heartbeat.
  */
@@ -516,7 +539,8 @@
   PEER__MSG__BODY_FEED_PULL = 12,
   PEER__MSG__BODY_FEED_PUSH = 13,
   PEER__MSG__BODY_FEED_CHUNK = 14,
-  PEER__MSG__BODY_LEADS = 15
+  PEER__MSG__BODY_LEADS = 15,
+  PEER__MSG__BODY_HANDOVER = 16
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PEER__MSG__BODY__CASE)
 } Peer__Msg__BodyCase;
 
@@ -540,6 +564,7 @@
     Peer__FeedPush *feed_push;
     Peer__FeedChunk *feed_chunk;
     Peer__Leads *leads;
+    Peer__Handover *handover;
   };
 };
 #define PEER__MSG__INIT \
@@ -908,6 +933,25 @@
 void   peer__leads__free_unpacked
                      (Peer__Leads *message,
                       ProtobufCAllocator *allocator);
+/* Peer__Handover methods */
+void   peer__handover__init
+                     (Peer__Handover         *message);
+size_t peer__handover__get_packed_size
+                     (const Peer__Handover   *message);
+size_t peer__handover__pack
+                     (const Peer__Handover   *message,
+                      uint8_t             *out);
+size_t peer__handover__pack_to_buffer
+                     (const Peer__Handover   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__Handover *
+       peer__handover__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__handover__free_unpacked
+                     (Peer__Handover *message,
+                      ProtobufCAllocator *allocator);
 /* Peer__FeedPull methods */
 void   peer__feed_pull__init
                      (Peer__FeedPull         *message);
@@ -1043,6 +1087,9 @@
 typedef void (*Peer__Leads_Closure)
                  (const Peer__Leads *message,
                   void *closure_data);
+typedef void (*Peer__Handover_Closure)
+                 (const Peer__Handover *message,
+                  void *closure_data);
 typedef void (*Peer__FeedPull_Closure)
                  (const Peer__FeedPull *message,
                   void *closure_data);
@@ -1080,6 +1127,7 @@
 extern const ProtobufCMessageDescriptor peer__propose__descriptor;
 extern const ProtobufCMessageDescriptor peer__propose_res__descriptor;
 extern const ProtobufCMessageDescriptor peer__leads__descriptor;
+extern const ProtobufCMessageDescriptor peer__handover__descriptor;
 extern const ProtobufCMessageDescriptor peer__feed_pull__descriptor;
 extern const ProtobufCMessageDescriptor peer__feed_push__descriptor;
 extern const ProtobufCMessageDescriptor peer__feed_chunk__descriptor;
--- a/src/choice.c
+++ b/src/choice.c
@@ -178,7 +178,8 @@
 	if (c && c->state == COPY_LOADING)
 		return c->ready_us > now_us ? c->ready_us - now_us : 0;
 	if (c && c->state != COPY_READY)
-		return orders_estimate_load_us(d, r, adapter, q->version);
+		return orders_estimate_wanted_us(d, r, adapter, q->version,
+						 now_us);
 	if (d->mode != DISPATCH_LEADER)
 		return -1;
 	offer->needs_load = true;
@@ -187,7 +188,7 @@
 	if (c ? c->active_grants > 0 : !offer->load_room.possible)
 		return -1;
 	/* A runner loads only RUNNER_LOADS_MAX adapters at the same time. */
-	return orders_estimate_load_us(d, r, adapter, q->version) +
+	return orders_estimate_wanted_us(d, r, adapter, q->version, now_us) +
 	       d->adapter_load_us *
 		       (offer->load_room.n_loading / RUNNER_LOADS_MAX);
 }
@@ -404,6 +405,7 @@
 	choice_t choice = {.reason = REASON_NO_TARGET,
 			   .retry_us = RETRY_MIN_US};
 	margin_t margin = margin_of(ask, waited_us, load_waited_us);
+	int64_t late_us;
 	offer_t best_offer = {0};
 	query_t q;
 	runner_t *r;
@@ -433,9 +435,10 @@
 	choice.needs_load = best_offer.needs_load;
 	choice.prefill_us = best_offer.prefill_us;
 	if (best_offer.cost >= COST_TOO_LATE) {
-		choice.retry_us =
-			CLAMP(best_offer.prefill_us - margin.prefill_us,
-			      RETRY_MIN_US, RETRY_MAX_US);
+		late_us =
+			MAX(best_offer.prefill_us - margin.prefill_us,
+			    best_offer.first_event_us - margin.first_event_us);
+		choice.retry_us = CLAMP(late_us, RETRY_MIN_US, RETRY_MAX_US);
 		choice.reason = REASON_CANNOT_BE_ON_TIME;
 		choice.runner = NULL;
 	}
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -78,6 +78,7 @@
 	d->adapter_versions = g_hash_table_new(NULL, NULL);
 	CDS_INIT_LIST_HEAD(&d->runners);
 	CDS_INIT_LIST_HEAD(&d->pending);
+	CDS_INIT_LIST_HEAD(&d->early_held);
 	CDS_INIT_LIST_HEAD(&d->budgets);
 	return d;
 }
@@ -527,9 +528,27 @@
 	grant_mark_started(g);
 }
 
+static void early_held_free(early_held_t *e)
+{
+	cds_list_del(&e->node);
+	dispatch__msg__free_unpacked(e->msg, NULL);
+	free(e);
+}
+
+static early_held_t *early_held_find(dispatch_t *d, const request_key_t *key)
+{
+	early_held_t *e;
+
+	cds_list_for_each_entry (e, &d->early_held, node)
+		if (request_key_equal(&e->key, key))
+			return e;
+	return NULL;
+}
+
 static void on_done(dispatch_t *d, const request_key_t *key,
 		    const Dispatch__Done *m, int64_t now_us)
 {
+	early_held_t *early = early_held_find(d, key);
 	grant_t *g = g_hash_table_lookup(d->grants, key);
 	place_outcome_t o = (place_outcome_t)m->outcome;
 	pending_request_t *req = pending_find(d, key);
@@ -538,6 +557,8 @@
 
 	if (req)
 		pending_free(req);
+	if (early)
+		early_held_free(early);
 	if (!g)
 		return;
 	r = g->runner;
@@ -575,9 +596,18 @@
 		r->report_due_us = now_us;
 }
 
+static Dispatch__Msg *msg_copy(const Dispatch__Msg *msg)
+{
+	size_t n = dispatch__msg__get_packed_size(msg);
+	AUTO_FREE uint8_t *bytes = xmalloc(n);
+
+	dispatch__msg__pack(msg, bytes);
+	return dispatch__msg__unpack(NULL, n, bytes);
+}
+
 /* Records a place that was granted in an earlier term and is still used. */
-static void on_held(dispatch_t *d, const request_key_t *key,
-		    const Dispatch__Held *m)
+static void add_held(dispatch_t *d, const request_key_t *key,
+		     const Dispatch__Held *m)
 {
 	runner_t *r = fleet_find(d, pb_str(m->runner));
 	grant_t *g;
@@ -595,6 +625,33 @@
 	r->reserved_tokens += g->tokens;
 }
 
+static void on_held(dispatch_t *d, const request_key_t *key,
+		    const Dispatch__Msg *msg)
+{
+	early_held_t *e;
+
+	if (d->list_known) {
+		add_held(d, key, msg->held);
+		return;
+	}
+	if (early_held_find(d, key))
+		return;
+	e = xcalloc(1, sizeof(*e));
+	e->key = *key;
+	e->msg = msg_copy(msg);
+	cds_list_add_tail(&e->node, &d->early_held);
+}
+
+static void add_early_held(dispatch_t *d)
+{
+	early_held_t *e, *tmp;
+
+	cds_list_for_each_entry_safe (e, tmp, &d->early_held, node) {
+		add_held(d, &e->key, e->msg->held);
+		early_held_free(e);
+	}
+}
+
 static bool is_used(const Dispatch__Uses *m, uint64_t id)
 {
 	for (size_t i = 0; i < m->n_ids; i++)
@@ -610,6 +667,7 @@
 	GHashTableIter it;
 	gpointer value;
 	GSList *to_free = NULL;
+	early_held_t *e, *tmp;
 
 	g_hash_table_iter_init(&it, d->grants);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
@@ -621,6 +679,9 @@
 	for (GSList *l = to_free; l; l = l->next)
 		grant_free(d, l->data, now_us);
 	g_slist_free(to_free);
+	cds_list_for_each_entry_safe (e, tmp, &d->early_held, node)
+		if (e->key.host == host && !(m && is_used(m, e->key.id)))
+			early_held_free(e);
 }
 
 /*
@@ -638,15 +699,6 @@
 			pending_free(req);
 }
 
-static Dispatch__Msg *msg_copy(const Dispatch__Msg *msg)
-{
-	size_t n = dispatch__msg__get_packed_size(msg);
-	AUTO_FREE uint8_t *bytes = xmalloc(n);
-
-	dispatch__msg__pack(msg, bytes);
-	return dispatch__msg__unpack(NULL, n, bytes);
-}
-
 void dispatch_recv(dispatch_t *d, host_id_t from, const Dispatch__Msg *msg,
 		   int64_t now_us)
 {
@@ -675,7 +727,7 @@
 		break;
 	case DISPATCH__MSG__BODY_HELD:
 		key.id = msg->held->id;
-		on_held(d, &key, msg->held);
+		on_held(d, &key, msg);
 		break;
 	default:
 		break;
@@ -740,6 +792,7 @@
 		return;
 	fleet_apply_list(d, l, now_us);
 	d->list_known = true;
+	add_early_held(d);
 	d->decide_due_us = now_us;
 	d->orders_due_us = now_us;
 }
@@ -781,7 +834,8 @@
 
 /* Beginning and end. */
 
-void dispatch_begin(dispatch_t *d, uint64_t term, bool first, int64_t now_us)
+void dispatch_begin(dispatch_t *d, uint64_t term, bool orders_settled,
+		    int64_t now_us)
 {
 	dispatch_end(d);
 	d->active = true;
@@ -797,9 +851,11 @@
 	d->sweep_due_us = now_us;
 	d->next_trial_us = 0;
 	d->trial_ends_us = 0;
-	d->orders_from_us = first ? now_us : now_us + d->cfg.takeover_wait_us;
+	d->orders_from_us =
+		orders_settled ? now_us : now_us + d->cfg.takeover_wait_us;
+	d->order_lost_us = INT64_MIN / 2;
 	log_event(LOG_INFO, "dispatch_started", kv_u("term", term),
-		  kv_u("first", first));
+		  kv_u("orders_settled", orders_settled));
 }
 
 void dispatch_begin_isolated(dispatch_t *d, size_t n, int64_t now_us)
@@ -822,12 +878,15 @@
 {
 	pending_request_t *req, *tmp;
 	retry_budget_t *budget, *btmp;
+	early_held_t *e, *etmp;
 
 	if (d->active && d->mode == DISPATCH_LEADER)
 		log_event(LOG_INFO, "dispatch_ended", kv_u("term", d->term));
 
 	cds_list_for_each_entry_safe (req, tmp, &d->pending, node)
 		pending_free(req);
+	cds_list_for_each_entry_safe (e, etmp, &d->early_held, node)
+		early_held_free(e);
 	fleet_clear(d);
 	cds_list_for_each_entry_safe (budget, btmp, &d->budgets, node) {
 		cds_list_del(&budget->node);
@@ -848,6 +907,19 @@
 	d->lease_until_us = until_us;
 }
 
+bool dispatch_orders_settled(const dispatch_t *d, int64_t now_us)
+{
+	const runner_t *r;
+
+	if (now_us < d->orders_from_us ||
+	    now_us - d->order_lost_us < d->cfg.takeover_wait_us)
+		return false;
+	cds_list_for_each_entry (r, &d->runners, node)
+		if (r->order_pending)
+			return false;
+	return true;
+}
+
 void dispatch_free(dispatch_t *d)
 {
 	if (!d)
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -96,9 +96,11 @@
 
 /*
  * Starts dispatching as the leader of a term, with no knowledge of runners and
- * grants. first: there was no dispatcher before, so that orders need not wait.
+ * grants. orders_settled: no order of an earlier dispatcher can still be
+ * carried out, so that the first one need not wait.
  */
-void dispatch_begin(dispatch_t *d, uint64_t term, bool first, int64_t now_us);
+void dispatch_begin(dispatch_t *d, uint64_t term, bool orders_settled,
+		    int64_t now_us);
 /*
  * Starts dispatching for this daemon's requests only. n daemons do the same
  * with the same runners: this one uses an n-th of each runner's capacity, and
@@ -110,6 +112,11 @@
 bool dispatch_active(const dispatch_t *d);
 /* Allows orders until until_us, the end of the leader's lease. */
 void dispatch_set_lease(dispatch_t *d, int64_t until_us);
+/*
+ * Whether all orders of the last takeover_wait_us were answered, so that none
+ * can still be carried out.
+ */
+bool dispatch_orders_settled(const dispatch_t *d, int64_t now_us);
 
 /* Sets the manifest and the decided tables; takes its own references. */
 void dispatch_set_tables(dispatch_t *d, manifest_t *m, const decided_t *tables);
--- a/src/dispatch_int.h
+++ b/src/dispatch_int.h
@@ -198,6 +198,16 @@
 	uint32_t retries[BUDGET_STEPS];
 } retry_budget_t;
 
+/*
+ * A place of an earlier term that an entry named before this dispatcher knew the
+ * runners; it becomes a grant once they are known.
+ */
+typedef struct early_held {
+	struct cds_list_head node; /* in dispatch->early_held */
+	request_key_t key;
+	Dispatch__Msg *msg; /* owned; holds the Held */
+} early_held_t;
+
 struct dispatch {
 	dispatch_cfg_t cfg;
 	dispatch_ops_t ops;
@@ -211,6 +221,7 @@
 	int64_t began_us;
 	int64_t orders_from_us; /* no order is sent before */
 	int64_t lease_until_us; /* no order is sent from then on */
+	int64_t order_lost_us;	/* when an order last ended without an answer */
 	manifest_t *manifest;
 	decided_t *tables;
 	struct cds_list_head runners;
@@ -235,6 +246,7 @@
 
 	/* No model is loaded from the store before. */
 	int64_t next_model_load_us;
+	struct cds_list_head early_held;
 	struct cds_list_head pending; /* most urgent first, then oldest first */
 	int64_t decide_due_us; /* when to decide pending requests again */
 	int64_t orders_due_us;
@@ -304,6 +316,10 @@
 /* Estimated time until an adapter that is ordered now can be used. */
 int64_t orders_estimate_load_us(const dispatch_t *d, const runner_t *r,
 				str_t adapter, uint64_t version);
+/* The same for one that is ordered as soon as orders may be sent. */
+int64_t orders_estimate_wanted_us(const dispatch_t *d, const runner_t *r,
+				  str_t adapter, uint64_t version,
+				  int64_t now_us);
 
 /* Conditions for loading one more adapter at a runner. */
 typedef struct load_room {
--- a/src/event.h
+++ b/src/event.h
@@ -31,6 +31,9 @@
 	X("listen_failed", 10, "addr", "The daemon cannot listen on a port.") \
 	X("thread_start_failed", 10, "error",                                 \
 	  "The daemon does not start, as a thread cannot be started.")        \
+	X("handover", 10, "host term idle",                                   \
+	  "The leader shuts down and asks this host to lead; idle: no order " \
+	  "of its own is outstanding.")                                       \
 	X("leader_changed", 20, "host term",                                  \
 	  "The log has another leader or another term.")                      \
 	X("manifest_in_force", 20, "version routes services",                 \
@@ -72,9 +75,9 @@
 	  "off.")                                                             \
 	X("cancelled", 100, "id route state after_ms",                        \
 	  "The caller's connection ended before the response.")               \
-	X("dispatch_started", 10, "term first",                               \
-	  "This daemon becomes the dispatcher; first=1: there was none "      \
-	  "before.")                                                          \
+	X("dispatch_started", 10, "term orders_settled",                      \
+	  "This daemon becomes the dispatcher; orders_settled=1: no order "   \
+	  "of an earlier one can still be carried out.")                      \
 	X("dispatch_ended", 10, "term",                                       \
 	  "This daemon is no longer the dispatcher.")                         \
 	X("isolated_dispatch_started", 10, "daemons silent_ms",               \
--- a/src/lease.h
+++ b/src/lease.h
@@ -32,6 +32,8 @@
 	host_id_t leader; /* 0 while unknown */
 	uint64_t term;
 	bool is_leader; /* this daemon leads, and a quorum has confirmed it */
+	/* The leader before it was idle when it handed over; see state_leave(). */
+	bool predecessor_idle;
 	/* Hosts with a session, by ascending id; valid during the call only. */
 	const host_id_t *live;
 	size_t n_live;
--- a/src/orders.c
+++ b/src/orders.c
@@ -129,6 +129,14 @@
 	return d->adapter_load_us + store_wait_us(d) + LOAD_MARGIN_US;
 }
 
+int64_t orders_estimate_wanted_us(const dispatch_t *d, const runner_t *r,
+				  str_t adapter, uint64_t version,
+				  int64_t now_us)
+{
+	return MAX(d->orders_from_us - now_us, 0) +
+	       orders_estimate_load_us(d, r, adapter, version);
+}
+
 /* Whether the runner can load the adapter without the store. */
 static bool is_cached_adapter(const dispatch_t *d, const runner_t *r,
 			      const copy_t *c)
@@ -412,7 +420,9 @@
 		if (!c)
 			continue;
 		if (!r->seq_known) {
-			request_resync_by(r, now_us);
+			request_resync_by(
+				r,
+				MAX(now_us, r->order_ended_us + REPORT_LAG_US));
 			continue;
 		}
 		if (!goes_before(c, best, now_us))
@@ -549,6 +559,8 @@
 		break;
 	case ORDER_CONFLICT:
 	case ORDER_NO_ANSWER:
+		if (result == ORDER_NO_ANSWER)
+			d->order_lost_us = now_us;
 		undo_order(d, c, result == ORDER_NO_ANSWER);
 		request_resync_by(r, now_us + REPORT_LAG_US);
 		break;
--- a/src/rlog.c
+++ b/src/rlog.c
@@ -323,14 +323,15 @@
 
 static void count_votes(rlog_t *l, int64_t now_us);
 
-void rlog_campaign(rlog_t *l, bool pre, int64_t now_us)
+void rlog_campaign(rlog_t *l, campaign_t campaign, int64_t now_us)
 {
+	bool pre = campaign == CAMPAIGN_PRE_VOTE;
 	Peer__VoteReq pb = PEER__VOTE_REQ__INIT;
 
 	reset_election_timer(l, now_us);
 	if (!rlog_self_is_voter(l) || l->role == RLOG_FAILED)
 		return;
-	l->pre = pre;
+	l->campaign = campaign;
 	l->leader = 0;
 	if (l->role != RLOG_CANDIDATE) {
 		l->role = RLOG_CANDIDATE;
@@ -345,6 +346,7 @@
 	pb.last_index = rlog_last_index(l);
 	pb.last_term = rlog_last_term(l);
 	pb.pre = pre;
+	pb.handover = campaign == CAMPAIGN_HANDOVER;
 	pb.log_id = l->members.log_id;
 	for (size_t i = 0; i < l->n_peers; i++) {
 		peer_t *p = &l->peers[i];
@@ -370,12 +372,40 @@
 	}
 	if (n < quorum(l))
 		return;
-	if (l->pre)
-		rlog_campaign(l, false, now_us);
+	if (l->campaign == CAMPAIGN_PRE_VOTE)
+		rlog_campaign(l, CAMPAIGN_ELECTION, now_us);
 	else
 		become_leader(l, now_us);
 }
 
+void rlog_begin_election(rlog_t *l, int64_t now_us)
+{
+	rlog_campaign(l,
+		      l->members.n > 1 ? CAMPAIGN_PRE_VOTE : CAMPAIGN_ELECTION,
+		      now_us);
+}
+
+bool rlog_can_succeed(const rlog_t *l, host_id_t id, int64_t now_us)
+{
+	const rlog_member_t *m = rlog_member(&l->members, id);
+	const peer_t *p = rlog_peer((rlog_t *)l, id);
+
+	return l->role == RLOG_LEADER && m && p &&
+	       p->incarnation == m->incarnation &&
+	       p->match == rlog_last_index(l) &&
+	       now_us - p->last_heard_us <
+		       l->cfg.heartbeat_us * RESEND_HEARTBEATS;
+}
+
+bool rlog_take_over(rlog_t *l, host_id_t from, uint64_t term, int64_t now_us)
+{
+	if (l->role != RLOG_FOLLOWER || l->term != term || l->leader != from ||
+	    !rlog_self_is_voter(l))
+		return false;
+	rlog_campaign(l, CAMPAIGN_HANDOVER, now_us);
+	return true;
+}
+
 /* Incoming messages. */
 
 static bool log_is_up_to_date(const rlog_t *l, const Peer__VoteReq *q)
@@ -397,7 +427,8 @@
 {
 	Peer__VoteRes pb = PEER__VOTE_RES__INIT;
 
-	if (rlog_is_other_log(l, q->log_id) || leader_is_alive(l, now_us))
+	if (rlog_is_other_log(l, q->log_id) ||
+	    (!q->handover && leader_is_alive(l, now_us)))
 		return;
 	if (q->pre) {
 		pb.granted = q->term > l->term && log_is_up_to_date(l, q);
@@ -423,14 +454,14 @@
 {
 	const rlog_member_t *m = rlog_member(&l->members, from);
 	peer_t *p = rlog_peer(l, from);
-	uint64_t asked_term = l->pre ? l->term + 1 : l->term;
+	bool pre = l->campaign == CAMPAIGN_PRE_VOTE;
+	uint64_t asked_term = pre ? l->term + 1 : l->term;
 
 	if (!r->granted) {
 		adopt_term(l, r->term, now_us);
 		return;
 	}
-	if (l->role != RLOG_CANDIDATE || r->pre != l->pre ||
-	    r->term != asked_term)
+	if (l->role != RLOG_CANDIDATE || r->pre != pre || r->term != asked_term)
 		return;
 	/* A vote counts only if it comes from the data folder of the member. */
 	if (!p || !m || m->incarnation != r->incarnation)
@@ -731,7 +762,7 @@
 	if (now_us >= l->join_due_us)
 		rlog_request_join(l, now_us);
 	if (rlog_self_is_voter(l) && now_us >= l->election_due_us)
-		rlog_campaign(l, l->members.n > 1, now_us);
+		rlog_begin_election(l, now_us);
 	if (l->role == RLOG_LEADER)
 		return l->heartbeat_due_us;
 	if (!rlog_self_is_voter(l) || l->join_due_us < l->election_due_us)
--- a/src/rlog.h
+++ b/src/rlog.h
@@ -5,10 +5,11 @@
  *
  * Raft as in Ongaro, "Consensus: Bridging Theory and Practice", 2014: leader
  * election with pre-vote (9.6) and check-quorum (6.2), log matching (3.5),
- * snapshots (5), membership changes of one server at a time (4.1), and rounds
- * of heartbeats that confirm leadership for reads (6.4). Unlike there, a vote
- * belongs to a data folder, named by its random incarnation number, and not to
- * a host: see docs/design/state.md, "Emptied disks".
+ * snapshots (5), membership changes of one server at a time (4.1), rounds
+ * of heartbeats that confirm leadership for reads (6.4), and leadership transfer
+ * (3.10). Unlike there, a vote belongs to a data folder, named by its random
+ * incarnation number, and not to a host: see docs/design/state.md, "Emptied
+ * disks".
  */
 #ifndef DK_RLOG_H
 #define DK_RLOG_H
@@ -88,6 +89,17 @@
  */
 void rlog_request_round(rlog_t *l, int64_t now_us);
 
+/*
+ * On the leader: whether a voter holds all records and is heard from, so that it
+ * would win an election that starts now.
+ */
+bool rlog_can_succeed(const rlog_t *l, host_id_t id, int64_t now_us);
+/*
+ * Starts an election at once, as the leader from asked for it in this term.
+ * False where that host does not lead the term, or this one is not a voter.
+ */
+bool rlog_take_over(rlog_t *l, host_id_t from, uint64_t term, int64_t now_us);
+
 rlog_role_t rlog_role(const rlog_t *l);
 bool rlog_is_leader(const rlog_t *l);
 /* Whether this is a leader whose first record of its term is committed. */
--- a/src/rlog_int.h
+++ b/src/rlog_int.h
@@ -26,6 +26,12 @@
 	rlog_member_t v[RLOG_VOTERS_MAX];
 } members_t;
 
+typedef enum campaign {
+	CAMPAIGN_PRE_VOTE, /* asks whether an election could be won */
+	CAMPAIGN_ELECTION,
+	CAMPAIGN_HANDOVER, /* an election that the present leader asked for */
+} campaign_t;
+
 /* Another host that has a disk: a voter, or one that may join. */
 typedef struct peer {
 	host_id_t id;
@@ -55,7 +61,7 @@
 	uint64_t rng; /* state of rlog_random() */
 
 	rlog_role_t role;
-	bool pre; /* the current campaign asks for pre-votes */
+	campaign_t campaign; /* the current or latest one */
 	uint64_t term;
 	host_id_t voted_for;
 	host_id_t leader;
@@ -176,7 +182,8 @@
 /* rlog.c */
 
 uint64_t rlog_random(rlog_t *l);
-/* Starts an election, or only a pre-vote. */
-void rlog_campaign(rlog_t *l, bool pre, int64_t now_us);
+void rlog_campaign(rlog_t *l, campaign_t campaign, int64_t now_us);
+/* Begins with a pre-vote, unless this host is the only voter. */
+void rlog_begin_election(rlog_t *l, int64_t now_us);
 
 #endif
--- a/src/rlog_members.c
+++ b/src/rlog_members.c
@@ -212,7 +212,7 @@
 	rlog_set_members(l, &m);
 	log_event(LOG_NOTICE, "log_bootstrapped", kv_u("host", l->cfg.self),
 		  kv_u("voters", m.n));
-	rlog_campaign(l, m.n > 1, now_us);
+	rlog_begin_election(l, now_us);
 }
 
 void rlog_on_join(rlog_t *l, host_id_t from, const Peer__Join *j,
--- a/src/site.c
+++ b/src/site.c
@@ -63,6 +63,8 @@
 /* After SIGTERM new connections are accepted for this long; then it drains. */
 #define LEAVE_LISTEN_US (1200 * USEC_PER_MSEC)
 #define LEAVE_TICK_US (50 * USEC_PER_MSEC)
+/* A leader that shuts down waits so long for the answers to its orders. */
+#define LEAVE_ORDERS_MAX_US (300 * USEC_PER_MSEC)
 /* The process exits at the latest this long before SIGKILL. */
 #define LEAVE_MARGIN_US (400 * USEC_PER_MSEC)
 /* Shared by all daemons of a system, as the platform provides no secret. */
@@ -230,17 +232,20 @@
 {
 	const lease_status_t *status = &s->lease_status;
 	bool first = s->settings.bootstrap && !s->manifest;
+	int64_t lease_until_us =
+		s->leaving ? INT64_MIN : status->lease_until_us;
 
 	if (status->is_leader &&
 	    (!dispatch_active(s->dispatch) || status->term != old->term)) {
-		dispatch_begin(s->dispatch, status->term, first, site_now(s));
+		dispatch_begin(s->dispatch, status->term,
+			       first || status->predecessor_idle, site_now(s));
 		end_isolated(s);
 		if (!s->list_read_pending)
 			timer_svc_arm(s->timers, &s->list_timer, site_now(s));
 	} else if (!status->is_leader && dispatch_active(s->dispatch)) {
 		dispatch_end(s->dispatch);
 	}
-	dispatch_set_lease(s->dispatch, status->lease_until_us);
+	dispatch_set_lease(s->dispatch, lease_until_us);
 	for (size_t i = 0; i < old->n_live; i++)
 		report_if_lost(s, old->live[i]);
 	if (status->leader &&
@@ -683,11 +688,46 @@
 
 /* Shutdown. */
 
+typedef struct leave_mail {
+	mail_t mail;
+	bool idle;
+} leave_mail_t;
+
+static void state_leave_run(void *ctx, mail_t *m)
+{
+	site_t *s = ctx;
+
+	state_leave(s->state, ((leave_mail_t *)m)->idle);
+	free(m);
+}
+
+/*
+ * Ends the session of this daemon. A dispatcher first waits for the answers to
+ * its orders, so that its successor can send its own at once.
+ */
+static void end_session(site_t *s, int64_t now)
+{
+	bool settled = !dispatch_active(s->dispatch) ||
+		       dispatch_orders_settled(s->dispatch, now);
+	leave_mail_t *m;
+
+	if (s->session_ended ||
+	    (!settled && now - s->leave_began_us < LEAVE_ORDERS_MAX_US))
+		return;
+	s->session_ended = true;
+	m = xcalloc(1, sizeof(*m));
+	m->mail.run = state_leave_run;
+	m->mail.drop = mail_free;
+	m->idle = settled;
+	mailbox_send(s->state_mailbox, &m->mail);
+}
+
 static void on_leave_timer(void *ctx, int64_t now)
 {
 	site_t *s = ctx;
 	int64_t elapsed_us = now - s->leave_began_us;
 
+	end_session(s, now);
 	if (elapsed_us >= LEAVE_LISTEN_US)
 		gateway_drain(s->gateway);
 	if ((elapsed_us >= LEAVE_LISTEN_US &&
@@ -702,28 +742,16 @@
 	timer_svc_arm(s->timers, &s->leave_timer, now + LEAVE_TICK_US);
 }
 
-static void state_leave_run(void *ctx, mail_t *m)
-{
-	site_t *s = ctx;
-
-	state_leave(s->state);
-	free(m);
-}
-
 static void begin_leaving(site_t *s)
 {
-	mail_t *m;
-
 	if (s->leaving)
 		return;
 	s->leaving = true;
 	s->leave_began_us = site_now(s);
 	log_event(LOG_NOTICE, "leaving",
 		  kv_u("requests", gateway_active_requests(s->gateway)));
-	m = xcalloc(1, sizeof(*m));
-	m->run = state_leave_run;
-	m->drop = mail_free;
-	mailbox_send(s->state_mailbox, m);
+	dispatch_set_lease(s->dispatch, INT64_MIN);
+	end_session(s, s->leave_began_us);
 	timer_svc_arm(s->timers, &s->leave_timer,
 		      s->leave_began_us + LEAVE_TICK_US);
 }
--- a/src/site_int.h
+++ b/src/site_int.h
@@ -79,6 +79,7 @@
 	/* Shutdown. */
 	bool leaving;
 	int64_t leave_began_us;
+	bool session_ended; /* state_leave() was requested */
 	timer_sub_t leave_timer;
 
 	timer_sub_t settings_timer;
--- a/src/state.c
+++ b/src/state.c
@@ -320,6 +320,13 @@
 	case PEER__MSG__BODY_LEADS:
 		state_set_leader(st, from, msg->leads->term, now_us);
 		break;
+	case PEER__MSG__BODY_HANDOVER:
+		if (st->rlog &&
+		    rlog_take_over(st->rlog, from, msg->handover->term,
+				   now_us) &&
+		    msg->handover->idle)
+			st->idle_handover_term = msg->handover->term + 1;
+		break;
 	case PEER__MSG__BODY_PROPOSE:
 		state_on_propose(st, from, msg->propose, now_us);
 		break;
@@ -412,7 +419,7 @@
 		due = min_us(due, forward_tick(st->forward, now_us));
 		due = min_us(due, feed_tick(st->feed, now_us));
 		state_check_feed_progress(st, now_us);
-		if (now_us >= st->renew_due_us && !st->leave_answered)
+		if (now_us >= st->renew_due_us)
 			state_send_renew(st, now_us);
 		if (st->leading)
 			state_lead_tick(st, now_us);
@@ -424,9 +431,9 @@
 	if (st->rlog)
 		due = min_us(due, rlog_tick(st->rlog, now_us));
 	due = min_us(due, st->reopen_due_us);
-	if (!st->leave_answered)
-		due = min_us(due, st->renew_due_us);
+	due = min_us(due, st->renew_due_us);
 	if (st->leading) {
+		due = min_us(due, state_hand_over(st, now_us));
 		if (rlog_is_ready_leader(st->rlog))
 			due = min_us(due, st->flush_due_us);
 		due = min_us(due, st->assign_due_us);
@@ -548,13 +555,15 @@
 	return n;
 }
 
-void state_leave(state_t *st)
+void state_leave(state_t *st, bool idle)
 {
 	int64_t now_us;
 
 	pthread_mutex_lock(&st->lock);
 	now_us = timer_svc_now(st->timers);
 	st->leaving = true;
+	st->idle = idle;
+	st->hand_over_due_us = now_us;
 	st->lease_status_dirty = true;
 	/* Stop using the lease here before the leader is told. */
 	state_report_lease_status(st, now_us);
--- a/src/state.h
+++ b/src/state.h
@@ -154,9 +154,11 @@
 size_t state_host_revisions(state_t *st, host_revision_t *out, size_t max);
 /*
  * Ends the session of this daemon without waiting for its lease to expire, so
- * that the leader reassigns its targets at once.
+ * that the leader reassigns its targets at once. A leader hands over to another
+ * voter. idle: no work that this daemon began as leader is outstanding, so that
+ * its successor need not wait for any.
  */
-void state_leave(state_t *st);
+void state_leave(state_t *st, bool idle);
 
 #ifdef __cplusplus
 }
--- a/src/state_hold.c
+++ b/src/state_hold.c
@@ -216,9 +216,7 @@
 	update_live(st, r);
 	if (!state_has_log(st))
 		feed_set_parent(st->feed, r->parent, now_us);
-	if (st->leaving)
-		st->leave_answered = true;
-	else
+	if (!st->leaving)
 		add_confirmation(st, r);
 }
 
@@ -252,6 +250,7 @@
 	s.leader = st->leader;
 	s.term = st->leader_term;
 	s.is_leader = st->leading && rlog_is_ready_leader(st->rlog);
+	s.predecessor_idle = s.is_leader && s.term == st->idle_handover_term;
 	s.live = st->live;
 	s.n_live = st->n_live;
 	if (st->ops.lease_status)
--- a/src/state_int.h
+++ b/src/state_int.h
@@ -125,11 +125,15 @@
 	int64_t renew_due_us;
 	int64_t last_renew_us;
 	int64_t last_answer_us;
-	uint32_t seek_attempts; /* renewals sent while no leader answered */
-	uint64_t grant;		/* from the leader; see session.h */
-	uint32_t feed_try;	/* as Renew.feed_try in proto/state.proto */
-	bool leaving;		/* state_leave() was called */
-	bool leave_answered;
+	uint32_t seek_attempts;	  /* renewals sent while no leader answered */
+	uint64_t grant;		  /* from the leader; see session.h */
+	uint32_t feed_try;	  /* as Renew.feed_try in proto/state.proto */
+	bool leaving;		  /* state_leave() was called */
+	bool idle;		  /* as passed to state_leave() */
+	int64_t hand_over_due_us; /* when to ask the next voter to lead */
+	uint32_t hand_over_attempts;
+	/* The term that begins with a handover by an idle leader; 0: none. */
+	uint64_t idle_handover_term;
 	bool not_member;
 	host_id_t *live; /* hosts with a session, ascending */
 	size_t n_live;
@@ -161,6 +165,11 @@
 		    int64_t now_us);
 void state_on_propose(state_t *st, host_id_t from, const Peer__Propose *p,
 		      int64_t now_us);
+/*
+ * Asks a voter to lead, if this leader shuts down; asks another one where the
+ * first does not. Returns when to call it again.
+ */
+int64_t state_hand_over(state_t *st, int64_t now_us);
 
 /* state_hold.c: the work of each daemon to keep its own session. */
 
--- a/src/state_lead.c
+++ b/src/state_lead.c
@@ -5,6 +5,8 @@
  */
 #include "state_int.h"
 
+#include "log.h"
+
 #include <stdlib.h>
 #include <string.h>
 
@@ -24,6 +26,15 @@
 #define REBALANCE_MOVES_MIN 4u
 #define REBALANCE_MOVES_DIVISOR 256u
 
+static void send_leads(state_t *st, host_id_t to)
+{
+	Peer__Leads pb = PEER__LEADS__INIT;
+
+	pb.term = st->last_led_term;
+	if (to != st->cfg.self)
+		state_send(st, to, PEER__MSG__BODY_LEADS, &pb);
+}
+
 void state_lead_begin(state_t *st, int64_t now_us)
 {
 	st->leading = true;
@@ -40,6 +51,9 @@
 	sessions_reset(st->sessions, st->last_led_term, now_us);
 	intake_reset(st->intake);
 	st->lease_status_dirty = true;
+	/* Without this, each would ask the earlier leader first. */
+	for (size_t i = 0; i < st->n_live; i++)
+		send_leads(st, st->live[i]);
 }
 
 void state_lead_end(state_t *st)
@@ -391,15 +405,50 @@
  */
 static void announce_to_seeds(state_t *st, int64_t now_us)
 {
-	Peer__Leads pb = PEER__LEADS__INIT;
-
 	st->announce_due_us = now_us + st->cfg.election_us;
-	pb.term = st->last_led_term;
 	for (size_t i = 0; i < st->n_seeds; i++)
-		if (st->seeds[i] != st->cfg.self &&
-		    !sessions_is_live(st->sessions, st->seeds[i]))
-			state_send(st, st->seeds[i], PEER__MSG__BODY_LEADS,
-				   &pb);
+		if (!sessions_is_live(st->sessions, st->seeds[i]))
+			send_leads(st, st->seeds[i]);
+}
+
+/* The first voter, from number attempt on, that can lead next; 0: none can now. */
+static host_id_t pick_successor(const state_t *st, uint32_t attempt,
+				int64_t now_us)
+{
+	host_id_t ids[RLOG_VOTERS_MAX];
+	size_t n = rlog_voters(st->rlog, ids, RLOG_VOTERS_MAX);
+
+	for (size_t i = 0; i < n; i++) {
+		host_id_t id = ids[(attempt + i) % n];
+
+		if (sessions_is_live(st->sessions, id) &&
+		    rlog_can_succeed(st->rlog, id, now_us))
+			return id;
+	}
+	return 0;
+}
+
+int64_t state_hand_over(state_t *st, int64_t now_us)
+{
+	Peer__Handover pb = PEER__HANDOVER__INIT;
+	host_id_t to;
+
+	if (!st->leaving)
+		return INT64_MAX;
+	if (now_us < st->hand_over_due_us)
+		return st->hand_over_due_us;
+	st->hand_over_due_us = now_us + st->cfg.heartbeat_us;
+	to = pick_successor(st, st->hand_over_attempts, now_us);
+	if (!to)
+		return st->hand_over_due_us;
+	st->hand_over_attempts++;
+	st->hand_over_due_us = now_us + st->cfg.election_us;
+	pb.term = st->last_led_term;
+	pb.idle = st->idle;
+	log_event(LOG_NOTICE, "handover", kv_u("host", to),
+		  kv_u("term", st->last_led_term), kv_u("idle", st->idle));
+	state_send(st, to, PEER__MSG__BODY_HANDOVER, &pb);
+	return st->hand_over_due_us;
 }
 
 void state_lead_tick(state_t *st, int64_t now_us)
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -258,6 +258,123 @@
 	EXPECT_EQ(1u, w.loads);
 }
 
+// Until the earlier dispatcher's orders are out, no adapter can be loaded. A
+// request for one that is held is served meanwhile; a caller whose adapter would
+// come too late is told so at once.
+TEST(Dispatch, RequestsThatCannotBeLoadedInTimeAfterATakeoverAreRefusedAtOnce)
+{
+	Sizes sizes;
+
+	sizes.takeover_wait_us = 3000 * MS;
+	World w(1, {}, sizes);
+
+	w.run(1000 * MS, 0);
+	w.ask("held");
+	w.run(1000 * MS, 0);
+	w.begin(false);
+	w.run(200 * MS, 0);
+	uint64_t held = w.ask("held", 500 * MS);
+	uint64_t cold = w.ask("cold", 500 * MS);
+	w.run(20 * MS, 0);
+	EXPECT_EQ(1, w.requests[held].grants);
+	EXPECT_EQ(1, w.requests[cold].refusals);
+	// Shortly before orders may be sent again, waiting for one pays.
+	w.run(2000 * MS, 0);
+	cold = w.ask("cold", 500 * MS);
+	w.run(1500 * MS, 0);
+	EXPECT_EQ(1, w.requests[cold].grants);
+}
+
+TEST(Dispatch, OrdersAreSettledOnceEachWasAnswered)
+{
+	Sizes sizes;
+
+	sizes.n_runners = 1;
+	World w(1, {}, sizes);
+
+	w.run(1000 * MS, 0);
+	w.ask("a");
+	w.run(20 * MS, 0);
+	EXPECT_EQ(1u, w.loads);
+	EXPECT_TRUE(dispatch_orders_settled(w.d, w.now));
+	w.ask("b"); // ordered at once
+	EXPECT_FALSE(dispatch_orders_settled(w.d, w.now));
+	w.run(20 * MS, 0);
+	EXPECT_TRUE(dispatch_orders_settled(w.d, w.now));
+}
+
+TEST(Dispatch, AnOrderWithoutAnAnswerIsSettledOnceItIsOld)
+{
+	Faults faults;
+
+	faults.order_lost = 1;
+	World w(1, faults);
+
+	w.run(1000 * MS, 0);
+	w.ask("a");
+	w.run(10 * MS, 0);
+	w.lease_renewed = false; // no order after the first
+	dispatch_set_lease(w.d, 0);
+	w.run(520 * MS, 0);
+	EXPECT_FALSE(dispatch_orders_settled(w.d, w.now));
+	w.run(200 * MS, 0);
+	EXPECT_TRUE(dispatch_orders_settled(w.d, w.now));
+}
+
+// Entries name the places that they use as soon as they know a new dispatcher,
+// which often is before it has read the runner list.
+TEST(Dispatch, PlacesNamedBeforeTheRunnersAreKnownCount)
+{
+	World w(1, {});
+
+	w.run(1000 * MS, 0);
+	w.ask("a");
+	w.run(2000 * MS, 0);
+	std::string holder;
+
+	for (auto &r : w.runners)
+		if (r.adapters.count("a"))
+			holder = r.id;
+	ASSERT_NE("", holder);
+	dispatch_begin(w.d, ++w.term, true, w.now);
+	w.hold(1, holder, "a");
+	w.hold(2, holder, "a");
+	w.done(2);
+	EXPECT_EQ(nullptr, fleet_find(w.d, str_c(holder.c_str())));
+	w.run(600 * MS, 0);
+	runner_t *r = fleet_find(w.d, str_c(holder.c_str()));
+
+	ASSERT_NE(nullptr, r);
+	EXPECT_EQ(1u, r->n_grants);
+	copy_t *c = runner_find_copy(r, STR("base"), STR("a"));
+
+	ASSERT_NE(nullptr, c);
+	EXPECT_EQ(1u, c->active_grants);
+	w.done(1);
+	EXPECT_EQ(0u, r->n_grants);
+}
+
+// A runner whose number of accepted orders is unknown is asked for it once its
+// report can show the last order, however many loads wait for that.
+TEST(Dispatch, AResyncAsksForFewReports)
+{
+	Faults faults;
+	Sizes sizes;
+
+	faults.order_lost = 1;
+	sizes.n_runners = 1;
+	World w(1, faults, sizes);
+
+	w.run(1000 * MS, 0);
+	for (size_t i = 0; i < 4; i++)
+		w.ask(adapter(i), 4000 * MS);
+	w.run(500 * MS, 0);
+	size_t before = w.report_requests;
+
+	w.run(500 * MS, 0);
+	EXPECT_LE(w.report_requests - before, 3u);
+}
+
 TEST(Dispatch, NoOrdersAreSentAfterTheLeaseExpires)
 {
 	World w(1, {});
--- a/tests/dispatch_world.h
+++ b/tests/dispatch_world.h
@@ -31,6 +31,7 @@
 	double loads_per_s = 3;		 // of models, in the manifest
 	int64_t load_us = 250 * MS;	 // of one adapter
 	size_t store_concurrency = 1000; // adapters loaded in load_us
+	int64_t takeover_wait_us = 100 * MS;
 };
 
 // Faults that the world injects, by probability or rate.
@@ -86,8 +87,8 @@
 	{
 		static const dispatch_ops_t ops = {on_send, on_order,
 						   on_request_report};
-		dispatch_cfg_t cfg = {STR("host-1"), 100 * MS, 0.2, 64,
-				      10000 * MS};
+		dispatch_cfg_t cfg = {STR("host-1"), sizes.takeover_wait_us,
+				      0.2, 64, 10000 * MS};
 
 		d = dispatch_new(&cfg, &ops, this);
 		manifest = make_manifest(sizes.loads_per_s);
@@ -156,6 +157,34 @@
 				a.second.ended = true; // its entry asks again
 	}
 
+	// The entry names a place that it got from an earlier dispatcher.
+	void hold(uint64_t id, const std::string &runner,
+		  const std::string &adapter)
+	{
+		Dispatch__Held m = DISPATCH__HELD__INIT;
+		Dispatch__Msg msg = DISPATCH__MSG__INIT;
+
+		m.id = id;
+		m.runner = {runner.size(), (uint8_t *)runner.data()};
+		m.model = bytes("base");
+		m.adapter = {adapter.size(), (uint8_t *)adapter.data()};
+		msg.body_case = DISPATCH__MSG__BODY_HELD;
+		msg.held = &m;
+		dispatch_recv(d, ENTRY, &msg, now);
+	}
+
+	void done(uint64_t id)
+	{
+		Dispatch__Done m = DISPATCH__DONE__INIT;
+		Dispatch__Msg msg = DISPATCH__MSG__INIT;
+
+		m.id = id;
+		m.outcome = PLACE_ANSWERED;
+		msg.body_case = DISPATCH__MSG__BODY_DONE;
+		msg.done = &m;
+		dispatch_recv(d, ENTRY, &msg, now);
+	}
+
 	void decide_version(const std::string &adapter, uint64_t version)
 	{
 		std::string name = "base/" + adapter;
@@ -191,6 +220,7 @@
 	std::map<uint64_t, Request> requests;
 	std::vector<std::string> violations; // of rules for runners
 	size_t served = 0, refused = 0, adapter_misses = 0, loads = 0;
+	size_t report_requests = 0;
 	bool lists_arrive = true;
 	bool lease_renewed = true;
 
@@ -506,6 +536,7 @@
 		std::string runner(id.p, id.n);
 		uint64_t term = w->term;
 
+		w->report_requests++;
 		w->schedule(2 * MS, [=]() {
 			SimRunner *r = w->find(runner);
 			str_t name = str_n(runner.data(), runner.size());
--- a/tests/state_fuzz.cc
+++ b/tests/state_fuzz.cc
@@ -286,8 +286,8 @@
 			d.paused = d.st && !d.paused;
 			break;
 		case LEAVE:
-			if (d.st && !d.paused && !d.voter) {
-				state_leave(d.st);
+			if (d.st && !d.paused) {
+				state_leave(d.st, s.b % 2);
 				net.run(200000);
 				net.stop(d);
 			}
--- a/tests/state_test.cc
+++ b/tests/state_test.cc
@@ -252,7 +252,7 @@
 	EXPECT_TRUE(net.run_until(net.lease_us + 1000000,
 				  [&] { return all_targets_owned(5); }));
 	// Another one leaves: its lease is not waited for.
-	state_leave(net.at(4).st);
+	state_leave(net.at(4).st, false);
 	EXPECT_TRUE(
 		net.run_until(500000, [&] { return all_targets_owned(4); }));
 	for (size_t i = 0; i < 12; i++)
@@ -261,6 +261,112 @@
 	expect_no_violations(net);
 }
 
+// A leader that shuts down asks another voter to lead, and that one tells all
+// hosts: none of them waits for an election timeout or for its next renewal.
+static void expect_handover(bool idle)
+{
+	Net::Options o;
+	o.learners = 6;
+	Net net(o);
+
+	net.start_all();
+	net.run_until(5000000, [&] { return net.leader(); });
+	ASSERT_EQ(CHANGE_DECIDED, submit(net, 6, "a", publish("a", 0)).status);
+	net.run(1000000);
+	Daemon *old_leader = net.leader();
+	uint64_t term = old_leader->lease_status.term;
+	auto all_know_another_leader = [&] {
+		for (auto &d : net.daemons)
+			if (d->lease_status.leader == old_leader->id ||
+			    d->lease_status.term != term + 1)
+				return false;
+		return true;
+	};
+
+	state_leave(old_leader->st, idle);
+	EXPECT_TRUE(net.run_until(30000, all_know_another_leader));
+	EXPECT_TRUE(net.run_until(30000, [&] {
+		return net.leader() && net.leader() != old_leader;
+	}));
+	EXPECT_EQ(idle, net.leader()->lease_status.predecessor_idle);
+	EXPECT_EQ(CHANGE_DECIDED,
+		  submit(net, 7, "b", publish("b", 1), 100000).status);
+	expect_no_violations(net);
+}
+
+TEST(State, ALeaderThatLeavesHandsOverAtOnce)
+{
+	expect_handover(true);
+}
+
+TEST(State, ASuccessorKnowsThatTheLeaderWasNotIdle)
+{
+	expect_handover(false);
+}
+
+// The first voter that the leader asks cannot be reached.
+TEST(State, ALeaderThatLeavesAsksAnotherVoterIfTheFirstDoesNotLead)
+{
+	Net net(Net::Options{});
+
+	net.start_all();
+	net.run_until(5000000, [&] { return net.leader(); });
+	net.run(1000000);
+	Daemon *old_leader = net.leader();
+	host_id_t first = old_leader->id == 1 ? 2 : 1;
+
+	net.isolate(first, true);
+	state_leave(old_leader->st, true);
+	EXPECT_TRUE(net.run_until(net.election_us * 2, [&] {
+		return net.leader() && net.leader() != old_leader &&
+		       net.leader()->id != first;
+	}));
+	expect_no_violations(net);
+}
+
+// An idle handover counts for the term that it begins, not for later ones.
+TEST(State, ALeaderAfterALossDoesNotCountItsPredecessorAsIdle)
+{
+	Net::Options o;
+	o.voters = 5;
+	Net net(o);
+
+	net.start_all();
+	net.run_until(5000000, [&] { return net.leader(); });
+	net.run(1000000);
+	Daemon *first = net.leader();
+
+	state_leave(first->st, true);
+	net.run(200000);
+	Daemon *second = net.leader();
+	ASSERT_NE(first, second);
+	EXPECT_TRUE(second->lease_status.predecessor_idle);
+	net.stop(*second);
+	net.run(200000);
+	EXPECT_TRUE(net.run_until(5000000, [&] { return net.leader(); }));
+	EXPECT_FALSE(net.leader()->lease_status.predecessor_idle);
+	expect_no_violations(net);
+}
+
+// A host without a disk that is leaving follows a change of leader, as it still
+// serves the requests that it has.
+TEST(State, AHostThatLeavesLearnsOfALaterLeader)
+{
+	Net net(Net::Options{});
+
+	net.start_all();
+	net.run_until(5000000, [&] { return net.leader(); });
+	net.run(1000000);
+	state_leave(net.at(5).st, false);
+	net.run(500000);
+	net.stop(*net.leader());
+	EXPECT_TRUE(net.run_until(5000000, [&] { return net.leader(); }));
+	EXPECT_TRUE(net.run_until(1500000, [&] {
+		return net.at(5).lease_status.leader == net.leader()->id;
+	}));
+	expect_no_violations(net);
+}
+
 static std::map<std::string, host_id_t> target_owners(const Net &net)
 {
 	std::map<std::string, host_id_t> m;
