Dispatcher: the cost of a decision no longer grows with the fleet

For each request choose_runner() looked at all runners and went through the copies of each, three times; each row of the runner list, each result of an order and each place in use was matched by a linear search; each order looked at all runners, each tick at all copies. So the dispatcher answered late, and each host with few requests took that for silence, as its last word was from the request before: 2,000 times within 34 s a host began to dispatch by itself, which needs the platform's list (31,312 calls) and loads nothing. Change: tables of runners by id and by service, of copies by key, of pending requests by key; runners with a wanted or loading copy are known. Holders of the adapter are considered first, then 256 others of the service at most, and none that cannot beat the best offer. Counters of decisions and offers. The entry counts the dispatcher's silence from its own Ask. A new leader tells the live hosts once it can answer them. Tests: three of large fleets (offers a decision, spread, a small service) and one of the gateway (120 ms instead of 200 before) fail on the code before. The list's rows are still read in one turn.

--- a/src/choice.c
+++ b/src/choice.c
@@ -12,6 +12,8 @@
  */
 #include "dispatch_int.h"
 
+#include "counter.h"
+
 /* Prompt tokens that a runner of the usual speed (slowdown 1) prefills in a
  * millisecond while it decodes its streams. */
 #define PREFILL_TOKENS_PER_MS 20.0
@@ -80,6 +82,12 @@
 /* Share of a runner's KV cache that prompts and outputs may take. */
 #define KV_CACHE_SHARE 0.95
 
+/*
+ * Runners without the adapter that are considered for one request. A fleet of
+ * thousands has many that are about as good as the best.
+ */
+#define RUNNERS_SAMPLED_MAX 256u
+
 /* Different costs that jitter_cost() may return. */
 #define JITTER_STEPS 64u
 
@@ -394,6 +402,81 @@
 	return q;
 }
 
+/*
+ * Least cost of a runner that does not hold the adapter; 0 where none is needed
+ * or there is no dispatcher to load it.
+ */
+static double least_load_cost(const runner_t *r, const query_t *q)
+{
+	if (!q->ask->adapter.len)
+		return 0;
+	return runner_held_recently(r, pb_str(q->ask->adapter), q->version)
+		       ? COST_LOAD_RECENT
+		       : COST_LOAD_FROM_STORE;
+}
+
+/* The runner with the best offer so far. */
+typedef struct search {
+	const service_t *s;
+	const query_t *q;
+	const margin_t *margin;
+	runner_t *runner;   /* NULL: none yet */
+	offer_t offer;	    /* of that runner */
+	bool any_candidate; /* some runner of the service may be used */
+	uint64_t n_offers;  /* computed so far */
+} search_t;
+
+/* Takes the runner's offer if it is better. holds: it has a copy, or loads it. */
+static void consider(dispatch_t *d, search_t *best, runner_t *r, bool holds,
+		     int64_t now_us)
+{
+	const query_t *q = best->q;
+	offer_t offer = {0};
+
+	r->considered_by = d->n_queries;
+	if (!is_candidate(best->s, r, q->ask, now_us))
+		return;
+	best->any_candidate = true;
+	if (best->runner && !holds && least_load_cost(r, q) >= best->offer.cost)
+		return;
+	best->n_offers++;
+	if (!get_offer(d, best->s, r, q, best->margin, now_us, &offer))
+		return;
+	if (best->runner && offer.cost >= best->offer.cost)
+		return;
+	best->runner = r;
+	best->offer = offer;
+}
+
+/*
+ * Considers the runners that hold the adapter, and RUNNERS_SAMPLED_MAX others:
+ * all of a small fleet; of a large one, which are spread over its failure
+ * domains, a different part for each request.
+ */
+static void search_runners(dispatch_t *d, search_t *best, int64_t now_us)
+{
+	const query_t *q = best->q;
+	const copy_set_t *set =
+		q->ask->adapter.len ? fleet_copies(d, q->adapter_key) : NULL;
+	const service_fleet_t *fleet = fleet_of_service(d, best->s->name);
+	size_t n = fleet ? fleet->runners->len : 0;
+	size_t n_sampled = MIN(n, RUNNERS_SAMPLED_MAX);
+	size_t start = n > n_sampled ? q->ask->id % n : 0;
+	copy_t *c;
+
+	d->n_queries++;
+	if (set)
+		cds_list_for_each_entry (c, &set->copies, same_key)
+			consider(d, best, c->runner, true, now_us);
+	for (size_t i = 0; i < n_sampled; i++) {
+		size_t at = (start + i * n / n_sampled) % n;
+		runner_t *r = g_ptr_array_index(fleet->runners, at);
+
+		if (r->considered_by != d->n_queries)
+			consider(d, best, r, false, now_us);
+	}
+}
+
 choice_t choose_runner(dispatch_t *d, const Dispatch__Ask *ask,
 		       int64_t waited_us, int64_t load_waited_us,
 		       int64_t now_us)
@@ -405,39 +488,31 @@
 	choice_t choice = {.reason = REASON_NO_TARGET,
 			   .retry_us = RETRY_MIN_US};
 	margin_t margin = margin_of(ask, waited_us, load_waited_us);
+	search_t best = {.s = s, .margin = &margin};
 	int64_t late_us;
-	offer_t best_offer = {0};
 	query_t q;
-	runner_t *r;
 
 	if (!s)
 		return choice;
 	q = make_query(d, ask);
-	cds_list_for_each_entry (r, &d->runners, node) {
-		offer_t offer = {0};
-
-		if (!is_candidate(s, r, ask, now_us))
-			continue;
-		if (!choice.runner)
-			choice.reason = REASON_QUEUE_FULL;
-		if (!get_offer(d, s, r, &q, &margin, now_us, &offer))
-			continue;
-		if (choice.runner && offer.cost >= best_offer.cost)
-			continue;
-		best_offer = offer;
-		choice.runner = r;
-		choice.reason = REASON_NONE;
-	}
+	best.q = &q;
+	search_runners(d, &best, now_us);
+	counter_add(CTR_DISPATCH_DECISIONS, 1);
+	counter_add(CTR_DISPATCH_OFFERS, best.n_offers);
+	if (best.any_candidate)
+		choice.reason = REASON_QUEUE_FULL;
+	choice.runner = best.runner;
 	if (!choice.runner)
 		return choice;
-	choice.first_event_us = best_offer.first_event_us;
-	choice.grant_in_us = best_offer.grant_in_us;
-	choice.needs_load = best_offer.needs_load;
-	choice.prefill_us = best_offer.prefill_us;
-	if (best_offer.cost >= COST_TOO_LATE) {
+	choice.reason = REASON_NONE;
+	choice.first_event_us = best.offer.first_event_us;
+	choice.grant_in_us = best.offer.grant_in_us;
+	choice.needs_load = best.offer.needs_load;
+	choice.prefill_us = best.offer.prefill_us;
+	if (best.offer.cost >= COST_TOO_LATE) {
 		late_us =
-			MAX(best_offer.prefill_us - margin.prefill_us,
-			    best_offer.first_event_us - margin.first_event_us);
+			MAX(best.offer.prefill_us - margin.prefill_us,
+			    best.offer.first_event_us - margin.first_event_us);
 		choice.retry_us = CLAMP(late_us, RETRY_MIN_US, RETRY_MAX_US);
 		choice.reason = REASON_CANNOT_BE_ON_TIME;
 		choice.runner = NULL;
--- a/src/counter.h
+++ b/src/counter.h
@@ -59,11 +59,18 @@
 	X(LINK_BYTES_IN, "link_bytes_in", "Bytes received from peers")         \
 	X(LINK_BYTES_OUT, "link_bytes_out", "Bytes sent to peers")
 
+#define COUNTERS_DISPATCH(X)                                            \
+	X(DISPATCH_DECISIONS, "dispatch_decisions",                     \
+	  "Choices of a runner for a request, also for one that waits") \
+	X(DISPATCH_OFFERS, "dispatch_offers",                           \
+	  "Runners whose cost was computed for such a choice")
+
 #define COUNTERS(X)       \
 	COUNTERS_HTTP(X)  \
 	COUNTERS_SERVE(X) \
 	COUNTERS_STATE(X) \
-	COUNTERS_LINK(X)
+	COUNTERS_LINK(X)  \
+	COUNTERS_DISPATCH(X)
 
 typedef enum counter {
 #define X(name, str, help) CTR_##name,
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -75,8 +75,10 @@
 	d->ops = *ops;
 	d->ctx = ctx;
 	d->grants = g_hash_table_new(request_key_hash, request_key_equal);
+	d->pending_by_key =
+		g_hash_table_new(request_key_hash, request_key_equal);
+	fleet_init(d);
 	d->adapter_versions = g_hash_table_new(NULL, NULL);
-	CDS_INIT_LIST_HEAD(&d->runners);
 	CDS_INIT_LIST_HEAD(&d->pending);
 	CDS_INIT_LIST_HEAD(&d->early_held);
 	CDS_INIT_LIST_HEAD(&d->budgets);
@@ -301,11 +303,12 @@
 
 /* Pending requests. */
 
-static void pending_free(pending_request_t *req)
+static void pending_free(dispatch_t *d, pending_request_t *req)
 {
 	leave_queue(req);
 	if (req->awaited_copy)
 		req->awaited_copy->waiting_requests--;
+	g_hash_table_remove(d->pending_by_key, &req->key);
 	cds_list_del(&req->node);
 	dispatch__msg__free_unpacked(req->msg, NULL);
 	free(req);
@@ -319,17 +322,12 @@
 		  KV_C("reason", reason_info(reason)->name),
 		  kv_i("retry_ms", retry_us / USEC_PER_MSEC));
 	send_refusal(d, &req->key, reason, retry_us);
-	pending_free(req);
+	pending_free(d, req);
 }
 
 static pending_request_t *pending_find(dispatch_t *d, const request_key_t *key)
 {
-	pending_request_t *req;
-
-	cds_list_for_each_entry (req, &d->pending, node)
-		if (request_key_equal(&req->key, key))
-			return req;
-	return NULL;
+	return g_hash_table_lookup(d->pending_by_key, key);
 }
 
 /*
@@ -396,7 +394,7 @@
 		}
 		grant_request(d, &req->key, a, choice.runner,
 			      choice.first_event_us, now_us);
-		pending_free(req);
+		pending_free(d, req);
 		return;
 	}
 	if (req->load_attempts++ >= LOAD_ATTEMPTS_MAX) {
@@ -457,6 +455,7 @@
 		       req->msg->ask->priority)
 		at = at->prev;
 	cds_list_add(&req->node, at);
+	g_hash_table_insert(d->pending_by_key, &req->key, req);
 }
 
 /* Takes ownership of msg. */
@@ -556,7 +555,7 @@
 	copy_t *c;
 
 	if (req)
-		pending_free(req);
+		pending_free(d, req);
 	if (early)
 		early_held_free(early);
 	if (!g)
@@ -696,7 +695,7 @@
 	free_grants(d, from, m, now_us);
 	cds_list_for_each_entry_safe (req, tmp, &d->pending, node)
 		if (req->key.host == from && !is_used(m, req->key.id))
-			pending_free(req);
+			pending_free(d, req);
 }
 
 void dispatch_recv(dispatch_t *d, host_id_t from, const Dispatch__Msg *msg,
@@ -741,7 +740,7 @@
 	free_grants(d, host, NULL, now_us);
 	cds_list_for_each_entry_safe (req, tmp, &d->pending, node)
 		if (req->key.host == host)
-			pending_free(req);
+			pending_free(d, req);
 }
 
 /* Tables, runner list, reports and results of orders. */
@@ -884,7 +883,7 @@
 		log_event(LOG_INFO, "dispatch_ended", kv_u("term", d->term));
 
 	cds_list_for_each_entry_safe (req, tmp, &d->pending, node)
-		pending_free(req);
+		pending_free(d, req);
 	cds_list_for_each_entry_safe (e, etmp, &d->early_held, node)
 		early_held_free(e);
 	fleet_clear(d);
@@ -926,6 +925,8 @@
 		return;
 	dispatch_end(d);
 	g_hash_table_destroy(d->grants);
+	g_hash_table_destroy(d->pending_by_key);
+	fleet_free(d);
 	g_hash_table_destroy(d->adapter_versions);
 	manifest_unref(d->manifest);
 	decided_unref(d->tables);
--- a/src/dispatch_int.h
+++ b/src/dispatch_int.h
@@ -41,7 +41,8 @@
 
 /* A copy of an adapter, or of a model (adapter is empty), at one runner. */
 typedef struct copy {
-	struct cds_list_head node; /* in runner->copies */
+	struct cds_list_head node;     /* in runner->copies */
+	struct cds_list_head same_key; /* in copy_set_t.copies */
 	struct runner *runner;
 	uint64_t key;	  /* copy_key() of model and adapter */
 	str_t model;	  /* owned */
@@ -86,8 +87,12 @@
 } copy_t;
 
 typedef struct runner {
-	struct cds_list_head node; /* in dispatch->runners */
-	str_t id;		   /* owned, as are service, addr and zone */
+	struct cds_list_head node;   /* in dispatch->runners */
+	struct cds_list_head wanted; /* in dispatch->wanting, or empty */
+	/* A query of choose_runner() has considered it. */
+	uint64_t considered_by;
+	struct service_fleet *fleet; /* of its service */
+	str_t id;		     /* owned, as are service, addr and zone */
 	str_t service;
 	str_t addr;
 	str_t zone;
@@ -101,7 +106,8 @@
 	bool in_memory; /* local_weights is in memory, else on disk */
 	uint32_t slots; /* requests that it runs at once; 0: not reported */
 	struct cds_list_head copies;
-	uint32_t n_wanted; /* copies in state COPY_WANTED */
+	uint32_t n_wanted;  /* copies in state COPY_WANTED */
+	uint32_t n_loading; /* copies in state COPY_LOADING */
 
 	/*
 	 * Orders are sent one at a time. Each names the number of orders that
@@ -151,6 +157,18 @@
 	int64_t full_until_us;
 } runner_t;
 
+/* The runners of one service. */
+typedef struct service_fleet {
+	struct cds_list_head node; /* in dispatch->service_fleets */
+	str_t service;		   /* owned */
+	GPtrArray *runners;	   /* in no order */
+} service_fleet_t;
+
+/* All copies with the same copy_key(). */
+typedef struct copy_set {
+	struct cds_list_head copies; /* never empty */
+} copy_set_t;
+
 /* Identifies a request among those of all entries. */
 typedef struct request_key {
 	uint64_t id;
@@ -225,6 +243,11 @@
 	manifest_t *manifest;
 	decided_t *tables;
 	struct cds_list_head runners;
+	struct cds_list_head wanting; /* runners with a copy in COPY_WANTED */
+	GHashTable *runners_by_id;    /* str_t of runner_t -> runner_t */
+	GHashTable *copies_by_key;    /* copy_key() -> copy_set_t */
+	struct cds_list_head service_fleets;
+	uint64_t n_queries; /* calls of choose_runner() */
 	/* Adapters of all runners that are ordered or being loaded. */
 	uint32_t adapters_loading;
 	uint32_t n_wanted; /* adapters in state COPY_WANTED */
@@ -252,12 +275,20 @@
 	int64_t orders_due_us;
 	int64_t sweep_due_us;
 	struct cds_list_head budgets;
+	GHashTable *pending_by_key;   /* request_key_t -> pending_request_t */
 	GHashTable *grants;	      /* request_key_t -> grant_t */
 	GHashTable *adapter_versions; /* copy_key() -> decided version */
 };
 
 /* fleet.c */
-runner_t *fleet_find(dispatch_t *d, str_t id);
+/* Creates and frees the tables of runners and copies. */
+void fleet_init(dispatch_t *d);
+void fleet_free(dispatch_t *d);
+runner_t *fleet_find(const dispatch_t *d, str_t id);
+/* The runners of a service; NULL: none was ever listed. */
+const service_fleet_t *fleet_of_service(const dispatch_t *d, str_t service);
+/* All copies with this copy_key(); NULL: none. */
+const copy_set_t *fleet_copies(const dispatch_t *d, uint64_t key);
 void fleet_apply_list(dispatch_t *d, const runner_list_t *l, int64_t now_us);
 void fleet_apply_report(dispatch_t *d, runner_t *r, const runner_info_t *info,
 			int64_t now_us);
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -40,16 +40,124 @@
 /* Adapters in a row that have to arrive on time for a trial to succeed. */
 #define TRIAL_ON_TIME_MIN 2u
 
-runner_t *fleet_find(dispatch_t *d, str_t id)
+static guint str_key_hash(gconstpointer p)
 {
-	runner_t *r;
+	const str_t *s = p;
 
-	cds_list_for_each_entry (r, &d->runners, node)
-		if (str_eq(r->id, id))
-			return r;
+	return (guint)hash_bytes(s->p, s->n, 0);
+}
+
+static gboolean str_key_equal(gconstpointer a, gconstpointer b)
+{
+	return str_eq(*(const str_t *)a, *(const str_t *)b);
+}
+
+void fleet_init(dispatch_t *d)
+{
+	CDS_INIT_LIST_HEAD(&d->runners);
+	CDS_INIT_LIST_HEAD(&d->wanting);
+	d->runners_by_id = g_hash_table_new(str_key_hash, str_key_equal);
+	d->copies_by_key = g_hash_table_new(NULL, NULL);
+	CDS_INIT_LIST_HEAD(&d->service_fleets);
+}
+
+void fleet_free(dispatch_t *d)
+{
+	service_fleet_t *f, *tmp;
+
+	g_hash_table_destroy(d->runners_by_id);
+	g_hash_table_destroy(d->copies_by_key);
+	cds_list_for_each_entry_safe (f, tmp, &d->service_fleets, node) {
+		str_free(&f->service);
+		g_ptr_array_free(f->runners, TRUE);
+		free(f);
+	}
+}
+
+static void set_str(str_t *to, str_t from)
+{
+	if (str_eq(*to, from))
+		return;
+	str_free(to);
+	*to = str_copy(from);
+}
+
+static service_fleet_t *find_service_fleet(const dispatch_t *d, str_t service)
+{
+	service_fleet_t *f;
+
+	cds_list_for_each_entry (f, &d->service_fleets, node)
+		if (str_eq(f->service, service))
+			return f;
 	return NULL;
 }
 
+const service_fleet_t *fleet_of_service(const dispatch_t *d, str_t service)
+{
+	return find_service_fleet(d, service);
+}
+
+static void leave_service(runner_t *r)
+{
+	if (r->fleet)
+		g_ptr_array_remove_fast(r->fleet->runners, r);
+	r->fleet = NULL;
+}
+
+/* Sets the service of a runner, which may be another one than before. */
+static void set_service(dispatch_t *d, runner_t *r, str_t service)
+{
+	service_fleet_t *f = find_service_fleet(d, service);
+
+	if (f && r->fleet == f)
+		return;
+	leave_service(r);
+	set_str(&r->service, service);
+	if (!f) {
+		f = xcalloc(1, sizeof(*f));
+		f->service = str_copy(service);
+		f->runners = g_ptr_array_new();
+		cds_list_add_tail(&f->node, &d->service_fleets);
+	}
+	r->fleet = f;
+	g_ptr_array_add(f->runners, r);
+}
+
+runner_t *fleet_find(const dispatch_t *d, str_t id)
+{
+	return g_hash_table_lookup(d->runners_by_id, &id);
+}
+
+const copy_set_t *fleet_copies(const dispatch_t *d, uint64_t key)
+{
+	return g_hash_table_lookup(d->copies_by_key, GSIZE_TO_POINTER(key));
+}
+
+static void index_copy(dispatch_t *d, copy_t *c)
+{
+	gpointer key = GSIZE_TO_POINTER(c->key);
+	copy_set_t *set = g_hash_table_lookup(d->copies_by_key, key);
+
+	if (!set) {
+		set = xcalloc(1, sizeof(*set));
+		CDS_INIT_LIST_HEAD(&set->copies);
+		g_hash_table_insert(d->copies_by_key, key, set);
+	}
+	cds_list_add_tail(&c->same_key, &set->copies);
+}
+
+static void unindex_copy(dispatch_t *d, copy_t *c)
+{
+	gpointer key = GSIZE_TO_POINTER(c->key);
+	copy_set_t *set = g_hash_table_lookup(d->copies_by_key, key);
+
+	cds_list_del(&c->same_key);
+	if (!cds_list_empty(&set->copies))
+		return;
+	g_hash_table_remove(d->copies_by_key, key);
+	free(set);
+}
+
 uint64_t copy_key(str_t model, str_t adapter)
 {
 	return hash_bytes(adapter.p, adapter.n,
@@ -76,16 +184,32 @@
 	return s == COPY_LOAD_ORDERED || s == COPY_LOADING;
 }
 
+/* Keeps dispatch_t.wanting up to date. */
+static void update_wanting(dispatch_t *d, runner_t *r)
+{
+	bool listed = !cds_list_empty(&r->wanted);
+
+	if (r->n_wanted && !listed)
+		cds_list_add_tail(&r->wanted, &d->wanting);
+	if (!r->n_wanted && listed)
+		cds_list_del_init(&r->wanted);
+}
+
 void copy_set_state(dispatch_t *d, copy_t *c, copy_state_t state)
 {
+	runner_t *r = c->runner;
+
 	if (c->adapter.n) {
 		d->adapters_loading -= is_loading(c->state);
 		d->n_wanted -= c->state == COPY_WANTED;
 		d->adapters_loading += is_loading(state);
 		d->n_wanted += state == COPY_WANTED;
 	}
-	c->runner->n_wanted -= c->state == COPY_WANTED;
-	c->runner->n_wanted += state == COPY_WANTED;
+	r->n_loading -= c->state == COPY_LOADING;
+	r->n_loading += state == COPY_LOADING;
+	r->n_wanted -= c->state == COPY_WANTED;
+	r->n_wanted += state == COPY_WANTED;
+	update_wanting(d, r);
 	c->state = state;
 	if (state == COPY_READY || state == COPY_UNCERTAIN)
 		c->occupies_slot = true;
@@ -108,7 +232,12 @@
 	c->adapter = str_copy(adapter);
 	c->state = COPY_READY; /* a state that no counter includes */
 	copy_set_state(d, c, state);
-	cds_list_add_tail(&c->node, &r->copies);
+	index_copy(d, c);
+	/* Models first, as each request looks for one. */
+	if (adapter.n)
+		cds_list_add_tail(&c->node, &r->copies);
+	else
+		cds_list_add(&c->node, &r->copies);
 	return c;
 }
 
@@ -123,6 +252,7 @@
 	if (r->ordered_copy == c)
 		r->ordered_copy = NULL;
 	cds_list_del(&c->node);
+	unindex_copy(d, c);
 	pending_copy_removed(d, c);
 	str_free(&c->model);
 	str_free(&c->adapter);
@@ -142,6 +272,8 @@
 	grants_runner_removed(d, r);
 	remove_copies(d, r);
 	cds_list_del(&r->node);
+	g_hash_table_remove(d->runners_by_id, &r->id);
+	leave_service(r);
 	str_free(&r->id);
 	str_free(&r->service);
 	str_free(&r->addr);
@@ -195,7 +327,7 @@
 	runner_t *r = xcalloc(1, sizeof(*r));
 
 	r->id = str_copy(info->id);
-	r->service = str_copy(info->service);
+	set_service(d, r, info->service);
 	r->addr = str_copy(info->addr);
 	r->zone = str_copy(info->zone);
 	r->start_time_ms = info->start_time_ms;
@@ -204,21 +336,15 @@
 	r->report_due_us = INT64_MAX;
 	CDS_INIT_LIST_HEAD(&r->copies);
 	CDS_INIT_LIST_HEAD(&r->grants);
+	CDS_INIT_LIST_HEAD(&r->wanted);
 	cds_list_add_tail(&r->node, &d->runners);
+	g_hash_table_insert(d->runners_by_id, &r->id, r);
 	log_event(LOG_INFO, "runner_added", kv_s("runner", r->id),
 		  kv_s("service", r->service), kv_s("addr", r->addr),
 		  kv_s("zone", r->zone));
 	return r;
 }
 
-static void set_str(str_t *to, str_t from)
-{
-	if (str_eq(*to, from))
-		return;
-	str_free(to);
-	*to = str_copy(from);
-}
-
 static const runner_adapter_t *info_adapter(const runner_info_t *info,
 					    const copy_t *c)
 {
@@ -454,7 +580,7 @@
 	    info->start_time_ms < r->start_time_ms)
 		return; /* a row from before the runner's restart */
 	update_start_time(d, r, info->start_time_ms);
-	set_str(&r->service, info->service);
+	set_service(d, r, info->service);
 	set_str(&r->addr, info->addr);
 	if (info->draining != r->draining)
 		log_event(LOG_INFO, "runner_state", kv_s("runner", r->id),
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -18,8 +18,8 @@
 /* An Ask without a reply is sent again after this time. */
 #define ASK_RESEND_US (120 * USEC_PER_MSEC)
 /*
- * A dispatcher that has sent nothing for this long is reported as unresponsive
- * once an Ask is overdue.
+ * A dispatcher that has sent nothing for this long since an Ask was first sent
+ * is reported as unresponsive.
  */
 #define DISPATCHER_SILENT_US (200 * USEC_PER_MSEC)
 /*
@@ -160,6 +160,7 @@
 	r->n_asks++;
 	r->ask_id = ++g->last_ask_id;
 	r->state = REQUEST_AWAITING_GRANT;
+	r->first_asked_us = now;
 	r->ask_deadline_us = now + wait;
 	if (r->ask_deadline_us > r->deadline_us - SEND_MARGIN_US)
 		r->ask_deadline_us = r->deadline_us - SEND_MARGIN_US;
@@ -381,6 +382,17 @@
 	ask_for_place(r);
 }
 
+/*
+ * When the dispatcher was last heard from, or asked by this request if that was
+ * later: a dispatcher that nobody asks has nothing to send.
+ */
+static int64_t quiet_since_us(const request_t *r)
+{
+	int64_t heard_us = r->gw->dispatcher_heard_us;
+
+	return heard_us > r->first_asked_us ? heard_us : r->first_asked_us;
+}
+
 static void on_request_timer(void *ctx, int64_t now)
 {
 	request_t *r = ctx;
@@ -407,7 +419,7 @@
 	}
 	if (r->state == REQUEST_AWAITING_GRANT && now >= next_ask_us(r)) {
 		if (!r->ask_acked &&
-		    now - r->gw->dispatcher_heard_us >= DISPATCHER_SILENT_US)
+		    now - quiet_since_us(r) >= DISPATCHER_SILENT_US)
 			r->gw->ops.dispatcher_unresponsive(r->gw->ctx);
 		send_ask(r);
 	}
--- a/src/gateway_int.h
+++ b/src/gateway_int.h
@@ -60,8 +60,9 @@
 
 	/* Id of the Ask under way or of the place granted; 0: neither. */
 	uint64_t ask_id;
-	int64_t asked_us; /* when the Ask was sent last */
-	bool ask_acked;	  /* the dispatcher replied that the request waits */
+	int64_t first_asked_us; /* when the Ask was sent first */
+	int64_t asked_us;	/* when it was sent last */
+	bool ask_acked; /* the dispatcher replied that the request waits */
 	int64_t ask_deadline_us; /* refused if there is no grant by then */
 	uint32_t n_asks; /* places asked for, including that of ask_id */
 	uint32_t n_possible_runs; /* attempts that may have run it */
--- a/src/orders.c
+++ b/src/orders.c
@@ -408,13 +408,10 @@
 	copy_t *best = NULL;
 	runner_t *r;
 
-	cds_list_for_each_entry (r, &d->runners, node) {
+	cds_list_for_each_entry (r, &d->wanting, wanted) {
 		copy_t *c;
 
-		if (cds_list_empty(&r->copies))
-			want_model(d, r, now_us);
-		if (!r->n_wanted || r->no_room_us == now_us ||
-		    !may_order(d, r, now_us))
+		if (r->no_room_us == now_us || !may_order(d, r, now_us))
 			continue;
 		c = next_wanted(d, r, now_us);
 		if (!c)
@@ -589,6 +586,8 @@
 	int64_t due = INT64_MAX;
 	copy_t *c, *tmp;
 
+	if (!r->n_loading)
+		return due;
 	cds_list_for_each_entry_safe (c, tmp, &r->copies, node) {
 		if (c->state != COPY_LOADING)
 			continue;
@@ -608,6 +607,10 @@
 	int64_t due = INT64_MAX;
 	runner_t *r;
 
+	if (d->manifest)
+		cds_list_for_each_entry (r, &d->runners, node)
+			if (cds_list_empty(&r->copies))
+				want_model(d, r, now_us);
 	orders_send_due(d, now_us);
 	/* What cannot be ordered now may be possible then. */
 	if (d->n_wanted)
--- a/src/state_int.h
+++ b/src/state_int.h
@@ -131,6 +131,7 @@
 	bool leaving;		  /* state_leave() was called */
 	bool idle;		  /* as passed to state_leave() */
 	int64_t hand_over_due_us; /* when to ask the next voter to lead */
+	bool live_hosts_told;	  /* that this host leads the current term */
 	uint32_t hand_over_attempts;
 	/* The term that begins with a handover by an idle leader; 0: none. */
 	uint64_t idle_handover_term;
--- a/src/state_lead.c
+++ b/src/state_lead.c
@@ -51,9 +51,7 @@
 	sessions_reset(st->sessions, st->last_led_term, now_us);
 	intake_reset(st->intake);
 	st->lease_status_dirty = true;
-	/* Without this, each would ask the earlier leader first. */
-	for (size_t i = 0; i < st->n_live; i++)
-		send_leads(st, st->live[i]);
+	st->live_hosts_told = false;
 }
 
 void state_lead_end(state_t *st)
@@ -398,6 +396,17 @@
 			min_us(st->flush_due_us, now_us + REQUEST_BATCH_US);
 }
 
+/*
+ * Tells the hosts that had a session with the earlier leader, which each would
+ * ask first. Done once this leader can answer them, as they all answer at once.
+ */
+static void tell_live_hosts(state_t *st)
+{
+	st->live_hosts_told = true;
+	for (size_t i = 0; i < st->n_live; i++)
+		send_leads(st, st->live[i]);
+}
+
 /*
  * Tells seeds without a session that this host leads. After a restart, a seed
  * without a disk knows no other host and cannot answer those that ask it for
@@ -465,4 +474,6 @@
 	if (now_us >= st->announce_due_us)
 		announce_to_seeds(st, now_us);
 	answer_pending_renewals(st, now_us);
+	if (!st->live_hosts_told && rlog_is_ready_leader(st->rlog))
+		tell_live_hosts(st);
 }
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -2,6 +2,7 @@
 // loads adapters, and which runners get requests.
 #include <gtest/gtest.h>
 
+#include "counter.h"
 #include "dispatch_world.h"
 #include "log.h"
 
@@ -204,6 +205,76 @@
 	EXPECT_GE(w.runners[0].n_requests - before, 30u);
 }
 
+// Runs f and returns how many offers the dispatcher computed in it.
+uint64_t offers_in(const std::function<void()> &f)
+{
+	uint64_t before = counter_get(CTR_DISPATCH_OFFERS);
+
+	f();
+	return counter_get(CTR_DISPATCH_OFFERS) - before;
+}
+
+// With thousands of runners a decision must not cost more for each of them: the
+// dispatcher would answer so late that its entries take it for dead.
+TEST(Dispatch, ADecisionComputesFewOffersInALargeFleet)
+{
+	Sizes sizes;
+
+	sizes.n_runners = 3000;
+	sizes.loads_per_s = 40;
+	World w(1, {}, sizes);
+	uint64_t cold = 0;
+
+	w.run(1000 * MS, 0);
+	EXPECT_LE(offers_in([&] { cold = w.ask("a"); }), 256u);
+	w.run(1000 * MS, 0);
+	EXPECT_EQ(1, w.requests[cold].grants);
+	// The one runner that has the adapter is found without a search.
+	uint64_t warm = 0;
+
+	EXPECT_LE(offers_in([&] { warm = w.ask("a"); }), 1u);
+	w.run(1000 * MS, 0);
+	EXPECT_EQ(1, w.requests[warm].grants);
+	EXPECT_EQ(1u, w.loads);
+}
+
+TEST(Dispatch, ColdAdaptersAreSpreadOverALargeFleet)
+{
+	Sizes sizes;
+
+	sizes.n_runners = 3000;
+	sizes.loads_per_s = 1000;
+	World w(1, {}, sizes);
+	size_t n_used = 0;
+
+	w.run(1000 * MS, 0);
+	for (size_t i = 0; i < 400; i++)
+		w.ask(adapter(i));
+	w.run(1000 * MS, 0);
+	for (auto &r : w.runners)
+		n_used += !r.adapters.empty();
+	EXPECT_GE(n_used, 390u);
+	EXPECT_EQ(0u, w.refused);
+}
+
+// A service of three runners is found among those of another one.
+TEST(Dispatch, ASmallServiceIsFoundBesideALargeOne)
+{
+	Sizes sizes;
+
+	sizes.n_runners = 3000;
+	World w(1, {}, sizes);
+
+	for (size_t i = 0; i < 3000; i++)
+		if (i % 1000 != 500)
+			w.runners[i].service = "other";
+	w.run(1000 * MS, 0);
+	uint64_t id = w.ask("");
+
+	w.run(100 * MS, 0);
+	EXPECT_EQ(1, w.requests[id].grants);
+}
+
 // A prefix that is cached for one model is of no use to another.
 TEST(Dispatch, PrefixKeysDependOnTheModel)
 {
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -168,7 +168,7 @@
 	    : targets(targets)
 	{
 		static const gateway_ops_t ops = {
-			on_send, [](void *) {},
+			on_send, on_unresponsive,
 			[](void *ctx) -> reason_t {
 				return ((GatewayFixture *)ctx)->refusal;
 			},
@@ -235,6 +235,10 @@
 	bool dispatcher_replies = true; // to Ask messages
 	bool reset = false;		// the last ask() ended by a TCP reset
 	std::atomic<int> n_replied_asks{0};
+	// When the dispatcher was first asked, and when it was first reported
+	// as unresponsive; 0: not yet.
+	std::atomic<int64_t> asked_us{0};
+	std::atomic<int64_t> unresponsive_us{0};
 
       private:
 	static manifest_t *make_manifest()
@@ -275,11 +279,23 @@
 		return m;
 	}
 
+	static void on_unresponsive(void *ctx)
+	{
+		GatewayFixture *fixture = (GatewayFixture *)ctx;
+
+		if (!fixture->unresponsive_us)
+			fixture->unresponsive_us =
+				timer_svc_now(fixture->l.timers);
+	}
 	// The dispatcher replies in a later turn of the loop.
 	static void on_send(void *ctx, const Dispatch__Msg *msg)
 	{
 		GatewayFixture *fixture = (GatewayFixture *)ctx;
 
+		if (msg->body_case == DISPATCH__MSG__BODY_ASK &&
+		    !fixture->asked_us)
+			fixture->asked_us = timer_svc_now(fixture->l.timers);
+
 		if (msg->body_case == DISPATCH__MSG__BODY_DONE)
 			fixture->done.push_back((int)msg->done->outcome);
 		if (msg->body_case != DISPATCH__MSG__BODY_ASK ||
@@ -505,6 +521,19 @@
 	EXPECT_EQ(503, status(fixture.ask("/once/x")));
 }
 
+// A host that has few requests has heard nothing from the dispatcher for long
+// when it asks. That alone does not make the dispatcher unresponsive.
+TEST(Gateway, ADispatcherIsUnresponsiveOnlyIfItIsSilentAfterAnAsk)
+{
+	GatewayFixture fixture({});
+
+	fixture.dispatcher_replies = false;
+	fixture.ask("/once/x");
+	ASSERT_NE(0, fixture.unresponsive_us);
+	EXPECT_GE(fixture.unresponsive_us - fixture.asked_us,
+		  200 * USEC_PER_MSEC);
+}
+
 TEST(Gateway, SuccessWithoutSignatureOrWithContentEncodingIsRejected)
 {
 	Target a({response(200, "", "unproven")});
