--- a/src/attempt.c
+++ b/src/attempt.c
@@ -83,15 +83,16 @@
 	r->state = REQUEST_SENT;
 	r->sent_us = gateway_now(r->gw);
 	r->last_byte_us = r->sent_us;
-	log_event(
-		LOG_INFO, "sent", kv_s("id", r->info.id),
-		kv_s("route", r->route->name),
-		KV_C("kind", route_kind_name(r->route->kind)),
-		kv_u("manifest", r->manifest->version),
-		kv_s("runner", r->runner), kv_u("version", r->adapter_version),
-		kv_u("term", r->grant_term),
-		kv_i("waited_ms", (r->sent_us - r->arrived_us) / USEC_PER_MSEC),
-		kv_u("reused", r->reused));
+	log_event(LOG_INFO, "sent", kv_s("id", r->info.id),
+		  kv_s("route", r->route->name),
+		  KV_C("kind", route_kind_name(r->route->kind)),
+		  kv_u("manifest", r->manifest->version),
+		  kv_s("runner", r->runner), kv_s("adapter", r->info.adapter),
+		  kv_u("version", r->adapter_version),
+		  kv_u("term", r->grant_term),
+		  kv_i("waited_ms",
+		       (r->sent_us - r->arrived_us) / USEC_PER_MSEC),
+		  kv_u("reused", r->reused));
 	if (r->have_event_id)
 		log_event(LOG_INFO, "resumed", kv_s("id", r->info.id),
 			  kv_s("runner", r->runner),
