An overloaded leader has another voter lead

Change: long turns that take half of half a second (overload.c) make a leader of three seconds and more ask another voter to lead; it does not claim that its orders are settled. Tests: three of overload, one of state_resign().

--- a/src/event.h
+++ b/src/event.h
@@ -32,8 +32,11 @@
 	X("thread_start_failed", 10, "error",                                 \
 	  "The daemon does not start, as a thread cannot be started.")        \
 	X("handover", 10, "host term idle",                                   \
-	  "The leader shuts down and asks this host to lead; idle: no order " \
-	  "of its own is outstanding.")                                       \
+	  "The leader shuts down, or is overloaded, and asks this host to "   \
+	  "lead; idle: no order of its own is outstanding.")                  \
+	X("leader_overloaded", 10, "term",                                    \
+	  "The leader's loop is too slow to dispatch; another host is to "    \
+	  "lead.")                                                            \
 	X("leader_changed", 20, "host term",                                  \
 	  "The log has another leader or another term.")                      \
 	X("manifest_in_force", 20, "version routes services",                 \
--- a/src/site.c
+++ b/src/site.c
@@ -61,13 +61,6 @@
  * decided state, or it cannot.
  */
 #define STARTUP_MAX_US (5 * USEC_PER_SEC)
-/* After SIGTERM new connections are accepted for this long; then it drains. */
-#define LEAVE_LISTEN_US (1200 * USEC_PER_MSEC)
-#define LEAVE_TICK_US (50 * USEC_PER_MSEC)
-/* A leader that shuts down waits so long for the answers to its orders. */
-#define LEAVE_ORDERS_MAX_US (300 * USEC_PER_MSEC)
-/* The process exits at the latest this long before SIGKILL. */
-#define LEAVE_MARGIN_US (400 * USEC_PER_MSEC)
 /* Shared by all daemons of a system, as the platform provides no secret. */
 #define SITE_SECRET "damasklug site, one system"
 
@@ -251,6 +244,7 @@
 
 	if (status->is_leader &&
 	    (!dispatch_active(s->dispatch) || status->term != old->term)) {
+		s->dispatch_began_us = site_now(s);
 		dispatch_begin(s->dispatch, status->term,
 			       first || status->predecessor_idle, site_now(s));
 		end_isolated(s);
@@ -552,13 +546,6 @@
 
 /* Construction. */
 
-static void on_slow_turn(void *ctx, int64_t us, int events)
-{
-	(void)ctx;
-	log_event(LOG_NOTICE, "loop_slow", kv_i("turn_ms", us / USEC_PER_MSEC),
-		  kv_i("events", events));
-}
-
 static int create_loop(site_t *s)
 {
 	s->timers = timer_svc_new_polled();
@@ -573,7 +560,7 @@
 	timer_sub_init(&s->dispatch_timer, on_dispatch_timer, s);
 	if (!s->loop)
 		return -1;
-	loop_set_slow_callback(s->loop, SLOW_TURN_US, on_slow_turn);
+	loop_set_slow_callback(s->loop, SLOW_TURN_US, site_on_slow_turn);
 	return 0;
 }
 
@@ -700,76 +687,6 @@
 	timer_svc_arm(s->timers, &s->settings_timer, now + SETTINGS_POLL_US);
 }
 
-/* Shutdown. */
-
-typedef struct leave_mail {
-	mail_t mail;
-	bool idle;
-} leave_mail_t;
-
-static void state_leave_run(void *ctx, mail_t *m)
-{
-	site_t *s = ctx;
-
-	state_leave(s->state, ((leave_mail_t *)m)->idle);
-	free(m);
-}
-
-/*
- * Ends the session of this daemon. A dispatcher first waits for the answers to
- * its orders, so that its successor can send its own at once.
- */
-static void end_session(site_t *s, int64_t now)
-{
-	bool settled = !dispatch_active(s->dispatch) ||
-		       dispatch_orders_settled(s->dispatch, now);
-	leave_mail_t *m;
-
-	if (s->session_ended ||
-	    (!settled && now - s->leave_began_us < LEAVE_ORDERS_MAX_US))
-		return;
-	s->session_ended = true;
-	m = xcalloc(1, sizeof(*m));
-	m->mail.run = state_leave_run;
-	m->mail.drop = mail_free;
-	m->idle = settled;
-	mailbox_send(s->state_mailbox, &m->mail);
-}
-
-static void on_leave_timer(void *ctx, int64_t now)
-{
-	site_t *s = ctx;
-	int64_t elapsed_us = now - s->leave_began_us;
-
-	end_session(s, now);
-	if (elapsed_us >= LEAVE_LISTEN_US)
-		gateway_drain(s->gateway);
-	if ((elapsed_us >= LEAVE_LISTEN_US &&
-	     !gateway_active_requests(s->gateway)) ||
-	    elapsed_us >= s->settings.grace_us - LEAVE_MARGIN_US) {
-		log_event(LOG_NOTICE, "stopped",
-			  kv_u("requests_aborted",
-			       gateway_active_requests(s->gateway)));
-		loop_stop(s->loop);
-		return;
-	}
-	timer_svc_arm(s->timers, &s->leave_timer, now + LEAVE_TICK_US);
-}
-
-static void begin_leaving(site_t *s)
-{
-	if (s->leaving)
-		return;
-	s->leaving = true;
-	s->leave_began_us = site_now(s);
-	log_event(LOG_NOTICE, "leaving",
-		  kv_u("requests", gateway_active_requests(s->gateway)));
-	dispatch_set_lease(s->dispatch, INT64_MIN);
-	end_session(s, s->leave_began_us);
-	timer_svc_arm(s->timers, &s->leave_timer,
-		      s->leave_began_us + LEAVE_TICK_US);
-}
-
 /* Signals. */
 
 typedef struct signal_mail {
@@ -784,7 +701,7 @@
 	if (sig == SIGHUP)
 		reload_settings(ctx);
 	else
-		begin_leaving(ctx);
+		site_begin_leaving(ctx);
 	free(m);
 }
 
@@ -828,7 +745,7 @@
 		return -1;
 	/* It is never joined: it waits for signals until the process exits. */
 	pthread_detach(thread);
-	timer_sub_init(&s->leave_timer, on_leave_timer, s);
+	timer_sub_init(&s->leave_timer, site_on_leave_timer, s);
 	timer_sub_init(&s->settings_timer, on_settings_timer, s);
 	s->settings_mtime_ns = settings_mtime_ns(s);
 	timer_svc_arm(s->timers, &s->settings_timer,
--- a/src/site_int.h
+++ b/src/site_int.h
@@ -1,7 +1,8 @@
 /*
  * site_int.h - internals of the site daemon, for its own files alone: site.c
  * (wiring), site_state.c (the state core), site_ports.c (readiness, directory
- * and control) and site_runners.c (the runner list, orders and reports).
+ * and control), site_runners.c (the runner list, orders and reports) and
+ * site_leave.c (shutdown and overload).
  */
 #ifndef DK_SITE_INT_H
 #define DK_SITE_INT_H
@@ -12,6 +13,7 @@
 #include "gateway.h"
 #include "link.h"
 #include "loop.h"
+#include "overload.h"
 #include "site.h"
 #include "state.h"
 #include "upstream.h"
@@ -82,6 +84,9 @@
 	bool leaving;
 	int64_t leave_began_us;
 	bool session_ended; /* state_leave() was requested */
+	overload_t overload;
+	int64_t dispatch_began_us; /* as the leader */
+	int64_t resigned_us;	   /* when state_resign() was last requested */
 	timer_sub_t leave_timer;
 
 	timer_sub_t settings_timer;
@@ -108,6 +113,15 @@
 /* The dispatcher that is active on this daemon now, or NULL. */
 dispatch_t *site_active_dispatch(site_t *s);
 
+/* site_leave.c */
+
+/* Begins the shutdown; the loop stops once it is complete. */
+void site_begin_leaving(site_t *s);
+/* Timer callback of the shutdown; ctx is the site_t. */
+void site_on_leave_timer(void *ctx, int64_t now);
+/* Callback of the loop for a turn that took long; ctx is the site_t. */
+void site_on_slow_turn(void *ctx, int64_t us, int events);
+
 /* site_state.c */
 
 /* Callbacks of the state core, called under its lock: each only queues. */
--- a/src/state.c
+++ b/src/state.c
@@ -572,6 +572,18 @@
 	pthread_mutex_unlock(&st->lock);
 }
 
+void state_resign(state_t *st)
+{
+	int64_t now_us;
+
+	pthread_mutex_lock(&st->lock);
+	now_us = timer_svc_now(st->timers);
+	if (st->leading)
+		state_ask_successor(st, false, now_us);
+	process_due(st, now_us);
+	pthread_mutex_unlock(&st->lock);
+}
+
 static void status_log(const state_t *st, buf_t *json)
 {
 	if (st->rlog) {
--- a/src/state.h
+++ b/src/state.h
@@ -159,6 +159,11 @@
  * its successor need not wait for any.
  */
 void state_leave(state_t *st, bool idle);
+/*
+ * Asks another voter to lead in place of this leader, which stays a voter; a
+ * single attempt, which may fail. No effect on a host that does not lead.
+ */
+void state_resign(state_t *st);
 
 #ifdef __cplusplus
 }
--- a/src/state_int.h
+++ b/src/state_int.h
@@ -171,6 +171,10 @@
  * first does not. Returns when to call it again.
  */
 int64_t state_hand_over(state_t *st, int64_t now_us);
+/*
+ * Asks a voter to lead; false if none can. idle: as in state_leave().
+ */
+bool state_ask_successor(state_t *st, bool idle, int64_t now_us);
 
 /* state_hold.c: the work of each daemon to keep its own session. */
 
--- a/src/state_lead.c
+++ b/src/state_lead.c
@@ -437,26 +437,31 @@
 	return 0;
 }
 
-int64_t state_hand_over(state_t *st, int64_t now_us)
+bool state_ask_successor(state_t *st, bool idle, int64_t now_us)
 {
 	Peer__Handover pb = PEER__HANDOVER__INIT;
-	host_id_t to;
+	host_id_t to = pick_successor(st, st->hand_over_attempts, now_us);
 
-	if (!st->leaving)
-		return INT64_MAX;
-	if (now_us < st->hand_over_due_us)
-		return st->hand_over_due_us;
-	st->hand_over_due_us = now_us + st->cfg.heartbeat_us;
-	to = pick_successor(st, st->hand_over_attempts, now_us);
 	if (!to)
-		return st->hand_over_due_us;
+		return false;
 	st->hand_over_attempts++;
-	st->hand_over_due_us = now_us + st->cfg.election_us;
 	pb.term = st->last_led_term;
-	pb.idle = st->idle;
+	pb.idle = idle;
 	log_event(LOG_NOTICE, "handover", kv_u("host", to),
-		  kv_u("term", st->last_led_term), kv_u("idle", st->idle));
+		  kv_u("term", st->last_led_term), kv_u("idle", idle));
 	state_send(st, to, PEER__MSG__BODY_HANDOVER, &pb);
+	return true;
+}
+
+int64_t state_hand_over(state_t *st, int64_t now_us)
+{
+	if (!st->leaving)
+		return INT64_MAX;
+	if (now_us >= st->hand_over_due_us)
+		st->hand_over_due_us =
+			now_us + (state_ask_successor(st, st->idle, now_us)
+					  ? st->cfg.election_us
+					  : st->cfg.heartbeat_us);
 	return st->hand_over_due_us;
 }
 
--- a/tests/base_test.cc
+++ b/tests/base_test.cc
@@ -7,6 +7,7 @@
 #include "compress.h"
 #include "counter.h"
 #include "log.h"
+#include "overload.h"
 #include "reason.h"
 #include "timer.h"
 #include "util.h"
@@ -34,6 +35,35 @@
 	EXPECT_EQ(0u, tail.n);
 }
 
+static const int64_t MS = USEC_PER_MSEC;
+
+TEST(Overload, OneLongTurnIsNone)
+{
+	overload_t o = {};
+
+	EXPECT_FALSE(overload_record_turn(&o, 1000 * MS, 400 * MS));
+	EXPECT_FALSE(overload_record_turn(&o, 2000 * MS, 400 * MS));
+}
+
+TEST(Overload, LongTurnsThatTakeHalfOfTheTimeAreOne)
+{
+	overload_t o = {};
+
+	EXPECT_FALSE(overload_record_turn(&o, 1000 * MS, 126 * MS));
+	EXPECT_TRUE(overload_record_turn(&o, 1180 * MS, 179 * MS));
+}
+
+TEST(Overload, FewShortTurnsAreNone)
+{
+	overload_t o = {};
+
+	for (int64_t t = 1000; t < 5000; t += 150)
+		EXPECT_FALSE(overload_record_turn(&o, t * MS, 60 * MS)) << t;
+	for (int64_t t = 5000; t < 5700; t += 70)
+		overload_record_turn(&o, t * MS, 60 * MS);
+	EXPECT_TRUE(overload_record_turn(&o, 5700 * MS, 60 * MS));
+}
+
 // A manifest as operators submit it, with this many routes.
 static std::string manifest_text(int n_routes)
 {
--- a/tests/state_test.cc
+++ b/tests/state_test.cc
@@ -367,6 +367,33 @@
 	expect_no_violations(net);
 }
 
+// A leader whose host is too slow has another voter lead, and goes on as a
+// follower with its session.
+TEST(State, ALeaderThatResignsStaysAVoter)
+{
+	Net net(Net::Options{});
+
+	net.start_all();
+	net.run_until(5000000, [&] { return net.leader(); });
+	net.run(1000000);
+	Daemon *old_leader = net.leader();
+	Daemon &follower = net.at(old_leader->id == 1 ? 2 : 1);
+
+	state_resign(follower.st);
+	net.run(200000);
+	EXPECT_EQ(old_leader, net.leader());
+	state_resign(old_leader->st);
+	EXPECT_TRUE(net.run_until(30000, [&] {
+		return net.leader() && net.leader() != old_leader;
+	}));
+	EXPECT_FALSE(net.leader()->lease_status.predecessor_idle);
+	net.run(net.lease_us * 2);
+	EXPECT_TRUE(net.has_lease(*old_leader));
+	EXPECT_TRUE(net.is_fresh(*old_leader));
+	EXPECT_NE(old_leader, net.leader());
+	expect_no_violations(net);
+}
+
 static std::map<std::string, host_id_t> target_owners(const Net &net)
 {
 	std::map<std::string, host_id_t> m;
