After a power loss hosts find the leader and reach it at once

Change: seeds remember who asked and tell them; the first renewal after learning of a leader goes to it, on hosts with a log as well (one function adopts a leader); connect() is begun anew after 150 ms, 300 ms and so on, and keeps what waits.

--- a/src/link.c
+++ b/src/link.c
@@ -42,6 +42,12 @@
 #define REDIAL_MIN_US (50 * USEC_PER_MSEC)
 #define REDIAL_MAX_US (1 * USEC_PER_SEC)
 #define REDIAL_SHIFT_MAX 6u /* most doublings of the delay before a redial */
+/*
+ * A connect() without an answer for so long is begun anew: the kernel repeats a
+ * lost SYN only after a second, and the first one may have met a host that was
+ * just starting. Each failure doubles the time, for peers that are far away.
+ */
+#define CONNECT_TIMEOUT_MIN_US (150 * USEC_PER_MSEC)
 /* The dialer closes a connection without data in either direction for so long. */
 #define IDLE_TIMEOUT_US (120 * USEC_PER_SEC)
 #define ADDR_TEXT_MAX 64
@@ -64,6 +70,7 @@
 #define CLOSE_REASONS(X)                                                 \
 	X(PEER_CLOSED, CTR_COUNT, "the peer closed the connection")      \
 	X(CONNECT_FAILED, CTR_COUNT, "the peer could not be reached")    \
+	X(CONNECT_TIMEOUT, CTR_COUNT, "no answer to the connection yet") \
 	X(REPLACED, CTR_COUNT, "a newer connection replaces it")         \
 	X(IDLE, CTR_COUNT, "nothing to send for a long time")            \
 	X(STOPPED, CTR_COUNT, "this daemon stops")                       \
@@ -653,6 +660,24 @@
 	record_link_change(l, p, false);
 }
 
+/* How long a connect() to the peer may go unanswered. */
+static int64_t connect_timeout_us(const links_t *l, const peer_t *p)
+{
+	uint32_t shift =
+		p->failures < REDIAL_SHIFT_MAX ? p->failures : REDIAL_SHIFT_MAX;
+	int64_t us = CONNECT_TIMEOUT_MIN_US << shift;
+
+	return us < l->cfg.silence_timeout_us ? us : l->cfg.silence_timeout_us;
+}
+
+/* Begins a connection anew and keeps the frames that wait for it. */
+static void redial_at_once(peer_t *p)
+{
+	p->failures++;
+	p->dialing = false;
+	p->next_dial_us = 0;
+}
+
 static void dial(links_t *l, peer_t *p)
 {
 	struct sockaddr_in addr;
@@ -720,6 +745,10 @@
 
 	if (!p)
 		return;
+	if (c->close_reason == CLOSE_CONNECT_TIMEOUT) {
+		redial_at_once(p);
+		return;
+	}
 	if (c->state != CONN_UP) {
 		if (p->dialing)
 			schedule_redial(l, p);
@@ -781,14 +810,22 @@
 	send_frame(l, c, &frame);
 }
 
+static void check_handshake(links_t *l, conn_t *c, int64_t now)
+{
+	bool dialing = c->state == CONN_DIALING;
+	int64_t age_us = now - c->started_us;
+
+	if (age_us >= l->cfg.silence_timeout_us)
+		mark_for_close(l, c,
+			       dialing ? CLOSE_CONNECT_FAILED : CLOSE_SILENT);
+	else if (dialing && c->peer && age_us >= connect_timeout_us(l, c->peer))
+		mark_for_close(l, c, CLOSE_CONNECT_TIMEOUT);
+}
+
 static void check_conn(links_t *l, conn_t *c, int64_t now)
 {
 	if (c->state != CONN_UP) {
-		if (now - c->started_us >= l->cfg.silence_timeout_us)
-			mark_for_close(l, c,
-				       c->state == CONN_DIALING
-					       ? CLOSE_CONNECT_FAILED
-					       : CLOSE_SILENT);
+		check_handshake(l, c, now);
 		return;
 	}
 	if (now - c->last_in_us >= l->cfg.silence_timeout_us)
--- a/src/state.c
+++ b/src/state.c
@@ -218,14 +218,8 @@
 		state_lead_end(st);
 	if (is_leader && !st->leading)
 		state_lead_begin(st, now_us);
-	if (rlog_leader(st->rlog) && rlog_term(st->rlog) >= st->leader_term &&
-	    (rlog_leader(st->rlog) != st->leader ||
-	     rlog_term(st->rlog) != st->leader_term)) {
-		st->leader = rlog_leader(st->rlog);
-		st->leader_term = rlog_term(st->rlog);
-		st->renew_due_us = now_us;
-		st->lease_status_dirty = true;
-	}
+	state_set_leader(st, rlog_leader(st->rlog), rlog_term(st->rlog),
+			 now_us);
 }
 
 static void log_changed(void *ctx)
@@ -421,6 +415,8 @@
 		state_check_feed_progress(st, now_us);
 		if (now_us >= st->renew_due_us)
 			state_send_renew(st, now_us);
+		if (st->n_seekers && st->leader)
+			state_answer_seekers(st);
 		if (st->leading)
 			state_lead_tick(st, now_us);
 		follow_log(st, now_us);
@@ -746,6 +742,7 @@
 	free(st->first_voters);
 	free(st->seeds);
 	free(st->pending_renewals);
+	free(st->seekers);
 	free(st->feed_order);
 	free(st->feed_positions);
 	free(st->live);
--- a/src/state_hold.c
+++ b/src/state_hold.c
@@ -132,6 +132,7 @@
 		return;
 	st->leader = leader;
 	st->leader_term = term;
+	st->seek_attempts |= 1; /* the next renewal goes to the leader */
 	if (st->rlog)
 		rlog_add_peer(st->rlog, leader);
 	st->renew_due_us = next_renew_us;
--- a/src/state_int.h
+++ b/src/state_int.h
@@ -37,6 +37,13 @@
 	bool feed; /* the sender has no log and needs a feed parent */
 } pending_renewal_t;
 
+/* A host that asked for the leader while this one knew none. */
+typedef struct seeker {
+	host_id_t host;
+	uint64_t session; /* of its renewal, as is sent_us */
+	uint64_t sent_us;
+} seeker_t;
+
 typedef struct feed_position {
 	host_id_t host;
 	size_t feed_position; /* index into state.feed_order */
@@ -132,6 +139,8 @@
 	bool idle;		  /* as passed to state_leave() */
 	int64_t hand_over_due_us; /* when to ask the next voter to lead */
 	bool live_hosts_told;	  /* that this host leads the current term */
+	seeker_t *seekers;	  /* owned */
+	size_t n_seekers;
 	uint32_t hand_over_attempts;
 	/* The term that begins with a handover by an idle leader; 0: none. */
 	uint64_t idle_handover_term;
@@ -159,6 +168,9 @@
 
 /* state_lead.c: the work of the leader for all daemons. */
 
+/* Tells the hosts that asked for the leader, now that one is known. */
+void state_answer_seekers(state_t *st);
+
 void state_lead_begin(state_t *st, int64_t now_us);
 void state_lead_end(state_t *st);
 void state_lead_tick(state_t *st, int64_t now_us);
--- a/src/state_lead.c
+++ b/src/state_lead.c
@@ -25,6 +25,8 @@
  */
 #define REBALANCE_MOVES_MIN 4u
 #define REBALANCE_MOVES_DIVISOR 256u
+/* Hosts remembered that look for the leader; the others ask again. */
+#define SEEKERS_MAX 1024u
 
 static void send_leads(state_t *st, host_id_t to)
 {
@@ -166,6 +168,22 @@
 	return st->feed_order[pick % position];
 }
 
+/* Remembers the latest renewal of each host that looks for the leader. */
+static void add_seeker(state_t *st, host_id_t host, uint64_t session,
+		       uint64_t sent_us)
+{
+	size_t i = 0;
+
+	while (i < st->n_seekers && st->seekers[i].host != host)
+		i++;
+	if (i == SEEKERS_MAX)
+		return; /* it asks again */
+	if (i == st->n_seekers)
+		st->seekers = xrealloc(st->seekers,
+				       ++st->n_seekers * sizeof(seeker_t));
+	st->seekers[i] = (seeker_t){host, session, sent_us};
+}
+
 static void refuse_renewal(state_t *st, host_id_t from, uint64_t session,
 			   uint64_t sent_us)
 {
@@ -179,6 +197,16 @@
 	state_send(st, from, PEER__MSG__BODY_RENEW_RES, &pb);
 }
 
+void state_answer_seekers(state_t *st)
+{
+	for (size_t i = 0; i < st->n_seekers; i++)
+		refuse_renewal(st, st->seekers[i].host, st->seekers[i].session,
+			       st->seekers[i].sent_us);
+	free(st->seekers);
+	st->seekers = NULL;
+	st->n_seekers = 0;
+}
+
 static void answer_renewal(state_t *st, const pending_renewal_t *renewal)
 {
 	Peer__RenewRes pb = PEER__RENEW_RES__INIT;
@@ -293,6 +321,10 @@
 					   r->index, r->revision, r->leave};
 	session_event_t event;
 
+	if (!st->leading && !st->leader) {
+		add_seeker(st, from, r->session, r->sent_us);
+		return;
+	}
 	if (!st->leading) {
 		refuse_renewal(st, from, r->session, r->sent_us);
 		return;
--- a/tests/link_test.cc
+++ b/tests/link_test.cc
@@ -61,7 +61,8 @@
 // One host's end of all its links, with what its callbacks received.
 struct Node {
 	explicit Node(host_id_t id, const char *secret = "0123456789abcdef",
-		      const char *cluster = "c", uint32_t queue_max = 1 << 20)
+		      const char *cluster = "c", uint32_t queue_max = 1 << 20,
+		      int64_t silence_timeout_us = 200000)
 	    : id(id), addr(free_addr())
 	{
 		link_cfg_t cfg = {};
@@ -74,7 +75,7 @@
 		cfg.frame_max = 65536;
 		cfg.queue_max = queue_max;
 		cfg.heartbeat_us = 20000;
-		cfg.silence_timeout_us = 200000;
+		cfg.silence_timeout_us = silence_timeout_us;
 		timers = timer_svc_new_real();
 		links = links_new(&cfg, &ops, this, timers);
 		EXPECT_EQ(links_start(links), 0);
@@ -239,6 +240,34 @@
 	}));
 }
 
+// The first SYN is lost: it meets a full backlog, as it would a host without
+// power. The next connection is begun long before the silence timeout, and the
+// message that waited is delivered by it.
+TEST_F(Link, DialsAgainWithoutWaitingForALostSyn)
+{
+	const int64_t never_us = 3600 * 1000000ll;
+	Node a(1, "0123456789abcdef", "c", 1 << 20, never_us);
+	uint16_t port;
+	int full = bound_socket(&port);
+	std::string addr = "127.0.0.1:" + std::to_string(port);
+	uint64_t dials_before = counter_get(CTR_LINK_DIALS);
+
+	listen(full, 0);
+	int fill = raw_connect(addr); // the backlog holds one connection
+	links_set_peer(a.links, 2, str_c(addr.c_str()));
+	EXPECT_TRUE(links_send(a.links, 2, LINK_STATE, "x", 1));
+	EXPECT_TRUE(eventually([&] {
+		return counter_get(CTR_LINK_DIALS) >= dials_before + 3;
+	}));
+	EXPECT_EQ(0, a.n_downs());
+	close(fill);
+	close(full);
+	Node b(2);
+	b.set_peer(a);
+	a.set_peer(b);
+	EXPECT_TRUE(eventually([&] { return b.n_received() > 0; }));
+}
+
 // The peer accepts connections and never sends a byte, as one behind a NAT that
 // has lost its entry.
 TEST_F(Link, ClosesASilentConnectionAndDialsAgain)
--- a/tests/state_test.cc
+++ b/tests/state_test.cc
@@ -142,6 +142,41 @@
 	}
 }
 
+// After a power loss the hosts without a disk look for the leader while there is
+// none. They learn of it when it is elected, not at their next attempt.
+TEST(State, HostsThatLookForTheLeaderLearnOfItOnceItIsElected)
+{
+	for (uint64_t seed = 1; seed <= 20; seed++) {
+		Net::Options o;
+		o.learners = 6;
+		o.seed = seed;
+		o.auto_voters = 3;
+		o.fanout = 8;
+		Net net(o);
+
+		net.start_all();
+		net.run_until(5000000, [&] { return net.leader(); });
+		ASSERT_EQ(CHANGE_DECIDED,
+			  submit(net, 1, "a", publish("a", 0)).status);
+		net.run(3000000);
+		for (auto &d : net.daemons)
+			net.stop(*d);
+		for (auto &d : net.daemons)
+			net.start(*d);
+		EXPECT_TRUE(
+			net.run_until(5000000, [&] { return net.leader(); }));
+		EXPECT_TRUE(net.run_until(60000,
+					  [&] {
+						  for (auto &d : net.daemons)
+							  if (!net.is_fresh(*d))
+								  return false;
+						  return true;
+					  }))
+			<< "seed " << seed;
+		expect_no_violations(net);
+	}
+}
+
 // A voter whose disk lost entries that it had acknowledged must not help to
 // elect a leader that misses them.
 TEST(State, AVoterWithAnEmptiedDiskElectsNoLeaderThatMissesADecidedChange)
