Runners get no priorities: they preempted running requests

The dispatcher grants one place more than a runner has, so that none is idle for a round trip; requests bore their route's priority; so a more urgent one that took that place preempted a stream midway, which was then read anew. Change: no priority is sent; the one place more waits for the next that ends. The dispatcher grants by priority as before.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -14,10 +14,6 @@
  */
 #define REUSE_IDLE_MAX_US (6 * USEC_PER_SEC)
 #define REUSE_IDLE_MAX_ONCE_US (2 * USEC_PER_SEC)
-/* Batch priority that the platform assumes where a request states none. */
-#define BATCH_PRIORITY_DEFAULT 3
-/* Number of lower priorities that the platform distinguishes. */
-#define BATCH_PRIORITY_LOWER_RANKS 3u
 
 static void close_conn(request_t *r)
 {
@@ -41,6 +37,11 @@
 	request_attempt_ended(r, &end);
 }
 
+/*
+ * Requests of all priorities are alike to the runner: it would preempt one that
+ * is running for a more urgent one, although a place is free for that soon. The
+ * dispatcher grants places by priority.
+ */
 static void write_request(request_t *r, buf_t *out)
 {
 	int64_t now = gateway_now(r->gw);
@@ -48,18 +49,11 @@
 		.runner = r->runner,
 		.left_us = r->deadline_us - now,
 		.adapter_version = r->adapter_version,
-		.priority = -1,
 		.resumes = r->info.resumes || r->have_event_id,
 		.resume_after = r->have_event_id ? r->last_event_id
 						 : r->info.resume_after,
 	};
 
-	if (r->service->engine)
-		f.priority =
-			BATCH_PRIORITY_DEFAULT +
-			(int)(r->route->priority > BATCH_PRIORITY_LOWER_RANKS
-				      ? BATCH_PRIORITY_LOWER_RANKS
-				      : r->route->priority);
 	buf_printf(out, "%.*s %.*s HTTP/1.1\r\n", STR_ARG(r->method),
 		   STR_ARG(r->target));
 	buf_put(out, r->forwarded_fields.p, r->forwarded_fields.n);
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -132,7 +132,6 @@
 	str_t runner;	 /* the only runner that may run it; may be empty */
 	int64_t left_us; /* how long the caller still waits; -1: not sent */
 	uint64_t adapter_version; /* 0: any */
-	int priority;		  /* 0 is the most urgent; -1: not sent */
 	bool resumes;
 	uint64_t resume_after;
 } target_fields_t;
--- a/src/site_runners.c
+++ b/src/site_runners.c
@@ -156,8 +156,7 @@
 /* Header line that names the only runner to answer; NUL-terminated. */
 static void write_runner_field(buf_t *out, str_t runner)
 {
-	const target_fields_t f = {
-		.runner = runner, .left_us = -1, .priority = -1};
+	const target_fields_t f = {.runner = runner, .left_us = -1};
 
 	dialect_write_target_fields(out, &f);
 	buf_put(out, "", 1);
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -396,6 +396,25 @@
 	EXPECT_EQ(std::vector<int>{PLACE_ANSWERED}, fixture.outcomes());
 }
 
+// An engine would preempt a running request for a more urgent one that takes the
+// next place. So neither the route's priority nor the caller's reaches it.
+TEST(Gateway, AnEngineLearnsNoPriorities)
+{
+	Target t({ok_response(), ok_response()});
+	GatewayFixture fixture({&t, &t});
+
+	fixture.l.call([&] {
+		fixture.manifest->services[0].engine = true;
+		for (size_t i = 0; i < fixture.manifest->n_routes; i++)
+			fixture.manifest->routes[i].priority = (uint32_t)i;
+	});
+	EXPECT_EQ(200, status(fixture.ask("/once/a")));
+	EXPECT_EQ(200,
+		  status(fixture.ask("/stream/a", "Request-Priority: 0\r\n")));
+	for (auto &received : t.received())
+		EXPECT_FALSE(has(received, "Request-Priority")) << received;
+}
+
 TEST(Gateway, NonIdempotentRequestIsNotRetriedAfterAReset)
 {
 	Target t({{"", false, true, false}});
