--- a/src/dispatch_int.h
+++ b/src/dispatch_int.h
@@ -264,6 +264,8 @@
 	int64_t trial_ends_us;
 	uint32_t
 		trial_base_concurrency; /* store_concurrency at its beginning */
+	uint32_t trial_unknown;		/* copies with concurrent_loads set */
+	uint32_t trial_loads;	/* the highest concurrent_loads of a trial */
 	uint32_t trial_on_time; /* adapters that came in the usual time */
 	bool trial_failed;	/* an adapter took longer */
 
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -241,6 +241,12 @@
 	return c;
 }
 
+static void forget_concurrent_loads(dispatch_t *d, copy_t *c)
+{
+	d->trial_unknown -= c->concurrent_loads > 0;
+	c->concurrent_loads = 0;
+}
+
 void runner_remove_copy(dispatch_t *d, runner_t *r, copy_t *c)
 {
 	grant_t *g;
@@ -253,6 +259,7 @@
 		r->ordered_copy = NULL;
 	cds_list_del(&c->node);
 	unindex_copy(d, c);
+	forget_concurrent_loads(d, c);
 	pending_copy_removed(d, c);
 	str_free(&c->model);
 	str_free(&c->adapter);
@@ -431,6 +438,20 @@
 	copy_predict_ready(c, now_us);
 }
 
+/*
+ * All adapters of a trial have been seen. Those that were ordered first come in
+ * the usual time even if the store is at its limit, so each of them has to.
+ */
+static void conclude_trial(dispatch_t *d, int64_t now_us)
+{
+	if (!d->trial_failed && d->trial_on_time >= TRIAL_ON_TIME_MIN &&
+	    d->trial_loads > d->store_concurrency) {
+		d->store_concurrency = d->trial_loads;
+		d->next_trial_us = now_us;
+	}
+	d->trial_loads = 0;
+}
+
 /*
  * Learns from a report whether the store delivered the copy in the usual time
  * while it delivered concurrent_loads adapters. Does nothing if that is 0, or
@@ -446,16 +467,14 @@
 		d->trial_failed = true;
 	else
 		d->trial_on_time++;
-	if (!d->trial_failed && d->trial_on_time >= TRIAL_ON_TIME_MIN &&
-	    c->concurrent_loads > d->store_concurrency) {
-		d->store_concurrency = c->concurrent_loads;
-		d->next_trial_us = now_us;
-	}
+	d->trial_loads = MAX(d->trial_loads, c->concurrent_loads);
 	log_event(LOG_INFO, "store_concurrency_sample",
 		  kv_u("store_concurrency", d->store_concurrency),
 		  kv_u("concurrent_loads", c->concurrent_loads),
 		  kv_u("on_time", !loading));
-	c->concurrent_loads = 0;
+	forget_concurrent_loads(d, c);
+	if (!d->trial_unknown)
+		conclude_trial(d, now_us);
 }
 
 /* The runner's report shows that the copy is being loaded. */
--- a/src/orders.c
+++ b/src/orders.c
@@ -499,6 +499,7 @@
 	if (d->adapters_loading + 1 >= d->store_concurrency * TRIAL_FACTOR &&
 	    !is_cached_adapter(d, r, c)) {
 		/* The report shows whether it was loaded as fast as usual. */
+		d->trial_unknown += !c->concurrent_loads;
 		c->concurrent_loads = d->adapters_loading;
 		request_report_by(r, now_us +
 					     d->adapter_load_us * TRIAL_FACTOR +
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -70,6 +70,42 @@
 	EXPECT_LE(w.d->adapter_load_us, 290 * MS * 8 / 6 + 20 * MS);
 }
 
+// More adapters than the store delivers at full speed are ordered in a trial. The
+// first of them come in the usual time, the last do not: the trial has failed.
+TEST(Dispatch, ATrialSucceedsOnlyIfAllItsAdaptersComeInTime)
+{
+	for (uint64_t seed = 1; seed <= 30; seed++) {
+		Sizes sizes;
+
+		sizes.n_runners = 20;
+		sizes.store_concurrency = 8;
+		World w(seed, {}, sizes);
+
+		w.run(1000 * MS, 0);
+		for (size_t i = 0; i < 60; i++) {
+			w.ask(adapter(i), 3000 * MS);
+			w.run(10 * MS, 0);
+		}
+		w.run(3000 * MS, 0);
+		EXPECT_GT(w.d->trial_ends_us, 0);
+		EXPECT_EQ(8u, w.d->store_concurrency) << "seed " << seed;
+	}
+}
+
+TEST(Dispatch, ATrialFindsOutThatTheStoreDeliversMore)
+{
+	Sizes sizes;
+
+	sizes.n_runners = 20;
+	World w(1, {}, sizes);
+
+	w.run(1000 * MS, 0);
+	for (size_t i = 0; i < 60; i++)
+		w.ask(adapter(i), 3000 * MS);
+	w.run(3000 * MS, 0);
+	EXPECT_GE(w.d->store_concurrency, 16u);
+}
+
 // One runner may load four adapters at once, and any more would wait there.
 TEST(Dispatch, LoadsAreSpreadOverAllRunners)
 {
