Retry budgets move out of dispatch.c

Change: retry_budget.c keeps the sliding window of each service; the dispatcher says which part of the slack it may use. Behaviour as before. Two tests of it, which had none of their own.

--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -6,11 +6,6 @@
 
 #include "log.h"
 
-/*
- * Share of the allowed retries that is granted. The rest is a margin: the limit
- * holds for a sliding window, whereas the window here moves in steps.
- */
-#define RETRY_BUDGET_SHARE 0.8
 /* A grant whose end is never reported is freed this long after its deadline. */
 #define GRANT_LINGER_US (3 * USEC_PER_SEC)
 /*
@@ -91,70 +86,20 @@
 	d->adapter_versions = g_hash_table_new(NULL, NULL);
 	CDS_INIT_LIST_HEAD(&d->pending);
 	CDS_INIT_LIST_HEAD(&d->early_held);
-	CDS_INIT_LIST_HEAD(&d->budgets);
+	retry_budgets_init(&d->budgets, cfg->retry_ratio, cfg->retry_slack,
+			   cfg->retry_window_us);
 	return d;
 }
 
-/* Retry budgets. */
-
-static retry_budget_t *budget_get(dispatch_t *d, str_t service)
-{
-	retry_budget_t *budget;
-
-	cds_list_for_each_entry (budget, &d->budgets, node)
-		if (str_eq(budget->service, service))
-			return budget;
-	budget = xcalloc(1, sizeof(*budget));
-	budget->service = str_copy(service);
-	cds_list_add(&budget->node, &d->budgets);
-	return budget;
-}
-
-/* Advances to the current step and clears the steps that it skips. */
-static void budget_advance(const dispatch_t *d, retry_budget_t *budget,
-			   int64_t now_us)
-{
-	int64_t step = now_us / (d->cfg.retry_window_us / BUDGET_STEPS);
-
-	if (step - budget->step >= (int64_t)BUDGET_STEPS)
-		budget->step = step - BUDGET_STEPS;
-	while (budget->step < step) {
-		budget->step++;
-		budget->requests[budget->step % BUDGET_STEPS] = 0;
-		budget->retries[budget->step % BUDGET_STEPS] = 0;
-	}
-}
-
 /*
- * Counts a first attempt, or a retry if the budget allows one; returns false if
- * it does not. In its first window a dispatcher does not know how many retries
- * its predecessor granted, and uses half of retry_slack.
+ * Part of the retries' slack that this dispatcher may use. In its first window it
+ * does not know how many its predecessor granted, and uses half.
  */
-static bool budget_spend(dispatch_t *d, const Dispatch__Ask *ask,
-			 int64_t now_us)
+static double retry_slack_share(const dispatch_t *d, int64_t now_us)
 {
-	retry_budget_t *budget = budget_get(d, pb_str(ask->service));
-	double allowed = d->cfg.retry_slack * RETRY_BUDGET_SHARE;
-	uint32_t requests = 0;
-	uint32_t retries = 0;
+	bool first_window = now_us - d->began_us < d->cfg.retry_window_us;
 
-	budget_advance(d, budget, now_us);
-	if (!ask->repeat) {
-		budget->requests[budget->step % BUDGET_STEPS]++;
-		return true;
-	}
-	for (size_t i = 0; i < BUDGET_STEPS; i++) {
-		requests += budget->requests[i];
-		retries += budget->retries[i];
-	}
-	if (now_us - d->began_us < d->cfg.retry_window_us)
-		allowed /= 2;
-	allowed *= d->runner_share;
-	allowed += requests * d->cfg.retry_ratio * RETRY_BUDGET_SHARE;
-	if (retries + 1 > allowed)
-		return false;
-	budget->retries[budget->step % BUDGET_STEPS]++;
-	return true;
+	return d->runner_share * (first_window ? 0.5 : 1);
 }
 
 /* Messages to entries. */
@@ -479,7 +424,8 @@
 		dispatch__msg__free_unpacked(msg, NULL);
 		return;
 	}
-	if (!budget_spend(d, a, now_us)) {
+	if (!retry_budget_spend(&d->budgets, pb_str(a->service), a->repeat,
+				retry_slack_share(d, now_us), now_us)) {
 		send_refusal(d, key, REASON_RETRY_BUDGET, REFUSAL_RETRY_US);
 		dispatch__msg__free_unpacked(msg, NULL);
 		return;
@@ -898,7 +844,6 @@
 void dispatch_end(dispatch_t *d)
 {
 	pending_request_t *req, *tmp;
-	retry_budget_t *budget, *btmp;
 	early_held_t *e, *etmp;
 
 	if (d->active && d->mode == DISPATCH_LEADER)
@@ -909,11 +854,7 @@
 	cds_list_for_each_entry_safe (e, etmp, &d->early_held, node)
 		early_held_free(e);
 	fleet_clear(d);
-	cds_list_for_each_entry_safe (budget, btmp, &d->budgets, node) {
-		cds_list_del(&budget->node);
-		str_free(&budget->service);
-		free(budget);
-	}
+	retry_budgets_clear(&d->budgets);
 	d->active = false;
 	d->lease_until_us = INT64_MIN;
 }
--- a/src/dispatch_int.h
+++ b/src/dispatch_int.h
@@ -8,6 +8,7 @@
 
 #include "dispatch.h"
 #include "pb.h"
+#include "retry_budget.h"
 
 #include <glib.h>
 #include <urcu/list.h>
@@ -210,19 +211,6 @@
 	uint32_t load_attempts;
 } pending_request_t;
 
-/*
- * Requests and retries of one service in the last retry_window_us. The window
- * is divided into BUDGET_STEPS steps; step n is counted at n % BUDGET_STEPS.
- */
-#define BUDGET_STEPS 20u
-typedef struct retry_budget {
-	struct cds_list_head node; /* in dispatch->budgets */
-	str_t service;		   /* owned */
-	int64_t step;
-	uint32_t requests[BUDGET_STEPS];
-	uint32_t retries[BUDGET_STEPS];
-} retry_budget_t;
-
 /*
  * A place of an earlier term that an entry named before this dispatcher knew the
  * runners; it becomes a grant once they are known.
@@ -283,7 +271,7 @@
 	int64_t decide_due_us; /* when to decide pending requests again */
 	int64_t orders_due_us;
 	int64_t sweep_due_us;
-	struct cds_list_head budgets;
+	retry_budgets_t budgets;
 	GHashTable *pending_by_key;   /* request_key_t -> pending_request_t */
 	GHashTable *grants;	      /* request_key_t -> grant_t */
 	GHashTable *adapter_versions; /* copy_key() -> decided version */
--- a/tests/base_test.cc
+++ b/tests/base_test.cc
@@ -9,6 +9,7 @@
 #include "log.h"
 #include "overload.h"
 #include "reason.h"
+#include "retry_budget.h"
 #include "timer.h"
 #include "util.h"
 
@@ -64,6 +65,38 @@
 	EXPECT_TRUE(overload_record_turn(&o, 5700 * MS, 60 * MS));
 }
 
+// A fifth of the first attempts and a slack of ten; 0.8 of both is granted.
+TEST(RetryBudget, AllowsAShareOfTheFirstAttemptsOfEachService)
+{
+	retry_budgets_t b;
+	int n = 0;
+
+	retry_budgets_init(&b, 0.2, 10, 10000 * MS);
+	for (int i = 0; i < 100; i++)
+		EXPECT_TRUE(retry_budget_spend(&b, STR("a"), false, 1, 0));
+	while (retry_budget_spend(&b, STR("a"), true, 1, 0))
+		n++;
+	EXPECT_EQ(24, n);
+	for (n = 0; retry_budget_spend(&b, STR("b"), true, 0.5, 0);)
+		n++;
+	EXPECT_EQ(4, n);
+	retry_budgets_clear(&b);
+}
+
+TEST(RetryBudget, ForgetsWhatIsOlderThanItsWindow)
+{
+	retry_budgets_t b;
+	int n = 0;
+
+	retry_budgets_init(&b, 0.2, 10, 10000 * MS);
+	while (retry_budget_spend(&b, STR("a"), true, 1, 0))
+		n++;
+	EXPECT_EQ(8, n);
+	EXPECT_FALSE(retry_budget_spend(&b, STR("a"), true, 1, 9000 * MS));
+	EXPECT_TRUE(retry_budget_spend(&b, STR("a"), true, 1, 10000 * MS));
+	retry_budgets_clear(&b);
+}
+
 // A manifest as operators submit it, with this many routes.
 static std::string manifest_text(int n_routes)
 {
