A leader hands over as idle only for the term that it dispatched in

Cause, from reading the diff: a host that was told to end while it did not dispatch counted as idle. If it won an election in that moment, its successor would have ordered at once, although orders of the leader before could still be carried out. Change: the daemon names the term in which its dispatcher's orders are settled; any other term counts as not idle. A test in state_test.

--- a/dev/lib_sim_state.c
+++ b/dev/lib_sim_state.c
@@ -605,7 +605,7 @@
 		return;
 	if (!ev->value && sim_now(s) >= h->lease_return_us &&
 	    !callers_waiting_for(s, h)) {
-		state_leave(h->state, false);
+		state_leave(h->state, 0);
 		ev->value = 1;
 	}
 	if (ev->value && serve_drained(h->core)) {
--- a/src/choice.c
+++ b/src/choice.c
@@ -4,11 +4,13 @@
  *
  * It assumes that a runner prefills prompts one after the other, in pieces
  * between the decoding steps of its running streams. Too many prompt tokens at
- * once therefore make all its streams pause. Each adapter is held by few
- * runners; loading it takes a fixed time and has a cost.
+ * once therefore make all its streams pause; how many that are is learnt from
+ * the pauses (runner_t.prefill_share). Each adapter is held by few runners;
+ * loading it takes a fixed time and has a cost.
  *
- * Each runner makes an offer, and the offer of the lowest cost is taken. The
- * unit of costs is a thousandth of the value of an ordinary request.
+ * Each runner that is considered makes an offer, and the offer of the lowest cost
+ * is taken. The unit of costs is a thousandth of the value of an ordinary
+ * request.
  */
 #include "dispatch_int.h"
 
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -898,7 +898,7 @@
 		}
 		if (!lease_returned && now >= refuse_from_us &&
 		    !http_active_requests(d->http)) {
-			state_leave(d->state, false);
+			state_leave(d->state, 0);
 			lease_returned = true;
 			log_event(LOG_NOTICE, "lease_returned",
 				  kv_i("host", s->host_id));
--- a/src/site_int.h
+++ b/src/site_int.h
@@ -84,10 +84,12 @@
 	bool leaving;
 	int64_t leave_began_us;
 	bool session_ended; /* state_leave() was requested */
+	timer_sub_t leave_timer;
+
+	/* Overload of the leader. */
 	overload_t overload;
 	int64_t dispatch_began_us; /* as the leader */
 	int64_t resigned_us;	   /* when state_resign() was last requested */
-	timer_sub_t leave_timer;
 
 	timer_sub_t settings_timer;
 	int64_t settings_mtime_ns; /* of the settings file when last read */
--- a/src/site_leave.c
+++ b/src/site_leave.c
@@ -71,14 +71,14 @@
 
 typedef struct leave_mail {
 	mail_t mail;
-	bool idle;
+	uint64_t idle_term; /* as in state_leave() */
 } leave_mail_t;
 
 static void state_leave_run(void *ctx, mail_t *m)
 {
 	site_t *s = ctx;
 
-	state_leave(s->state, ((leave_mail_t *)m)->idle);
+	state_leave(s->state, ((leave_mail_t *)m)->idle_term);
 	free(m);
 }
 
@@ -88,18 +88,20 @@
  */
 static void end_session(site_t *s, int64_t now)
 {
-	bool settled = !dispatch_active(s->dispatch) ||
-		       dispatch_orders_settled(s->dispatch, now);
+	bool dispatches = dispatch_active(s->dispatch);
+	bool settled = dispatches && dispatch_orders_settled(s->dispatch, now);
 	leave_mail_t *m;
 
-	if (s->session_ended ||
-	    (!settled && now - s->leave_began_us < LEAVE_ORDERS_MAX_US))
+	if (s->session_ended)
+		return;
+	if (dispatches && !settled &&
+	    now - s->leave_began_us < LEAVE_ORDERS_MAX_US)
 		return;
 	s->session_ended = true;
 	m = xcalloc(1, sizeof(*m));
 	m->mail.run = state_leave_run;
 	m->mail.drop = mail_free;
-	m->idle = settled;
+	m->idle_term = settled ? s->lease_status.term : 0;
 	mailbox_send(s->state_mailbox, &m->mail);
 }
 
--- a/src/state.c
+++ b/src/state.c
@@ -551,14 +551,14 @@
 	return n;
 }
 
-void state_leave(state_t *st, bool idle)
+void state_leave(state_t *st, uint64_t idle_term)
 {
 	int64_t now_us;
 
 	pthread_mutex_lock(&st->lock);
 	now_us = timer_svc_now(st->timers);
 	st->leaving = true;
-	st->idle = idle;
+	st->idle_term = idle_term;
 	st->hand_over_due_us = now_us;
 	st->lease_status_dirty = true;
 	/* Stop using the lease here before the leader is told. */
--- a/src/state.h
+++ b/src/state.h
@@ -155,10 +155,10 @@
 /*
  * Ends the session of this daemon without waiting for its lease to expire, so
  * that the leader reassigns its targets at once. A leader hands over to another
- * voter. idle: no work that this daemon began as leader is outstanding, so that
- * its successor need not wait for any.
+ * voter. idle_term: the term that it leads, if no work that it began as leader is
+ * outstanding, so that its successor need not wait for any; else 0.
  */
-void state_leave(state_t *st, bool idle);
+void state_leave(state_t *st, uint64_t idle_term);
 /*
  * Asks another voter to lead in place of this leader, which stays a voter; a
  * single attempt, which may fail. No effect on a host that does not lead.
--- a/src/state_int.h
+++ b/src/state_int.h
@@ -136,7 +136,7 @@
 	uint64_t grant;		  /* from the leader; see session.h */
 	uint32_t feed_try;	  /* as Renew.feed_try in proto/state.proto */
 	bool leaving;		  /* state_leave() was called */
-	bool idle;		  /* as passed to state_leave() */
+	uint64_t idle_term;	  /* as passed to state_leave() */
 	int64_t hand_over_due_us; /* when to ask the next voter to lead */
 	bool live_hosts_told;	  /* that this host leads the current term */
 	seeker_t *seekers;	  /* owned */
@@ -184,7 +184,8 @@
  */
 int64_t state_hand_over(state_t *st, int64_t now_us);
 /*
- * Asks a voter to lead; false if none can. idle: as in state_leave().
+ * Asks a voter to lead; false if none can. idle: no work that this host began
+ * as leader is outstanding.
  */
 bool state_ask_successor(state_t *st, bool idle, int64_t now_us);
 
--- a/src/state_lead.c
+++ b/src/state_lead.c
@@ -487,13 +487,15 @@
 
 int64_t state_hand_over(state_t *st, int64_t now_us)
 {
+	bool idle = st->idle_term == st->last_led_term;
+
 	if (!st->leaving)
 		return INT64_MAX;
-	if (now_us >= st->hand_over_due_us)
-		st->hand_over_due_us =
-			now_us + (state_ask_successor(st, st->idle, now_us)
-					  ? st->cfg.election_us
-					  : st->cfg.heartbeat_us);
+	if (now_us < st->hand_over_due_us)
+		return st->hand_over_due_us;
+	st->hand_over_due_us = now_us + st->cfg.heartbeat_us;
+	if (state_ask_successor(st, idle, now_us))
+		st->hand_over_due_us = now_us + st->cfg.election_us;
 	return st->hand_over_due_us;
 }
 
--- a/tests/state_fuzz.cc
+++ b/tests/state_fuzz.cc
@@ -287,7 +287,8 @@
 			break;
 		case LEAVE:
 			if (d.st && !d.paused) {
-				state_leave(d.st, s.b % 2);
+				state_leave(d.st,
+					    s.b % 2 ? d.lease_status.term : 0);
 				net.run(200000);
 				net.stop(d);
 			}
--- a/tests/state_test.cc
+++ b/tests/state_test.cc
@@ -287,7 +287,7 @@
 	EXPECT_TRUE(net.run_until(net.lease_us + 1000000,
 				  [&] { return all_targets_owned(5); }));
 	// Another one leaves: its lease is not waited for.
-	state_leave(net.at(4).st, false);
+	state_leave(net.at(4).st, 0);
 	EXPECT_TRUE(
 		net.run_until(500000, [&] { return all_targets_owned(4); }));
 	for (size_t i = 0; i < 12; i++)
@@ -318,7 +318,7 @@
 		return true;
 	};
 
-	state_leave(old_leader->st, idle);
+	state_leave(old_leader->st, idle ? term : 0);
 	EXPECT_TRUE(net.run_until(30000, all_know_another_leader));
 	EXPECT_TRUE(net.run_until(30000, [&] {
 		return net.leader() && net.leader() != old_leader;
@@ -339,6 +339,24 @@
 	expect_handover(false);
 }
 
+// A leader that was idle in an earlier term may have begun something since.
+TEST(State, AnIdleTermBeforeTheLedOneDoesNotCount)
+{
+	Net net(Net::Options{});
+
+	net.start_all();
+	net.run_until(5000000, [&] { return net.leader(); });
+	net.run(1000000);
+	Daemon *old_leader = net.leader();
+
+	state_leave(old_leader->st, old_leader->lease_status.term - 1);
+	EXPECT_TRUE(net.run_until(60000, [&] {
+		return net.leader() && net.leader() != old_leader;
+	}));
+	EXPECT_FALSE(net.leader()->lease_status.predecessor_idle);
+	expect_no_violations(net);
+}
+
 // The first voter that the leader asks cannot be reached.
 TEST(State, ALeaderThatLeavesAsksAnotherVoterIfTheFirstDoesNotLead)
 {
@@ -351,7 +369,7 @@
 	host_id_t first = old_leader->id == 1 ? 2 : 1;
 
 	net.isolate(first, true);
-	state_leave(old_leader->st, true);
+	state_leave(old_leader->st, old_leader->lease_status.term);
 	EXPECT_TRUE(net.run_until(net.election_us * 2, [&] {
 		return net.leader() && net.leader() != old_leader &&
 		       net.leader()->id != first;
@@ -371,7 +389,7 @@
 	net.run(1000000);
 	Daemon *first = net.leader();
 
-	state_leave(first->st, true);
+	state_leave(first->st, first->lease_status.term);
 	net.run(200000);
 	Daemon *second = net.leader();
 	ASSERT_NE(first, second);
@@ -392,7 +410,7 @@
 	net.start_all();
 	net.run_until(5000000, [&] { return net.leader(); });
 	net.run(1000000);
-	state_leave(net.at(5).st, false);
+	state_leave(net.at(5).st, 0);
 	net.run(500000);
 	net.stop(*net.leader());
 	EXPECT_TRUE(net.run_until(5000000, [&] { return net.leader(); }));
