--- a/src/dispatch_int.h
+++ b/src/dispatch_int.h
@@ -283,7 +283,7 @@
 void fleet_free(dispatch_t *d);
 runner_t *fleet_find(const dispatch_t *d, str_t id);
 /* The runners of a service; NULL: none was ever listed. */
-const service_fleet_t *fleet_of_service(const dispatch_t *d, str_t service);
+service_fleet_t *fleet_of_service(const dispatch_t *d, str_t service);
 /* All copies with this copy_key(); NULL: none. */
 const copy_set_t *fleet_copies(const dispatch_t *d, uint64_t key);
 void fleet_apply_list(dispatch_t *d, const runner_list_t *l, int64_t now_us);
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -82,7 +82,7 @@
 	*to = str_copy(from);
 }
 
-static service_fleet_t *find_service_fleet(const dispatch_t *d, str_t service)
+service_fleet_t *fleet_of_service(const dispatch_t *d, str_t service)
 {
 	service_fleet_t *f;
 
@@ -92,11 +92,6 @@
 	return NULL;
 }
 
-const service_fleet_t *fleet_of_service(const dispatch_t *d, str_t service)
-{
-	return find_service_fleet(d, service);
-}
-
 static void leave_service(runner_t *r)
 {
 	if (r->fleet)
@@ -107,7 +102,7 @@
 /* Sets the service of a runner, which may be another one than before. */
 static void set_service(dispatch_t *d, runner_t *r, str_t service)
 {
-	service_fleet_t *f = find_service_fleet(d, service);
+	service_fleet_t *f = fleet_of_service(d, service);
 
 	if (f && r->fleet == f)
 		return;
--- a/src/link.c
+++ b/src/link.c
@@ -638,14 +638,20 @@
 	return inet_pton(AF_INET, ip, &out->sin_addr) == 1 ? 0 : -1;
 }
 
-static void schedule_redial(links_t *l, peer_t *p)
+/* A time that doubles with each failed dial in a row, up to max_us. */
+static int64_t backoff_us(const peer_t *p, int64_t min_us, int64_t max_us)
 {
 	uint32_t shift =
 		p->failures < REDIAL_SHIFT_MAX ? p->failures : REDIAL_SHIFT_MAX;
-	int64_t wait_us = REDIAL_MIN_US << shift;
+	int64_t us = min_us << shift;
+
+	return us < max_us ? us : max_us;
+}
+
+static void schedule_redial(links_t *l, peer_t *p)
+{
+	int64_t wait_us = backoff_us(p, REDIAL_MIN_US, REDIAL_MAX_US);
 
-	if (wait_us > REDIAL_MAX_US)
-		wait_us = REDIAL_MAX_US;
 	wait_us = wait_us / 2 + randombytes_uniform((uint32_t)wait_us / 2);
 	p->failures++;
 	p->dialing = false;
@@ -663,11 +669,7 @@
 /* How long a connect() to the peer may go unanswered. */
 static int64_t connect_timeout_us(const links_t *l, const peer_t *p)
 {
-	uint32_t shift =
-		p->failures < REDIAL_SHIFT_MAX ? p->failures : REDIAL_SHIFT_MAX;
-	int64_t us = CONNECT_TIMEOUT_MIN_US << shift;
-
-	return us < l->cfg.silence_timeout_us ? us : l->cfg.silence_timeout_us;
+	return backoff_us(p, CONNECT_TIMEOUT_MIN_US, l->cfg.silence_timeout_us);
 }
 
 /* Begins a connection anew and keeps the frames that wait for it. */
