Logs and metrics: whose response a caller got, and what a refusal rests on

Cause: the logs could not tell the hypotheses of the incident apart. A refusal taken from a target's response did not say whether that response named the request, nor how soon it came; a response of a target that was relayed in the end had status=0 in the log, and none was counted by status. A body over the limit was refused without a line, and lines that standard output did not take were told by a metric alone.

Change: attempt_ended has named and after_send_ms, and the status of its own response alone (that of an earlier attempt stood there before); refused has by and the status that the caller gets; damasklug_responses_total by status and source; dropped= on the line after lost ones. No decision is changed.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -105,6 +105,7 @@
 	r->wrong_request = info.id.n && !str_eq(info.id, r->info.id);
 	if (r->wrong_request)
 		return;
+	r->named = info.id.n > 0;
 	r->not_run = info.not_run;
 	r->has_proof = info.has_proof;
 	r->last_byte_us = gateway_now(r->gw);
@@ -203,9 +204,12 @@
 
 	r->state = REQUEST_CONNECTING;
 	r->wrong_request = false;
+	r->named = false;
 	r->not_run = false;
 	r->body_started = false;
 	r->longest_pause_us = 0;
+	r->sent_us = 0;
+	memset(&r->response_head, 0, sizeof(r->response_head));
 	r->conn = upstream_acquire(r->gw->upstream, r->addr, max_idle_us);
 	r->reused = r->conn != NULL;
 	if (r->conn) {
--- a/src/cli_pages.c
+++ b/src/cli_pages.c
@@ -54,6 +54,11 @@
 		buf_printf(out, "| `damasklug_%s_total` | %s |\n",
 			   counter_name((counter_t)c),
 			   counter_help((counter_t)c));
+	buf_puts(out,
+		 "\n`damasklug_responses_total{status=\"...\",by=\"...\"}` "
+		 "counts the responses to callers\nof `damasklug site`: "
+		 "by groups of statuses, and whether a target or this "
+		 "daemon made\nthem.\n");
 }
 
 static int print_page(void (*page)(buf_t *out))
--- a/src/counter.c
+++ b/src/counter.c
@@ -6,11 +6,35 @@
 
 #include <stdatomic.h>
 
+typedef enum response_group {
+#define X(name, str) RESPONSES_##name,
+	RESPONSE_GROUPS(X)
+#undef X
+	RESPONSE_GROUP_COUNT,
+} response_group_t;
+
+static const char *const response_groups[] = {
+#define X(name, str) str,
+	RESPONSE_GROUPS(X)
+#undef X
+};
+
+static const char *const response_sources[] = {
+#define X(name, str) str,
+	RESPONSE_SOURCES(X)
+#undef X
+};
+
 #define COUNTER_SHARDS 16u
-/* Indexes of a shard: counter_t first, then refusal and retry reasons. */
+/*
+ * Indexes of a shard: counter_t first, then refusal and retry reasons, then the
+ * groups of responses of each source.
+ */
 #define INDEX_REFUSED CTR_COUNT
 #define INDEX_RETRIED (INDEX_REFUSED + REASON_COUNT)
-#define INDEX_COUNT (INDEX_RETRIED + RETRY_REASON_COUNT)
+#define INDEX_RESPONSES (INDEX_RETRIED + RETRY_REASON_COUNT)
+#define INDEX_COUNT \
+	(INDEX_RESPONSES + RESPONSE_SOURCE_COUNT * RESPONSE_GROUP_COUNT)
 
 typedef struct counter_shard {
 	atomic_uint_fast64_t values[INDEX_COUNT];
@@ -65,6 +89,43 @@
 	index_add(INDEX_RETRIED + r, 1);
 }
 
+static response_group_t response_group(int status)
+{
+	switch (status) {
+	case 408:
+		return RESPONSES_408;
+	case 421:
+		return RESPONSES_421;
+	case 429:
+		return RESPONSES_429;
+	case 503:
+		return RESPONSES_503;
+	default:
+		break;
+	}
+	if (status < 300)
+		return RESPONSES_2XX;
+	if (status < 400)
+		return RESPONSES_3XX;
+	return status < 500 ? RESPONSES_OTHER_4XX : RESPONSES_OTHER_5XX;
+}
+
+static unsigned int response_index(response_source_t source,
+				   response_group_t group)
+{
+	return INDEX_RESPONSES + source * RESPONSE_GROUP_COUNT + group;
+}
+
+void counter_add_response(int status, response_source_t source)
+{
+	index_add(response_index(source, response_group(status)), 1);
+}
+
+uint64_t counter_get_responses(int status, response_source_t source)
+{
+	return index_get(response_index(source, response_group(status)));
+}
+
 uint64_t counter_get(counter_t c)
 {
 	return index_get(c);
@@ -103,6 +164,19 @@
 		   reason, (unsigned long long)value);
 }
 
+static void write_responses(buf_t *out)
+{
+	write_family(out, "responses", "Responses to callers, by status");
+	for (unsigned int s = 0; s < RESPONSE_SOURCE_COUNT; s++)
+		for (unsigned int g = 0; g < RESPONSE_GROUP_COUNT; g++)
+			buf_printf(out,
+				   "damasklug_responses_total{status=\"%s\","
+				   "by=\"%s\"} %llu\n",
+				   response_groups[g], response_sources[s],
+				   (unsigned long long)index_get(
+					   response_index(s, g)));
+}
+
 void counter_write(buf_t *out)
 {
 	for (unsigned int c = 0; c < CTR_COUNT; c++) {
@@ -121,4 +195,5 @@
 		write_reason_counter(out, "retried",
 				     retry_reason_name((retry_reason_t)r),
 				     index_get(INDEX_RETRIED + r));
+	write_responses(out);
 }
--- a/src/counter.h
+++ b/src/counter.h
@@ -72,6 +72,32 @@
 	COUNTERS_LINK(X)  \
 	COUNTERS_DISPATCH(X)
 
+/*
+ * X(NAME, "status") - groups of statuses that callers get. 408, 421, 429 and 503
+ * are apart, as they tell a caller that its request did not run.
+ */
+#define RESPONSE_GROUPS(X)  \
+	X(2XX, "2xx")       \
+	X(3XX, "3xx")       \
+	X(408, "408")       \
+	X(421, "421")       \
+	X(429, "429")       \
+	X(503, "503")       \
+	X(OTHER_4XX, "4xx") \
+	X(OTHER_5XX, "5xx")
+
+/* X(NAME, "by") - whose response a caller gets. */
+#define RESPONSE_SOURCES(X) \
+	X(TARGET, "target") \
+	X(DAEMON, "daemon")
+
+typedef enum response_source {
+#define X(name, str) RESPONSE_BY_##name,
+	RESPONSE_SOURCES(X)
+#undef X
+	RESPONSE_SOURCE_COUNT,
+} response_source_t;
+
 typedef enum counter {
 #define X(name, str, help) CTR_##name,
 	COUNTERS(X)
@@ -82,6 +108,8 @@
 void counter_add(counter_t c, uint64_t n);
 /* Counts one refused or failed request. */
 void counter_add_refused(reason_t r);
+/* Counts one response to a caller. */
+void counter_add_response(int status, response_source_t source);
 /* Counts one retry of an attempt. */
 void counter_add_retried(retry_reason_t r);
 /*
@@ -90,6 +118,8 @@
  */
 uint64_t counter_get(counter_t c);
 uint64_t counter_get_refused(reason_t r);
+/* Of all statuses in the group of this one. */
+uint64_t counter_get_responses(int status, response_source_t source);
 uint64_t counter_get_retried(retry_reason_t r);
 /* Appends all counters as Prometheus text. */
 void counter_write(buf_t *out);
--- a/src/event.c
+++ b/src/event.c
@@ -68,7 +68,8 @@
 		 "(seconds), `host`, `event`, then the keys below. "
 		 "Lines above the limit of their event are dropped; "
 		 "`suppressed=N` says that N lines of the event were dropped "
-		 "before this one.\n\n"
+		 "before this one, `dropped=N` that N lines of any event were "
+		 "lost as standard output did not take them.\n\n"
 		 "| event | keys | lines per second | meaning |\n"
 		 "|---|---|---|---|\n");
 	for (size_t i = 0; i < EVENT_COUNT; i++)
--- a/src/event.h
+++ b/src/event.h
@@ -67,16 +67,20 @@
 	  "The request is sent to a runner; version is that of the adapter, " \
 	  "term that of the grant.")                                          \
 	X("attempt_ended", 100,                                               \
-	  "id runner outcome sent response_status tries retry after_ms",      \
+	  "id runner outcome sent response_status named after_send_ms tries " \
+	  "retry after_ms",                                                   \
 	  "An attempt at a runner ended without a response for the caller; "  \
-	  "response_status=0: it brought no valid response head.")            \
+	  "response_status=0: it brought no valid response head; named=1: "   \
+	  "the response names the request; after_send_ms=-1: nothing was "    \
+	  "sent.")                                                            \
 	X("resumed", 100, "id runner after_event",                            \
 	  "A stream is resumed at the runner, behind event after_event.")     \
 	X("ended", 100, "id route runner status tries first_ms after_ms",     \
 	  "The whole response was sent to the caller.")                       \
-	X("refused", 200, "id route reason status run tries after_ms",        \
+	X("refused", 200, "id route reason status by run tries after_ms",     \
 	  "The caller gets a refusal by this daemon, or its response is cut " \
-	  "off.")                                                             \
+	  "off; status is what the caller gets, by whether it is a target's " \
+	  "or this daemon's.")                                                \
 	X("cancelled", 100, "id route state after_ms",                        \
 	  "The caller's connection ended before the response.")               \
 	X("dispatch_started", 10, "term orders_settled",                      \
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -254,6 +254,7 @@
 	AUTO_BUF buf_t out = {0};
 
 	counter_add_refused(reason);
+	counter_add_response(info->http_status, RESPONSE_BY_DAEMON);
 	if (!retry_us)
 		retry_us = info->retry_ms * USEC_PER_MSEC;
 	buf_printf(&body,
@@ -282,12 +283,13 @@
 static void log_refused(str_t id, const request_t *r, reason_t reason)
 {
 	const reason_info_t *info = reason_info(reason);
-	bool target_answered = r && (r->head_sent || r->fallback_response.n);
+	int status = r ? r->relayed_status : 0;
 
 	log_event(LOG_INFO, "refused", kv_s("id", id),
 		  kv_s("route", r ? r->route->name : str_n(NULL, 0)),
 		  KV_C("reason", info->name),
-		  kv_i("status", target_answered ? 0 : info->http_status),
+		  kv_i("status", status ? status : info->http_status),
+		  KV_C("by", status ? "target" : "daemon"),
 		  KV_C("run", run_name(info->run_state)),
 		  kv_u("tries", r ? r->n_asks : 0),
 		  kv_i("after_ms", r ? since_arrival_ms(r) : 0));
@@ -312,6 +314,7 @@
 		http1_reset(c->conn);
 		caller_free(c);
 	} else if (r->fallback_response.n) {
+		counter_add_response(r->relayed_status, RESPONSE_BY_TARGET);
 		http1_send(c->conn, r->fallback_response.p,
 			   r->fallback_response.n);
 		caller_end_response(c, true);
@@ -375,6 +378,11 @@
 		  KV_C("outcome", place_outcome_name(end->outcome)),
 		  kv_u("sent", end->sent),
 		  kv_i("response_status", r->response_head.status),
+		  kv_u("named", r->named),
+		  kv_i("after_send_ms",
+		       r->sent_us ? (gateway_now(r->gw) - r->sent_us) /
+					    USEC_PER_MSEC
+				  : -1),
 		  kv_u("tries", r->n_asks), kv_u("retry", may_retry(r, end)),
 		  kv_i("after_ms", since_arrival_ms(r)));
 	if (!may_retry(r, end)) {
@@ -683,6 +691,7 @@
 	if (!r)
 		return;
 	if (r->body.n + piece.n > r->manifest->limits.body_max) {
+		log_refused(r->info.id, r, REASON_BODY_TOO_LARGE);
 		answer_refusal(c, r->info.id, REASON_BODY_TOO_LARGE, 0, true);
 		r->caller = NULL;
 		request_free(r);
--- a/src/gateway_int.h
+++ b/src/gateway_int.h
@@ -91,6 +91,7 @@
 	 */
 	buf_t body_out;
 	bool wrong_request; /* the response names another request */
+	bool named;	    /* the response names this request */
 	bool not_run;	    /* the target says that it did not run it */
 	bool other_runner;  /* not_run was said by another runner */
 	bool has_proof;	    /* the response bears the target's proof */
@@ -98,6 +99,8 @@
 	bool chunked;	    /* towards the caller */
 	/* Complete 5xx response, sent where no later attempt does better. */
 	buf_t fallback_response;
+	/* Of the target's response that the caller has got, or of the fallback. */
+	int relayed_status;
 	int64_t first_byte_after_us; /* from arrival to the first body byte */
 	int64_t last_byte_us;	     /* when bytes of the response last came */
 	int64_t longest_pause_us;    /* between two pieces of a stream */
--- a/src/log.c
+++ b/src/log.c
@@ -23,6 +23,8 @@
 static bool log_stdout;
 static pthread_mutex_t out_lock = PTHREAD_MUTEX_INITIALIZER;
 static atomic_uint_fast64_t n_dropped_lines;
+/* Of these, those that a written line has told; guarded by out_lock. */
+static uint64_t n_dropped_told;
 
 void log_set_level(int prio)
 {
@@ -103,20 +105,34 @@
 	return atomic_load(&n_dropped_lines);
 }
 
-/* Writes the line, or counts it as dropped if standard output is full. */
-static void write_stdout(const buf_t *line)
+static bool try_write_stdout(const buf_t *line)
 {
 	struct pollfd p = {.fd = STDOUT_FILENO, .events = POLLOUT};
-	bool is_written = false;
+
+	return line->n <= PIPE_WRITE_MAX && poll(&p, 1, 0) == 1 &&
+	       (p.revents & POLLOUT) &&
+	       write(STDOUT_FILENO, line->p, line->n) == (ssize_t)line->n;
+}
+
+/*
+ * Ends the line and writes it, or counts it as dropped if standard output is
+ * full. A line after dropped ones tells how many they were.
+ */
+static void write_stdout(buf_t *line)
+{
+	uint64_t n_dropped;
 
 	pthread_mutex_lock(&out_lock);
-	if (line->n <= PIPE_WRITE_MAX && poll(&p, 1, 0) == 1 &&
-	    (p.revents & POLLOUT))
-		is_written = write(STDOUT_FILENO, line->p, line->n) ==
-			     (ssize_t)line->n;
-	pthread_mutex_unlock(&out_lock);
-	if (!is_written)
+	n_dropped = atomic_load(&n_dropped_lines);
+	if (n_dropped > n_dropped_told)
+		buf_printf(line, " dropped=%llu",
+			   (unsigned long long)(n_dropped - n_dropped_told));
+	buf_puts(line, "\n");
+	if (try_write_stdout(line))
+		n_dropped_told = n_dropped;
+	else
 		atomic_fetch_add(&n_dropped_lines, 1);
+	pthread_mutex_unlock(&out_lock);
 }
 
 static void format_line(buf_t *line, int prio, const char *event,
@@ -134,7 +150,6 @@
 	if (n_left_out)
 		buf_printf(line, " suppressed=%llu",
 			   (unsigned long long)n_left_out);
-	buf_puts(line, "\n");
 }
 
 static int64_t monotonic_us(void)
@@ -162,6 +177,7 @@
 		write_stdout(&line);
 		return;
 	}
+	buf_puts(&line, "\n");
 	/* One write() per line, so that lines of several threads do not mix. */
 	written = write(STDERR_FILENO, line.p, line.n);
 	(void)written;
--- a/src/relay.c
+++ b/src/relay.c
@@ -13,6 +13,7 @@
 
 #include <http_parser.h>
 
+#include "counter.h"
 #include "hist.h"
 
 /* A larger response is sent to the caller piece by piece. */
@@ -148,6 +149,8 @@
 		buf_reset(&r->head_out);
 		r->head_sent = true;
 		r->state = REQUEST_RELAYING;
+		r->relayed_status = r->response_head.status;
+		counter_add_response(r->relayed_status, RESPONSE_BY_TARGET);
 	}
 	append_body(r, &out, piece);
 	http1_send(to, out.p, out.n);
@@ -278,6 +281,7 @@
 static void end_response(request_t *r)
 {
 	if (should_try_another(r)) {
+		r->relayed_status = r->response_head.status;
 		buf_reset(&r->fallback_response);
 		buf_put(&r->fallback_response, r->head_out.p, r->head_out.n);
 		finish_head(r, &r->fallback_response, (int64_t)r->body_out.n);
--- a/tests/base_test.cc
+++ b/tests/base_test.cc
@@ -263,6 +263,25 @@
 	buf_free(&b);
 }
 
+TEST(Counter, TellsWhoseResponsesCallersGet)
+{
+	buf_t b = {};
+
+	counter_add_response(503, RESPONSE_BY_TARGET);
+	counter_add_response(200, RESPONSE_BY_TARGET);
+	counter_add_response(504, RESPONSE_BY_DAEMON);
+	counter_write(&b);
+	std::string output(b.p, b.n);
+	for (const char *line :
+	     {"damasklug_responses_total{status=\"503\",by=\"target\"} 1\n",
+	      "damasklug_responses_total{status=\"503\",by=\"daemon\"} 0\n",
+	      "damasklug_responses_total{status=\"2xx\",by=\"target\"} 1\n",
+	      "damasklug_responses_total{status=\"5xx\",by=\"daemon\"} 1\n"})
+		EXPECT_NE(std::string::npos, output.find(line)) << line;
+	EXPECT_EQ(1u, counter_get_responses(502, RESPONSE_BY_DAEMON));
+	buf_free(&b);
+}
+
 TEST(Reason, TellsWhetherARequestHasRun)
 {
 	EXPECT_EQ(RUN_NO, reason_info(REASON_STALE)->run_state);
