Tests of the incident, failing: promises that are not true

Scripted targets over real connections play the hypotheses A, B and C of docs/incidents/real-processes-refused-twice.md, and two more of the class: what a caller is told rests on the last attempt alone.

The caller gets a target's 408, 429 and 503 as they are, with its Retry-After; the request that runs at the first target is sent to the second as well; refusals say "run":"no" after a reset connection. The reason shutdown is 503 with run unknown.

--- a/tests/base_test.cc
+++ b/tests/base_test.cc
@@ -288,3 +288,17 @@
 	EXPECT_EQ(RUN_UNKNOWN, reason_info(REASON_TARGET_LOST)->run_state);
 	EXPECT_STREQ("none", reason_info((reason_t)9999)->name);
 }
+
+TEST(Reason, StatusThatPromisesThatNothingRanNeedsThatNothingRan)
+{
+	for (unsigned int i = 1; i < REASON_COUNT; i++) {
+		const reason_info_t *info = reason_info((reason_t)i);
+		int status = info->http_status;
+
+		bool promises = status == 408 || status == 421 ||
+				status == 429 || status == 503;
+
+		EXPECT_TRUE(!promises || info->run_state == RUN_NO)
+			<< info->name;
+	}
+}
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -29,6 +29,8 @@
 	bool close = false;	       // closes the connection then
 	bool reset_connection = false; // closes it by a TCP reset
 	bool until_closed = false;     // waits until the other side closes
+	// Sent before it all, if the connection has carried a request before.
+	std::string stray = "";
 };
 
 Action response(int status, const std::string &fields, const std::string &body)
@@ -98,13 +100,13 @@
 
 			if (c < 0)
 				return;
-			while (one(c))
-				;
+			for (bool is_first = true; one(c, is_first);)
+				is_first = false;
 			close(c);
 		}
 	}
 	// Reads and handles one request; false: the connection has ended.
-	bool one(int c)
+	bool one(int c, bool is_first)
 	{
 		std::string in;
 		char buf[4096];
@@ -136,6 +138,8 @@
 			action = actions.front();
 			actions.pop_front();
 		}
+		if (!is_first)
+			action.bytes = action.stray + action.bytes;
 		ssize_t n = ::send(c, action.bytes.data(), action.bytes.size(),
 				   MSG_NOSIGNAL);
 
@@ -233,6 +237,7 @@
 	std::atomic<reason_t> refusal{REASON_NONE};
 	std::atomic<bool> starting{false};
 	bool dispatcher_replies = true; // to Ask messages
+	size_t n_replies = SIZE_MAX;	// Asks beyond these get no reply
 	bool reset = false;		// the last ask() ended by a TCP reset
 	std::atomic<int> n_replied_asks{0};
 	// When the dispatcher was first asked, and when it was first reported
@@ -299,8 +304,9 @@
 		if (msg->body_case == DISPATCH__MSG__BODY_DONE)
 			fixture->done.push_back((int)msg->done->outcome);
 		if (msg->body_case != DISPATCH__MSG__BODY_ASK ||
-		    !fixture->dispatcher_replies)
+		    !fixture->dispatcher_replies || !fixture->n_replies)
 			return;
+		fixture->n_replies--;
 		fixture->unanswered_ask_ids.push_back(msg->ask->id);
 		timer_svc_arm(fixture->l.timers, &fixture->timer,
 			      timer_svc_now(fixture->l.timers));
@@ -482,6 +488,103 @@
 		  fixture.outcomes());
 }
 
+// The caller would take such a status for a promise that nothing has run.
+void expect_not_relayed(const std::string &path, int promise)
+{
+	Target a({response(promise,
+			   "Response-Signature: s1\r\nRetry-After: 1\r\n",
+			   "broke")});
+	Target b({ok_response()});
+	GatewayFixture fixture({&a, &b});
+	std::string got = fixture.ask(path);
+
+	EXPECT_EQ(502, status(got)) << path << promise;
+	EXPECT_FALSE(has(got, "s1")) << path << promise;
+	EXPECT_FALSE(has(got, "Retry-After")) << path << promise;
+	EXPECT_FALSE(has(got, "\"run\":\"no\"")) << path << promise;
+	EXPECT_EQ(0u, b.received().size()) << path << promise;
+	EXPECT_EQ(std::vector<int>{PLACE_FAILED}, fixture.outcomes());
+}
+
+TEST(Gateway, StatusOfATargetThatRanTheRequestIsNoPromiseToTheCaller)
+{
+	for (int promise : {408, 429, 503})
+		for (const char *path : {"/once/x", "/stream/x"})
+			expect_not_relayed(path, promise);
+}
+
+TEST(Gateway, FallbackThatPromisesThatNothingRanIsNotRelayed)
+{
+	Target a({response(503, "Response-Signature: s1\r\n", "broke")});
+	GatewayFixture fixture({&a}); // the second Ask is refused
+	std::string got = fixture.ask("/again/x");
+
+	EXPECT_EQ(502, status(got));
+	EXPECT_FALSE(has(got, "\"run\":\"no\""));
+}
+
+const char *const STRAY_REJECTION = "HTTP/1.1 503 X\r\nNot-Executed: 1\r\n"
+				    "Content-Length: 0\r\n\r\n";
+
+TEST(Gateway, StrayRejectionOnAKeptConnectionEndsNoRequestThatRuns)
+{
+	Target a({response(200, "Response-Signature: s\r\nRequest-Id: r1\r\n",
+			   "first"),
+		  {response(200, "Response-Signature: s\r\nRequest-Id: r1\r\n",
+			    "second")
+			   .bytes,
+		   false, false, false, STRAY_REJECTION}});
+	Target b({ok_response()});
+	GatewayFixture fixture({&a, &a, &b});
+
+	EXPECT_TRUE(has(fixture.ask("/once/x"), "first"));
+	EXPECT_TRUE(has(fixture.ask("/once/x"), "second"));
+	EXPECT_EQ(0u, b.received().size());
+	EXPECT_EQ((std::vector<int>{PLACE_ANSWERED, PLACE_ANSWERED}),
+		  fixture.outcomes());
+}
+
+TEST(Gateway, SecondCopyOfARejectionEndsNoRetryThatRuns)
+{
+	std::string rejection = response(503,
+					 "Not-Executed: 1\r\n"
+					 "Request-Id: r1\r\n",
+					 "")
+					.bytes;
+	Target a({{rejection},
+		  {ok_response("second").bytes, false, false, false,
+		   rejection}});
+	Target b({ok_response()});
+	GatewayFixture fixture({&a, &a, &b});
+
+	EXPECT_TRUE(has(fixture.ask("/once/x"), "second"));
+	EXPECT_EQ(0u, b.received().size());
+}
+
+// What the last attempt tells does not make an earlier one undone.
+TEST(Gateway, RequestThatMayHaveRunIsNotRefusedAsNotRunAfterRejections)
+{
+	Target a({{"", false, true, false}});
+	Target b({{STRAY_REJECTION}, {STRAY_REJECTION}, {STRAY_REJECTION}});
+	GatewayFixture fixture({&a, &b, &b, &b});
+	std::string got = fixture.ask("/again/x");
+
+	EXPECT_EQ(502, status(got));
+	EXPECT_FALSE(has(got, "\"run\":\"no\""));
+}
+
+TEST(Gateway, RequestThatMayHaveRunIsNotRefusedAsNotRunWithoutAGrant)
+{
+	Target a({{"", false, true, false}});
+	GatewayFixture fixture({&a});
+
+	fixture.n_replies = 1;
+	std::string got = fixture.ask("/again/x");
+
+	EXPECT_EQ(502, status(got));
+	EXPECT_FALSE(has(got, "\"run\":\"no\""));
+}
+
 TEST(Gateway, RefusalsTellWhenToRetry)
 {
 	GatewayFixture fixture({});
