Gateway: a target's 503 is no promise that its request has not run

What callers saw: status 503, 429 or 408 with the target's signature, and often its Retry-After, for a request that had run.

Cause: a target that may have run a request says that it did not by one field alone. relay_head() passed on every status without that field as the answer, also those that mean the same to the caller. The class: a statement that is relayed across a boundary changes its meaning there.

Change: the adapter tells apart what a target states (not_run) and what its status would make a caller believe (denies_run). A response that denies without the statement cannot be relayed; the attempt has failed, is retried where the request may repeat, and ends as 502 with run unknown. Whether a response can be relayed is a field of its own now, so that logs keep its status.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -107,10 +107,9 @@
 		return;
 	r->named = info.id.n > 0;
 	r->not_run = info.not_run;
-	r->has_proof = info.has_proof;
 	r->last_byte_us = gateway_now(r->gw);
 	if (!info.not_run) {
-		relay_head(r, h);
+		relay_head(r, h, &info);
 		return;
 	}
 	r->response_head = *h;
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -142,8 +142,10 @@
 
 /* What the head of a target's response tells. Strings are views into it. */
 typedef struct response_info {
-	str_t id;	/* of the request that it answers */
-	bool not_run;	/* the target did not run it, and never will */
+	str_t id;     /* of the request that it answers */
+	bool not_run; /* the target did not run it, and never will */
+	/* Its status alone would tell a caller that the request did not run. */
+	bool denies_run;
 	bool has_proof; /* it bears the target's signature as proof */
 	str_t runner;	/* the runner that answered; may be empty */
 } response_info_t;
--- a/src/gateway_int.h
+++ b/src/gateway_int.h
@@ -80,10 +80,11 @@
 	bool reused; /* conn is a connection that earlier requests used */
 	int64_t sent_us;
 	/*
-	 * Of the latest response; status 0: it cannot be relayed. Its fields
-	 * are valid only while the head is handled.
+	 * Of the latest response; status 0: there is none. Its fields are valid
+	 * only while the head is handled.
 	 */
 	http1_head_t response_head;
+	bool relayable; /* the caller may get the response */
 	buf_t head_out; /* status line and fields not sent to the caller yet */
 	/*
 	 * Response body not sent to the caller yet: the incomplete event at
@@ -94,7 +95,6 @@
 	bool named;	    /* the response names this request */
 	bool not_run;	    /* the target says that it did not run it */
 	bool other_runner;  /* not_run was said by another runner */
-	bool has_proof;	    /* the response bears the target's proof */
 	bool body_started;  /* a byte of the response body has come */
 	bool chunked;	    /* towards the caller */
 	/* Complete 5xx response, sent where no later attempt does better. */
@@ -190,7 +190,8 @@
  */
 void relay_copy_fields(buf_t *out, const http1_head_t *h,
 		       bool (*drops)(str_t name));
-void relay_head(request_t *r, const http1_head_t *h);
+void relay_head(request_t *r, const http1_head_t *h,
+		const response_info_t *info);
 void relay_body(request_t *r, str_t piece);
 /* The target's response is complete. */
 void relay_end(request_t *r);
--- a/src/relay.c
+++ b/src/relay.c
@@ -77,29 +77,31 @@
 }
 
 /*
- * Whether a response can be what the target meant to send: a success has to
- * bear the target's proof and no content coding.
+ * Whether the caller may get a response of a target that may have run the
+ * request: a success has to bear the target's proof and no content coding, and
+ * no other status may tell the caller that nothing has run.
  */
-static bool is_acceptable_head(const request_t *r, const http1_head_t *h)
+static bool is_relayable(const http1_head_t *h, const response_info_t *info)
 {
-	if (h->status / 100 != 2)
-		return true;
-	return r->has_proof && !http1_field(h, STR("Content-Encoding")).n;
+	if (h->status / 100 == 2)
+		return info->has_proof &&
+		       !http1_field(h, STR("Content-Encoding")).n;
+	return !info->denies_run;
 }
 
-void relay_head(request_t *r, const http1_head_t *h)
+void relay_head(request_t *r, const http1_head_t *h,
+		const response_info_t *info)
 {
 	r->response_head = *h;
+	r->response_head.n_fields = 0; /* their texts become invalid */
 	buf_reset(&r->head_out);
 	buf_reset(&r->body_out);
-	if (!is_acceptable_head(r, h)) {
-		r->response_head.status = 0; /* relay_end() fails the attempt */
-		return;
-	}
+	r->relayable = is_relayable(h, info);
+	if (!r->relayable)
+		return; /* relay_end() fails the attempt */
 	buf_printf(&r->head_out, "HTTP/1.1 %d %s\r\n", h->status,
 		   http_status_str((enum http_status)h->status));
 	relay_copy_fields(&r->head_out, h, NULL);
-	r->response_head.n_fields = 0; /* their texts become invalid */
 }
 
 static bool may_have_body(const request_t *r)
@@ -219,7 +221,7 @@
 
 void relay_body(request_t *r, str_t piece)
 {
-	if (!r->response_head.status)
+	if (!r->relayable)
 		return;
 	if (!r->body_started) {
 		r->body_started = true;
@@ -301,8 +303,11 @@
 
 void relay_end(request_t *r)
 {
-	if (!r->response_head.status)
-		fail_attempt(r, REASON_TARGET_ERROR, PLACE_BROKEN);
+	bool claims_success = r->response_head.status / 100 == 2;
+
+	if (!r->relayable)
+		fail_attempt(r, REASON_TARGET_ERROR,
+			     claims_success ? PLACE_BROKEN : PLACE_FAILED);
 	else if (r->head_sent && r->route->kind == ROUTE_STREAMING &&
 		 !is_stream(r))
 		fail_attempt(r, REASON_STREAM_TRUNCATED, PLACE_FAILED);
--- a/tests/dialect_test.cc
+++ b/tests/dialect_test.cc
@@ -269,9 +269,15 @@
 	dialect_read_response_head(&h, &info);
 	EXPECT_TRUE(info.not_run);
 	EXPECT_EQ("i-2", text(info.runner));
-	h = head({}, 503);
+	for (int status : {408, 429, 503}) {
+		h = head({}, status);
+		dialect_read_response_head(&h, &info);
+		EXPECT_FALSE(info.not_run) << status;
+		EXPECT_TRUE(info.denies_run) << status;
+	}
+	h = head({}, 500);
 	dialect_read_response_head(&h, &info);
-	EXPECT_FALSE(info.not_run);
+	EXPECT_FALSE(info.denies_run);
 	h = head({{"Response-Signature", "x"}}, 200);
 	dialect_read_response_head(&h, &info);
 	EXPECT_TRUE(info.has_proof);
