A request that may have run is never refused as not run

What callers saw: 503 and "run":"no", with a time to come back, for a request of which an earlier attempt may have run. It happened to requests that may repeat, after a lost attempt: no second place in time, rejections by all other targets, the time up before the next send. In `damasklug serve` likewise: 503 for a request whose own run state was unknown. Reason shutdown was 503 with run unknown.

What a caller is told followed from the reason of the last attempt; one path of three looked at the earlier ones.

Change: reason_for_run() replaces a reason that says "not run" wherever that is not certain; the one place that refuses in the gateway and the one in the entry call it with the state over all attempts.

--- a/src/entry.c
+++ b/src/entry.c
@@ -157,6 +157,7 @@
 
 	if (e->caller_done)
 		return;
+	reason = reason_for_run(reason, e->run_state);
 	counter_add_refused(reason);
 	rep.kind = REPLY_FAIL;
 	rep.reason = reason;
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -295,12 +295,19 @@
 		  kv_i("after_ms", r ? since_arrival_ms(r) : 0));
 }
 
+/* Over all attempts. */
+static run_state_t possible_run(const request_t *r)
+{
+	return r->n_possible_runs ? RUN_UNKNOWN : RUN_NO;
+}
+
 void request_refuse(request_t *r, reason_t reason, int64_t retry_us)
 {
 	caller_t *c = r->caller;
 	bool reading = r->state == REQUEST_READING_BODY;
 
 	r->state = REQUEST_DONE;
+	reason = reason_for_run(reason, possible_run(r));
 	log_refused(r->info.id, r, reason);
 	if (!c) {
 		request_free(r);
@@ -488,12 +495,6 @@
 	r->ask_id = 0;
 	if (m->reason == REASON_NONE || m->reason >= REASON_COUNT)
 		reason = REASON_NO_PLACE;
-	/*
-	 * The dispatcher's reasons say that the request has not run, which is
-	 * not certain after an earlier attempt.
-	 */
-	if (r->n_possible_runs && !r->fallback_response.n)
-		reason = REASON_TARGET_LOST;
 	request_refuse(r, reason, m->retry_us);
 }
 
--- a/src/reason.c
+++ b/src/reason.c
@@ -24,6 +24,13 @@
 	return &refusal_reasons[r];
 }
 
+reason_t reason_for_run(reason_t r, run_state_t run)
+{
+	if (run != RUN_NO && reason_info(r)->run_state == RUN_NO)
+		return REASON_TARGET_LOST;
+	return r;
+}
+
 const char *retry_reason_name(retry_reason_t r)
 {
 	return (unsigned int)r < RETRY_REASON_COUNT ? retry_reasons[r].name
--- a/src/reason.h
+++ b/src/reason.h
@@ -25,7 +25,12 @@
 #define RETRY_LATER 1000
 #define RETRY_MUCH_LATER 5000
 
-/* X(NAME, "name", HTTP status, run_state_t, retry delay, "meaning; remedy") */
+/*
+ * X(NAME, "name", HTTP status, run_state_t, retry delay, "meaning; remedy")
+ *
+ * Only a reason with RUN_NO has the status 408, 421, 429 or 503: callers take
+ * these as a promise that the request did not run.
+ */
 #define REFUSAL_REASONS(X)                                                     \
 	X(BAD_REQUEST, "bad_request", 400, RUN_NO, RETRY_NEVER,                \
 	  "The request is malformed; correct it.")                             \
@@ -108,7 +113,7 @@
 	  "The caller went away.")                                             \
 	X(SLOW_READER, "slow_reader", 499, RUN_YES, RETRY_NEVER,               \
 	  "The caller read too slowly; its buffer bound was reached.")         \
-	X(SHUTDOWN, "shutdown", 503, RUN_UNKNOWN, RETRY_SOON,                  \
+	X(SHUTDOWN, "shutdown", 502, RUN_UNKNOWN, RETRY_SOON,                  \
 	  "The daemon was told to stop at once.")
 
 typedef enum reason {
@@ -157,6 +162,11 @@
 
 /* Never NULL; unknown values give the row of REASON_NONE, named "none". */
 const reason_info_t *reason_info(reason_t r);
+/*
+ * The reason itself; or TARGET_LOST in place of one that says that the request
+ * has not run, where that is not certain.
+ */
+reason_t reason_for_run(reason_t r, run_state_t run);
 const char *retry_reason_name(retry_reason_t r);
 const char *retry_reason_help(retry_reason_t r);
 /* "no", "unknown" or "yes". */
--- a/tests/serve_test.cc
+++ b/tests/serve_test.cc
@@ -317,6 +317,22 @@
 	expect_no_violations(*w);
 }
 
+TEST(Serve, RequestThatMayHaveRunIsNotRefusedAsNotRun)
+{
+	auto w = started_world();
+	uint64_t h = w->submit_completion(1, "a1", "r1");
+
+	w->run(50 * MS);
+	for (auto &e : w->engines) {
+		e.second.silent = !e.second.resident.empty();
+		e.second.refusing = !e.second.silent;
+	}
+	w->run(12 * SEC);
+	EXPECT_TRUE(w->replies[h].failed);
+	EXPECT_NE(RUN_NO, w->replies[h].run);
+	expect_no_violations(*w);
+}
+
 TEST(Serve, FailedLoadsAreRetriedElsewhereAndThenRefused)
 {
 	auto w = started_world();
--- a/tests/serve_world.h
+++ b/tests/serve_world.h
@@ -671,6 +671,10 @@
 		r.run = rep->run_state;
 		r.retry_ms = rep->retry_ms;
 		r.stall_us = rep->stall_us;
+		if (r.failed && r.run != RUN_NO &&
+		    reason_info(r.reason)->run_state == RUN_NO)
+			w->add_violation(name + " may have run, refused as " +
+					 reason_info(r.reason)->name);
 		w->check_answer(name, r);
 	}
 
