Each attempt at a target has a connection of its own

Cause: a rejection need not name its request, and a faulty target may answer once more, late. On a kept connection such a response is read where that of the present request is expected: one without a name is believed, and one of an earlier attempt bears the same name. The class: an answer is matched to what is outstanding by its place in the stream alone.

Ruled out: believing only named rejections (none has a name on the wire); waiting for a second answer, or asking the target something else on the connection to see in which order it answers (a round trip and a probe for each rejection, and still no proof).

Change: a connection that has carried nothing else, closed after the answer. The pool serves this daemon's own calls alone and becomes upstream.c's own matter; `damasklug serve` did so for calls that must run once, and does for all runs now.

The test of silent targets counted connections of runs; it counts those of state orders now, which still are kept.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -8,13 +8,6 @@
 
 /* Longest wait for a connection to a reachable target. */
 #define CONNECT_TIMEOUT_US (700 * USEC_PER_MSEC)
-/*
- * A pooled connection that was idle for longer may be dead although no close
- * was seen. The shorter limit is for requests that must not be repeated.
- */
-#define REUSE_IDLE_MAX_US (6 * USEC_PER_SEC)
-#define REUSE_IDLE_MAX_ONCE_US (2 * USEC_PER_SEC)
-
 static void close_conn(request_t *r)
 {
 	if (r->conn)
@@ -85,8 +78,7 @@
 		  kv_u("version", r->adapter_version),
 		  kv_u("term", r->grant_term),
 		  kv_i("waited_ms",
-		       (r->sent_us - r->arrived_us) / USEC_PER_MSEC),
-		  kv_u("reused", r->reused));
+		       (r->sent_us - r->arrived_us) / USEC_PER_MSEC));
 	if (r->have_event_id)
 		log_event(LOG_INFO, "resumed", kv_s("id", r->info.id),
 			  kv_s("runner", r->runner),
@@ -146,15 +138,13 @@
 static void on_response_end(void *ctx)
 {
 	request_t *r = ctx;
-	http1_conn_t *c = r->conn;
 
 	if (r->wrong_request) {
 		r->wrong_request = false;
-		http1_await_response(c);
+		http1_await_response(r->conn);
 		return;
 	}
-	r->conn = NULL;
-	upstream_release(r->gw->upstream, r->addr, c, &r->response_head);
+	close_conn(r);
 	if (r->not_run) {
 		end_attempt(r, refusal_outcome(r), false,
 			    REASON_TARGET_REFUSED);
@@ -190,15 +180,13 @@
 	.drained = on_target_drained,
 };
 
+/*
+ * Each attempt has a connection of its own: a rejection need not name its
+ * request, and a target may answer once more, late. On a connection that has
+ * carried nothing else, the first response is that of this attempt.
+ */
 void attempt_begin(request_t *r)
 {
-	/*
-	 * A request lost on a dead connection may have run, so one that must
-	 * not be repeated uses only connections that were idle for a short
-	 * time.
-	 */
-	int64_t max_idle_us = request_may_repeat(r) ? REUSE_IDLE_MAX_US
-						    : REUSE_IDLE_MAX_ONCE_US;
 	struct sockaddr_in to;
 
 	r->state = REQUEST_CONNECTING;
@@ -209,13 +197,6 @@
 	r->longest_pause_us = 0;
 	r->sent_us = 0;
 	memset(&r->response_head, 0, sizeof(r->response_head));
-	r->conn = upstream_acquire(r->gw->upstream, r->addr, max_idle_us);
-	r->reused = r->conn != NULL;
-	if (r->conn) {
-		http1_set_owner(r->conn, &target_ops, r);
-		send_request(r);
-		return;
-	}
 	if (http1_parse_addr(r->addr, &to) == 0)
 		r->conn = http1_connect(r->gw->loop, &to, CONNECT_TIMEOUT_US,
 					&target_ops, r);
--- a/src/event.h
+++ b/src/event.h
@@ -62,8 +62,7 @@
 	X("grant_refused", 100, "id reason retry_ms",                         \
 	  "Dispatcher: a request was refused a grant.")                       \
 	X("sent", 100,                                                        \
-	  "id route kind manifest runner adapter version term waited_ms "     \
-	  "reused",                                                           \
+	  "id route kind manifest runner adapter version term waited_ms",     \
 	  "The request is sent to a runner; version is that of the adapter, " \
 	  "term that of the grant.")                                          \
 	X("attempt_ended", 100,                                               \
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -814,13 +814,12 @@
 	return c;
 }
 
-gateway_t *gateway_new(loop_t *l, upstream_t *u, str_t zone, uint64_t seed,
+gateway_t *gateway_new(loop_t *l, str_t zone, uint64_t seed,
 		       const gateway_ops_t *ops, void *ctx)
 {
 	gateway_t *g = xcalloc(1, sizeof(*g));
 
 	g->loop = l;
-	g->upstream = u;
 	g->zone = str_copy(zone);
 	g->rng_state = seed;
 	g->last_ask_id = seed & 0xffffffffffff0000ull;
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -12,7 +12,6 @@
 #include "http1.h"
 #include "manifest.h"
 #include "reason.h"
-#include "upstream.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -39,7 +38,7 @@
 	bool (*is_draining)(void *ctx);
 } gateway_ops_t;
 
-gateway_t *gateway_new(loop_t *l, upstream_t *u, str_t zone, uint64_t seed,
+gateway_t *gateway_new(loop_t *l, str_t zone, uint64_t seed,
 		       const gateway_ops_t *ops, void *ctx);
 /* Ends all requests without a response. */
 void gateway_free(gateway_t *g);
--- a/src/gateway_int.h
+++ b/src/gateway_int.h
@@ -77,7 +77,6 @@
 	/* Term of the dispatcher; 0: granted by this daemon, in isolation. */
 	uint64_t grant_term;
 	http1_conn_t *conn;
-	bool reused; /* conn is a connection that earlier requests used */
 	int64_t sent_us;
 	/*
 	 * Of the latest response; status 0: there is none. Its fields are valid
@@ -128,7 +127,6 @@
 
 struct gateway {
 	loop_t *loop;
-	upstream_t *upstream;
 	str_t zone;		     /* owned */
 	int64_t dispatcher_heard_us; /* when its last message came */
 	uint64_t last_ask_id;
--- a/src/site.c
+++ b/src/site.c
@@ -605,8 +605,8 @@
 	};
 
 	s->upstream = upstream_new(s->loop);
-	s->gateway = gateway_new(s->loop, s->upstream, s->settings.zone,
-				 random_seed(), &gateway_ops, s);
+	s->gateway = gateway_new(s->loop, s->settings.zone, random_seed(),
+				 &gateway_ops, s);
 	s->dispatch = dispatch_new(&cfg, &dispatch_ops, s);
 	s->isolated_dispatch = dispatch_new(&cfg, &dispatch_ops, s);
 	timer_sub_init(&s->ping_timer, on_ping_timer, s);
--- a/src/target.c
+++ b/src/target.c
@@ -573,11 +573,14 @@
 	curl_easy_setopt(e, CURLOPT_MAXAGE_CONN, idle_s > 0 ? idle_s : 1L);
 	/*
 	 * curl sends a request a second time if a reused connection turns out
-	 * to be closed, but never one that it sent on a fresh connection.
+	 * to be closed, but never one that it sent on a fresh connection. There
+	 * no late response to an earlier run can be taken for that to this one.
 	 */
-	if ((is_run(t) && !t->order.idempotent) ||
+	if (is_run(t) ||
 	    is_suspect(t->worker, t->order.target, t->last_byte_us))
 		curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, 1L);
+	if (is_run(t))
+		curl_easy_setopt(e, CURLOPT_FORBID_REUSE, 1L);
 }
 
 static void start_transfer(worker_t *w, transfer_t *t)
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -1,4 +1,4 @@
-/* upstream.c - pool of idle connections, and requests of this daemon's own. */
+/* upstream.c - requests of this daemon's own, and a pool of idle connections. */
 #include "upstream.h"
 
 #include <stdlib.h>
@@ -24,7 +24,6 @@
 	uint64_t key; /* hash of addr */
 	http1_conn_t *conn;
 	timer_sub_t timer;
-	int64_t idle_since_us;
 } idle_conn_t;
 
 typedef struct call {
@@ -93,17 +92,17 @@
 
 static const http1_ops_t idle_ops = {.closed = on_idle_closed};
 
-http1_conn_t *upstream_acquire(upstream_t *u, str_t addr, int64_t max_idle_us)
+/* A kept connection, out of the pool; NULL: there is none. */
+static http1_conn_t *acquire(upstream_t *u, str_t addr)
 {
 	uint64_t key = hash_bytes(addr.p, addr.n, 0);
-	int64_t now = now_us(u);
 	idle_conn_t *ic;
 
 	cds_list_for_each_entry (ic, &u->idle[key % POOL_BUCKETS], node) {
 		http1_conn_t *c = ic->conn;
 
 		if (ic->key != key || !str_eq(ic->addr, addr) ||
-		    !http1_is_idle(c) || now - ic->idle_since_us > max_idle_us)
+		    !http1_is_idle(c))
 			continue;
 		idle_conn_free(ic);
 		return c;
@@ -132,8 +131,12 @@
 	return n;
 }
 
-void upstream_release(upstream_t *u, str_t addr, http1_conn_t *c,
-		      const http1_head_t *h)
+/*
+ * Returns a connection to the pool, or closes it. h is the head of its last
+ * response, which tells whether, and for how long, the peer keeps it open.
+ */
+static void release(upstream_t *u, str_t addr, http1_conn_t *c,
+		    const http1_head_t *h)
 {
 	uint64_t key = hash_bytes(addr.p, addr.n, 0);
 	int64_t us = keep_alive_timeout_us(h);
@@ -149,9 +152,8 @@
 	ic->addr = str_copy(addr);
 	ic->key = key;
 	ic->conn = c;
-	ic->idle_since_us = now_us(u);
 	timer_sub_init(&ic->timer, on_idle_expired, ic);
-	timer_svc_arm(loop_timers(u->loop), &ic->timer, ic->idle_since_us + us);
+	timer_svc_arm(loop_timers(u->loop), &ic->timer, now_us(u) + us);
 	cds_list_add(&ic->node, &u->idle[key % POOL_BUCKETS]);
 	http1_set_owner(c, &idle_ops, ic);
 }
@@ -208,7 +210,7 @@
 {
 	call_t *c = ctx;
 
-	upstream_release(c->upstream, c->addr, c->conn, &c->response_head);
+	release(c->upstream, c->addr, c->conn, &c->response_head);
 	call_finish(c, c->response_head.status, HTTP1_CLOSED_LOCALLY);
 }
 
@@ -274,7 +276,7 @@
 	c->connect_failed_task.fn = call_connect_failed;
 	c->connect_failed_task.ctx = c;
 	write_request(c, target, body, extra_fields);
-	c->conn = upstream_acquire(u, addr, IDLE_MAX_US);
+	c->conn = acquire(u, addr);
 	if (c->conn) {
 		http1_set_owner(c->conn, &call_ops, c);
 		call_send_request(c);
--- a/src/upstream.h
+++ b/src/upstream.h
@@ -1,7 +1,6 @@
 /*
- * upstream.h - HTTP client side: a pool of idle connections by address, and
- * requests that this daemon makes itself. All functions are called on the
- * loop's thread.
+ * upstream.h - requests that this daemon makes itself, on connections that it
+ * keeps for the next one. All functions are called on the loop's thread.
  */
 #ifndef DK_UPSTREAM_H
 #define DK_UPSTREAM_H
@@ -18,19 +17,6 @@
 /* Calls under way end without their callback. */
 void upstream_free(upstream_t *u);
 
-/*
- * Takes a connection that has been idle for at most max_idle_us out of the
- * pool; NULL if there is none. The caller of this function must take ownership
- * by http1_set_owner().
- */
-http1_conn_t *upstream_acquire(upstream_t *u, str_t addr, int64_t max_idle_us);
-/*
- * Returns a connection to the pool, or closes it. h is the head of its last
- * response, which tells whether, and for how long, the peer keeps it open.
- */
-void upstream_release(upstream_t *u, str_t addr, http1_conn_t *c,
-		      const http1_head_t *h);
-
 /* Result of a call. */
 typedef struct call_result {
 	int status;		  /* HTTP status; 0: no complete response */
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -184,9 +184,7 @@
 
 		port = free_port();
 		a.sin_port = htons(port);
-		upstream = upstream_new(l.loop);
-		gateway =
-			gateway_new(l.loop, upstream, STR("z"), 1, &ops, this);
+		gateway = gateway_new(l.loop, STR("z"), 1, &ops, this);
 		timer_sub_init(&timer, on_timer, this);
 		manifest = make_manifest();
 		gateway_set_manifest(gateway, manifest);
@@ -198,7 +196,6 @@
 		l.call([&] {
 			timer_svc_cancel(l.timers, &timer);
 			gateway_free(gateway);
-			upstream_free(upstream);
 		});
 		l.stop();
 		manifest_unref(manifest);
@@ -231,7 +228,6 @@
 
 	Loop l;
 	gateway_t *gateway;
-	upstream_t *upstream;
 	manifest_t *manifest;
 	uint16_t port;
 	std::atomic<reason_t> refusal{REASON_NONE};
--- a/tests/target_test.cc
+++ b/tests/target_test.cc
@@ -354,11 +354,23 @@
 	std::string ok = json(200, "{\"model\":\"a@1\"}");
 	Server s({ok, "stall", ok});
 
-	EXPECT_EQ(run(order(s, ORDER_RUN)).kind, EVENT_DONE);
-	SeenEvent last = run(order(s, ORDER_RUN));
+	EXPECT_EQ(run(order(s, ORDER_STATE)).kind, EVENT_STATE);
+	SeenEvent last = run(order(s, ORDER_STATE));
 	EXPECT_EQ(last.reason, REASON_TARGET_STALLED);
 	EXPECT_TRUE(last.sent);
 	EXPECT_EQ(s.connections, 1);
+	EXPECT_EQ(run(order(s, ORDER_STATE)).kind, EVENT_STATE);
+	EXPECT_EQ(s.connections, 2);
+}
+
+// Else a late second refusal of an earlier run would be taken for that of the
+// run that is in progress.
+TEST_F(TargetClient, EachRunHasAConnectionOfItsOwn)
+{
+	std::string ok = json(200, "{\"model\":\"a@1\"}");
+	Server s({ok, ok});
+
+	EXPECT_EQ(run(order(s, ORDER_RUN)).kind, EVENT_DONE);
 	EXPECT_EQ(run(order(s, ORDER_RUN)).kind, EVENT_DONE);
 	EXPECT_EQ(s.connections, 2);
 }
