Relay: an error of the next target is no part of a resumed stream

What callers saw: bytes of a target's error response inside a stream, before the stream was cut. Cause: the status of a response that continues a stream was checked at its end, after its body had been relayed.

Change: what cannot continue a stream cannot be relayed, from its head on.

Evidence: Gateway.ErrorOfTheNextTargetIsNoPartOfTheResumedStream failed before ("broke" in what the caller got) and passes; gateway_test 29 passed.

--- a/src/relay.c
+++ b/src/relay.c
@@ -79,10 +79,14 @@
 /*
  * Whether the caller may get a response of a target that may have run the
  * request: a success has to bear the target's proof and no content coding, and
- * no other status may tell the caller that nothing has run.
+ * no other status may tell the caller that nothing has run. A stream that has
+ * begun is continued by a success alone.
  */
-static bool is_relayable(const http1_head_t *h, const response_info_t *info)
+static bool is_relayable(const request_t *r, const http1_head_t *h,
+			 const response_info_t *info)
 {
+	if (r->head_sent && h->status != 200)
+		return false;
 	if (h->status / 100 == 2)
 		return info->has_proof &&
 		       !http1_field(h, STR("Content-Encoding")).n;
@@ -96,7 +100,7 @@
 	r->response_head.n_fields = 0; /* their texts become invalid */
 	buf_reset(&r->head_out);
 	buf_reset(&r->body_out);
-	r->relayable = is_relayable(h, info);
+	r->relayable = is_relayable(r, h, info);
 	if (!r->relayable)
 		return; /* relay_end() fails the attempt */
 	buf_printf(&r->head_out, "HTTP/1.1 %d %s\r\n", h->status,
@@ -308,9 +312,6 @@
 	if (!r->relayable)
 		fail_attempt(r, REASON_TARGET_ERROR,
 			     claims_success ? PLACE_BROKEN : PLACE_FAILED);
-	else if (r->head_sent && r->route->kind == ROUTE_STREAMING &&
-		 !is_stream(r))
-		fail_attempt(r, REASON_STREAM_TRUNCATED, PLACE_FAILED);
 	else if (is_stream(r))
 		end_stream(r);
 	else
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -721,6 +721,21 @@
 	EXPECT_TRUE(has(b.received().at(0), "Last-Event-Id: 2\r\n"));
 }
 
+TEST(Gateway, ErrorOfTheNextTargetIsNoPartOfTheResumedStream)
+{
+	Target a({{std::string(STREAM_HEAD) + chunk("id: 1\ndata: a\n\n"),
+		   false, true, false}});
+	Target b({{"HTTP/1.1 500 X\r\nContent-Length: 9\r\n\r\nbroke", false,
+		   true, false}});
+	GatewayFixture fixture({&a, &b});
+	std::string got = fixture.ask("/resume/x");
+
+	EXPECT_TRUE(has(got, "data: a"));
+	EXPECT_FALSE(has(got, "broke"));
+	EXPECT_FALSE(has(got, "0\r\n\r\n"));
+	EXPECT_TRUE(fixture.reset);
+}
+
 // An event above the buffer limit is relayed in pieces, so that the stream
 // cannot be resumed without sending parts of it twice.
 TEST(Gateway, StreamWithASplitEventIsNotResumed)
