Targets that shut down or ask for a pause get no requests from this host

Change: the adapter decodes both into what they mean. holdoff.c keeps the targets that this host sends nothing to; it is asked before a connection is made and again before the request is written, as a connection may take longer than the answer of another request. An Ask names these targets, so the dispatcher grants others; a place granted meanwhile is given back unused. The dispatcher is told that a target shuts down (a new field of Done, which older daemons skip) and gives it no more from any host: the platform's list shows that later, and a report's word is no longer undone by an older list.

--- a/proto/dispatch.pb-c.c
+++ b/proto/dispatch.pb-c.c
@@ -1010,7 +1010,7 @@
   (ProtobufCMessageInit) dispatch__started__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dispatch__done__field_descriptors[3] =
+static const ProtobufCFieldDescriptor dispatch__done__field_descriptors[4] =
 {
   {
     "id",
@@ -1048,16 +1048,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leaving",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dispatch__Done, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dispatch__done__field_indices_by_name[] = {
   0,   /* field[0] = id */
+  3,   /* field[3] = leaving */
   1,   /* field[1] = outcome */
   2,   /* field[2] = pause_permille */
 };
 static const ProtobufCIntRange dispatch__done__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor dispatch__done__descriptor =
 {
@@ -1067,7 +1080,7 @@
   "Dispatch__Done",
   "dispatch",
   sizeof(Dispatch__Done),
-  3,
+  4,
   dispatch__done__field_descriptors,
   dispatch__done__field_indices_by_name,
   1,  dispatch__done__number_ranges,
--- a/proto/dispatch.pb-c.h
+++ b/proto/dispatch.pb-c.h
@@ -162,10 +162,14 @@
    * that its route allows; 0: not known.
    */
   uint32_t pause_permille;
+  /*
+   * the target said that it shuts down
+   */
+  protobuf_c_boolean leaving;
 };
 #define DISPATCH__DONE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dispatch__done__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 /*
--- a/src/attempt.c
+++ b/src/attempt.c
@@ -57,11 +57,20 @@
 	buf_put(out, r->body.p, r->body.n);
 }
 
+static bool is_held_off(const request_t *r)
+{
+	return holdoff_is_active(r->gw->holdoff, r->runner, gateway_now(r->gw));
+}
+
 static void send_request(void *ctx)
 {
 	request_t *r = ctx;
 	AUTO_BUF buf_t out = {0};
 
+	if (is_held_off(r)) {
+		end_attempt(r, PLACE_UNUSED, false, REASON_NO_PLACE);
+		return;
+	}
 	if (r->deadline_us - gateway_now(r->gw) < USEC_PER_MSEC) {
 		end_attempt(r, PLACE_UNUSED, false, REASON_NO_PLACE);
 		return;
@@ -88,6 +97,22 @@
 	http1_send(r->conn, out.p, out.n);
 }
 
+/* Records what a response says of later requests to its target. */
+static void note_holdoff(request_t *r, const response_info_t *info)
+{
+	int64_t for_us = info->leaving ? HOLDOFF_LEAVING : info->hold_off_us;
+	/* Another runner may have the address now. */
+	str_t runner = info->runner.n ? info->runner : r->runner;
+
+	r->leaving = info->leaving && str_eq(runner, r->runner);
+	if (!for_us)
+		return;
+	holdoff_add(r->gw->holdoff, runner, for_us, gateway_now(r->gw));
+	log_event(LOG_INFO, "runner_held_off", kv_s("runner", runner),
+		  kv_u("leaving", info->leaving),
+		  kv_i("for_ms", info->hold_off_us / USEC_PER_MSEC));
+}
+
 static void on_response_head(void *ctx, const http1_head_t *h)
 {
 	request_t *r = ctx;
@@ -100,6 +125,7 @@
 	r->named = info.id.n > 0;
 	r->not_run = info.not_run;
 	r->last_byte_us = gateway_now(r->gw);
+	note_holdoff(r, &info);
 	if (!info.not_run) {
 		relay_head(r, h, &info);
 		return;
@@ -193,10 +219,15 @@
 	r->wrong_request = false;
 	r->named = false;
 	r->not_run = false;
+	r->leaving = false;
 	r->body_started = false;
 	r->longest_pause_us = 0;
 	r->sent_us = 0;
 	memset(&r->response_head, 0, sizeof(r->response_head));
+	if (is_held_off(r)) {
+		end_attempt(r, PLACE_UNUSED, false, REASON_NO_PLACE);
+		return;
+	}
 	if (http1_parse_addr(r->addr, &to) == 0)
 		r->conn = http1_connect(r->gw->loop, &to, CONNECT_TIMEOUT_US,
 					&target_ops, r);
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -147,7 +147,10 @@
 	/* Its status alone would tell a caller that the request did not run. */
 	bool denies_run;
 	bool has_proof; /* it bears the target's signature as proof */
-	str_t runner;	/* the runner that answered; may be empty */
+	bool leaving;	/* the runner that answered shuts down */
+	/* The runner wants no request from this host for so long; 0: no limit. */
+	int64_t hold_off_us;
+	str_t runner; /* the runner that answered; may be empty */
 } response_info_t;
 
 void dialect_read_response_head(const http1_head_t *h, response_info_t *out);
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -543,6 +543,7 @@
 	if (o == PLACE_ANSWERED)
 		learn_hold_time(g, now_us);
 	learn_prefill_share(r, m->pause_permille);
+	r->said_leaving |= m->leaving;
 	grant_free(d, g, now_us);
 	if (c && c->state == COPY_READY &&
 	    (o == PLACE_NOT_RUN || o == PLACE_NO_ADAPTER)) {
--- a/src/dispatch_int.h
+++ b/src/dispatch_int.h
@@ -98,7 +98,9 @@
 	str_t addr;
 	str_t zone;
 	uint64_t start_time_ms; /* start time of its process; 0: unknown */
-	bool draining;
+	bool draining;		/* the runner list says so */
+	/* It said itself that it shuts down, which the list shows later. */
+	bool said_leaving;
 	bool listed; /* seen in the runner list that is being applied */
 	/* It reports what it holds; a dead runner does not. */
 	bool models_known;
@@ -314,6 +316,8 @@
 			   int64_t now_us);
 /* The runner gets no request until until_us, and then one as a probe. */
 void runner_suspend(runner_t *r, int64_t until_us);
+/* Whether it shuts down, by the runner list or by its own word. */
+bool runner_is_leaving(const runner_t *r);
 /* Whether the runner's health allows it to get a request now. */
 bool runner_usable(const runner_t *r, int64_t now_us);
 /* The share of its answers that are failures; old ones count less with time. */
--- a/src/event.h
+++ b/src/event.h
@@ -102,6 +102,9 @@
 	  "The runner has restarted; all that was known of it is discarded.") \
 	X("runner_suspended", 50, "runner failures outcome for_ms",           \
 	  "The runner gets no requests for a while, then one as a trial.")    \
+	X("runner_held_off", 50, "runner leaving for_ms",                     \
+	  "The runner answered that it wants no requests of this host for a " \
+	  "time, or, with leaving=1, that it shuts down.")                    \
 	X("runner_list_failed", 5, "status close_reason",                     \
 	  "The platform's list of runners could not be read.")                \
 	X("runner_list_recovered", 5, "failures",                             \
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -310,6 +310,7 @@
 	r->failure_rate = 0;
 	r->suspended_until_us = 0;
 	r->half_open = false;
+	r->said_leaving = false;
 }
 
 /* Updates the runner's start time; returns whether it has (re)started. */
@@ -628,7 +629,7 @@
 	if (update_start_time(d, r, info->start_time_ms))
 		r->report_due_us = INT64_MAX; /* this is the report */
 	if (info->draining)
-		r->draining = true;
+		r->said_leaving = true;
 	if (info->seq_known) {
 		r->seq = info->seq;
 		r->seq_known = true;
@@ -647,9 +648,14 @@
 	return c->version >= decided_version(d, c->key);
 }
 
+bool runner_is_leaving(const runner_t *r)
+{
+	return r->draining || r->said_leaving;
+}
+
 bool runner_usable(const runner_t *r, int64_t now_us)
 {
-	if (r->draining)
+	if (runner_is_leaving(r))
 		return false;
 	if (r->suspended_until_us > now_us || r->full_until_us > now_us)
 		return false;
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -98,16 +98,22 @@
 
 /* Messages to the dispatcher. */
 
+/* Most runners held off that an Ask names. */
+#define ASK_HELD_OFF_MAX 32u
+
 /* Storage for the repeated fields of an Ask while it is packed. */
 typedef struct ask_lists {
 	Dispatch__PromptPart parts[PROMPT_PARTS_MAX];
 	Dispatch__PromptPart *part_ptrs[PROMPT_PARTS_MAX];
-	ProtobufCBinaryData avoid[ASKS_MAX];
+	ProtobufCBinaryData avoid[ASKS_MAX + ASK_HELD_OFF_MAX];
 } ask_lists_t;
 
 static void fill_ask_lists(const request_t *r, ask_lists_t *l,
 			   Dispatch__Ask *pb)
 {
+	str_t held_off[ASK_HELD_OFF_MAX];
+	size_t n_held_off;
+
 	for (size_t i = 0; i < r->info.n_parts; i++) {
 		dispatch__prompt_part__init(&l->parts[i]);
 		l->parts[i].id = r->info.parts[i].id;
@@ -116,8 +122,12 @@
 	}
 	for (size_t i = 0; i < r->n_avoid; i++)
 		l->avoid[i] = pb_bytes(r->avoid[i]);
+	n_held_off = holdoff_list(r->gw->holdoff, gateway_now(r->gw), held_off,
+				  ASK_HELD_OFF_MAX);
+	for (size_t i = 0; i < n_held_off; i++)
+		l->avoid[r->n_avoid + i] = pb_bytes(held_off[i]);
 	pb->avoid = l->avoid;
-	pb->n_avoid = r->n_avoid;
+	pb->n_avoid = r->n_avoid + n_held_off;
 	pb->parts = l->part_ptrs;
 	pb->n_parts = r->info.n_parts;
 }
@@ -168,17 +178,12 @@
 	arm_timer(r);
 }
 
-static void send_done(gateway_t *g, uint64_t ask_id, place_outcome_t outcome,
-		      uint32_t pause_permille)
+static void send_done(gateway_t *g, const Dispatch__Done *done)
 {
-	Dispatch__Done pb = DISPATCH__DONE__INIT;
 	Dispatch__Msg msg = DISPATCH__MSG__INIT;
 
-	pb.id = ask_id;
-	pb.outcome = outcome;
-	pb.pause_permille = pause_permille;
 	msg.body_case = DISPATCH__MSG__BODY_DONE;
-	msg.done = &pb;
+	msg.done = (Dispatch__Done *)done;
 	g->ops.send(g->ctx, &msg);
 }
 
@@ -192,12 +197,16 @@
 
 void request_release_place(request_t *r, place_outcome_t outcome)
 {
-	uint64_t id = r->ask_id;
+	Dispatch__Done done = DISPATCH__DONE__INIT;
 
-	if (!id)
+	if (!r->ask_id)
 		return;
+	done.id = r->ask_id;
+	done.outcome = outcome;
+	done.pause_permille = pause_permille(r);
+	done.leaving = r->leaving;
 	r->ask_id = 0;
-	send_done(r->gw, id, outcome, pause_permille(r));
+	send_done(r->gw, &done);
 }
 
 void request_report_started(request_t *r)
@@ -463,12 +472,22 @@
 	return NULL;
 }
 
+/* The request for which the place was granted has ended. */
+static void return_grant(gateway_t *g, const Dispatch__Grant *m)
+{
+	Dispatch__Done done = DISPATCH__DONE__INIT;
+
+	done.id = m->id;
+	done.outcome = PLACE_UNUSED;
+	send_done(g, &done);
+}
+
 static void on_grant(gateway_t *g, const Dispatch__Grant *m)
 {
 	request_t *r = find_by_ask_id(g, m->id);
 
 	if (!r) {
-		send_done(g, m->id, PLACE_UNUSED, 0);
+		return_grant(g, m);
 		return;
 	}
 	if (r->state != REQUEST_AWAITING_GRANT)
@@ -825,6 +844,7 @@
 	g->last_ask_id = seed & 0xffffffffffff0000ull;
 	g->ops = *ops;
 	g->ctx = ctx;
+	g->holdoff = holdoff_new();
 	g->limits.head_max = HEAD_MAX;
 	g->limits.head_timeout_us = HEAD_TIMEOUT_US;
 	g->limits.idle_timeout_us = IDLE_TIMEOUT_US;
@@ -854,6 +874,7 @@
 	timer_svc_cancel(loop_timers(g->loop), &g->held_timer);
 	http1_unlisten(g->listener);
 	manifest_unref(g->manifest);
+	holdoff_free(g->holdoff);
 	str_free(&g->zone);
 	free(g);
 }
--- a/src/gateway_int.h
+++ b/src/gateway_int.h
@@ -7,6 +7,7 @@
 #define DK_GATEWAY_INT_H
 
 #include "gateway.h"
+#include "holdoff.h"
 
 /*
  * Most places that one request asks the dispatcher for, including those at
@@ -94,6 +95,7 @@
 	bool named;	    /* the response names this request */
 	bool not_run;	    /* the target says that it did not run it */
 	bool other_runner;  /* not_run was said by another runner */
+	bool leaving;	    /* the target said that it shuts down */
 	bool body_started;  /* a byte of the response body has come */
 	bool chunked;	    /* towards the caller */
 	/* Complete 5xx response, sent where no later attempt does better. */
@@ -136,6 +138,8 @@
 	http1_listener_t *listener;
 	http1_limits_t limits;
 	manifest_t *manifest; /* in force; NULL: none yet */
+	/* Runners that asked this host for no requests. */
+	holdoff_t *holdoff;
 	struct cds_list_head requests;
 	size_t n_requests;
 	/* Callers that connected while this host starts; not read yet. */
--- a/src/orders.c
+++ b/src/orders.c
@@ -228,7 +228,7 @@
 {
 	return d->active && now_us >= d->orders_from_us &&
 	       now_us < d->lease_until_us && !r->order_pending &&
-	       !r->draining && now_us >= r->suspended_until_us;
+	       !runner_is_leaving(r) && now_us >= r->suspended_until_us;
 }
 
 static void request_report_by(runner_t *r, int64_t at_us)
--- a/tests/base_test.cc
+++ b/tests/base_test.cc
@@ -6,6 +6,7 @@
 
 #include "compress.h"
 #include "counter.h"
+#include "holdoff.h"
 #include "log.h"
 #include "overload.h"
 #include "reason.h"
@@ -117,6 +118,24 @@
 }
 
 // A relay of the feed sends a manifest to eight hosts over one slow link.
+TEST(Holdoff, EndsAtTheLatestTimeThatTheTargetAskedFor)
+{
+	holdoff_t *h = holdoff_new();
+	str_t listed[2];
+
+	EXPECT_FALSE(holdoff_is_active(h, STR("a"), 0));
+	holdoff_add(h, STR("a"), 2 * USEC_PER_SEC, 0);
+	holdoff_add(h, STR("a"), USEC_PER_SEC, 0);
+	holdoff_add(h, STR("b"), HOLDOFF_LEAVING, 1);
+	EXPECT_TRUE(holdoff_is_active(h, STR("a"), 2 * USEC_PER_SEC - 1));
+	EXPECT_FALSE(holdoff_is_active(h, STR("a"), 2 * USEC_PER_SEC));
+	EXPECT_TRUE(holdoff_is_active(h, STR("b"), 600 * USEC_PER_SEC));
+	EXPECT_EQ(2u, holdoff_list(h, 1, listed, 2));
+	EXPECT_TRUE(str_eq(STR("b"), listed[0]));
+	EXPECT_EQ(1u, holdoff_list(h, 3 * USEC_PER_SEC, listed, 2));
+	holdoff_free(h);
+}
+
 TEST(Compress, AManifestOfManyRoutesTakesAnEighthOfItsText)
 {
 	std::string text = manifest_text(1400);
--- a/tests/dialect_test.cc
+++ b/tests/dialect_test.cc
@@ -283,6 +283,37 @@
 	EXPECT_TRUE(info.has_proof);
 }
 
+TEST(Dialect, ReadsWhatARunnerWantsOfLaterRequests)
+{
+	static const struct {
+		const char *text;
+		int64_t hold_off_us;
+	} rows[] = {{"2", 2 * USEC_PER_SEC},
+		    {"0.25", 250 * USEC_PER_MSEC},
+		    {"0", 0},
+		    {"-1", 0},
+		    {"soon", 0},
+		    {"1x", 0},
+		    {"1e30", 0},
+		    {"", 0}};
+	response_info_t info;
+	http1_head_t h;
+
+	for (auto &row : rows) {
+		h = head({{"Not-Executed", "1"}, {"Retry-After", row.text}},
+			 503);
+		dialect_read_response_head(&h, &info);
+		EXPECT_EQ(row.hold_off_us, info.hold_off_us) << row.text;
+		EXPECT_FALSE(info.leaving);
+	}
+	h = head({{"Retry-After", "2"}}, 500);
+	dialect_read_response_head(&h, &info);
+	EXPECT_EQ(0, info.hold_off_us);
+	h = head({{"Server-Leaving", "1"}}, 200);
+	dialect_read_response_head(&h, &info);
+	EXPECT_TRUE(info.leaving);
+}
+
 TEST(Dialect, InvalidSettingsNameEveryFault)
 {
 	char path[] = "/tmp/dialect_test.XXXXXX";
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -588,4 +588,24 @@
 	EXPECT_EQ(c->ready_us, c->predicted_us);
 }
 
+TEST(Dispatch, RunnerThatSaidThatItLeavesGetsNoMoreGrants)
+{
+	World w(1, {});
+
+	w.run(1000 * MS, 20);
+	w.runners[0].says_leaving = true;
+	w.run(2000 * MS, 20); // its answers tell
+	size_t before = w.requests.size();
+	w.run(3000 * MS, 20);
+	size_t granted = 0;
+	for (auto &r : w.requests) {
+		if (r.second.sent_us < 3000 * MS)
+			continue;
+		granted += r.second.grants > 0;
+		EXPECT_NE("i-0", r.second.runner) << r.first;
+	}
+	EXPECT_GT(w.requests.size(), before);
+	EXPECT_GT(granted, 40u);
+}
+
 } // namespace
--- a/tests/dispatch_world.h
+++ b/tests/dispatch_world.h
@@ -64,6 +64,7 @@
 	bool draining = false;
 	bool gone = false;
 	bool fails = false; // answers every request with an error after 5 ms
+	bool says_leaving = false; // in its answers; the list is behind
 	size_t n_requests = 0;
 	uint64_t seq = 0, fence = 0;
 	std::map<std::string, uint64_t> adapters; // name -> version
@@ -88,6 +89,7 @@
 	uint64_t version = 0; // of the adapter, as granted
 	uint32_t tokens = 0;  // of the prompt
 	uint32_t pause_permille = 0;
+	std::string runner; // of the last grant
 	bool ended = false;
 };
 
@@ -592,6 +594,7 @@
 		if (w->requests[id].grants++)
 			return; // a repeated grant
 		w->requests[id].version = version;
+		w->requests[id].runner = runner;
 		w->schedule(w->between(1, 2) * MS,
 			    [=]() { w->start_request(id, runner, version); });
 	}
@@ -606,6 +609,8 @@
 		done.id = id;
 		done.outcome = outcome;
 		done.pause_permille = requests[id].pause_permille;
+		SimRunner *r = find(requests[id].runner);
+		done.leaving = r && r->says_leaving;
 		msg.body_case = DISPATCH__MSG__BODY_DONE;
 		msg.done = &done;
 		dispatch_recv(d, ENTRY, &msg, now);
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -2,6 +2,7 @@
 // sockets, the dispatcher is a stub that grants the targets in order.
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <atomic>
 #include <deque>
 #include <mutex>
@@ -236,6 +237,8 @@
 	size_t n_replies = SIZE_MAX;	// Asks beyond these get no reply
 	bool reset = false;		// the last ask() ended by a TCP reset
 	std::atomic<int> n_replied_asks{0};
+	std::vector<std::string> avoided; // of each Ask; its first runner
+	size_t leaving_runners = 0;	  // Done messages that tell of one
 	// When the dispatcher was first asked, and when it was first reported
 	// as unresponsive; 0: not yet.
 	std::atomic<int64_t> asked_us{0};
@@ -297,12 +300,19 @@
 		    !fixture->asked_us)
 			fixture->asked_us = timer_svc_now(fixture->l.timers);
 
-		if (msg->body_case == DISPATCH__MSG__BODY_DONE)
+		if (msg->body_case == DISPATCH__MSG__BODY_DONE) {
 			fixture->done.push_back((int)msg->done->outcome);
+			fixture->leaving_runners += msg->done->leaving;
+		}
 		if (msg->body_case != DISPATCH__MSG__BODY_ASK ||
 		    !fixture->dispatcher_replies || !fixture->n_replies)
 			return;
 		fixture->n_replies--;
+		fixture->avoided.push_back(
+			msg->ask->n_avoid
+				? std::string((char *)msg->ask->avoid[0].data,
+					      msg->ask->avoid[0].len)
+				: "");
 		fixture->unanswered_ask_ids.push_back(msg->ask->id);
 		timer_svc_arm(fixture->l.timers, &fixture->timer,
 			      timer_svc_now(fixture->l.timers));
@@ -327,7 +337,11 @@
 		Dispatch__Grant g = DISPATCH__GRANT__INIT;
 		Dispatch__Msg msg = DISPATCH__MSG__INIT;
 		std::string addr = targets[n]->addr();
-		std::string runner = "i-" + std::to_string(n);
+		// The id follows the target, not the Ask.
+		size_t first = (size_t)(std::find(targets.begin(),
+						  targets.end(), targets[n]) -
+					targets.begin());
+		std::string runner = "i-" + std::to_string(first);
 
 		g.id = id;
 		g.runner = {runner.size(), (uint8_t *)runner.data()};
@@ -581,6 +595,48 @@
 	EXPECT_FALSE(has(got, "\"run\":\"no\""));
 }
 
+TEST(Gateway, RunnerThatSaysThatItLeavesIsSentNothingMore)
+{
+	Target a(
+		{response(200, "Response-Signature: s\r\nServer-Leaving: 1\r\n",
+			  "last"),
+		 ok_response(), ok_response()});
+	Target b({ok_response("next"), ok_response("next")});
+	GatewayFixture fixture({&a, &a, &b, &a, &b});
+
+	EXPECT_TRUE(has(fixture.ask("/once/x"), "last"));
+	EXPECT_TRUE(has(fixture.ask("/once/x"), "next"));
+	EXPECT_TRUE(has(fixture.ask("/again/x"), "next"));
+	EXPECT_EQ(1u, a.received().size());
+	EXPECT_EQ(1u, fixture.leaving_runners);
+}
+
+TEST(Gateway, RunnerThatAsksForAPauseIsSentNothingUntilItsEnd)
+{
+	Target a({response(503, "Not-Executed: 1\r\nRetry-After: 0.6\r\n", ""),
+		  ok_response("later")});
+	Target b({ok_response("other"), ok_response("other")});
+	GatewayFixture fixture({&a, &b, &a, &b, &a});
+
+	EXPECT_TRUE(has(fixture.ask("/once/x"), "other"));
+	EXPECT_TRUE(has(fixture.ask("/once/x"), "other"));
+	EXPECT_EQ(1u, a.received().size());
+	usleep(700000);
+	EXPECT_TRUE(has(fixture.ask("/once/x"), "later"));
+}
+
+TEST(Gateway, AnAskNamesTheRunnersThatWantNoRequests)
+{
+	Target a({response(503, "Not-Executed: 1\r\nRetry-After: 5\r\n", "")});
+	Target b({ok_response(), ok_response()});
+	GatewayFixture fixture({&a, &b, &b});
+
+	fixture.ask("/once/x");
+	fixture.ask("/once/x");
+	EXPECT_EQ((std::vector<std::string>{"", "i-0", "i-0"}),
+		  fixture.avoided);
+}
+
 TEST(Gateway, RefusalsTellWhenToRetry)
 {
 	GatewayFixture fixture({});
