Owner: what waits to be resumed at a target that stays down ends soon

What callers saw: a stream whose target went down for good gave nothing more and ended at the caller's deadline, 60 s later (KNOWN-RED.txt, fail-engine-lost-midstream).

Cause: a broken stream is resumed by the owner while it is active. Two failed reads of the target's state make it inactive; from then on runs that wait for their resumption, and resumptions that come back through their entry to the same owner, wait for a target that does not come. An owner that lost its target refused what waited at that moment, not these.

Change: once the state could not be read for the progress timeout, the longest that a target may be silent during any run, they end as target_lost. Entries retry what has relayed nothing; a caller whose stream was cut may ask again.

--- a/src/owner.c
+++ b/src/owner.c
@@ -422,12 +422,31 @@
 	return false;
 }
 
+/*
+ * Ends the runs that wait to be resumed, here or in the queue: the target has
+ * been silent for as long as any run may be.
+ */
+static void owner_fail_broken(owner_t *o)
+{
+	run_t *r, *tmp;
+
+	owner_refuse_waiting(o, 0, REASON_TARGET_LOST, RETRY_TARGET_LOST);
+	cds_list_for_each_entry_safe (r, tmp, &o->started_runs, node)
+		if (r->phase == RUN_AWAITING_RESUME)
+			run_fail(r, REASON_TARGET_LOST, RUN_YES,
+				 RETRY_TARGET_LOST, 0);
+}
+
 static void owner_state_failed(owner_t *o, const engine_event_t *ev,
 			       int64_t now)
 {
 	o->next_poll_us = now + STATE_POLL_SOON_US;
 	if (ev->old_fence || ev->target_leaving)
 		return;
+	if (!o->unreachable_since_us)
+		o->unreachable_since_us = now;
+	if (now - o->unreachable_since_us >= o->sh->s->cfg.progress_timeout_us)
+		owner_fail_broken(o);
 	if (++o->poll_failures < STATE_POLL_FAILURES_MAX ||
 	    o->state != OWNERSHIP_ACTIVE)
 		return;
@@ -452,6 +471,7 @@
 		return;
 	}
 	o->poll_failures = 0;
+	o->unreachable_since_us = 0;
 	/* A service may omit its boot id; that does not mean a restart. */
 	if (ev->boot_id && ev->boot_id != o->boot_id) {
 		if (o->boot_id)
@@ -580,6 +600,7 @@
 	o->fenced_off = false;
 	o->state = OWNERSHIP_WAITING;
 	o->poll_failures = 0;
+	o->unreachable_since_us = 0;
 	owner_end_slotless_loads(o);
 	o->takeover_wait_until_us = now;
 	if (!row->checks_fence)
--- a/src/owner.h
+++ b/src/owner.h
@@ -131,7 +131,9 @@
 	int64_t next_poll_us;		/* when to read the state again */
 	uint64_t poll_order_id;		/* of the read under way; 0: none */
 	uint32_t poll_failures;		/* in a row */
-	uint64_t boot_id;		/* of the target; 0 while unknown */
+	/* Since when its state cannot be read; 0: it can. */
+	int64_t unreachable_since_us;
+	uint64_t boot_id; /* of the target; 0 while unknown */
 	/* Last change made here to the slots; older state reads are ignored. */
 	int64_t slots_changed_us;
 	slots_t slots;
--- a/tests/serve_test.cc
+++ b/tests/serve_test.cc
@@ -248,6 +248,33 @@
 	expect_no_violations(*w);
 }
 
+// The target goes down at this time after the request has come.
+void expect_end_after_target_down(int64_t down_us)
+{
+	auto w = started_world();
+	serve_req_t q = w->request("a1@1", "r1");
+
+	for (auto &e : w->engines)
+		e.second.step_us = 200 * MS;
+	q.deadline_us = w->now() + 60 * SEC;
+	uint64_t h = w->submit(1, q, "a1@1");
+	w->run(down_us);
+	for (auto &e : w->engines) {
+		e.second.streams_to_break = 100;
+		e.second.down = true;
+	}
+	w->run(15 * SEC);
+	EXPECT_TRUE(w->replies[h].failed) << down_us;
+	EXPECT_TRUE(w->replies[h].run != RUN_NO || w->replies[h].data.empty());
+	expect_no_violations(*w);
+}
+
+TEST(Serve, BrokenStreamEndsWellBeforeItsDeadlineIfItsTargetStaysDown)
+{
+	for (int64_t ms = 600; ms < 2600; ms += 100)
+		expect_end_after_target_down(ms * MS);
+}
+
 TEST(Serve, CallerReconnectsThroughAnotherDaemon)
 {
 	auto w = started_world();
