Gateway: a request that ends at its deadline ends its attempt like any other

The deadline of a sent request was handled apart: it was not counted among the attempts that may have run, and logged no attempt_ended, so a request's way in the logs ended without its last attempt.

Soak of real daemons: tests/soak, dev/soak, make soak

One process plays the platform's list, seven runners, callers that keep connections until a daemon is gone, and an operator; it starts, kills, stops, freezes, empties and reconfigures the daemons by a plan drawn from a seed, and checks what ran, what was answered, and what was acknowledged.

--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 #   make check        install what is missing, build, run all tests
 #   make demo         install what is missing, build, run dev/demo
 #   make fuzz         run the property tests for long (RUNS=, SEED=)
+#   make soak         soak real daemons under faults (SEEDS=, HOSTS=, SECONDS_EACH=, JOBS=)
 #   make pages        regenerate the docs pages that come from tables in the code
 #   make lint         run the linter
 #   make format       reformat the sources
@@ -42,14 +43,17 @@
 TEST_BIN = $(patsubst tests/%.cc,$(O)/tests/%,$(wildcard tests/*_test.cc))
 # Each tests/NAME.c is a program that test scripts run.
 TEST_PROGRAM = $(patsubst tests/%.c,$(O)/tests/%,$(wildcard tests/*.c))
+# The soak of real daemons: one program of several files.
+SOAK_OBJ = $(patsubst %,$(O)/%.o,$(wildcard tests/soak/*.c))
+SOAK_BIN = $(O)/tests/soak-run
 # Each tests/NAME_fuzz.cc is a RapidCheck program; check runs it with few cases.
 FUZZ_BIN = $(patsubst tests/%.cc,$(O)/tests/%,$(wildcard tests/*_fuzz.cc))
 
 FORMATTED = $(wildcard src/*.[ch] src/*.cc platform/*.[ch] dev/*.[ch] tests/*.c tests/*.cc \
-	tests/*.h)
+	tests/*.h tests/soak/*.[ch])
 
-.PHONY: all deps check test demo run fuzz scenarios capacity pages lint format format-check clean
-all: $(O)/damasklug $(DEV_BIN) $(TEST_BIN) $(FUZZ_BIN) $(TEST_PROGRAM)
+.PHONY: all deps check test demo run fuzz soak scenarios capacity pages lint format format-check clean
+all: $(O)/damasklug $(DEV_BIN) $(TEST_BIN) $(FUZZ_BIN) $(TEST_PROGRAM) $(SOAK_BIN)
 
 $(O)/%.c.o: %.c
 	@mkdir -p $(@D)
@@ -72,6 +76,9 @@
 $(TEST_BIN) $(FUZZ_BIN): $(O)/tests/%: $(O)/tests/%.cc.o $(DEV_LIB_OBJ) $(LIB)
 	$(CXX) $(SANFLAGS) -o $@ $^ -lrapidcheck -lgtest -lgtest_main $(DEP_LIBS)
 
+$(SOAK_BIN): $(SOAK_OBJ) $(LIB)
+	$(CXX) $(SANFLAGS) -o $@ $^ $(DEP_LIBS)
+
 $(TEST_PROGRAM): $(O)/tests/%: $(O)/tests/%.c.o $(LIB)
 	$(CXX) $(SANFLAGS) -o $@ $^ $(DEP_LIBS)
 
@@ -93,6 +100,10 @@
 fuzz: all
 	@O=$(O) RUNS=$(or $(RUNS),2000) SEED=$(SEED) tests/fuzz
 
+soak: all
+	@O=$(O) HOSTS=$(or $(HOSTS),9) SECONDS_EACH=$(or $(SECONDS_EACH),20) \
+		JOBS=$(or $(JOBS),1) dev/soak $(SEEDS)
+
 scenarios: all
 	@O=$(O) tests/scenarios/run
 
--- a/src/attempt.c
+++ b/src/attempt.c
@@ -206,6 +206,14 @@
 	.drained = on_target_drained,
 };
 
+void attempt_time_out(request_t *r)
+{
+	bool sent = r->state != REQUEST_CONNECTING;
+
+	end_attempt(r, sent ? PLACE_SILENT : PLACE_UNREACHABLE, sent,
+		    sent ? REASON_DEADLINE_EXCEEDED : REASON_NO_PLACE);
+}
+
 /*
  * Each attempt has a connection of its own: a rejection need not name its
  * request, and a target may answer once more, late. On a connection that has
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -432,14 +432,7 @@
 	request_t *r = ctx;
 
 	if (now >= r->deadline_us && r->state >= REQUEST_CONNECTING) {
-		bool sent = r->state != REQUEST_CONNECTING;
-
-		attempt_abort(r);
-		request_release_place(r,
-				      sent ? PLACE_SILENT : PLACE_UNREACHABLE);
-		request_refuse(
-			r, sent ? REASON_DEADLINE_EXCEEDED : REASON_NO_PLACE,
-			0);
+		attempt_time_out(r);
 		return;
 	}
 	if (r->state == REQUEST_READING_BODY && now >= r->deadline_us) {
--- a/src/gateway_int.h
+++ b/src/gateway_int.h
@@ -183,6 +183,8 @@
 void attempt_begin(request_t *r);
 /* Closes the connection to the target, which cancels the request there. */
 void attempt_abort(request_t *r);
+/* Ends the attempt, and so the request, at the deadline. */
+void attempt_time_out(request_t *r);
 
 /* relay.c */
 
--- /dev/null
+++ b/tests/soak/plan.c
@@ -0,0 +1,232 @@
+/*
+ * plan.c - the faults of a run: drawn from the seed alone, in series that
+ * overlap.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "soak.h"
+
+/* Time between the starts of two faults of one series. */
+#define GAP_MIN_MS 20
+#define GAP_MAX_MS 500
+/* Faults end so long before the callers stop. */
+#define CALM_END_US (3 * USEC_PER_SEC)
+#define ROLL_GAP_US (700 * USEC_PER_MSEC)
+
+/* Longest that one fault lasts. */
+#define FAULT_MAX_MS 3000
+
+/* X(NAME, "name", weight) */
+#define PLAN_FAULTS(X)                     \
+	X(KILL, "kill", 8)                 \
+	X(TERM, "term", 8)                 \
+	X(TERM_TWICE, "term_twice", 3)     \
+	X(TERM_ALL, "term_roll", 2)        \
+	X(FREEZE, "freeze", 8)             \
+	X(RELOAD, "reload", 4)             \
+	X(KILL_ALL, "kill_all", 1)         \
+	X(WIPE, "wipe", 3)                 \
+	X(RUNNER, "runner", 40)            \
+	X(RUNNER_CRASH, "runner_crash", 6) \
+	X(RUNNER_LEAVE, "runner_leave", 6)
+
+typedef enum plan_kind {
+#define X(name, text, weight) PLAN_##name,
+	PLAN_FAULTS(X)
+#undef X
+	PLAN_KIND_COUNT,
+} plan_kind_t;
+
+static const struct {
+	const char *name;
+	int weight;
+} kinds[] = {
+#define X(name, text, weight) {text, weight},
+	PLAN_FAULTS(X)
+#undef X
+};
+
+typedef struct fault {
+	int64_t at_us; /* from the start of the plan */
+	plan_kind_t kind;
+	unsigned int host;
+	unsigned int runner;
+	runner_fault_t runner_fault;
+	double share;
+	int64_t for_us;
+	bool signal;
+} fault_t;
+
+struct plan {
+	soak_t *s;
+	GArray *faults; /* fault_t, in order of at_us */
+	size_t next;
+	int64_t began_us;
+	uint32_t n_injected[PLAN_KIND_COUNT];
+	timer_sub_t timer;
+};
+
+static plan_kind_t draw_kind(GRand *rng)
+{
+	int total = 0;
+	int x;
+
+	for (int i = 0; i < PLAN_KIND_COUNT; i++)
+		total += kinds[i].weight;
+	x = g_rand_int_range(rng, 0, total);
+	for (int i = 0; i < PLAN_KIND_COUNT; i++) {
+		x -= kinds[i].weight;
+		if (x < 0)
+			return (plan_kind_t)i;
+	}
+	return PLAN_RUNNER;
+}
+
+static fault_t draw_fault(const soak_t *s, GRand *rng, int64_t at_us)
+{
+	fault_t f = {.at_us = at_us, .kind = draw_kind(rng)};
+
+	f.host = (unsigned int)g_rand_int_range(rng, 0, (gint)s->cfg.n_hosts);
+	f.runner = (unsigned int)g_rand_int_range(
+		rng, 0, (gint)platform_n_runners(s->platform));
+	f.runner_fault = (runner_fault_t)g_rand_int_range(rng, 1, FAULT_COUNT);
+	f.share = g_rand_double_range(rng, 0.05, 0.6);
+	f.for_us = g_rand_int_range(rng, 100, FAULT_MAX_MS) * USEC_PER_MSEC;
+	f.signal = chance(rng, 0.5);
+	if (f.kind == PLAN_WIPE)
+		f.host %= s->cfg.n_voters;
+	return f;
+}
+
+plan_t *plan_new(soak_t *s)
+{
+	plan_t *p = xcalloc(1, sizeof(*p));
+	GRand *rng = soak_rand(s, "plan");
+	int64_t at_us = 0;
+
+	p->s = s;
+	p->faults = g_array_new(FALSE, FALSE, sizeof(fault_t));
+	while (at_us < s->cfg.duration_us - CALM_END_US) {
+		fault_t f = draw_fault(s, rng, at_us);
+
+		g_array_append_val(p->faults, f);
+		at_us += g_rand_int_range(rng, GAP_MIN_MS, GAP_MAX_MS) *
+			 USEC_PER_MSEC;
+	}
+	g_rand_free(rng);
+	return p;
+}
+
+void plan_free(plan_t *p)
+{
+	if (!p)
+		return;
+	timer_svc_cancel(p->s->timers, &p->timer);
+	g_array_free(p->faults, TRUE);
+	free(p);
+}
+
+static void print_fault(const fault_t *f, FILE *out)
+{
+	fprintf(out, "%9.3f s %s", (double)f->at_us / USEC_PER_SEC,
+		kinds[f->kind].name);
+	if (f->kind >= PLAN_RUNNER)
+		fprintf(out, " runner %u", f->runner);
+	else if (f->kind != PLAN_KILL_ALL && f->kind != PLAN_TERM_ALL)
+		fprintf(out, " host-%u", f->host);
+	if (f->kind == PLAN_RUNNER)
+		fprintf(out, " %s %.2f", runner_fault_name(f->runner_fault),
+			f->share);
+	fprintf(out, " %lld ms\n", (long long)f->for_us / USEC_PER_MSEC);
+}
+
+void plan_print(const plan_t *p, FILE *out)
+{
+	for (guint i = 0; i < p->faults->len; i++)
+		print_fault(&g_array_index(p->faults, fault_t, i), out);
+}
+
+void plan_print_injected(const plan_t *p, FILE *out)
+{
+	fprintf(out, "faults:");
+	for (unsigned int i = 0; i < PLAN_KIND_COUNT; i++)
+		fprintf(out, " %s %u", kinds[i].name, p->n_injected[i]);
+	fprintf(out, "\n");
+}
+
+static void on_every_host(plan_t *p, const fault_t *f)
+{
+	for (unsigned int i = 0; i < p->s->cfg.n_hosts; i++) {
+		if (f->kind == PLAN_KILL_ALL)
+			host_kill(p->s->hosts, i, f->for_us);
+		else if (i % 3 == f->host % 3)
+			host_terminate(p->s->hosts, i, 1, ROLL_GAP_US);
+	}
+}
+
+static void inject(plan_t *p, const fault_t *f)
+{
+	soak_t *s = p->s;
+
+	switch (f->kind) {
+	case PLAN_KILL:
+		host_kill(s->hosts, f->host, f->for_us);
+		break;
+	case PLAN_TERM:
+	case PLAN_TERM_TWICE:
+		host_terminate(s->hosts, f->host, f->kind == PLAN_TERM ? 1 : 2,
+			       f->for_us);
+		break;
+	case PLAN_TERM_ALL:
+	case PLAN_KILL_ALL:
+		on_every_host(p, f);
+		break;
+	case PLAN_FREEZE:
+		host_freeze(s->hosts, f->host, f->for_us);
+		break;
+	case PLAN_RELOAD:
+		host_reload(s->hosts, f->host, f->signal);
+		break;
+	case PLAN_WIPE:
+		host_wipe(s->hosts, f->host, f->for_us);
+		break;
+	case PLAN_RUNNER:
+		platform_set_fault(s->platform, f->runner, f->runner_fault,
+				   f->share, f->for_us);
+		break;
+	case PLAN_RUNNER_CRASH:
+		platform_crash(s->platform, f->runner, f->for_us);
+		break;
+	case PLAN_RUNNER_LEAVE:
+		platform_leave(s->platform, f->runner);
+		break;
+	default:
+		break;
+	}
+}
+
+static void on_timer(void *ctx, int64_t now)
+{
+	plan_t *p = ctx;
+
+	while (p->next < p->faults->len) {
+		const fault_t *f = &g_array_index(p->faults, fault_t, p->next);
+
+		if (now < p->began_us + f->at_us) {
+			timer_svc_arm(p->s->timers, &p->timer,
+				      p->began_us + f->at_us);
+			return;
+		}
+		p->next++;
+		p->n_injected[f->kind]++;
+		inject(p, f);
+	}
+}
+
+void plan_start(plan_t *p)
+{
+	p->began_us = soak_now(p->s);
+	timer_sub_init(&p->timer, on_timer, p);
+	timer_svc_arm(p->s->timers, &p->timer, p->began_us);
+}
--- /dev/null
+++ b/tests/soak/soak.h
@@ -0,0 +1,282 @@
+/*
+ * soak.h - a soak of real daemons. This process plays all that surrounds them:
+ * the platform's runner list, the runners, callers and an operator; it starts,
+ * stops, kills and freezes the daemons by a plan that follows from a seed, and
+ * checks what runners and callers see. All of it runs on one event loop.
+ */
+#ifndef SOAK_H
+#define SOAK_H
+
+#include <string.h>
+
+#include <glib.h>
+
+#include "loop.h"
+#include "upstream.h"
+#include "util.h"
+
+#define HOSTS_MAX 128u
+#define RUNNERS_MAX 64u
+/* Bounds of the daemons' settings that the checks rest on. */
+#define DRAIN_US (3 * USEC_PER_SEC)
+#define GRACE_US (8 * USEC_PER_SEC)
+#define CONFIG_US (2 * USEC_PER_SEC)
+
+typedef struct soak_cfg {
+	const char *daemon; /* path of the program */
+	const char *dir;    /* for settings, data and logs */
+	uint64_t seed;
+	unsigned int n_hosts;
+	unsigned int n_voters; /* hosts with a disk */
+	unsigned int n_callers;
+	int64_t duration_us;
+	/* Ports of the daemons, which have an address each, and of the rest. */
+	uint16_t front, ready, control, directory, peer, list, runner;
+} soak_cfg_t;
+
+typedef struct record record_t;
+typedef struct platform platform_t;
+typedef struct hosts hosts_t;
+typedef struct callers callers_t;
+typedef struct operator_calls operator_calls_t;
+
+typedef struct soak {
+	soak_cfg_t cfg;
+	loop_t *loop;
+	timer_svc_t *timers;
+	upstream_t *upstream;
+	int64_t began_us;
+	record_t *record;
+	platform_t *platform;
+	hosts_t *hosts;
+	callers_t *callers;
+	operator_calls_t *operator_calls;
+} soak_t;
+
+static inline int64_t soak_now(const soak_t *s)
+{
+	return timer_svc_now(s->timers);
+}
+
+/* A generator of its own for each part, so that the plan depends on no other. */
+static inline GRand *soak_rand(const soak_t *s, const char *part)
+{
+	return g_rand_new_with_seed(
+		(guint32)hash_bytes(part, strlen(part), s->cfg.seed));
+}
+
+static inline bool chance(GRand *rng, double p)
+{
+	return g_rand_double(rng) < p;
+}
+
+/* record.c: what was sent, run and answered, and the rules it must follow. */
+
+/* X(NAME, "name", "meaning") */
+#define SOAK_RULES(X)                                                         \
+	X(RAN_TWICE, "ran_twice", "what must run once ran again")             \
+	X(REFUSED_RAN, "refused_ran", "ran, and was refused as not run")      \
+	X(UNKNOWN_RUN, "unknown_run", "ran what no caller sent, or changed")  \
+	X(TOO_MANY_RUNS, "too_many_runs", "more runs than the route allows")  \
+	X(WRONG_ANSWER, "wrong_answer", "an answer that no run gave")         \
+	X(STREAM_ORDER, "stream_order", "events are missing, doubled, mixed") \
+	X(SENT_TO_LEAVING, "sent_to_leaving",                                 \
+	  "sent to a runner long after it said that it leaves")               \
+	X(SENT_IN_PAUSE, "sent_in_pause",                                     \
+	  "sent to a runner in the pause that it asked for")                  \
+	X(TWO_HOLDERS, "two_holders", "orders of two hosts with one fence")   \
+	X(MANIFEST_OLDER, "manifest_older", "a read gave an older manifest")  \
+	X(MANIFEST_LOST, "manifest_lost", "an acknowledged manifest is gone") \
+	X(PROCESS_ENDED, "process_ended", "a daemon ended by itself, or badly")
+
+/* X(NAME, "name", "meaning") - depend on time; counted, not judged in CI. */
+#define SOAK_LATE(X)                                                         \
+	X(UNANSWERED, "unanswered", "no answer a second after the deadline") \
+	X(OUTLIVED_GRACE, "outlived_grace", "still running after its grace") \
+	X(NOT_RECOVERED, "not_recovered", "nothing served long after a fault")
+
+typedef enum rule {
+#define X(name, text, meaning) RULE_##name,
+	SOAK_RULES(X)
+	SOAK_LATE(X)
+#undef X
+		RULE_COUNT,
+} rule_t;
+
+/* A kind of request, and the route that serves it. */
+typedef struct req_class {
+	const char *name;    /* also the path prefix */
+	const char *kind;    /* of the route */
+	const char *service; /* of the route */
+	bool is_stream;
+	bool repeatable;
+	uint32_t attempts; /* of the route */
+	int64_t deadline_ms;
+	double share;
+} req_class_t;
+
+#define CLASS_COUNT 4u
+extern const req_class_t req_classes[CLASS_COUNT];
+
+typedef struct run {
+	uint64_t serial;
+	char runner[24];
+	int status; /* that the runner gave; 0: none yet */
+} run_t;
+
+/* One attempt of a caller; kept to the end, as it may run late. */
+typedef struct attempt {
+	char id[20];
+	const req_class_t *cls;
+	uint32_t request; /* number of the request that it is an attempt of */
+	unsigned int host;
+	uint32_t n_events; /* of the stream */
+	int64_t sent_us;
+	GArray *runs; /* run_t */
+	bool answered;
+	bool promised; /* the answer said that it did not run */
+	int status;
+} attempt_t;
+
+/* What a caller has got. */
+typedef struct answer {
+	int status;
+	bool complete;
+	str_t signature;
+	str_t body;
+	bool leaving;
+	str_t runner; /* that made it; empty: the daemon */
+} answer_t;
+
+record_t *record_new(soak_t *s);
+void record_free(record_t *r);
+void record_broken(record_t *r, rule_t rule, const char *fmt, ...)
+	__attribute__((format(printf, 3, 4)));
+attempt_t *record_sent(record_t *r, const req_class_t *cls, uint32_t request,
+		       unsigned int host);
+attempt_t *record_find(record_t *r, str_t id);
+/* A runner begins to work on it; the serial number of the run. */
+uint64_t record_run(record_t *r, attempt_t *a, const char *runner);
+void record_run_status(attempt_t *a, uint64_t serial, int status);
+void record_answer(record_t *r, attempt_t *a, const answer_t *ans);
+/* A request of this attempt has come to a runner, whether it runs or not. */
+void record_arrival(record_t *r, const attempt_t *a, const char *runner);
+/* The runner asked the host for a pause; for_us. */
+void record_pause(record_t *r, unsigned int host, const char *runner,
+		  int64_t for_us);
+/* The host was stopped, started or frozen: what it had been told is excused. */
+void record_host_disturbed(record_t *r, unsigned int host);
+/* Requests served since the last call. */
+uint32_t record_take_served(record_t *r);
+void record_print(const record_t *r, FILE *out);
+/* Number of broken rules: all, or without those that depend on time. */
+uint32_t record_n_broken(const record_t *r, bool with_late);
+/* The body of a request, and what a run of it answers. */
+void write_request_body(buf_t *out, const attempt_t *a);
+void write_answer(buf_t *out, const attempt_t *a, uint64_t serial);
+void write_event(buf_t *out, const attempt_t *a, uint64_t serial, uint32_t n);
+
+/* platform.c: the runner list and the runners. */
+
+/* X(NAME, "name") - what a runner does wrong with a part of its requests. */
+#define RUNNER_FAULTS(X)                                                       \
+	X(REJECT, "reject") /* refuses, and says that nothing ran */           \
+	X(REJECT_TWICE, "reject_twice") /* says so again, late */              \
+	X(REJECT_EARLY, "reject_early") /* before the body has come */         \
+	X(REJECT_PAUSE, "reject_pause") /* and wants a pause */                \
+	X(RAN_503, "ran_503")		/* runs it and answers 503 */          \
+	X(RAN_429, "ran_429")                                                  \
+	X(RAN_408, "ran_408")                                                  \
+	X(RAN_500, "ran_500")                                                  \
+	X(LOST, "lost")			/* runs it; the connection is reset */ \
+	X(MUTE, "mute")			/* runs it and never answers */        \
+	X(SECOND, "second")		/* answers a second time, late */      \
+	X(STRAY_REJECT, "stray_reject") /* a rejection after its answer */     \
+	X(BREAK, "break")		/* the answer is cut midway */         \
+	X(SLOW, "slow")			/* a byte at a time */
+
+typedef enum runner_fault {
+	FAULT_NONE,
+#define X(name, text) FAULT_##name,
+	RUNNER_FAULTS(X)
+#undef X
+	FAULT_COUNT,
+} runner_fault_t;
+
+const char *runner_fault_name(runner_fault_t f);
+
+/* NULL with a message on standard error where it cannot listen. */
+platform_t *platform_new(soak_t *s);
+void platform_free(platform_t *p);
+unsigned int platform_n_runners(const platform_t *p);
+/* Number of requests that a fault of a runner met, by kind. */
+void platform_print_faults(const platform_t *p, FILE *out);
+/* For for_us the runner does this to a share of its requests. */
+void platform_set_fault(platform_t *p, unsigned int runner, runner_fault_t f,
+			double share, int64_t for_us);
+/* Its process ends, another one starts at its address for_us later. */
+void platform_crash(platform_t *p, unsigned int runner, int64_t for_us);
+/* It says that it leaves, serves on, ends and is replaced. */
+void platform_leave(platform_t *p, unsigned int runner);
+
+/* hosts.c: the daemons' processes. */
+
+hosts_t *hosts_new(soak_t *s);
+/* Kills what still runs. */
+void hosts_free(hosts_t *h);
+/* 0, or -1 with a message where a process cannot be started. */
+int hosts_start_all(hosts_t *h);
+bool host_is_running(const hosts_t *h, unsigned int host);
+/* Whether it runs, and met no fault since since_us. */
+bool host_calm_since(const hosts_t *h, unsigned int host, int64_t since_us);
+/* "ip:port" of a daemon. */
+void host_addr(const soak_t *s, buf_t *out, unsigned int host, uint16_t port);
+/* SIGKILL; it starts again after down_us. */
+void host_kill(hosts_t *h, unsigned int host, int64_t down_us);
+/* As host_kill(), with an empty disk, if the others can spare this one now. */
+void host_wipe(hosts_t *h, unsigned int host, int64_t down_us);
+/* SIGTERM, sent times in a row; it starts again after it has ended. */
+void host_terminate(hosts_t *h, unsigned int host, unsigned int times,
+		    int64_t down_us);
+void host_freeze(hosts_t *h, unsigned int host, int64_t for_us);
+/* Writes its settings anew, in another order, with or without SIGHUP. */
+void host_reload(hosts_t *h, unsigned int host, bool signal);
+/* Ends all for good; done is called when they have ended. */
+void hosts_stop_all(hosts_t *h, void (*done)(void *ctx), void *ctx);
+/* Highest memory and descriptors of any daemon so far. */
+void hosts_print_use(const hosts_t *h, FILE *out);
+
+/* caller.c */
+
+callers_t *callers_new(soak_t *s);
+void callers_free(callers_t *c);
+void callers_start(callers_t *c);
+/* No new requests. */
+void callers_stop(callers_t *c);
+unsigned int callers_busy(const callers_t *c);
+bool answer_promises_not_run(int status);
+
+/* operator.c */
+
+operator_calls_t *operator_new(soak_t *s);
+void operator_free(operator_calls_t *o);
+/* Names the first manifest, and others from time to time. */
+void operator_start(operator_calls_t *o);
+bool operator_has_first_ack(const operator_calls_t *o);
+/* Reads the manifest until it is told; done is called once it is, or not. */
+void operator_check_end(operator_calls_t *o, void (*done)(void *ctx),
+			void *ctx);
+
+/* plan.c: the faults of a seed. */
+
+typedef struct plan plan_t;
+
+plan_t *plan_new(soak_t *s);
+void plan_free(plan_t *p);
+void plan_print(const plan_t *p, FILE *out);
+/* Number of faults injected so far, by kind. */
+void plan_print_injected(const plan_t *p, FILE *out);
+/* Injects its faults from now on. */
+void plan_start(plan_t *p);
+
+#endif
