Attempts: an unnamed rejection behind a stray response is not believed

What callers could see: a request that runs is sent again or refused as not run, although its attempt had a connection of its own, if the target first sends a response to another request there and then a rejection without a name.

Change: after a response to another request only one that names the request can say that it did not run. Else the attempt may have run, and the caller gets 502.

Evidence: Gateway.UnnamedRejectionBehindAStrayResponseIsNotBelieved failed before (the request went to a second target) and passes; gateway_test 33 passed.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -120,13 +120,15 @@
 
 	dialect_read_response_head(h, &info);
 	r->wrong_request = info.id.n && !str_eq(info.id, r->info.id);
+	r->stray_seen |= r->wrong_request;
 	if (r->wrong_request)
 		return;
 	r->named = info.id.n > 0;
-	r->not_run = info.not_run;
+	/* Behind a stray response, one without a name may be another stray. */
+	r->not_run = info.not_run && (r->named || !r->stray_seen);
 	r->last_byte_us = gateway_now(r->gw);
 	note_holdoff(r, &info);
-	if (!info.not_run) {
+	if (!r->not_run) {
 		relay_head(r, h, &info);
 		return;
 	}
@@ -225,6 +227,7 @@
 
 	r->state = REQUEST_CONNECTING;
 	r->wrong_request = false;
+	r->stray_seen = false;
 	r->named = false;
 	r->not_run = false;
 	r->leaving = false;
--- a/src/gateway_int.h
+++ b/src/gateway_int.h
@@ -92,6 +92,7 @@
 	 */
 	buf_t body_out;
 	bool wrong_request; /* the response names another request */
+	bool stray_seen;    /* one on this connection did */
 	bool named;	    /* the response names this request */
 	bool not_run;	    /* the target says that it did not run it */
 	bool other_runner;  /* not_run was said by another runner */
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -571,6 +571,19 @@
 	EXPECT_EQ(0u, b.received().size());
 }
 
+TEST(Gateway, UnnamedRejectionBehindAStrayResponseIsNotBelieved)
+{
+	Target a({{response(200, "Request-Id: other\r\n", "").bytes +
+		   STRAY_REJECTION}});
+	Target b({ok_response()});
+	GatewayFixture fixture({&a, &b});
+	std::string got = fixture.ask("/once/x");
+
+	EXPECT_EQ(502, status(got));
+	EXPECT_FALSE(has(got, "\"run\":\"no\""));
+	EXPECT_EQ(0u, b.received().size());
+}
+
 // What the last attempt tells does not make an earlier one undone.
 TEST(Gateway, RequestThatMayHaveRunIsNotRefusedAsNotRunAfterRejections)
 {
