--- a/tests/soak/plan.c
+++ b/tests/soak/plan.c
@@ -12,6 +12,7 @@
 #define GAP_MAX_MS 500
 /* Faults end so long before the callers stop. */
 #define CALM_END_US (3 * USEC_PER_SEC)
+#define LONE_VOTER_KILL_US (50 * USEC_PER_MSEC)
 #define ROLL_GAP_US (700 * USEC_PER_MSEC)
 
 /* Longest that one fault lasts. */
@@ -27,6 +28,7 @@
 	X(RELOAD, "reload", 4)             \
 	X(KILL_ALL, "kill_all", 1)         \
 	X(WIPE, "wipe", 3)                 \
+	X(LONE_VOTER, "lone_voter", 2)     \
 	X(RUNNER, "runner", 40)            \
 	X(RUNNER_CRASH, "runner_crash", 6) \
 	X(RUNNER_LEAVE, "runner_leave", 6)
@@ -94,11 +96,32 @@
 	f.share = g_rand_double_range(rng, 0.05, 0.6);
 	f.for_us = g_rand_int_range(rng, 100, FAULT_MAX_MS) * USEC_PER_MSEC;
 	f.signal = chance(rng, 0.5);
-	if (f.kind == PLAN_WIPE)
+	if (f.kind == PLAN_WIPE || f.kind == PLAN_LONE_VOTER)
 		f.host %= s->cfg.n_voters;
 	return f;
 }
 
+static gint compare_faults(gconstpointer a, gconstpointer b)
+{
+	int64_t x = ((const fault_t *)a)->at_us;
+	int64_t y = ((const fault_t *)b)->at_us;
+
+	return (x > y) - (x < y);
+}
+
+/*
+ * The lone voter is killed shortly before the others wake: what it alone had
+ * decided would be lost.
+ */
+static void add_kill_of_lone_voter(plan_t *p, const fault_t *lone)
+{
+	fault_t f = *lone;
+
+	f.kind = PLAN_KILL;
+	f.at_us += lone->for_us - LONE_VOTER_KILL_US;
+	g_array_append_val(p->faults, f);
+}
+
 plan_t *plan_new(soak_t *s)
 {
 	plan_t *p = xcalloc(1, sizeof(*p));
@@ -111,10 +134,13 @@
 		fault_t f = draw_fault(s, rng, at_us);
 
 		g_array_append_val(p->faults, f);
+		if (f.kind == PLAN_LONE_VOTER)
+			add_kill_of_lone_voter(p, &f);
 		at_us += g_rand_int_range(rng, GAP_MIN_MS, GAP_MAX_MS) *
 			 USEC_PER_MSEC;
 	}
 	g_rand_free(rng);
+	g_array_sort(p->faults, compare_faults);
 	return p;
 }
 
@@ -165,6 +191,13 @@
 	}
 }
 
+static void freeze_other_voters(plan_t *p, const fault_t *f)
+{
+	for (unsigned int i = 0; i < p->s->cfg.n_voters; i++)
+		if (i != f->host)
+			host_freeze(p->s->hosts, i, f->for_us);
+}
+
 static void inject(plan_t *p, const fault_t *f)
 {
 	soak_t *s = p->s;
@@ -191,6 +224,9 @@
 	case PLAN_WIPE:
 		host_wipe(s->hosts, f->host, f->for_us);
 		break;
+	case PLAN_LONE_VOTER:
+		freeze_other_voters(p, f);
+		break;
 	case PLAN_RUNNER:
 		platform_set_fault(s->platform, f->runner, f->runner_fault,
 				   f->share, f->for_us);
