--- a/tests/soak/platform.c
+++ b/tests/soak/platform.c
@@ -203,6 +203,21 @@
 	arm_ms(c, &c->slow_timer, 0, 1);
 }
 
+/* Sends the last bytes of an answer, and a stray rejection behind it. */
+static void end_answer(conn_t *c, const buf_t *out)
+{
+	AUTO_BUF buf_t stray = {0};
+
+	if (c->fault == FAULT_STRAY_REJECT) {
+		write_response(&stray, 503, "Not-Executed: 1\r\n",
+			       str_n(NULL, 0));
+		send_later(c, &stray);
+	}
+	end_run(c);
+	send_bytes(c, out);
+	http1_await_request(c->c);
+}
+
 /* Ends the run with a response; faults of the answer apply. */
 static void answer(conn_t *c, int status, const char *more_fields, str_t body)
 {
@@ -225,16 +240,7 @@
 	}
 	if (c->fault == FAULT_SECOND)
 		send_later(c, &out);
-	if (c->fault == FAULT_STRAY_REJECT) {
-		AUTO_BUF buf_t stray = {0};
-
-		write_response(&stray, 503, "Not-Executed: 1\r\n",
-			       str_n(NULL, 0));
-		send_later(c, &stray);
-	}
-	end_run(c);
-	send_bytes(c, &out);
-	http1_await_request(c->c);
+	end_answer(c, &out);
 }
 
 /* Runs. */
@@ -266,16 +272,7 @@
 	AUTO_BUF buf_t out = {0};
 
 	buf_puts(&out, "0\r\n\r\n");
-	if (c->fault == FAULT_STRAY_REJECT) {
-		AUTO_BUF buf_t stray = {0};
-
-		write_response(&stray, 503, "Not-Executed: 1\r\n",
-			       str_n(NULL, 0));
-		send_later(c, &stray);
-	}
-	end_run(c);
-	send_bytes(c, &out);
-	http1_await_request(c->c);
+	end_answer(c, &out);
 }
 
 static void send_event(conn_t *c)
