Attempts: a connection that takes long is tried a second time beside the first

What callers saw: on links that lose packets, a request whose SYN was lost waited 0.7 s, then went to another target, and the first one counted as unreachable; two of these suspend a target that is well.

Change: after 150 ms a second connection is begun; the first that is up carries the request, the other is closed unused. The kernel sends a lost SYN again only after a second. The request's timer is armed anew when it is sent, so that it fires for nothing on no other request.

Evidence: Gateway.LostSynDelaysNoRequestByASecond (a listener whose queue is full drops the first SYN) failed before with 503 and passes.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -8,11 +8,19 @@
 
 /* Longest wait for a connection to a reachable target. */
 #define CONNECT_TIMEOUT_US (700 * USEC_PER_MSEC)
+static void close_spare(request_t *r)
+{
+	if (r->spare)
+		http1_close(r->spare);
+	r->spare = NULL;
+}
+
 static void close_conn(request_t *r)
 {
 	if (r->conn)
 		http1_close(r->conn);
 	r->conn = NULL;
+	close_spare(r);
 }
 
 void attempt_abort(request_t *r)
@@ -67,6 +75,7 @@
 	request_t *r = ctx;
 	AUTO_BUF buf_t out = {0};
 
+	close_spare(r);
 	if (is_held_off(r)) {
 		end_attempt(r, PLACE_UNUSED, false, REASON_NO_PLACE);
 		return;
@@ -77,6 +86,7 @@
 	}
 	write_request(r, &out);
 	r->state = REQUEST_SENT;
+	request_arm_timer(r);
 	r->sent_us = gateway_now(r->gw);
 	r->last_byte_us = r->sent_us;
 	log_event(LOG_INFO, "sent", kv_s("id", r->info.id),
@@ -186,6 +196,7 @@
 	request_t *r = ctx;
 
 	r->conn = NULL;
+	close_spare(r);
 	if (r->state == REQUEST_CONNECTING)
 		end_attempt(r, PLACE_UNREACHABLE, false, REASON_TARGET_LOST);
 	else
@@ -208,6 +219,46 @@
 	.drained = on_target_drained,
 };
 
+/* The second connection is up first: it replaces the other. */
+static void on_spare_connected(void *ctx)
+{
+	request_t *r = ctx;
+
+	http1_close(r->conn);
+	r->conn = r->spare;
+	r->spare = NULL;
+	http1_set_owner(r->conn, &target_ops, r);
+	send_request(r);
+}
+
+static void on_spare_closed(void *ctx, http1_close_reason_t why)
+{
+	request_t *r = ctx;
+
+	(void)why;
+	r->spare = NULL;
+}
+
+static const http1_ops_t spare_ops = {
+	.connected = on_spare_connected,
+	.closed = on_spare_closed,
+};
+
+static http1_conn_t *connect_to_target(request_t *r, const http1_ops_t *ops)
+{
+	struct sockaddr_in to;
+
+	if (http1_parse_addr(r->addr, &to) < 0)
+		return NULL;
+	return http1_connect(r->gw->loop, &to, CONNECT_TIMEOUT_US, ops, r);
+}
+
+void attempt_connect_again(request_t *r)
+{
+	r->connect_again_us = INT64_MAX;
+	r->spare = connect_to_target(r, &spare_ops);
+}
+
 void attempt_time_out(request_t *r)
 {
 	bool sent = r->state != REQUEST_CONNECTING;
@@ -223,8 +274,6 @@
  */
 void attempt_begin(request_t *r)
 {
-	struct sockaddr_in to;
-
 	r->state = REQUEST_CONNECTING;
 	r->wrong_request = false;
 	r->stray_seen = false;
@@ -239,9 +288,7 @@
 		end_attempt(r, PLACE_UNUSED, false, REASON_NO_PLACE);
 		return;
 	}
-	if (http1_parse_addr(r->addr, &to) == 0)
-		r->conn = http1_connect(r->gw->loop, &to, CONNECT_TIMEOUT_US,
-					&target_ops, r);
+	r->conn = connect_to_target(r, &target_ops);
 	if (!r->conn)
 		end_attempt(r, PLACE_UNREACHABLE, false, REASON_TARGET_LOST);
 }
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -33,6 +33,8 @@
  */
 #define ASK_WAIT_OBJECTIVES 3
 #define ASK_WAIT_MIN_US (600 * USEC_PER_MSEC)
+/* A connection to a target that takes longer is tried a second time. */
+#define CONNECT_AGAIN_US (150 * USEC_PER_MSEC)
 /* Time before the deadline that is reserved for sending to the target. */
 #define SEND_MARGIN_US (20 * USEC_PER_MSEC)
 /* Limits of callers' connections until a manifest sets them. */
@@ -53,7 +55,7 @@
 	       (r->ask_acked ? ASK_RESEND_ACKED_US : ASK_RESEND_US);
 }
 
-static void arm_timer(request_t *r)
+void request_arm_timer(request_t *r)
 {
 	int64_t due = r->deadline_us;
 
@@ -63,6 +65,8 @@
 		due = again < due ? again : due;
 		due = r->ask_deadline_us < due ? r->ask_deadline_us : due;
 	}
+	if (r->state == REQUEST_CONNECTING && r->connect_again_us < due)
+		due = r->connect_again_us;
 	timer_svc_arm(loop_timers(r->gw->loop), &r->timer, due);
 }
 
@@ -175,7 +179,7 @@
 	if (r->ask_deadline_us > r->deadline_us - SEND_MARGIN_US)
 		r->ask_deadline_us = r->deadline_us - SEND_MARGIN_US;
 	send_ask(r);
-	arm_timer(r);
+	request_arm_timer(r);
 }
 
 static void send_done(gateway_t *g, const Dispatch__Done *done)
@@ -436,6 +440,8 @@
 		attempt_time_out(r);
 		return;
 	}
+	if (r->state == REQUEST_CONNECTING && now >= r->connect_again_us)
+		attempt_connect_again(r);
 	if (r->state == REQUEST_READING_BODY && now >= r->deadline_us) {
 		request_refuse(r, REASON_BODY_TIMEOUT, 0);
 		return;
@@ -451,7 +457,7 @@
 			r->gw->ops.dispatcher_unresponsive(r->gw->ctx);
 		send_ask(r);
 	}
-	arm_timer(r);
+	request_arm_timer(r);
 }
 
 /* Messages of the dispatcher. */
@@ -494,7 +500,8 @@
 	r->grant_term = m->term;
 	hist_add(HIST_GRANT, gateway_now(g) - r->asked_us);
 	r->state = REQUEST_CONNECTING;
-	arm_timer(r);
+	r->connect_again_us = gateway_now(g) + CONNECT_AGAIN_US;
+	request_arm_timer(r);
 	attempt_begin(r);
 }
 
@@ -518,7 +525,7 @@
 	if (!r || r->state != REQUEST_AWAITING_GRANT)
 		return;
 	r->ask_acked = true;
-	arm_timer(r);
+	request_arm_timer(r);
 }
 
 void gateway_recv(gateway_t *g, const Dispatch__Msg *msg)
@@ -573,7 +580,7 @@
 	cds_list_for_each_entry (r, &g->requests, node) {
 		if (r->state == REQUEST_AWAITING_GRANT) {
 			send_ask(r);
-			arm_timer(r);
+			request_arm_timer(r);
 		} else if (r->state >= REQUEST_CONNECTING && r->ask_id) {
 			send_held(r);
 		}
@@ -692,7 +699,7 @@
 		c->refused = true;
 		return;
 	}
-	arm_timer(request_new(c, h, &info, route));
+	request_arm_timer(request_new(c, h, &info, route));
 	if (http1_name_eq(http1_field(h, STR("Expect")), STR("100-continue")))
 		http1_send(c->conn, "HTTP/1.1 100 Continue\r\n\r\n", 25);
 }
--- a/src/gateway_int.h
+++ b/src/gateway_int.h
@@ -78,6 +78,9 @@
 	/* Term of the dispatcher; 0: granted by this daemon, in isolation. */
 	uint64_t grant_term;
 	http1_conn_t *conn;
+	/* A second try to connect, while conn has not; NULL: none. */
+	http1_conn_t *spare;
+	int64_t connect_again_us; /* when to begin it; INT64_MAX: never */
 	int64_t sent_us;
 	/*
 	 * Of the latest response; status 0: there is none. Its fields are valid
@@ -161,6 +164,8 @@
  * has begun. retry_us 0: the default of the reason.
  */
 void request_refuse(request_t *r, reason_t reason, int64_t retry_us);
+/* Arms the timer for what is due next in the request's state. */
+void request_arm_timer(request_t *r);
 /* The whole response was sent to the caller. */
 void request_completed(request_t *r);
 /*
@@ -182,6 +187,11 @@
 
 /* Sends the request to the runner that was granted. */
 void attempt_begin(request_t *r);
+/*
+ * Connects a second time beside the first, whose SYN may be lost: the kernel sends
+ * another only after a second.
+ */
+void attempt_connect_again(request_t *r);
 /* Closes the connection to the target, which cancels the request there. */
 void attempt_abort(request_t *r);
 /* Ends the attempt, and so the request, at the deadline. */
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <atomic>
 #include <deque>
+#include <fstream>
 #include <mutex>
 #include <vector>
 
@@ -92,6 +93,7 @@
 	}
 	// The other side closed the connection while until_closed waited.
 	std::atomic<bool> closed_by_peer{false};
+	uint16_t port;
 
       private:
 	void serve()
@@ -160,7 +162,6 @@
 	std::vector<std::string> requests;
 	std::mutex lock;
 	std::atomic<bool> stopping{false};
-	uint16_t port;
 	int fd;
 	std::thread thread;
 };
@@ -474,6 +475,57 @@
 	EXPECT_EQ(0u, c.received().size());
 }
 
+// A connection of loopback is in the state SYN_SENT.
+bool connects_to(uint16_t port)
+{
+	std::ifstream table("/proc/net/tcp");
+	std::string line;
+	char want[24];
+
+	snprintf(want, sizeof(want), "0100007F:%04X 02", port);
+	while (std::getline(table, line))
+		if (has(line, want))
+			return true;
+	return false;
+}
+
+// The kernel drops the first SYN, as the queue of the listener is full, and
+// would send the next one a second later.
+TEST(Gateway, LostSynDelaysNoRequestByASecond)
+{
+	struct sockaddr_in a = loopback_addr();
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	struct timeval patience = {3, 0};
+	char buf[4096];
+
+	a.sin_port = htons(free_port());
+	ASSERT_EQ(0, bind(fd, (struct sockaddr *)&a, sizeof(a)));
+	listen(fd, 0);
+	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof(patience));
+	Client filler(ntohs(a.sin_port));
+	Target name_only({});
+	GatewayFixture fixture({&name_only});
+	name_only.port = ntohs(a.sin_port);
+	std::string got;
+	std::thread caller([&] { got = fixture.ask("/once/x"); });
+
+	while (!connects_to(ntohs(a.sin_port)))
+		usleep(500);
+	close(accept(fd, nullptr, nullptr));
+	int c = accept(fd, nullptr, nullptr);
+
+	std::string answer = ok_response("in time").bytes;
+
+	if (c >= 0 && recv(c, buf, sizeof(buf), 0) > 0) {
+		EXPECT_GT(::send(c, answer.data(), answer.size(), MSG_NOSIGNAL),
+			  0);
+	}
+	caller.join();
+	close(c);
+	close(fd);
+	EXPECT_TRUE(has(got, "in time")) << got;
+}
+
 TEST(Gateway, ErrorOfATargetIsRelayedIfNoOtherTargetIsGranted)
 {
 	Target a({response(500, "Response-Signature: s1\r\n", "broke")});
