--- a/tests/soak/caller.c
+++ b/tests/soak/caller.c
@@ -10,7 +10,7 @@
 #include "soak.h"
 
 #define CONNECT_TIMEOUT_US (1 * USEC_PER_SEC)
-#define RESOLVE_PERIOD_US (1 * USEC_PER_SEC)
+#define RESOLVE_PERIOD_US (300 * USEC_PER_MSEC)
 #define RESOLVE_TIMEOUT_US (1 * USEC_PER_SEC)
 #define RETRIES_MAX 2u
 /* An answer may come so long after the deadline. */
@@ -351,8 +351,7 @@
 	upstream_call(s->upstream, buf_str(&addr),
 		      STR("/damasklug/resolve?name=x.example&region=r&zone=z0"),
 		      NULL, NULL, RESOLVE_TIMEOUT_US, on_resolved, c);
-	timer_svc_arm(s->timers, &c->resolve_timer,
-		      now + RESOLVE_PERIOD_US / 3);
+	timer_svc_arm(s->timers, &c->resolve_timer, now + RESOLVE_PERIOD_US);
 }
 
 callers_t *callers_new(soak_t *s)
