--- a/tests/soak/hosts.c
+++ b/tests/soak/hosts.c
@@ -102,7 +102,7 @@
 	buf_printf(out,
 		   "{\"node\":\"host-%u\",\"ip\":\"127.0.0.%u\",\"zone\":"
 		   "\"z%u\",\"region\":\"r\",\n\"listen\":{",
-		   h->index, h->index + 10, h->index % 3);
+		   h->index, h->index + 10, h->index % ZONES);
 	write_port(h, out, "front", cfg->front, ",");
 	write_port(h, out, "ready", cfg->ready, ",");
 	write_port(h, out, "control", cfg->control, ",");
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -184,8 +184,12 @@
 	hosts_print_use(s->hosts, stdout);
 	if (!m->gave_up)
 		rc = record_n_broken(s->record, strict) ? 1 : 0;
-	if (rc == 1)
+	if (rc == 1) {
+		printf("again: dev/soak %llu; the way of a request: damasklug "
+		       "explain ID --logs %s/host-*.log; the plan:\n",
+		       (unsigned long long)s->cfg.seed, s->cfg.dir);
 		plan_print(m->plan, stdout);
+	}
 out:
 	timer_svc_cancel(s->timers, &m->timer);
 	plan_free(m->plan);
--- a/tests/soak/plan.c
+++ b/tests/soak/plan.c
@@ -7,14 +7,15 @@
 
 #include "soak.h"
 
-/* Time between the starts of two faults of one series. */
+/* Time between the starts of two faults; they overlap. */
 #define GAP_MIN_MS 20
 #define GAP_MAX_MS 500
 /* Faults end so long before the callers stop. */
 #define CALM_END_US (3 * USEC_PER_SEC)
+/* A lone voter is killed so long before the other voters wake. */
 #define LONE_VOTER_KILL_US (50 * USEC_PER_MSEC)
-#define ROLL_GAP_US (700 * USEC_PER_MSEC)
-
+/* The hosts of a failure domain start so long after they have ended. */
+#define ZONE_DOWN_US (700 * USEC_PER_MSEC)
 /* Longest that one fault lasts. */
 #define FAULT_MAX_MS 5000
 
@@ -23,7 +24,7 @@
 	X(KILL, "kill", 8)                 \
 	X(TERM, "term", 8)                 \
 	X(TERM_TWICE, "term_twice", 3)     \
-	X(TERM_ALL, "term_roll", 2)        \
+	X(TERM_ZONE, "term_zone", 2)       \
 	X(FREEZE, "freeze", 8)             \
 	X(RELOAD, "reload", 4)             \
 	X(KILL_ALL, "kill_all", 1)         \
@@ -159,7 +160,7 @@
 		kinds[f->kind].name);
 	if (f->kind >= PLAN_RUNNER)
 		fprintf(out, " runner %u", f->runner);
-	else if (f->kind != PLAN_KILL_ALL && f->kind != PLAN_TERM_ALL)
+	else if (f->kind != PLAN_KILL_ALL)
 		fprintf(out, " host-%u", f->host);
 	if (f->kind == PLAN_RUNNER)
 		fprintf(out, " %s %.2f", runner_fault_name(f->runner_fault),
@@ -181,14 +182,18 @@
 	fprintf(out, "\n");
 }
 
-static void on_every_host(plan_t *p, const fault_t *f)
+static void kill_all(plan_t *p, const fault_t *f)
 {
-	for (unsigned int i = 0; i < p->s->cfg.n_hosts; i++) {
-		if (f->kind == PLAN_KILL_ALL)
-			host_kill(p->s->hosts, i, f->for_us);
-		else if (i % 3 == f->host % 3)
-			host_terminate(p->s->hosts, i, 1, ROLL_GAP_US);
-	}
+	for (unsigned int i = 0; i < p->s->cfg.n_hosts; i++)
+		host_kill(p->s->hosts, i, f->for_us);
+}
+
+/* Ends all hosts of the failure domain of this one. */
+static void terminate_zone(plan_t *p, const fault_t *f)
+{
+	for (unsigned int i = f->host % ZONES; i < p->s->cfg.n_hosts;
+	     i += ZONES)
+		host_terminate(p->s->hosts, i, 1, ZONE_DOWN_US);
 }
 
 static void freeze_other_voters(plan_t *p, const fault_t *f)
@@ -211,9 +216,11 @@
 		host_terminate(s->hosts, f->host, f->kind == PLAN_TERM ? 1 : 2,
 			       f->for_us);
 		break;
-	case PLAN_TERM_ALL:
+	case PLAN_TERM_ZONE:
+		terminate_zone(p, f);
+		break;
 	case PLAN_KILL_ALL:
-		on_every_host(p, f);
+		kill_all(p, f);
 		break;
 	case PLAN_FREEZE:
 		host_freeze(s->hosts, f->host, f->for_us);
--- a/tests/soak/platform.c
+++ b/tests/soak/platform.c
@@ -441,8 +441,9 @@
 		   "{\"id\":\"%s\",\"service\":\"%s\",\"addr\":\"%s\","
 		   "\"zone\":\"z%u\",\"slots\":%u,\"born\":%lld,"
 		   "\"state\":\"%s\",",
-		   r->id, r->is_model ? "llm" : "app", r->addr, r->index % 3,
-		   SLOTS, (long long)r->born_ms, drains ? "draining" : "ready");
+		   r->id, r->is_model ? "llm" : "app", r->addr,
+		   r->index % ZONES, SLOTS, (long long)r->born_ms,
+		   drains ? "draining" : "ready");
 	write_models(out, r, now);
 	buf_puts(out, "}");
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -16,7 +16,8 @@
 #include "util.h"
 
 #define HOSTS_MAX 128u
-#define RUNNERS_MAX 64u
+/* Failure domains; host N is in zone N % ZONES. */
+#define ZONES 3u
 /* Bounds of the daemons' settings that the checks rest on. */
 #define DRAIN_US (3 * USEC_PER_SEC)
 #define GRACE_US (8 * USEC_PER_SEC)
