Logs: how a target framed its response, how it ended, what of an event is left

Nothing told whether a stream that the caller got as complete had been framed by a length, by chunks or by its connection, nor whether it ended inside an event. ended and attempt_ended have framing and unfinished_bytes now, attempt_ended target_close too, and a counter holds the streams that ended inside an event.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -197,6 +197,8 @@
 
 	r->conn = NULL;
 	close_spare(r);
+	r->target_close = http1_close_reason_text(why);
+	relay_note_end(r);
 	if (r->state == REQUEST_CONNECTING)
 		end_attempt(r, PLACE_UNREACHABLE, false, REASON_TARGET_LOST);
 	else
@@ -283,6 +285,8 @@
 	r->body_started = false;
 	r->longest_pause_us = 0;
 	r->sent_us = 0;
+	r->target_close = NULL;
+	r->unfinished_bytes = 0;
 	memset(&r->response_head, 0, sizeof(r->response_head));
 	if (is_held_off(r)) {
 		end_attempt(r, PLACE_UNUSED, false, REASON_NO_PLACE);
--- a/src/counter.h
+++ b/src/counter.h
@@ -15,7 +15,9 @@
 /* X(NAME, "name", "help") - never falls; exported as damasklug_<name>_total. */
 #define COUNTERS_HTTP(X)                                                    \
 	X(HTTP_REQUESTS, "http_requests", "Requests received from callers") \
-	X(HTTP_ADDRESS_ANSWERS, "address_answers", "Address answers given")
+	X(HTTP_ADDRESS_ANSWERS, "address_answers", "Address answers given") \
+	X(STREAMS_ENDED_MIDWAY, "streams_ended_midway",                     \
+	  "Streams that their target ended inside an event")
 
 #define COUNTERS_SERVE(X)                                                      \
 	X(ACCEPTED, "accepted", "Requests accepted")                           \
--- a/src/event.h
+++ b/src/event.h
@@ -17,129 +17,134 @@
  * Lines of an event above its limit are dropped and counted; the next line of
  * the event that is written gives their number as suppressed=.
  */
-#define EVENTS(X)                                                             \
-	X("started", 10, "host zone ip disk bootstrap", "The daemon runs.")   \
-	X("leaving", 10, "requests",                                          \
-	  "SIGTERM came: the daemon reports that it is not ready, and "       \
-	  "finishes the requests under way.")                                 \
-	X("stopped", 10, "requests_aborted",                                  \
-	  "The daemon ends; requests_aborted were not finished.")             \
-	X("settings_reloaded", 10, "seeds",                                   \
-	  "The settings file changed and was read again.")                    \
-	X("settings_refused", 10, "errors",                                   \
-	  "The changed settings file is invalid and not used.")               \
-	X("listen_failed", 10, "addr", "The daemon cannot listen on a port.") \
-	X("thread_start_failed", 10, "error",                                 \
-	  "The daemon does not start, as a thread cannot be started.")        \
-	X("handover", 10, "host term idle",                                   \
-	  "The leader shuts down, or is overloaded, and asks this host to "   \
-	  "lead; idle: no order of its own is outstanding.")                  \
-	X("leader_overloaded", 10, "term",                                    \
-	  "The leader's loop is too slow to dispatch; another host is to "    \
-	  "lead.")                                                            \
-	X("leader_changed", 20, "host term",                                  \
-	  "The log has another leader or another term.")                      \
-	X("manifest_in_force", 20, "version routes services",                 \
-	  "New requests are handled by this manifest.")                       \
-	X("manifest_refused", 20, "reason", "A manifest is not valid.")       \
-	X("manifest_proposed", 20, "version",                                 \
-	  "A manifest is proposed to the log.")                               \
-	X("manifest_confirmed", 20, "version after_ms",                       \
-	  "A quorum holds the manifest.")                                     \
-	X("manifest_unusable", 10, "version reason",                          \
-	  "The decided manifest cannot be compiled here.")                    \
-	X("control_answered", 50, "call status after_ms",                     \
-	  "An operator's call was answered; a resent call logs the same.")    \
-	X("adapter_version_proposed", 50, "name version",                     \
-	  "A version of an adapter is proposed to the log.")                  \
-	X("grant_issued", 100,                                                \
-	  "id runner adapter version pending_prefill_tokens grants first_ms", \
-	  "Dispatcher: a request was granted a place at the runner. grants "  \
-	  "and pending_prefill_tokens are the runner's, this request's "      \
-	  "included; first_ms is the expected time to the first event.")      \
-	X("load_pending", 100, "id runner adapter load_attempts",             \
-	  "Dispatcher: a request waits for its adapter on the runner.")       \
-	X("grant_refused", 100, "id reason retry_ms",                         \
-	  "Dispatcher: a request was refused a grant.")                       \
-	X("sent", 100,                                                        \
-	  "id route kind manifest runner adapter version term waited_ms",     \
-	  "The request is sent to a runner; version is that of the adapter, " \
-	  "term that of the grant.")                                          \
-	X("attempt_ended", 100,                                               \
-	  "id runner outcome sent response_status named after_send_ms tries " \
-	  "retry after_ms",                                                   \
-	  "An attempt at a runner ended without a response for the caller; "  \
-	  "response_status=0: it brought no valid response head; named=1: "   \
-	  "the response names the request; after_send_ms=-1: nothing was "    \
-	  "sent.")                                                            \
-	X("resumed", 100, "id runner after_event",                            \
-	  "A stream is resumed at the runner, behind event after_event.")     \
-	X("ended", 100, "id route runner status tries first_ms after_ms",     \
-	  "The whole response was sent to the caller.")                       \
-	X("refused", 200, "id route reason status by run tries after_ms",     \
-	  "The caller gets a refusal by this daemon, or its response is cut " \
-	  "off; status is what the caller gets, by whether it is a target's " \
-	  "or this daemon's.")                                                \
-	X("cancelled", 100, "id route state after_ms",                        \
-	  "The caller's connection ended before the response.")               \
-	X("dispatch_started", 10, "term orders_settled",                      \
-	  "This daemon becomes the dispatcher; orders_settled=1: no order "   \
-	  "of an earlier one can still be carried out.")                      \
-	X("dispatch_ended", 10, "term",                                       \
-	  "This daemon is no longer the dispatcher.")                         \
-	X("isolated_dispatch_started", 10, "daemons silent_ms",               \
-	  "No dispatcher answers: this daemon grants places to its own "      \
-	  "requests.")                                                        \
-	X("isolated_dispatch_ended", 10, "leader",                            \
-	  "The dispatcher answers again.")                                    \
-	X("runner_added", 50, "runner service addr zone",                     \
-	  "A runner is new in the platform's list.")                          \
-	X("runner_removed", 50, "runner",                                     \
-	  "A runner is no longer in the platform's list.")                    \
-	X("runner_state", 50, "runner draining",                              \
-	  "The list says that the runner began or ended draining.")           \
-	X("runner_restarted", 50, "runner born_ms",                           \
-	  "The runner has restarted; all that was known of it is discarded.") \
-	X("runner_suspended", 50, "runner failures outcome for_ms",           \
-	  "The runner gets no requests for a while, then one as a trial.")    \
-	X("runner_held_off", 50, "runner leaving for_ms",                     \
-	  "The runner answered that it wants no requests of this host for a " \
-	  "time, or, with leaving=1, that it shuts down.")                    \
-	X("runner_list_failed", 5, "status close_reason",                     \
-	  "The platform's list of runners could not be read.")                \
-	X("runner_list_recovered", 5, "failures",                             \
-	  "The platform's list of runners can be read again.")                \
-	X("order_sent", 50, "runner body",                                    \
-	  "A runner is ordered to load or unload a model or an adapter.")     \
-	X("order_failed", 50, "runner status",                                \
-	  "The runner refused the order, or did not answer (status=0).")      \
-	X("order_fenced", 10, "runner term",                                  \
-	  "The runner refused an order, as it has had one of a later "        \
-	  "term.")                                                            \
-	X("copy_missing", 20, "runner model adapter",                         \
-	  "The runner does not hold an adapter or model that the dispatcher " \
-	  "expected there.")                                                  \
-	X("adapter_not_loaded", 50,                                           \
-	  "runner adapter version state load_time_unconfirmed ready_ms "      \
-	  "granted_ms load_ms",                                               \
-	  "A request reached a runner before its adapter was loaded there.")  \
-	X("store_concurrency_sample", 10,                                     \
-	  "store_concurrency concurrent_loads on_time",                       \
-	  "One load in a trial of the store was checked: on_time=1 if it "    \
-	  "took the usual time while concurrent_loads adapters were loaded; " \
-	  "store_concurrency is the number learnt so far.")                   \
-	X("loop_slow", 5, "turn_ms events",                                   \
-	  "One turn of the event loop took long: there is too much work, or " \
-	  "too little processor time.")                                       \
-	X("peer_up", 20, "peer", "The link to a daemon is up.")               \
-	X("peer_down", 20, "peer", "The link to a daemon is lost.")           \
-	X("log_reopened", 10, "host", "The disk that failed is used again.")  \
-	X("disk_still_unusable", 5, "error", "The disk still fails.")         \
-	X("data_folder_unusable", 5, "error detail",                          \
-	  "The data folder cannot be used; see docs/OPERATIONS.md.")          \
-	X("log_unusable", 5, "error detail", "The log cannot be read.")       \
-	X("dispatch_message_malformed", 5, "peer bytes",                      \
-	  "A message cannot be decoded: its sender has another version, or "  \
+#define EVENTS(X)                                                              \
+	X("started", 10, "host zone ip disk bootstrap", "The daemon runs.")    \
+	X("leaving", 10, "requests",                                           \
+	  "SIGTERM came: the daemon reports that it is not ready, and "        \
+	  "finishes the requests under way.")                                  \
+	X("stopped", 10, "requests_aborted",                                   \
+	  "The daemon ends; requests_aborted were not finished.")              \
+	X("settings_reloaded", 10, "seeds",                                    \
+	  "The settings file changed and was read again.")                     \
+	X("settings_refused", 10, "errors",                                    \
+	  "The changed settings file is invalid and not used.")                \
+	X("listen_failed", 10, "addr", "The daemon cannot listen on a port.")  \
+	X("thread_start_failed", 10, "error",                                  \
+	  "The daemon does not start, as a thread cannot be started.")         \
+	X("handover", 10, "host term idle",                                    \
+	  "The leader shuts down, or is overloaded, and asks this host to "    \
+	  "lead; idle: no order of its own is outstanding.")                   \
+	X("leader_overloaded", 10, "term",                                     \
+	  "The leader's loop is too slow to dispatch; another host is to "     \
+	  "lead.")                                                             \
+	X("leader_changed", 20, "host term",                                   \
+	  "The log has another leader or another term.")                       \
+	X("manifest_in_force", 20, "version routes services",                  \
+	  "New requests are handled by this manifest.")                        \
+	X("manifest_refused", 20, "reason", "A manifest is not valid.")        \
+	X("manifest_proposed", 20, "version",                                  \
+	  "A manifest is proposed to the log.")                                \
+	X("manifest_confirmed", 20, "version after_ms",                        \
+	  "A quorum holds the manifest.")                                      \
+	X("manifest_unusable", 10, "version reason",                           \
+	  "The decided manifest cannot be compiled here.")                     \
+	X("control_answered", 50, "call status after_ms",                      \
+	  "An operator's call was answered; a resent call logs the same.")     \
+	X("adapter_version_proposed", 50, "name version",                      \
+	  "A version of an adapter is proposed to the log.")                   \
+	X("grant_issued", 100,                                                 \
+	  "id runner adapter version pending_prefill_tokens grants first_ms",  \
+	  "Dispatcher: a request was granted a place at the runner. grants "   \
+	  "and pending_prefill_tokens are the runner's, this request's "       \
+	  "included; first_ms is the expected time to the first event.")       \
+	X("load_pending", 100, "id runner adapter load_attempts",              \
+	  "Dispatcher: a request waits for its adapter on the runner.")        \
+	X("grant_refused", 100, "id reason retry_ms",                          \
+	  "Dispatcher: a request was refused a grant.")                        \
+	X("sent", 100,                                                         \
+	  "id route kind manifest runner adapter version term waited_ms",      \
+	  "The request is sent to a runner; version is that of the adapter, "  \
+	  "term that of the grant.")                                           \
+	X("attempt_ended", 100,                                                \
+	  "id runner outcome sent response_status named framing "              \
+	  "unfinished_bytes target_close after_send_ms tries retry after_ms",  \
+	  "An attempt at a runner ended without a response for the caller; "   \
+	  "response_status=0: it brought no valid response head; named=1: "    \
+	  "the response names the request; framing: what delimits its body; "  \
+	  "unfinished_bytes: of an event that did not end; target_close: how " \
+	  "the runner's connection ended, empty if this daemon closed it; "    \
+	  "after_send_ms=-1: nothing was sent.")                               \
+	X("resumed", 100, "id runner after_event",                             \
+	  "A stream is resumed at the runner, behind event after_event.")      \
+	X("ended", 100,                                                        \
+	  "id route runner status tries framing unfinished_bytes first_ms "    \
+	  "after_ms",                                                          \
+	  "The whole response was sent to the caller; framing: what delimits " \
+	  "its body at the runner, unfinished_bytes: behind its last event.")  \
+	X("refused", 200, "id route reason status by run tries after_ms",      \
+	  "The caller gets a refusal by this daemon, or its response is cut "  \
+	  "off; status is what the caller gets, by whether it is a target's "  \
+	  "or this daemon's.")                                                 \
+	X("cancelled", 100, "id route state after_ms",                         \
+	  "The caller's connection ended before the response.")                \
+	X("dispatch_started", 10, "term orders_settled",                       \
+	  "This daemon becomes the dispatcher; orders_settled=1: no order "    \
+	  "of an earlier one can still be carried out.")                       \
+	X("dispatch_ended", 10, "term",                                        \
+	  "This daemon is no longer the dispatcher.")                          \
+	X("isolated_dispatch_started", 10, "daemons silent_ms",                \
+	  "No dispatcher answers: this daemon grants places to its own "       \
+	  "requests.")                                                         \
+	X("isolated_dispatch_ended", 10, "leader",                             \
+	  "The dispatcher answers again.")                                     \
+	X("runner_added", 50, "runner service addr zone",                      \
+	  "A runner is new in the platform's list.")                           \
+	X("runner_removed", 50, "runner",                                      \
+	  "A runner is no longer in the platform's list.")                     \
+	X("runner_state", 50, "runner draining",                               \
+	  "The list says that the runner began or ended draining.")            \
+	X("runner_restarted", 50, "runner born_ms",                            \
+	  "The runner has restarted; all that was known of it is discarded.")  \
+	X("runner_suspended", 50, "runner failures outcome for_ms",            \
+	  "The runner gets no requests for a while, then one as a trial.")     \
+	X("runner_held_off", 50, "runner leaving for_ms",                      \
+	  "The runner answered that it wants no requests of this host for a "  \
+	  "time, or, with leaving=1, that it shuts down.")                     \
+	X("runner_list_failed", 5, "status close_reason",                      \
+	  "The platform's list of runners could not be read.")                 \
+	X("runner_list_recovered", 5, "failures",                              \
+	  "The platform's list of runners can be read again.")                 \
+	X("order_sent", 50, "runner body",                                     \
+	  "A runner is ordered to load or unload a model or an adapter.")      \
+	X("order_failed", 50, "runner status",                                 \
+	  "The runner refused the order, or did not answer (status=0).")       \
+	X("order_fenced", 10, "runner term",                                   \
+	  "The runner refused an order, as it has had one of a later "         \
+	  "term.")                                                             \
+	X("copy_missing", 20, "runner model adapter",                          \
+	  "The runner does not hold an adapter or model that the dispatcher "  \
+	  "expected there.")                                                   \
+	X("adapter_not_loaded", 50,                                            \
+	  "runner adapter version state load_time_unconfirmed ready_ms "       \
+	  "granted_ms load_ms",                                                \
+	  "A request reached a runner before its adapter was loaded there.")   \
+	X("store_concurrency_sample", 10,                                      \
+	  "store_concurrency concurrent_loads on_time",                        \
+	  "One load in a trial of the store was checked: on_time=1 if it "     \
+	  "took the usual time while concurrent_loads adapters were loaded; "  \
+	  "store_concurrency is the number learnt so far.")                    \
+	X("loop_slow", 5, "turn_ms events",                                    \
+	  "One turn of the event loop took long: there is too much work, or "  \
+	  "too little processor time.")                                        \
+	X("peer_up", 20, "peer", "The link to a daemon is up.")                \
+	X("peer_down", 20, "peer", "The link to a daemon is lost.")            \
+	X("log_reopened", 10, "host", "The disk that failed is used again.")   \
+	X("disk_still_unusable", 5, "error", "The disk still fails.")          \
+	X("data_folder_unusable", 5, "error detail",                           \
+	  "The data folder cannot be used; see docs/OPERATIONS.md.")           \
+	X("log_unusable", 5, "error detail", "The log cannot be read.")        \
+	X("dispatch_message_malformed", 5, "peer bytes",                       \
+	  "A message cannot be decoded: its sender has another version, or "   \
 	  "it was damaged on the way.")
 
 typedef struct event_info {
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -346,6 +346,13 @@
 	request_free(r);
 }
 
+/* Of the latest response; "none" where no head has come. */
+static const char *framing_name(const request_t *r)
+{
+	return r->response_head.status ? http1_framing_name(&r->response_head)
+				       : "none";
+}
+
 void request_completed(request_t *r)
 {
 	caller_t *c = r->caller;
@@ -355,7 +362,8 @@
 	log_event(LOG_INFO, "ended", kv_s("id", r->info.id),
 		  kv_s("route", r->route->name), kv_s("runner", r->runner),
 		  kv_i("status", r->response_head.status),
-		  kv_u("tries", r->n_asks),
+		  kv_u("tries", r->n_asks), KV_C("framing", framing_name(r)),
+		  kv_u("unfinished_bytes", r->unfinished_bytes),
 		  kv_i("first_ms", r->first_byte_after_us / USEC_PER_MSEC),
 		  kv_i("after_ms", since_arrival_ms(r)));
 	request_release_place(r, r->response_head.status >= 500
@@ -399,7 +407,9 @@
 		  KV_C("outcome", place_outcome_name(end->outcome)),
 		  kv_u("sent", end->sent),
 		  kv_i("response_status", r->response_head.status),
-		  kv_u("named", r->named),
+		  kv_u("named", r->named), KV_C("framing", framing_name(r)),
+		  kv_u("unfinished_bytes", r->unfinished_bytes),
+		  KV_C("target_close", r->target_close ? r->target_close : ""),
 		  kv_i("after_send_ms",
 		       r->sent_us ? (gateway_now(r->gw) - r->sent_us) /
 					    USEC_PER_MSEC
--- a/src/gateway_int.h
+++ b/src/gateway_int.h
@@ -102,6 +102,10 @@
 	bool leaving;	    /* the target said that it shuts down */
 	bool body_started;  /* a byte of the response body has come */
 	bool chunked;	    /* towards the caller */
+	/* How the target's connection ended; NULL: this daemon closed it. */
+	const char *target_close;
+	/* Bytes behind the last complete event of the latest response's end. */
+	size_t unfinished_bytes;
 	/* Complete 5xx response, sent where no later attempt does better. */
 	buf_t fallback_response;
 	/* Of the target's response that the caller has got, or of the fallback. */
@@ -208,6 +212,11 @@
 void relay_head(request_t *r, const http1_head_t *h,
 		const response_info_t *info);
 void relay_body(request_t *r, str_t piece);
+/*
+ * Records how much of an unfinished event the response holds at its end, for logs
+ * and counters.
+ */
+void relay_note_end(request_t *r);
 /* The target's response is complete. */
 void relay_end(request_t *r);
 /* Drops what the attempt under way has buffered of its response. */
--- a/src/http1.c
+++ b/src/http1.c
@@ -99,6 +99,13 @@
 	return str_n(NULL, 0);
 }
 
+const char *http1_framing_name(const http1_head_t *h)
+{
+	if (h->chunked)
+		return "chunks";
+	return h->body_length >= 0 ? "length" : "close";
+}
+
 int http1_parse_addr(str_t s, struct sockaddr_in *out)
 {
 	char ip[INET_ADDRSTRLEN];
--- a/src/http1.h
+++ b/src/http1.h
@@ -40,6 +40,8 @@
 
 /* Value of the first field of this name, in any case; empty where none is. */
 str_t http1_field(const http1_head_t *h, str_t name);
+/* What delimits the body: "length", "chunks" or, of a response, "close". */
+const char *http1_framing_name(const http1_head_t *h);
 /* Whether two field names are equal, in any case. */
 bool http1_name_eq(str_t a, str_t b);
 
--- a/src/relay.c
+++ b/src/relay.c
@@ -305,10 +305,20 @@
 	request_completed(r);
 }
 
+void relay_note_end(request_t *r)
+{
+	if (!r->relayable || !is_stream(r))
+		return;
+	r->unfinished_bytes = r->body_out.n;
+	if (r->unfinished_bytes)
+		counter_add(CTR_STREAMS_ENDED_MIDWAY, 1);
+}
+
 void relay_end(request_t *r)
 {
 	bool claims_success = r->response_head.status / 100 == 2;
 
+	relay_note_end(r);
 	if (!r->relayable)
 		fail_attempt(r, REASON_TARGET_ERROR,
 			     claims_success ? PLACE_BROKEN : PLACE_FAILED);
