Tests: streams that their target ends inside an event (they fail)

Five tests of gateway_test fail on the present logic, in each of the three framings (length, chunks, until the connection closes): the caller gets 200 and the last chunk, and a stream that may be resumed is not. A sixth, whole streams in all framings, passes.

--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -817,6 +817,113 @@
 	EXPECT_FALSE(has(got, "0\r\n\r\n"));
 }
 
+// How a response's body is delimited, and the bytes that end it.
+struct Framing {
+	const char *name;
+	std::string (*wrap)(const std::string &body);
+};
+const char *const STREAM_FIELDS = "HTTP/1.1 200 OK\r\nResponse-Signature: s\r\n"
+				  "Content-Type: text/event-stream\r\n";
+const Framing FRAMINGS[] = {
+	{"close",
+	 [](const std::string &body) {
+		 return STREAM_FIELDS + std::string("\r\n") + body;
+	 }},
+	{"chunks",
+	 [](const std::string &body) {
+		 return std::string(STREAM_HEAD) + chunk(body) + "0\r\n\r\n";
+	 }},
+	{"length",
+	 [](const std::string &body) {
+		 return STREAM_FIELDS + std::string("Content-Length: ") +
+			std::to_string(body.size()) + "\r\n\r\n" + body;
+	 }},
+};
+
+TEST(Gateway, StreamThatEndsInsideAnEventIsNotEndedAsComplete)
+{
+	for (const Framing &framing : FRAMINGS) {
+		Target t({{framing.wrap("id: 1\ndata: a\n\nid: 2\nda"), true}});
+		GatewayFixture fixture({&t});
+		std::string got = fixture.ask("/stream/x");
+
+		EXPECT_TRUE(has(got, "id: 1\ndata: a\n\n")) << framing.name;
+		EXPECT_FALSE(has(got, "id: 2")) << framing.name;
+		EXPECT_FALSE(has(got, "0\r\n\r\n")) << framing.name;
+		EXPECT_TRUE(fixture.reset) << framing.name;
+		EXPECT_EQ(std::vector<int>{PLACE_BROKEN}, fixture.outcomes())
+			<< framing.name;
+	}
+}
+
+TEST(Gateway, StreamThatEndsInsideItsFirstEventIsNoSuccess)
+{
+	for (const Framing &framing : FRAMINGS) {
+		Target t({{framing.wrap("id: 1\nda"), true}});
+		GatewayFixture fixture({&t});
+
+		EXPECT_EQ(502, status(fixture.ask("/stream/x")))
+			<< framing.name;
+	}
+}
+
+TEST(Gateway, StreamWithoutAnEventThatEndsWithItsConnectionIsNoSuccess)
+{
+	Target t({{FRAMINGS[0].wrap(""), true}});
+	GatewayFixture fixture({&t});
+
+	EXPECT_EQ(502, status(fixture.ask("/stream/x")));
+}
+
+TEST(Gateway, StreamThatEndsInsideAnEventResumesAfterTheLastCompleteOne)
+{
+	for (const Framing &framing : FRAMINGS) {
+		Target a({{framing.wrap("id: 1\ndata: a\n\nid: 2\nda"), true}});
+		Target b({{framing.wrap("id: 2\ndata: b\n\n"), true}});
+		GatewayFixture fixture({&a, &b});
+		std::string got = fixture.ask("/resume/x");
+
+		EXPECT_TRUE(has(got, "id: 2\ndata: b\n\n")) << framing.name;
+		EXPECT_EQ(got.find("id: 2"), got.rfind("id: 2"));
+		EXPECT_TRUE(has(got, "0\r\n\r\n")) << framing.name;
+		ASSERT_EQ(1u, b.received().size()) << framing.name;
+		EXPECT_TRUE(has(b.received()[0], "Last-Event-Id: 1\r\n"));
+	}
+}
+
+TEST(Gateway, LargeEventThatNeverEndsIsNotEndedAsComplete)
+{
+	for (const Framing &framing : FRAMINGS) {
+		Target t({{framing.wrap("id: 1\ndata: a\n\nid: 2\ndata: " +
+					std::string(600000, 'x')),
+			   true}});
+		GatewayFixture fixture({&t});
+
+		EXPECT_FALSE(has(fixture.ask("/stream/x"), "0\r\n\r\n"))
+			<< framing.name;
+		EXPECT_TRUE(fixture.reset) << framing.name;
+	}
+}
+
+TEST(Gateway, WholeStreamIsCompleteHoweverItIsFramed)
+{
+	// The last one ends behind a large event that was sent on in pieces.
+	const std::string bodies[] = {
+		"id: 1\ndata: a\n\n", "id: 1\r\ndata: a\r\n\r\n",
+		"id: 1\ndata: a\n\n\n",
+		"id: 1\ndata: " + std::string(600000, 'x') + "\n\n"};
+
+	for (const Framing &framing : FRAMINGS)
+		for (const std::string &body : bodies) {
+			Target t({{framing.wrap(body), true}});
+			GatewayFixture fixture({&t});
+			std::string got = fixture.ask("/stream/x");
+
+			EXPECT_EQ(200, status(got)) << framing.name;
+			EXPECT_TRUE(has(got, "0\r\n\r\n")) << framing.name;
+		}
+}
+
 TEST(Gateway, StreamResumesAfterTheLastCompleteEvent)
 {
 	Target a({{std::string(STREAM_HEAD) + chunk("id: 1\ndata: a\n\n") +
