Http: what is queued is offered to the socket before a reset

Where a target's bytes and its failure came in one turn of the loop, the events among them were queued for the caller and then dropped by the reset: the caller lost events that had been made.

--- a/src/http1.c
+++ b/src/http1.c
@@ -177,10 +177,16 @@
 void http1_reset(http1_conn_t *c)
 {
 	struct linger abort_on_close = {1, 0};
+	int fd = c->watch.fd;
 
-	if (c->watch.fd >= 0)
-		setsockopt(c->watch.fd, SOL_SOCKET, SO_LINGER, &abort_on_close,
+	if (fd >= 0) {
+		/* What the socket does not take now is lost with the reset. */
+		if (c->out.n)
+			(void)!send(fd, c->out.p, c->out.n,
+				    MSG_NOSIGNAL | MSG_DONTWAIT);
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &abort_on_close,
 			   sizeof(abort_on_close));
+	}
 	http1_close(c);
 }
 
--- a/src/http1.h
+++ b/src/http1.h
@@ -137,7 +137,10 @@
 void http1_close_when_sent(http1_conn_t *c);
 /* Closes at once; no callback follows. Unsent bytes are lost. */
 void http1_close(http1_conn_t *c);
-/* As http1_close(), by a TCP reset, so that a body cut short is noticed. */
+/*
+ * As http1_close(), by a TCP reset, so that a body cut short is noticed. The
+ * socket is offered the queued bytes first.
+ */
 void http1_reset(http1_conn_t *c);
 
 /* Parses "a.b.c.d:port"; 0, or -1 where s is not of this form. */
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -817,6 +817,17 @@
 	EXPECT_FALSE(has(got, "0\r\n\r\n"));
 }
 
+TEST(Gateway, EventsThatCameWithTheBreakReachTheCaller)
+{
+	Target t({{std::string(STREAM_HEAD) + chunk("id: 1\ndata: a\n\n") +
+			   "not a chunk\r\n",
+		   true}});
+	GatewayFixture fixture({&t});
+
+	EXPECT_TRUE(has(fixture.ask("/stream/x"), "id: 1\ndata: a\n\n"));
+	EXPECT_TRUE(fixture.reset);
+}
+
 // How a response's body is delimited, and the bytes that end it.
 struct Framing {
 	const char *name;
