Relay: a stream is whole only if its content bears that out

Cause: end_stream() took the end that the framing tells for the end of the stream, sent what it held of an unfinished event and then the last chunk. The framing says that no more bytes come, not that the target has sent all: a response that ends with its connection ends the same way where the target broke off.

Change: stream_is_whole() is the one place that decides. A stream that ends inside an event, or that only its connection ends and that brought no event, is a broken attempt: resumed where the route allows, else reset, or 502 if nothing went to the caller yet. A large event sent in pieces counts as open until its end was seen; pieces never split the blank line that ends it.

--- a/src/gateway_int.h
+++ b/src/gateway_int.h
@@ -104,7 +104,10 @@
 	bool chunked;	    /* towards the caller */
 	/* How the target's connection ended; NULL: this daemon closed it. */
 	const char *target_close;
-	/* Bytes behind the last complete event of the latest response's end. */
+	bool event_relayed; /* the response has brought a complete event */
+	/* The caller has got the start of an event, but not its end. */
+	bool event_open;
+	/* Of the event inside which the response has ended. */
 	size_t unfinished_bytes;
 	/* Complete 5xx response, sent where no later attempt does better. */
 	buf_t fallback_response;
--- a/src/http1.c
+++ b/src/http1.c
@@ -101,9 +101,9 @@
 
 const char *http1_framing_name(const http1_head_t *h)
 {
-	if (h->chunked)
-		return "chunks";
-	return h->body_length >= 0 ? "length" : "close";
+	if (http1_ends_with_conn(h))
+		return "close";
+	return h->chunked ? "chunks" : "length";
 }
 
 int http1_parse_addr(str_t s, struct sockaddr_in *out)
@@ -544,8 +544,7 @@
 static void on_eof(http1_conn_t *c)
 {
 	if (!c->incoming && c->state == CONN_READ_BODY &&
-	    !c->message_complete && !c->head.chunked &&
-	    c->head.body_length < 0) {
+	    !c->message_complete && http1_ends_with_conn(&c->head)) {
 		http_parser_execute(&c->parser, &parser_settings, NULL, 0);
 		if (c->message_complete)
 			finish_message(c);
--- a/src/http1.h
+++ b/src/http1.h
@@ -40,6 +40,12 @@
 
 /* Value of the first field of this name, in any case; empty where none is. */
 str_t http1_field(const http1_head_t *h, str_t name);
+/* Of a response: only the close of its connection ends the body. */
+static inline bool http1_ends_with_conn(const http1_head_t *h)
+{
+	return !h->chunked && h->body_length < 0;
+}
+
 /* What delimits the body: "length", "chunks" or, of a response, "close". */
 const char *http1_framing_name(const http1_head_t *h);
 /* Whether two field names are equal, in any case. */
--- a/src/relay.c
+++ b/src/relay.c
@@ -20,6 +20,8 @@
 #define BUFFERED_RESPONSE_MAX (256u << 10)
 /* A larger event is sent to the caller in pieces. */
 #define BUFFERED_EVENT_MAX (256u << 10)
+/* Longest end of an event, CR LF CR LF; it is never split between two pieces. */
+#define EVENT_END_MAX 4u
 /* The target is not read while a slow caller has more unsent bytes than this. */
 #define CALLER_UNSENT_MAX (256u << 10)
 
@@ -100,6 +102,8 @@
 	r->response_head.n_fields = 0; /* their texts become invalid */
 	buf_reset(&r->head_out);
 	buf_reset(&r->body_out);
+	r->event_relayed = false;
+	r->event_open = false;
 	r->relayable = is_relayable(r, h, info);
 	if (!r->relayable)
 		return; /* relay_end() fails the attempt */
@@ -213,9 +217,12 @@
 		 * event cannot be resumed.
 		 */
 		r->event_split = true;
-		n = r->body_out.n;
+		r->event_open = true;
+		n = r->body_out.n - EVENT_END_MAX;
 	} else if (n) {
 		record_last_event_id(r, str_n(r->body_out.p, n));
+		r->event_relayed = true;
+		r->event_open = false;
 	}
 	if (!n)
 		return;
@@ -267,12 +274,35 @@
 	http1_send(r->caller->conn, last, sizeof(last) - 1);
 }
 
+/* Of the event inside which the stream has ended; empty lines are no event. */
+static size_t unfinished_event_bytes(const request_t *r)
+{
+	for (size_t i = 0; i < r->body_out.n; i++)
+		if (r->body_out.p[i] != '\r' && r->body_out.p[i] != '\n')
+			return r->body_out.n;
+	return 0;
+}
+
+/*
+ * The framing tells that no more bytes come, not that the target has sent all
+ * events. One that broke off leaves an event unfinished or, where only the close
+ * of its connection ends the stream, may have sent none.
+ */
+static bool stream_is_whole(const request_t *r)
+{
+	if (r->event_open || r->unfinished_bytes)
+		return false;
+	return r->event_relayed || !http1_ends_with_conn(&r->response_head);
+}
+
 static void end_stream(request_t *r)
 {
-	if (r->body_out.n)
+	if (!stream_is_whole(r)) {
+		fail_attempt(r, REASON_STREAM_TRUNCATED, PLACE_BROKEN);
+		return;
+	}
+	if (r->body_out.n || !r->head_sent)
 		send_to_caller(r, buf_str(&r->body_out), -1);
-	else if (!r->head_sent)
-		send_to_caller(r, str_n(NULL, 0), -1);
 	send_last_chunk(r);
 	request_completed(r);
 }
@@ -309,8 +339,8 @@
 {
 	if (!r->relayable || !is_stream(r))
 		return;
-	r->unfinished_bytes = r->body_out.n;
-	if (r->unfinished_bytes)
+	r->unfinished_bytes = unfinished_event_bytes(r);
+	if (r->unfinished_bytes || r->event_open)
 		counter_add(CTR_STREAMS_ENDED_MIDWAY, 1);
 }
 
