Http: a target's close does not overtake what it has sent

While a slow caller kept a target's connection from being read, the loop reported the target's FIN, and the connection ended as closed by its peer although bytes of the response were still in the socket: a whole answer was cut. New answers that end with their connection make it frequent; any that closes after its answer could meet it. A connection that is not read is not watched for the peer's close either now; the end comes in its order, behind the bytes.

--- a/src/http1.c
+++ b/src/http1.c
@@ -192,8 +192,11 @@
 
 static void update_events(http1_conn_t *c)
 {
-	uint32_t events = EPOLLRDHUP;
+	uint32_t events = 0;
 
+	/* A target's close comes behind bytes that are still to be read. */
+	if (c->incoming || !c->reading_paused)
+		events |= EPOLLRDHUP;
 	if (!c->reading_paused || c->state == CONN_LINGERING)
 		events |= EPOLLIN;
 	if (c->out.n || c->state == CONN_CONNECTING)
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -828,6 +828,25 @@
 	EXPECT_TRUE(fixture.reset);
 }
 
+TEST(Gateway, WholeResponseReachesASlowCallerAlthoughItsTargetHasClosed)
+{
+	// How much the sockets between hold differs from machine to machine.
+	for (size_t mib = 2; mib <= 10; mib++) {
+		const std::string body(mib << 20, 'x');
+		Target t({{"HTTP/1.1 200 OK\r\nResponse-Signature: s\r\n\r\n" +
+				   body,
+			   true}});
+		GatewayFixture fixture({&t});
+		Client c(fixture.port);
+
+		c.send("GET /once/x HTTP/1.1\r\nHost: x\r\n"
+		       "Connection: close\r\n\r\n");
+		usleep(100000);
+		EXPECT_GT(c.read_all().size(), body.size()) << mib;
+		EXPECT_TRUE(has(c.received, "0\r\n\r\n")) << mib;
+	}
+}
+
 // How a response's body is delimited, and the bytes that end it.
 struct Framing {
 	const char *name;
