Soak: answers that end with their connection, cut in order, and bytes without end

Now 0.4 of the runs answer with neither; a cut closes in order (streams inside an event, framed as complete; plain answers inside their length); four faults send bytes that are no answer until the connection is closed, and more than 32 MiB read of these is a broken rule. A stand-in that ends resets responses that only their close ends: closed in order between two events no caller could tell.

--- a/tests/soak/platform.c
+++ b/tests/soak/platform.c
@@ -23,6 +23,13 @@
 #define WORK_MAX_MS 40
 #define LATE_MIN_MS 2
 #define LATE_MAX_MS 40
+/* Share of the runs whose response ends with its connection. */
+#define BY_CLOSE_SHARE 0.4
+/* Bytes that are no answer, sent at a time as long as the daemon reads. */
+#define JUNK_PIECE 16384u
+#define JUNK_UNSENT_MAX (4 * JUNK_PIECE)
+/* More than what the sockets between hold. */
+#define JUNK_READ_MAX (32u << 20)
 
 static const char *const fault_names[] = {"none",
 #define X(name, text) text,
@@ -53,6 +60,7 @@
 	char holder[32];
 	adapter_t adapters[ADAPTERS_MAX];
 	unsigned int n_adapters;
+	struct cds_list_head conns; /* conn_t.node */
 	runner_fault_t fault;
 	double fault_share;
 	int64_t fault_until_us;
@@ -69,6 +77,7 @@
 
 /* A connection to a runner, or to the list. */
 typedef struct conn {
+	struct cds_list_head node; /* of the runner, or of itself */
 	http1_conn_t *c;
 	platform_t *p;
 	runner_t *r; /* NULL: to the list */
@@ -79,14 +88,20 @@
 	uint64_t serial; /* of the run under way; 0: none */
 	runner_fault_t fault;
 	uint32_t next_event;
+	bool by_close; /* only the close ends the response of this run */
+	size_t n_junk; /* bytes that are no answer, sent so far */
 	bool refused_early;
 	timer_sub_t timer;
 	buf_t slow; /* sent a byte at a time */
 	timer_sub_t slow_timer;
 	buf_t late; /* sent once more, after the answer */
 	timer_sub_t late_timer;
+	timer_sub_t junk_timer;
 } conn_t;
 
+static void conn_free(conn_t *c);
+static void reset_conn(conn_t *c);
+
 const char *runner_fault_name(runner_fault_t f)
 {
 	return fault_names[f];
@@ -186,7 +201,17 @@
 	c->r->n_running--;
 }
 
-static void reset_conn(conn_t *c);
+/* The response is queued whole: awaits another request, or closes. */
+static void finish_response(conn_t *c)
+{
+	end_run(c);
+	if (!c->by_close) {
+		http1_await_request(c->c);
+		return;
+	}
+	http1_close_when_sent(c->c);
+	conn_free(c);
+}
 
 static void send_slowly(void *ctx, int64_t now)
 {
@@ -194,8 +219,7 @@
 
 	(void)now;
 	if (!c->slow.n) {
-		end_run(c);
-		http1_await_request(c->c);
+		finish_response(c);
 		return;
 	}
 	http1_send(c->c, c->slow.p, 1);
@@ -208,14 +232,21 @@
 {
 	AUTO_BUF buf_t stray = {0};
 
-	if (c->fault == FAULT_STRAY_REJECT) {
+	if (c->fault == FAULT_STRAY_REJECT && !c->by_close) {
 		write_response(&stray, 503, "Not-Executed: 1\r\n",
 			       str_n(NULL, 0));
 		send_later(c, &stray);
 	}
-	end_run(c);
 	send_bytes(c, out);
-	http1_await_request(c->c);
+	finish_response(c);
+}
+
+/* Sends the start of a response and closes, in order. */
+static void cut_response(conn_t *c, const buf_t *out, size_t n)
+{
+	http1_send(c->c, out->p, n);
+	c->by_close = true;
+	finish_response(c);
 }
 
 /* Ends the run with a response; faults of the answer apply. */
@@ -227,7 +258,17 @@
 	write_run_fields(c, &fields);
 	buf_puts(&fields, more_fields);
 	record_run_status(c->attempt, c->serial, status);
-	write_response(&out, status, fields.p, body);
+	/* A plain response that is cut has to have a length. */
+	if (c->by_close && c->fault != FAULT_CUT) {
+		buf_printf(&out, "HTTP/1.1 %d X\r\n%s\r\n", status, fields.p);
+		buf_put(&out, body.p, body.n);
+	} else {
+		write_response(&out, status, fields.p, body);
+	}
+	if (c->fault == FAULT_CUT) {
+		cut_response(c, &out, out.n / 2);
+		return;
+	}
 	if (c->fault == FAULT_SLOW) {
 		buf_put(&c->slow, out.p, out.n);
 		send_slowly(c, 0);
@@ -238,7 +279,7 @@
 		reset_conn(c);
 		return;
 	}
-	if (c->fault == FAULT_SECOND)
+	if (c->fault == FAULT_SECOND && !c->by_close)
 		send_later(c, &out);
 	end_answer(c, &out);
 }
@@ -262,8 +303,9 @@
 	record_run_status(c->attempt, c->serial, 200);
 	buf_printf(&out,
 		   "HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\n"
-		   "Transfer-Encoding: chunked\r\n\r\n",
-		   fields.p);
+		   "%s\r\n",
+		   fields.p,
+		   c->by_close ? "" : "Transfer-Encoding: chunked\r\n");
 	send_bytes(c, &out);
 }
 
@@ -271,19 +313,44 @@
 {
 	AUTO_BUF buf_t out = {0};
 
-	buf_puts(&out, "0\r\n\r\n");
+	if (!c->by_close)
+		buf_puts(&out, "0\r\n\r\n");
 	end_answer(c, &out);
 }
 
+static void write_piece(const conn_t *c, buf_t *out, str_t piece)
+{
+	if (!c->by_close)
+		buf_printf(out, "%zx\r\n", piece.n);
+	buf_put(out, piece.p, piece.n);
+	if (!c->by_close)
+		buf_puts(out, "\r\n");
+}
+
+/* The stream ends inside this event, as if it were complete. */
+static void cut_event(conn_t *c, const buf_t *event)
+{
+	AUTO_BUF buf_t out = {0};
+
+	write_piece(c, &out, str_n(event->p, event->n / 2));
+	if (!c->by_close)
+		buf_puts(&out, "0\r\n\r\n");
+	cut_response(c, &out, out.n);
+}
+
 static void send_event(conn_t *c)
 {
+	bool late = c->next_event > c->attempt->n_events / 2;
 	AUTO_BUF buf_t event = {0};
 	AUTO_BUF buf_t out = {0};
 
 	write_event(&event, c->attempt, c->serial, c->next_event);
-	buf_printf(&out, "%zx\r\n%s\r\n", event.n, event.p);
-	if (c->fault == FAULT_BREAK &&
-	    c->next_event > c->attempt->n_events / 2) {
+	if (c->fault == FAULT_CUT && late) {
+		cut_event(c, &event);
+		return;
+	}
+	write_piece(c, &out, buf_str(&event));
+	if (c->fault == FAULT_BREAK && late) {
 		http1_send(c->c, out.p, out.n / 2);
 		reset_conn(c);
 		return;
@@ -304,6 +371,49 @@
 		send_event(c);
 }
 
+/* How the bytes without end begin; what follows fits each of them. */
+static const char *junk_start(runner_fault_t f)
+{
+	switch (f) {
+	case FAULT_JUNK_HEAD:
+		return "HTTP/1.1 200 OK\r\nX-Junk: ";
+	case FAULT_JUNK_UNPROVEN:
+		return "HTTP/1.1 200 OK\r\n\r\n";
+	case FAULT_JUNK_DENIAL:
+		return "HTTP/1.1 503 X\r\n\r\n";
+	default:
+		return "HTTP/1.1 503 X\r\nNot-Executed: 1\r\n\r\n";
+	}
+}
+
+static void send_junk(void *ctx, int64_t now)
+{
+	static const char junk[JUNK_PIECE];
+	conn_t *c = ctx;
+
+	(void)now;
+	if (http1_unsent_bytes(c->c) < JUNK_UNSENT_MAX) {
+		http1_send(c->c, junk, sizeof(junk));
+		c->n_junk += sizeof(junk);
+	}
+	if (c->n_junk > JUNK_READ_MAX) {
+		record_broken(c->p->s->record, RULE_JUNK_READ, "%s by host-%u",
+			      c->attempt->id, c->attempt->host);
+		reset_conn(c);
+		return;
+	}
+	arm_ms(c, &c->junk_timer, 0, 1);
+}
+
+static void begin_junk(conn_t *c)
+{
+	const char *start = junk_start(c->fault);
+
+	c->n_junk = 0;
+	http1_send(c->c, start, strlen(start));
+	send_junk(c, 0);
+}
+
 /* The work is done, or the next event is due. */
 static void on_work_done(void *ctx, int64_t now)
 {
@@ -328,6 +438,11 @@
 		return;
 	case FAULT_MUTE:
 		return;
+	case FAULT_JUNK_HEAD:
+	case FAULT_JUNK_UNPROVEN:
+	case FAULT_JUNK_DENIAL:
+		begin_junk(c);
+		return;
 	default:
 		break;
 	}
@@ -366,6 +481,7 @@
 {
 	runner_t *r = c->r;
 
+	c->by_close = chance(c->p->rng, BY_CLOSE_SHARE);
 	c->serial = record_run(c->p->s->record, c->attempt, r->id);
 	r->n_running++;
 	c->next_event = (uint32_t)c->resume_after + 1;
@@ -396,7 +512,9 @@
 		return;
 	}
 	record_arrival(c->p->s->record, c->attempt, r->id);
-	if (c->fault == FAULT_REJECT_PAUSE)
+	if (c->fault == FAULT_JUNK_REJECT)
+		begin_junk(c);
+	else if (c->fault == FAULT_REJECT_PAUSE)
 		reject(c, g_rand_double_range(c->p->rng, 0.6, 2.0));
 	else if (c->fault == FAULT_REJECT || c->fault == FAULT_REJECT_TWICE ||
 		 r->n_running >= SLOTS)
@@ -591,6 +709,7 @@
 	str_to_u64(http1_field(h, STR("Last-Event-Id")), &c->resume_after);
 	c->attempt = record_find(c->p->s->record, str_c(c->id));
 	c->fault = FAULT_NONE;
+	c->by_close = false;
 	c->refused_early = false;
 	buf_reset(&c->body);
 	if (!c->r || !c->attempt || !draws_fault(c->r, soak_now(c->p->s)))
@@ -631,9 +750,11 @@
 	timer_svc_t *timers = c->p->s->timers;
 
 	end_run(c);
+	cds_list_del(&c->node);
 	timer_svc_cancel(timers, &c->timer);
 	timer_svc_cancel(timers, &c->slow_timer);
 	timer_svc_cancel(timers, &c->late_timer);
+	timer_svc_cancel(timers, &c->junk_timer);
 	buf_free(&c->body);
 	buf_free(&c->slow);
 	buf_free(&c->late);
@@ -666,9 +787,13 @@
 	c->c = http;
 	c->p = p;
 	c->r = r;
+	CDS_INIT_LIST_HEAD(&c->node);
+	if (r)
+		cds_list_add(&c->node, &r->conns);
 	timer_sub_init(&c->timer, on_work_done, c);
 	timer_sub_init(&c->slow_timer, send_slowly, c);
 	timer_sub_init(&c->late_timer, on_late, c);
+	timer_sub_init(&c->junk_timer, send_junk, c);
 	return c;
 }
 
@@ -707,10 +832,19 @@
 	return r->listener ? 0 : -1;
 }
 
+/*
+ * A response that only its close ends is reset: closed in order between two events
+ * it could not be told from a complete one.
+ */
 static void runner_end(runner_t *r, int64_t down_us)
 {
+	conn_t *c, *tmp;
+
 	if (!r->listener)
 		return;
+	cds_list_for_each_entry_safe (c, tmp, &r->conns, node)
+		if (c->by_close && c->serial)
+			reset_conn(c);
 	http1_unlisten(r->listener);
 	r->listener = NULL;
 	r->starts_us = soak_now(r->p->s) + down_us;
@@ -737,6 +871,7 @@
 
 	r->p = p;
 	r->index = i;
+	CDS_INIT_LIST_HEAD(&r->conns);
 	r->is_model = i < MODEL_RUNNERS;
 	snprintf(r->addr, sizeof(r->addr), "127.0.1.%u:%u", i + 1,
 		 p->s->cfg.runner);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -85,6 +85,7 @@
 	  "sent to a runner long after it said that it leaves")               \
 	X(SENT_IN_PAUSE, "sent_in_pause",                                     \
 	  "what came in a runner's pause was sent to it")                     \
+	X(JUNK_READ, "junk_read", "bytes that are no answer were read on")    \
 	X(TWO_HOLDERS, "two_holders", "orders of two hosts with one fence")   \
 	X(MANIFEST_OLDER, "manifest_older", "a read gave an older manifest")  \
 	X(MANIFEST_LOST, "manifest_lost", "an acknowledged manifest is gone") \
@@ -196,7 +197,12 @@
 	X(SECOND, "second")		/* answers a second time, late */      \
 	X(STRAY_REJECT, "stray_reject") /* a rejection after its answer */     \
 	X(BREAK, "break")		/* the answer is cut midway */         \
-	X(SLOW, "slow")			/* a byte at a time */
+	X(CUT, "cut")			/* as BREAK, by a close in order */    \
+	X(JUNK_HEAD, "junk_head")	/* runs it; a head without end */      \
+	X(JUNK_UNPROVEN, "junk_unproven") /* no proof, a body without end */   \
+	X(JUNK_DENIAL, "junk_denial")	  /* as RAN_503, without end */        \
+	X(JUNK_REJECT, "junk_reject")	  /* as REJECT, without end */         \
+	X(SLOW, "slow")			  /* a byte at a time */
 
 typedef enum runner_fault {
 	FAULT_NONE,
