Attempts: bytes without end, and responses no caller gets, end an attempt at once

What was seen: a target whose response had no proof, denied the run or rejected the request was read to the end of its body, which may not come: the attempt, and mostly the request, ended at the deadline (1,500 ms in the tests, 504; a rejection that had not run too, where it could have been sent elsewhere). Empty lines and informational heads were read without a bound. A head, a chunk extension and a trailer were bounded already.

Change: a response that no caller gets ends the attempt at its head, as nothing behind it matters since each attempt has a connection of its own. What comes before a head counts against the bound of a head; responses that name another request are skipped up to 8 of them or 64 KiB of bodies; a failure whose body exceeds the buffer fails the attempt instead of being passed on piece by piece.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -8,6 +8,10 @@
 
 /* Longest wait for a connection to a reachable target. */
 #define CONNECT_TIMEOUT_US (700 * USEC_PER_MSEC)
+/* Responses that name another request are skipped up to these bounds. */
+#define STRAYS_MAX 8u
+#define STRAY_BYTES_MAX (64u << 10)
+
 static void close_spare(request_t *r)
 {
 	if (r->spare)
@@ -123,27 +127,52 @@
 		  kv_i("for_ms", info->hold_off_us / USEC_PER_MSEC));
 }
 
+/* What the dispatcher is told of a target that did not run the request. */
+static place_outcome_t refusal_outcome(const request_t *r,
+				       const response_info_t *info)
+{
+	if (r->response_head.status != 421)
+		return PLACE_NOT_RUN;
+	return info->runner.n && !str_eq(info->runner, r->runner)
+		       ? PLACE_OTHER_RUNNER
+		       : PLACE_NO_ADAPTER;
+}
+
+/* The same of one whose response the caller may not get. */
+static place_outcome_t failure_outcome(const request_t *r)
+{
+	return r->response_head.status / 100 == 2 ? PLACE_BROKEN : PLACE_FAILED;
+}
+
+/*
+ * A response that no caller gets ends the attempt at its head: what follows tells
+ * nothing more, and may have no end.
+ */
 static void on_response_head(void *ctx, const http1_head_t *h)
 {
 	request_t *r = ctx;
 	response_info_t info;
+	bool not_run;
 
 	dialect_read_response_head(h, &info);
 	r->wrong_request = info.id.n && !str_eq(info.id, r->info.id);
-	r->stray_seen |= r->wrong_request;
-	if (r->wrong_request)
+	if (r->wrong_request) {
+		if (++r->n_strays > STRAYS_MAX)
+			end_attempt(r, PLACE_BROKEN, true, REASON_TARGET_ERROR);
 		return;
+	}
 	r->named = info.id.n > 0;
 	/* Behind a stray response, one without a name may be another stray. */
-	r->not_run = info.not_run && (r->named || !r->stray_seen);
+	not_run = info.not_run && (r->named || !r->n_strays);
 	r->last_byte_us = gateway_now(r->gw);
 	note_holdoff(r, &info);
-	if (!r->not_run) {
-		relay_head(r, h, &info);
-		return;
-	}
 	r->response_head = *h;
-	r->other_runner = info.runner.n && !str_eq(info.runner, r->runner);
+	r->response_head.n_fields = 0; /* their texts become invalid */
+	if (not_run)
+		end_attempt(r, refusal_outcome(r, &info), false,
+			    REASON_TARGET_REFUSED);
+	else if (relay_head(r, h, &info) < 0)
+		end_attempt(r, failure_outcome(r), true, REASON_TARGET_ERROR);
 }
 
 static void record_pause(request_t *r, int64_t pause_us)
@@ -157,22 +186,18 @@
 {
 	request_t *r = ctx;
 
-	if (r->wrong_request || r->not_run)
+	if (r->wrong_request) {
+		r->stray_bytes += piece.n;
+		if (r->stray_bytes > STRAY_BYTES_MAX)
+			end_attempt(r, PLACE_BROKEN, true, REASON_TARGET_ERROR);
 		return;
+	}
 	if (r->body_started && r->route->kind == ROUTE_STREAMING)
 		record_pause(r, gateway_now(r->gw) - r->last_byte_us);
 	r->last_byte_us = gateway_now(r->gw);
 	relay_body(r, piece);
 }
 
-/* What the dispatcher is told of a target that did not run the request. */
-static place_outcome_t refusal_outcome(const request_t *r)
-{
-	if (r->response_head.status != 421)
-		return PLACE_NOT_RUN;
-	return r->other_runner ? PLACE_OTHER_RUNNER : PLACE_NO_ADAPTER;
-}
-
 static void on_response_end(void *ctx)
 {
 	request_t *r = ctx;
@@ -183,11 +208,6 @@
 		return;
 	}
 	close_conn(r);
-	if (r->not_run) {
-		end_attempt(r, refusal_outcome(r), false,
-			    REASON_TARGET_REFUSED);
-		return;
-	}
 	relay_end(r);
 }
 
@@ -278,9 +298,9 @@
 {
 	r->state = REQUEST_CONNECTING;
 	r->wrong_request = false;
-	r->stray_seen = false;
+	r->n_strays = 0;
+	r->stray_bytes = 0;
 	r->named = false;
-	r->not_run = false;
 	r->leaving = false;
 	r->body_started = false;
 	r->longest_pause_us = 0;
--- a/src/gateway_int.h
+++ b/src/gateway_int.h
@@ -87,7 +87,6 @@
 	 * only while the head is handled.
 	 */
 	http1_head_t response_head;
-	bool relayable; /* the caller may get the response */
 	buf_t head_out; /* status line and fields not sent to the caller yet */
 	/*
 	 * Response body not sent to the caller yet: the incomplete event at
@@ -95,10 +94,9 @@
 	 */
 	buf_t body_out;
 	bool wrong_request; /* the response names another request */
-	bool stray_seen;    /* one on this connection did */
+	uint32_t n_strays;  /* such responses on this connection */
+	size_t stray_bytes; /* of their bodies */
 	bool named;	    /* the response names this request */
-	bool not_run;	    /* the target says that it did not run it */
-	bool other_runner;  /* not_run was said by another runner */
 	bool leaving;	    /* the target said that it shuts down */
 	bool body_started;  /* a byte of the response body has come */
 	bool chunked;	    /* towards the caller */
@@ -212,8 +210,12 @@
  */
 void relay_copy_fields(buf_t *out, const http1_head_t *h,
 		       bool (*drops)(str_t name));
-void relay_head(request_t *r, const http1_head_t *h,
-		const response_info_t *info);
+/*
+ * Takes the head of a response, which is in response_head already. 0; or -1 where
+ * the caller may not get the response: nothing of it is to be passed on.
+ */
+int relay_head(request_t *r, const http1_head_t *h,
+	       const response_info_t *info);
 void relay_body(request_t *r, str_t piece);
 /*
  * Records how much of an unfinished event the response holds at its end, for logs
--- a/src/http1.c
+++ b/src/http1.c
@@ -58,6 +58,8 @@
 	bool closing; /* no more is read or queued; closes once all is written */
 	bool message_complete;	 /* the parser saw the end of the message */
 	int64_t head_started_us; /* first byte of a request's head; 0: none */
+	/* Empty lines and informational heads before the head under way. */
+	size_t preamble_bytes;
 	http_parser parser;
 	buf_t in;
 	buf_t out;
@@ -435,10 +437,23 @@
 	return end ? (size_t)(end - in->p) + 4 : 0;
 }
 
-static void skip_empty_lines(buf_t *in)
+static void skip_empty_lines(http1_conn_t *c)
 {
-	while (in->n >= 2 && in->p[0] == '\r' && in->p[1] == '\n')
-		buf_consume(in, 2);
+	size_t n = 0;
+
+	while (c->in.n - n >= 2 && c->in.p[n] == '\r' && c->in.p[n + 1] == '\n')
+		n += 2;
+	buf_consume(&c->in, n);
+	c->preamble_bytes += n;
+}
+
+static void close_head_too_large(http1_conn_t *c)
+{
+	if (c->incoming)
+		send_error_and_close(c, "431 Request Header Fields Too Large",
+				     HTTP1_HEAD_TOO_LARGE);
+	else
+		conn_end(c, HTTP1_HEAD_TOO_LARGE);
 }
 
 static void finish_message(http1_conn_t *c)
@@ -456,15 +471,10 @@
 	size_t max = c->incoming ? c->limits->head_max : RESPONSE_HEAD_MAX;
 	size_t n;
 
-	skip_empty_lines(&c->in);
+	skip_empty_lines(c);
 	n = c->in.n ? head_size(&c->in) : 0;
-	if (n > max || (!n && c->in.n > max)) {
-		if (c->incoming)
-			send_error_and_close(
-				c, "431 Request Header Fields Too Large",
-				HTTP1_HEAD_TOO_LARGE);
-		else
-			conn_end(c, HTTP1_HEAD_TOO_LARGE);
+	if (n > max || (!n && c->in.n > max) || c->preamble_bytes > max) {
+		close_head_too_large(c);
 		return false;
 	}
 	if (!n) {
@@ -487,8 +497,11 @@
 		close_malformed(c);
 		return false;
 	}
-	if (!c->incoming && c->parser.status_code / 100 == 1)
+	if (!c->incoming && c->parser.status_code / 100 == 1) {
+		c->preamble_bytes += n;
 		return true;
+	}
+	c->preamble_bytes = 0;
 	fill_head(c);
 	timer_svc_cancel(loop_timers(c->loop), &c->timer);
 	c->state = CONN_READ_BODY;
--- a/src/relay.c
+++ b/src/relay.c
@@ -16,7 +16,7 @@
 #include "counter.h"
 #include "hist.h"
 
-/* A larger response is sent to the caller piece by piece. */
+/* A larger success is sent to the caller piece by piece; a larger failure, not. */
 #define BUFFERED_RESPONSE_MAX (256u << 10)
 /* A larger event is sent to the caller in pieces. */
 #define BUFFERED_EVENT_MAX (256u << 10)
@@ -95,21 +95,18 @@
 	return !info->denies_run;
 }
 
-void relay_head(request_t *r, const http1_head_t *h,
-		const response_info_t *info)
+int relay_head(request_t *r, const http1_head_t *h, const response_info_t *info)
 {
-	r->response_head = *h;
-	r->response_head.n_fields = 0; /* their texts become invalid */
 	buf_reset(&r->head_out);
 	buf_reset(&r->body_out);
 	r->event_relayed = false;
 	r->event_open = false;
-	r->relayable = is_relayable(r, h, info);
-	if (!r->relayable)
-		return; /* relay_end() fails the attempt */
+	if (!is_relayable(r, h, info))
+		return -1;
 	buf_printf(&r->head_out, "HTTP/1.1 %d %s\r\n", h->status,
 		   http_status_str((enum http_status)h->status));
 	relay_copy_fields(&r->head_out, h, NULL);
+	return 0;
 }
 
 static bool may_have_body(const request_t *r)
@@ -230,10 +227,16 @@
 	buf_consume(&r->body_out, n);
 }
 
+static void fail_attempt(request_t *r, reason_t reason, place_outcome_t outcome)
+{
+	const attempt_end_t end = {outcome, true, reason};
+
+	relay_reset(r);
+	request_attempt_ended(r, &end);
+}
+
 void relay_body(request_t *r, str_t piece)
 {
-	if (!r->relayable)
-		return;
 	if (!r->body_started) {
 		r->body_started = true;
 		hist_add(HIST_TARGET, r->last_byte_us - r->sent_us);
@@ -255,18 +258,15 @@
 	buf_put(&r->body_out, piece.p, piece.n);
 	if (r->body_out.n <= BUFFERED_RESPONSE_MAX)
 		return;
+	if (r->response_head.status / 100 != 2) {
+		attempt_abort(r);
+		fail_attempt(r, REASON_TARGET_ERROR, PLACE_FAILED);
+		return;
+	}
 	send_to_caller(r, buf_str(&r->body_out), r->response_head.body_length);
 	buf_reset(&r->body_out);
 }
 
-static void fail_attempt(request_t *r, reason_t reason, place_outcome_t outcome)
-{
-	const attempt_end_t end = {outcome, true, reason};
-
-	relay_reset(r);
-	request_attempt_ended(r, &end);
-}
-
 static void send_last_chunk(const request_t *r)
 {
 	static const char last[] = "0\r\n\r\n";
@@ -337,7 +337,7 @@
 
 void relay_note_end(request_t *r)
 {
-	if (!r->relayable || !is_stream(r))
+	if (!is_stream(r))
 		return;
 	r->unfinished_bytes = unfinished_event_bytes(r);
 	if (r->unfinished_bytes || r->event_open)
@@ -346,13 +346,8 @@
 
 void relay_end(request_t *r)
 {
-	bool claims_success = r->response_head.status / 100 == 2;
-
 	relay_note_end(r);
-	if (!r->relayable)
-		fail_attempt(r, REASON_TARGET_ERROR,
-			     claims_success ? PLACE_BROKEN : PLACE_FAILED);
-	else if (is_stream(r))
+	if (is_stream(r))
 		end_stream(r);
 	else
 		end_response(r);
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -33,6 +33,8 @@
 	bool until_closed = false;     // waits until the other side closes
 	// Sent before it all, if the connection has carried a request before.
 	std::string stray = "";
+	// Sent after it all, again and again until the other side closes.
+	std::string repeated = "";
 };
 
 Action response(int status, const std::string &fields, const std::string &body)
@@ -147,6 +149,10 @@
 				   MSG_NOSIGNAL);
 
 		(void)n;
+		if (!action.repeated.empty()) {
+			send_until_closed(c, action.repeated);
+			return false;
+		}
 		if (action.until_closed) {
 			closed_by_peer = recv(c, buf, 1, 0) <= 0;
 			return false;
@@ -158,6 +164,18 @@
 		return !action.close && !action.reset_connection;
 	}
 
+	void send_until_closed(int c, const std::string &text)
+	{
+		std::string piece;
+
+		while (piece.size() < 8192)
+			piece += text;
+		while (!stopping &&
+		       ::send(c, piece.data(), piece.size(), MSG_NOSIGNAL) > 0)
+			;
+		closed_by_peer = !stopping;
+	}
+
 	std::deque<Action> actions;
 	std::vector<std::string> requests;
 	std::mutex lock;
@@ -847,6 +865,66 @@
 	}
 }
 
+// Bytes that are no answer and have no end.
+const struct {
+	const char *name;
+	const char *start;
+	const char *repeated;
+	int status; // that the caller gets
+} ENDLESS[] = {
+	{"head", "HTTP/1.1 200 OK\r\nX-Junk: ", "junk", 502},
+	{"fields", "HTTP/1.1 200 OK\r\n", "X-Junk: a\r\n", 502},
+	{"empty lines", "", "\r\n", 502},
+	{"informational heads", "", "HTTP/1.1 100 Continue\r\n\r\n", 502},
+	{"no head", "", "junk", 502},
+	{"body without proof", "HTTP/1.1 200 OK\r\n\r\n", "junk", 502},
+	{"body of a denial", "HTTP/1.1 503 X\r\n\r\n", "junk", 502},
+	{"body of a failure", "HTTP/1.1 500 X\r\n\r\n", "junk", 502},
+	{"body of a rejection", "HTTP/1.1 503 X\r\nNot-Executed: 1\r\n\r\n",
+	 "junk", 503},
+	{"body of a stray response",
+	 "HTTP/1.1 200 OK\r\nResponse-Signature: s\r\n"
+	 "Request-Id: other\r\n\r\n",
+	 "junk", 502},
+	{"chunk extension",
+	 "HTTP/1.1 200 OK\r\nResponse-Signature: s\r\n"
+	 "Transfer-Encoding: chunked\r\n\r\n4;",
+	 "junk", 502},
+	{"trailer",
+	 "HTTP/1.1 200 OK\r\nResponse-Signature: s\r\n"
+	 "Transfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n",
+	 "X-Junk: a\r\n", 502},
+};
+
+TEST(Gateway, BytesWithoutEndEndTheAttemptLongBeforeTheDeadline)
+{
+	for (auto &junk : ENDLESS) {
+		Target t(
+			{{junk.start, false, false, false, "", junk.repeated}});
+		GatewayFixture fixture({&t});
+		int64_t began = timer_svc_now(fixture.l.timers);
+
+		EXPECT_EQ(junk.status, status(fixture.ask("/once/x")))
+			<< junk.name;
+		EXPECT_LT(timer_svc_now(fixture.l.timers) - began,
+			  1000 * USEC_PER_MSEC)
+			<< junk.name;
+		EXPECT_TRUE(t.closed_by_peer) << junk.name;
+	}
+}
+
+TEST(Gateway, RequestThatMayBeRepeatedSurvivesBytesWithoutEnd)
+{
+	for (auto &junk : ENDLESS) {
+		Target a(
+			{{junk.start, false, false, false, "", junk.repeated}});
+		Target b({ok_response()});
+		GatewayFixture fixture({&a, &b});
+
+		EXPECT_EQ(200, status(fixture.ask("/again/x"))) << junk.name;
+	}
+}
+
 // How a response's body is delimited, and the bytes that end it.
 struct Framing {
 	const char *name;
