Upstream: a response longer than its call allows fails the call

A runner's report, an order's response or the runner list with a body without end were read up to the timeout, and 8 MiB of it kept for each call: with a report call to each of 117 runners more than a daemon's memory. Each call names its bound now and fails there (page of the list 8 MiB, report 256 KiB, order 16 KiB). Truncated bodies that end with their connection do not parse as JSON and failed before.

Test: ResponseBodyWithoutEndFailsTheCallAtItsBound (with the old code the call ends at its timeout as 'connecting timed out').

--- a/src/site_runners.c
+++ b/src/site_runners.c
@@ -23,6 +23,10 @@
 #define LIST_TIMEOUT_US (900 * USEC_PER_MSEC)
 #define ORDER_TIMEOUT_US (500 * USEC_PER_MSEC)
 #define REPORT_TIMEOUT_US (500 * USEC_PER_MSEC)
+/* Longest responses to these calls, in bytes. */
+#define LIST_PAGE_MAX (8u << 20)
+#define ORDER_RESPONSE_MAX (16u << 10)
+#define REPORT_MAX (256u << 10)
 
 static void read_page(site_t *s, str_t page);
 
@@ -90,11 +94,13 @@
 static void read_page(site_t *s, str_t page)
 {
 	AUTO_BUF buf_t target = {0};
+	upstream_request_t req = {.addr = s->settings.runner_list_addr,
+				  .response_max = LIST_PAGE_MAX,
+				  .timeout_us = LIST_TIMEOUT_US};
 
 	dialect_write_list_target(&target, page);
-	upstream_call(s->upstream, s->settings.runner_list_addr,
-		      buf_str(&target), NULL, NULL, LIST_TIMEOUT_US, on_page,
-		      s);
+	req.target = buf_str(&target);
+	upstream_call(s->upstream, &req, on_page, s);
 }
 
 /*
@@ -204,14 +210,19 @@
 	AUTO_BUF buf_t target = {0};
 	AUTO_BUF buf_t body = {0};
 	AUTO_BUF buf_t fields = {0};
+	upstream_request_t req = {.addr = addr,
+				  .body = &body,
+				  .response_max = ORDER_RESPONSE_MAX,
+				  .timeout_us = ORDER_TIMEOUT_US};
 
 	dialect_write_order_target(&target);
 	dialect_write_order(&body, o);
 	write_runner_field(&fields, runner);
 	log_event(LOG_DEBUG, "order_sent", kv_s("runner", runner),
 		  kv_s("body", buf_str(&body)));
-	upstream_call(s->upstream, addr, buf_str(&target), &body, fields.p,
-		      ORDER_TIMEOUT_US, on_order_result,
+	req.target = buf_str(&target);
+	req.fields = fields.p;
+	upstream_call(s->upstream, &req, on_order_result,
 		      runner_call_new(s, runner));
 }
 
@@ -237,10 +248,14 @@
 	site_t *s = ctx;
 	AUTO_BUF buf_t target = {0};
 	AUTO_BUF buf_t fields = {0};
+	upstream_request_t req = {.addr = addr,
+				  .response_max = REPORT_MAX,
+				  .timeout_us = REPORT_TIMEOUT_US};
 
 	dialect_write_report_target(&target);
 	write_runner_field(&fields, runner);
-	upstream_call(s->upstream, addr, buf_str(&target), NULL, fields.p,
-		      REPORT_TIMEOUT_US, on_report_result,
+	req.target = buf_str(&target);
+	req.fields = fields.p;
+	upstream_call(s->upstream, &req, on_report_result,
 		      runner_call_new(s, runner));
 }
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -13,8 +13,6 @@
  * peer's timer started when it sent the response, before it arrived here.
  */
 #define KEEP_ALIVE_MARGIN_US (500 * USEC_PER_MSEC)
-/* Most bytes kept of a response body; pieces that exceed it are dropped. */
-#define CALL_BODY_MAX (8u << 20)
 
 /* A connection of the pool. */
 typedef struct idle_conn {
@@ -34,6 +32,7 @@
 	buf_t body;    /* of the response */
 	http1_conn_t *conn;
 	http1_head_t response_head; /* without its fields */
+	size_t response_max;	    /* of its body, in bytes */
 	timer_sub_t timer;
 	/* Reports from the loop that connecting failed in upstream_call(). */
 	loop_task_t connect_failed_task;
@@ -202,8 +201,12 @@
 {
 	call_t *c = ctx;
 
-	if (c->body.n + piece.n <= CALL_BODY_MAX)
+	if (c->body.n + piece.n <= c->response_max) {
 		buf_put(&c->body, piece.p, piece.n);
+		return;
+	}
+	http1_close(c->conn);
+	call_finish(c, 0, HTTP1_BODY_TOO_LARGE);
 }
 
 static void call_response_end(void *ctx)
@@ -242,13 +245,15 @@
 	call_finish(ctx, 0, HTTP1_REFUSED);
 }
 
-static void write_request(call_t *c, str_t target, const buf_t *body,
-			  const char *extra)
+static void write_request(call_t *c, const upstream_request_t *req)
 {
+	const buf_t *body = req->body;
+
 	buf_printf(&c->request, "%s %.*s HTTP/1.1\r\nHost: %.*s\r\n",
-		   body ? "POST" : "GET", STR_ARG(target), STR_ARG(c->addr));
-	if (extra)
-		buf_puts(&c->request, extra);
+		   body ? "POST" : "GET", STR_ARG(req->target),
+		   STR_ARG(c->addr));
+	if (req->fields)
+		buf_puts(&c->request, req->fields);
 	if (body)
 		buf_printf(&c->request,
 			   "Content-Type: application/json\r\n"
@@ -259,31 +264,33 @@
 		buf_put(&c->request, body->p, body->n);
 }
 
-void upstream_call(upstream_t *u, str_t addr, str_t target, const buf_t *body,
-		   const char *extra_fields, int64_t timeout_us,
+void upstream_call(upstream_t *u, const upstream_request_t *req,
 		   call_done_t done, void *ctx)
 {
 	call_t *c = xcalloc(1, sizeof(*c));
 	struct sockaddr_in to;
 
 	c->upstream = u;
-	c->addr = str_copy(addr);
+	c->addr = str_copy(req->addr);
+	c->response_max = req->response_max;
 	c->done = done;
 	c->ctx = ctx;
 	cds_list_add(&c->node, &u->calls);
 	timer_sub_init(&c->timer, on_call_timeout, c);
-	timer_svc_arm(loop_timers(u->loop), &c->timer, now_us(u) + timeout_us);
+	timer_svc_arm(loop_timers(u->loop), &c->timer,
+		      now_us(u) + req->timeout_us);
 	c->connect_failed_task.fn = call_connect_failed;
 	c->connect_failed_task.ctx = c;
-	write_request(c, target, body, extra_fields);
-	c->conn = acquire(u, addr);
+	write_request(c, req);
+	c->conn = acquire(u, req->addr);
 	if (c->conn) {
 		http1_set_owner(c->conn, &call_ops, c);
 		call_send_request(c);
 		return;
 	}
-	if (http1_parse_addr(addr, &to) == 0)
-		c->conn = http1_connect(u->loop, &to, timeout_us, &call_ops, c);
+	if (http1_parse_addr(req->addr, &to) == 0)
+		c->conn = http1_connect(u->loop, &to, req->timeout_us,
+					&call_ops, c);
 	if (!c->conn)
 		loop_defer(u->loop, &c->connect_failed_task);
 }
--- a/src/upstream.h
+++ b/src/upstream.h
@@ -27,13 +27,21 @@
 
 typedef void (*call_done_t)(void *ctx, const call_result_t *res);
 
+/* A request of this daemon's own. Texts are copied by upstream_call(). */
+typedef struct upstream_request {
+	str_t addr; /* "ip:port" */
+	str_t target;
+	const buf_t *body;   /* sent by a POST; NULL: a GET */
+	const char *fields;  /* header lines; may be NULL */
+	size_t response_max; /* a longer response body fails the call; bytes */
+	int64_t timeout_us;
+} upstream_request_t;
+
 /*
- * Sends a POST with body, or a GET where body is NULL. extra_fields are header
- * lines, or NULL. done is called exactly once, at the latest timeout_us from
- * now, and never before this function has returned.
+ * done is called exactly once, at the latest timeout_us from now, and never before
+ * this function has returned.
  */
-void upstream_call(upstream_t *u, str_t addr, str_t target, const buf_t *body,
-		   const char *extra_fields, int64_t timeout_us,
+void upstream_call(upstream_t *u, const upstream_request_t *req,
 		   call_done_t done, void *ctx);
 
 #ifdef __cplusplus
--- a/tests/http1_test.cc
+++ b/tests/http1_test.cc
@@ -1,9 +1,11 @@
 // HTTP/1.1 connections: framing, strictness, limits and closing.
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <map>
 
 #include "loop_util.h"
+#include "upstream.h"
 
 using namespace loop_util;
 
@@ -345,4 +347,88 @@
 	EXPECT_EQ("x", a.body);
 }
 
+// A server whose response body has no end; it stops once its peer closes.
+class EndlessServer
+{
+      public:
+	EndlessServer()
+	{
+		struct sockaddr_in a = loopback_addr();
+
+		port = free_port();
+		a.sin_port = htons(port);
+		fd = socket(AF_INET, SOCK_STREAM, 0);
+		bind(fd, (struct sockaddr *)&a, sizeof(a));
+		listen(fd, 4);
+		thread = std::thread([this] { serve(); });
+	}
+	~EndlessServer()
+	{
+		shutdown(fd, SHUT_RDWR);
+		thread.join();
+		close(fd);
+	}
+	uint16_t port;
+
+      private:
+	void serve()
+	{
+		const std::string head = "HTTP/1.1 200 OK\r\n\r\n";
+		const std::string piece(4096, ' ');
+		int c = accept(fd, nullptr, nullptr);
+
+		if (c < 0)
+			return;
+		ssize_t n = ::send(c, head.data(), head.size(), MSG_NOSIGNAL);
+
+		while (n > 0)
+			n = ::send(c, piece.data(), piece.size(), MSG_NOSIGNAL);
+		close(c);
+	}
+	int fd;
+	std::thread thread;
+};
+
+TEST(Upstream, ResponseBodyWithoutEndFailsTheCallAtItsBound)
+{
+	struct Result {
+		std::atomic<bool> done{false};
+		int status = -1;
+		size_t bytes = 0;
+		http1_close_reason_t end = HTTP1_CLOSED_LOCALLY;
+	} result;
+	EndlessServer server;
+	Loop l;
+	upstream_t *u = upstream_new(l.loop);
+	std::string addr = "127.0.0.1:" + std::to_string(server.port);
+	upstream_request_t req = {};
+
+	req.addr = str_c(addr.c_str());
+	req.target = STR("/x");
+	req.response_max = 64u << 10;
+	req.timeout_us = 3 * USEC_PER_SEC;
+	l.start();
+	l.call([&] {
+		upstream_call(
+			u, &req,
+			[](void *ctx, const call_result_t *res) {
+				Result *r = (Result *)ctx;
+
+				r->status = res->status;
+				r->bytes = res->body.n;
+				r->end = res->end;
+				r->done = true;
+			},
+			&result);
+	});
+	for (int i = 0; i < 1000 && !result.done; i++)
+		usleep(5000);
+	EXPECT_TRUE(result.done);
+	EXPECT_EQ(0, result.status);
+	EXPECT_EQ(HTTP1_BODY_TOO_LARGE, result.end);
+	EXPECT_LE(result.bytes, req.response_max);
+	l.call([&] { upstream_free(u); });
+	l.stop();
+}
+
 } // namespace
--- a/tests/soak/caller.c
+++ b/tests/soak/caller.c
@@ -343,14 +343,18 @@
 	callers_t *c = ctx;
 	soak_t *s = c->s;
 	AUTO_BUF buf_t addr = {0};
+	upstream_request_t req = {
+		.target = STR(
+			"/damasklug/resolve?name=x.example&region=r&zone=z0"),
+		.response_max = RESPONSE_MAX,
+		.timeout_us = RESOLVE_TIMEOUT_US};
 
 	host_addr(s, &addr,
 		  (unsigned int)g_rand_int_range(c->rng, 0,
 						 (gint)s->cfg.n_hosts),
 		  s->cfg.directory);
-	upstream_call(s->upstream, buf_str(&addr),
-		      STR("/damasklug/resolve?name=x.example&region=r&zone=z0"),
-		      NULL, NULL, RESOLVE_TIMEOUT_US, on_resolved, c);
+	req.addr = buf_str(&addr);
+	upstream_call(s->upstream, &req, on_resolved, c);
 	timer_svc_arm(s->timers, &c->resolve_timer, now + RESOLVE_PERIOD_US);
 }
 
--- a/tests/soak/operator.c
+++ b/tests/soak/operator.c
@@ -99,15 +99,18 @@
 {
 	operator_calls_t *o = ctx;
 	AUTO_BUF buf_t addr = {0};
+	upstream_request_t req = {.target = STR("/damasklug/config/put"),
+				  .body = &o->manifest,
+				  .response_max = RESPONSE_MAX,
+				  .timeout_us = CALL_TIMEOUT_US};
 
 	timer_svc_arm(o->s->timers, &o->put_timer, now + 50 * USEC_PER_MSEC);
 	if (o->is_acked || o->put_pending)
 		return;
 	o->put_pending = true;
 	host_addr(o->s, &addr, any_host(o), o->s->cfg.control);
-	upstream_call(o->s->upstream, buf_str(&addr),
-		      STR("/damasklug/config/put"), &o->manifest, NULL,
-		      CALL_TIMEOUT_US, on_put_answer, o);
+	req.addr = buf_str(&addr);
+	upstream_call(o->s->upstream, &req, on_put_answer, o);
 }
 
 static void on_name_timer(void *ctx, int64_t now)
@@ -184,6 +187,9 @@
 	operator_calls_t *o = ctx;
 	read_call_t *call;
 	AUTO_BUF buf_t addr = {0};
+	upstream_request_t req = {.target = STR("/damasklug/config/get"),
+				  .response_max = RESPONSE_MAX,
+				  .timeout_us = CALL_TIMEOUT_US};
 
 	if (o->end_us && now >= o->end_us) {
 		record_broken(o->s->record, RULE_MANIFEST_LOST,
@@ -198,9 +204,8 @@
 	call->sent_us = now;
 	call->host = any_host(o);
 	host_addr(o->s, &addr, call->host, o->s->cfg.control);
-	upstream_call(o->s->upstream, buf_str(&addr),
-		      STR("/damasklug/config/get"), NULL, NULL, CALL_TIMEOUT_US,
-		      on_read_answer, call);
+	req.addr = buf_str(&addr);
+	upstream_call(o->s->upstream, &req, on_read_answer, call);
 	timer_svc_arm(o->s->timers, &o->read_timer, now + READ_PERIOD_US);
 }
 
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -22,6 +22,8 @@
 #define DRAIN_US (3 * USEC_PER_SEC)
 #define GRACE_US (8 * USEC_PER_SEC)
 #define CONFIG_US (2 * USEC_PER_SEC)
+/* Longest response of a daemon to a call of the soak, in bytes. */
+#define RESPONSE_MAX (1u << 20)
 
 typedef struct soak_cfg {
 	const char *daemon; /* path of the program */
