Test: bytes without end, judged without a clock and without a race

Its bound of 1 s on wall time is replaced by the outcome: an attempt that the deadline ends is told to the dispatcher as silent, and the caller gets 504.

--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -896,19 +896,20 @@
 	 "X-Junk: a\r\n", 502},
 };
 
-TEST(Gateway, BytesWithoutEndEndTheAttemptLongBeforeTheDeadline)
+TEST(Gateway, BytesWithoutEndEndTheAttemptBeforeTheDeadline)
 {
 	for (auto &junk : ENDLESS) {
 		Target t(
 			{{junk.start, false, false, false, "", junk.repeated}});
 		GatewayFixture fixture({&t});
-		int64_t began = timer_svc_now(fixture.l.timers);
 
 		EXPECT_EQ(junk.status, status(fixture.ask("/once/x")))
 			<< junk.name;
-		EXPECT_LT(timer_svc_now(fixture.l.timers) - began,
-			  1000 * USEC_PER_MSEC)
-			<< junk.name;
+		// The deadline would end it as PLACE_SILENT.
+		ASSERT_EQ(1u, fixture.outcomes().size()) << junk.name;
+		EXPECT_NE(PLACE_SILENT, fixture.outcomes()[0]) << junk.name;
+		for (int i = 0; i < 1000 && !t.closed_by_peer; i++)
+			usleep(5000);
 		EXPECT_TRUE(t.closed_by_peer) << junk.name;
 	}
 }
