Logs: the software version of runners, and streams that callers take up

Nothing told which version of its software a runner has, nor that a request takes up another one's stream. The runner list's version is decoded as build, kept with the runner until it starts anew, told with each grant and logged (runner_added, grant_issued, sent, resumed); resumed is also written for a caller that takes a stream up, with the stream's id; two counters.

--- a/proto/dispatch.pb-c.c
+++ b/proto/dispatch.pb-c.c
@@ -805,7 +805,7 @@
   (ProtobufCMessageInit) dispatch__ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dispatch__grant__field_descriptors[5] =
+static const ProtobufCFieldDescriptor dispatch__grant__field_descriptors[6] =
 {
   {
     "id",
@@ -867,10 +867,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "build",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Dispatch__Grant, build),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dispatch__grant__field_indices_by_name[] = {
   3,   /* field[3] = adapter_version */
   2,   /* field[2] = addr */
+  5,   /* field[5] = build */
   0,   /* field[0] = id */
   1,   /* field[1] = runner */
   4,   /* field[4] = term */
@@ -878,7 +891,7 @@
 static const ProtobufCIntRange dispatch__grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor dispatch__grant__descriptor =
 {
@@ -888,7 +901,7 @@
   "Dispatch__Grant",
   "dispatch",
   sizeof(Dispatch__Grant),
-  5,
+  6,
   dispatch__grant__field_descriptors,
   dispatch__grant__field_indices_by_name,
   1,  dispatch__grant__number_ranges,
--- a/proto/dispatch.pb-c.h
+++ b/proto/dispatch.pb-c.h
@@ -108,10 +108,14 @@
    * of the dispatcher
    */
   uint64_t term;
+  /*
+   * version of the runner's software; empty: not known
+   */
+  ProtobufCBinaryData build;
 };
 #define DISPATCH__GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dispatch__grant__descriptor) \
-    , 0, {0,NULL}, {0,NULL}, 0, 0 }
+    , 0, {0,NULL}, {0,NULL}, 0, 0, {0,NULL} }
 
 
 struct  Dispatch__Refusal
--- a/src/attempt.c
+++ b/src/attempt.c
@@ -1,6 +1,7 @@
 /* attempt.c - one attempt of a request: sends it to the target it was granted. */
 #include "gateway_int.h"
 
+#include "counter.h"
 #include "hist.h"
 #include "log.h"
 
@@ -74,6 +75,19 @@
 	return holdoff_is_active(r->gw->holdoff, r->runner, gateway_now(r->gw));
 }
 
+static void log_resumed(const request_t *r)
+{
+	bool by_caller = !r->have_event_id;
+
+	counter_add(by_caller ? CTR_STREAMS_TAKEN_UP : CTR_STREAMS_RESUMED, 1);
+	log_event(LOG_INFO, "resumed", kv_s("id", r->info.id),
+		  kv_s("stream", r->info.resumed_stream),
+		  KV_C("by", by_caller ? "caller" : "daemon"),
+		  kv_s("runner", r->runner), kv_s("build", r->build),
+		  kv_u("after_event",
+		       by_caller ? r->info.resume_after : r->last_event_id));
+}
+
 static void send_request(void *ctx)
 {
 	request_t *r = ctx;
@@ -97,15 +111,14 @@
 		  kv_s("route", r->route->name),
 		  KV_C("kind", route_kind_name(r->route->kind)),
 		  kv_u("manifest", r->manifest->version),
-		  kv_s("runner", r->runner), kv_s("adapter", r->info.adapter),
+		  kv_s("runner", r->runner), kv_s("build", r->build),
+		  kv_s("adapter", r->info.adapter),
 		  kv_u("version", r->adapter_version),
 		  kv_u("term", r->grant_term),
 		  kv_i("waited_ms",
 		       (r->sent_us - r->arrived_us) / USEC_PER_MSEC));
-	if (r->have_event_id)
-		log_event(LOG_INFO, "resumed", kv_s("id", r->info.id),
-			  kv_s("runner", r->runner),
-			  kv_u("after_event", r->last_event_id));
+	if (r->have_event_id || r->info.resumes)
+		log_resumed(r);
 	if (str_eq(r->method, STR("HEAD")))
 		http1_expect_no_body(r->conn);
 	http1_send(r->conn, out.p, out.n);
--- a/src/counter.h
+++ b/src/counter.h
@@ -16,6 +16,10 @@
 #define COUNTERS_HTTP(X)                                                    \
 	X(HTTP_REQUESTS, "http_requests", "Requests received from callers") \
 	X(HTTP_ADDRESS_ANSWERS, "address_answers", "Address answers given") \
+	X(STREAMS_RESUMED, "streams_resumed",                               \
+	  "Streams sent on to another target within one response")          \
+	X(STREAMS_TAKEN_UP, "streams_taken_up",                             \
+	  "Streams that callers took up again, sent to a target")           \
 	X(STREAMS_ENDED_MIDWAY, "streams_ended_midway",                     \
 	  "Streams that their target ended inside an event")
 
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -121,6 +121,8 @@
 	size_t n_parts;
 	bool resumes; /* continues a stream after the event resume_after */
 	uint64_t resume_after;
+	/* Id of the request that brought that stream's first event; or empty. */
+	str_t resumed_stream;
 } request_info_t;
 
 void dialect_read_request_head(const http1_head_t *h, request_info_t *out);
@@ -187,6 +189,8 @@
 	str_t addr; /* "ip:port" */
 	str_t zone;
 	uint64_t start_time_ms; /* when its process started; 0: not given */
+	/* Version of its software, not of what it holds; empty: not given. */
+	str_t build;
 	bool draining;
 	int64_t leaves_in_us; /* time until it leaves; -1: not given */
 	uint32_t slots;	      /* requests that it runs at once */
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -149,6 +149,7 @@
 	pb.runner = pb_bytes(g->runner->id);
 	pb.addr = pb_bytes(g->runner->addr);
 	pb.term = d->term;
+	pb.build = pb_bytes(g->runner->build);
 	if (g->copy)
 		pb.adapter_version = g->copy->version;
 	msg.body_case = DISPATCH__MSG__BODY_GRANT;
@@ -248,7 +249,8 @@
 	if (c)
 		c->last_used_us = now_us;
 	log_event(LOG_INFO, "grant_issued", kv_s("id", pb_str(ask->request)),
-		  kv_s("runner", r->id), kv_s("adapter", pb_str(ask->adapter)),
+		  kv_s("runner", r->id), kv_s("build", r->build),
+		  kv_s("adapter", pb_str(ask->adapter)),
 		  kv_u("version", c ? c->version : 0),
 		  kv_u("pending_prefill_tokens", r->pending_prefill_tokens),
 		  kv_u("grants", r->n_grants),
--- a/src/dispatch_int.h
+++ b/src/dispatch_int.h
@@ -98,7 +98,8 @@
 	str_t addr;
 	str_t zone;
 	uint64_t start_time_ms; /* start time of its process; 0: unknown */
-	bool draining;		/* the runner list says so */
+	str_t build;   /* owned: version of its software; empty: unknown */
+	bool draining; /* the runner list says so */
 	/* It said itself that it shuts down, which the list shows later. */
 	bool said_leaving;
 	bool listed; /* seen in the runner list that is being applied */
--- a/src/event.h
+++ b/src/event.h
@@ -53,7 +53,8 @@
 	X("adapter_version_proposed", 50, "name version",                      \
 	  "A version of an adapter is proposed to the log.")                   \
 	X("grant_issued", 100,                                                 \
-	  "id runner adapter version pending_prefill_tokens grants first_ms",  \
+	  "id runner build adapter version pending_prefill_tokens grants "     \
+	  "first_ms",                                                          \
 	  "Dispatcher: a request was granted a place at the runner. grants "   \
 	  "and pending_prefill_tokens are the runner's, this request's "       \
 	  "included; first_ms is the expected time to the first event.")       \
@@ -62,9 +63,10 @@
 	X("grant_refused", 100, "id reason retry_ms",                          \
 	  "Dispatcher: a request was refused a grant.")                        \
 	X("sent", 100,                                                         \
-	  "id route kind manifest runner adapter version term waited_ms",      \
-	  "The request is sent to a runner; version is that of the adapter, "  \
-	  "term that of the grant.")                                           \
+	  "id route kind manifest runner build adapter version term "          \
+	  "waited_ms",                                                         \
+	  "The request is sent to a runner; build is the version of its "      \
+	  "software, version that of the adapter, term that of the grant.")    \
 	X("attempt_ended", 100,                                                \
 	  "id runner outcome sent response_status named framing "              \
 	  "unfinished_bytes target_close after_send_ms tries retry after_ms",  \
@@ -74,8 +76,10 @@
 	  "unfinished_bytes: of an event that did not end; target_close: how " \
 	  "the runner's connection ended, empty if this daemon closed it; "    \
 	  "after_send_ms=-1: nothing was sent.")                               \
-	X("resumed", 100, "id runner after_event",                             \
-	  "A stream is resumed at the runner, behind event after_event.")      \
+	X("resumed", 100, "id stream by runner build after_event",             \
+	  "A stream is resumed at the runner, behind event after_event: by "   \
+	  "this daemon within its response, or by a caller that takes up the " \
+	  "stream of an earlier request.")                                     \
 	X("ended", 100,                                                        \
 	  "id route runner status tries framing unfinished_bytes first_ms "    \
 	  "after_ms",                                                          \
@@ -97,7 +101,7 @@
 	  "requests.")                                                         \
 	X("isolated_dispatch_ended", 10, "leader",                             \
 	  "The dispatcher answers again.")                                     \
-	X("runner_added", 50, "runner service addr zone",                      \
+	X("runner_added", 50, "runner service addr zone build",                \
 	  "A runner is new in the platform's list.")                           \
 	X("runner_removed", 50, "runner",                                      \
 	  "A runner is no longer in the platform's list.")                     \
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -280,6 +280,7 @@
 	str_free(&r->service);
 	str_free(&r->addr);
 	str_free(&r->zone);
+	str_free(&r->build);
 	str_free(&r->local_weights);
 	free(r);
 }
@@ -301,6 +302,7 @@
 	remove_copies(d, r);
 	memset(r->prefix_cache, 0, sizeof(r->prefix_cache));
 	memset(r->recent_adapters, 0, sizeof(r->recent_adapters));
+	str_free(&r->build);
 	r->order_pending = false;
 	r->report_pending = false;
 	r->seq_known = false;
@@ -330,6 +332,7 @@
 	runner_t *r = xcalloc(1, sizeof(*r));
 
 	r->id = str_copy(info->id);
+	set_str(&r->build, info->build);
 	set_service(d, r, info->service);
 	r->addr = str_copy(info->addr);
 	r->zone = str_copy(info->zone);
@@ -345,7 +348,7 @@
 	g_hash_table_insert(d->runners_by_id, &r->id, r);
 	log_event(LOG_INFO, "runner_added", kv_s("runner", r->id),
 		  kv_s("service", r->service), kv_s("addr", r->addr),
-		  kv_s("zone", r->zone));
+		  kv_s("zone", r->zone), kv_s("build", info->build));
 	return r;
 }
 
@@ -628,6 +631,8 @@
 {
 	if (update_start_time(d, r, info->start_time_ms))
 		r->report_due_us = INT64_MAX; /* this is the report */
+	if (info->build.n)
+		set_str(&r->build, info->build);
 	if (info->draining)
 		r->said_leaving = true;
 	if (info->seq_known) {
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -84,6 +84,7 @@
 		str_free(&r->avoid[i]);
 	str_free(&r->runner);
 	str_free(&r->addr);
+	str_free(&r->build);
 	buf_free(&r->head_text);
 	buf_free(&r->forwarded_fields);
 	buf_free(&r->body);
@@ -504,8 +505,10 @@
 		return; /* duplicate */
 	str_free(&r->runner);
 	str_free(&r->addr);
+	str_free(&r->build);
 	r->runner = str_copy(pb_str(m->runner));
 	r->addr = str_copy(pb_str(m->addr));
+	r->build = str_copy(pb_str(m->build));
 	r->adapter_version = m->adapter_version;
 	r->grant_term = m->term;
 	hist_add(HIST_GRANT, gateway_now(g) - r->asked_us);
@@ -612,7 +615,7 @@
 static void copy_head_texts(request_t *r, const http1_head_t *h)
 {
 	str_t *texts[] = {&r->info.id, &r->info.host, &r->info.model,
-			  &r->info.adapter};
+			  &r->info.adapter, &r->info.resumed_stream};
 	size_t at = 0;
 
 	buf_put(&r->head_text, h->method.p, h->method.n);
--- a/src/gateway_int.h
+++ b/src/gateway_int.h
@@ -74,6 +74,7 @@
 
 	str_t runner; /* owned: id of the runner that was granted */
 	str_t addr;   /* owned: its address */
+	str_t build;  /* owned: version of its software; empty: unknown */
 	uint64_t adapter_version;
 	/* Term of the dispatcher; 0: granted by this daemon, in isolation. */
 	uint64_t grant_term;
