Tests: streams that go on at another software version (they fail)

Two tests of gateway_test fail: a stream that broke off goes on at a target of another version, and a stream of which nobody knows the version is taken up by its caller at any.

The soak could not see it: its runners had one version and its callers never took a stream up. Each start of a runner draws one of two versions now, callers take up broken streams of routes that may be resumed (Last-Event-Id, Resumes), and two rules judge: stream_builds, and streams_dropped (taken up at hosts in touch while two runners of the version serve: at least half as often as new ones begin, of 12 or more). Streams that may be resumed are longer.

--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -188,9 +188,13 @@
 class GatewayFixture
 {
       public:
-	explicit GatewayFixture(std::vector<Target *> targets)
-	    : targets(targets)
+	// builds: the software version of each target; v1 where it is missing.
+	explicit GatewayFixture(std::vector<Target *> targets,
+				std::vector<std::string> builds = {})
+	    : targets(targets), builds(builds)
 	{
+		this->builds.resize(targets.size(), "v1");
+
 		static const gateway_ops_t ops = {
 			on_send, on_unresponsive,
 			[](void *ctx) -> reason_t {
@@ -365,6 +369,7 @@
 		g.id = id;
 		g.runner = {runner.size(), (uint8_t *)runner.data()};
 		g.addr = {addr.size(), (uint8_t *)addr.data()};
+		g.build = {builds[n].size(), (uint8_t *)builds[n].data()};
 		msg.body_case = DISPATCH__MSG__BODY_GRANT;
 		msg.grant = &g;
 		gateway_recv(gateway, &msg);
@@ -385,6 +390,7 @@
 	// Granted for the first Ask, the second and so on; later Asks are
 	// refused.
 	std::vector<Target *> targets;
+	std::vector<std::string> builds;
 	std::deque<uint64_t> unanswered_ask_ids;
 	std::vector<int> done; // place_outcome_t of each Done message
 	timer_sub_t timer;
@@ -1058,6 +1064,34 @@
 	EXPECT_TRUE(has(b.received().at(0), "Last-Event-Id: 2\r\n"));
 }
 
+// The dispatcher that grants the second target may be of an older version.
+TEST(Gateway, StreamGoesOnOnlyAtTheSoftwareVersionThatBeganIt)
+{
+	Target a({{std::string(STREAM_HEAD) + chunk("id: 1\ndata: a\n\n"),
+		   false, true, false}});
+	Target b({{std::string(STREAM_HEAD) + chunk("id: 2\ndata: b\n\n") +
+		   "0\r\n\r\n"}});
+	GatewayFixture fixture({&a, &b}, {"v1", "v2"});
+	std::string got = fixture.ask("/resume/x");
+
+	EXPECT_TRUE(has(got, "data: a"));
+	EXPECT_FALSE(has(got, "data: b"));
+	EXPECT_TRUE(fixture.reset);
+	EXPECT_EQ(0u, b.received().size());
+}
+
+TEST(Gateway, StreamOfAnUnknownSoftwareVersionIsNotTakenUp)
+{
+	Target t({{std::string(STREAM_HEAD) + chunk("id: 2\ndata: b\n\n") +
+		   "0\r\n\r\n"}});
+	GatewayFixture fixture({&t});
+
+	EXPECT_EQ(503, status(fixture.ask("/resume/x",
+					  "Last-Event-Id: 1\r\n"
+					  "Resumes: begun-elsewhere\r\n")));
+	EXPECT_EQ(0u, t.received().size());
+}
+
 TEST(Gateway, ErrorOfTheNextTargetIsNoPartOfTheResumedStream)
 {
 	Target a({{std::string(STREAM_HEAD) + chunk("id: 1\ndata: a\n\n"),
--- a/tests/soak/caller.c
+++ b/tests/soak/caller.c
@@ -20,7 +20,7 @@
 #define GIVE_UP_SHARE 0.03
 #define CHUNKED_SHARE 0.2
 #define KEEP_SHARE 0.85
-#define ADAPTERS 12
+#define ADAPTERS 12u
 
 typedef enum caller_state {
 	CALLER_THINKING,   /* before the next request, or the next attempt */
@@ -39,6 +39,9 @@
 	uint32_t retries;
 	int64_t deadline_us;
 	attempt_t *attempt; /* under way; NULL: none */
+	/* Whose stream the next attempt takes up; NULL: it begins anew. */
+	attempt_t *origin;
+	uint32_t resume_after; /* events that it has brought so far */
 	bool head_seen;
 	bool keeps; /* the daemon keeps the connection */
 	int status;
@@ -103,6 +106,19 @@
 	return !complete || c->status >= 500;
 }
 
+/* Remembers a stream that broke off behind a whole event. */
+static void note_stream(caller_t *c)
+{
+	uint32_t n = count_events(buf_str(&c->body));
+
+	if (!c->attempt || !c->cls->is_stream || !c->cls->repeatable ||
+	    c->status != 200 || !n)
+		return;
+	if (!c->origin)
+		c->origin = c->attempt;
+	c->resume_after += n;
+}
+
 /* The attempt is over, with whatever came of it. */
 static void end_attempt(caller_t *c, bool complete)
 {
@@ -117,6 +133,8 @@
 	timer_svc_cancel(soak_of(c)->timers, &c->give_up);
 	if (c->attempt)
 		record_answer(soak_of(c)->record, c->attempt, &ans);
+	if (!complete)
+		note_stream(c);
 	c->attempt = NULL;
 	if (!complete || !c->keeps || !chance(c->all->rng, KEEP_SHARE))
 		drop_conn(c);
@@ -151,8 +169,11 @@
 		buf_printf(out,
 			   "Model: base/a%d\r\nToken-Usage: 100,40\r\n"
 			   "Prompt-Prefix: a%u:60,b%u:40\r\n",
-			   g_rand_int_range(c->all->rng, 1, ADAPTERS + 1),
-			   a->request % 7, a->request);
+			   a->request % ADAPTERS + 1, a->request % 7,
+			   a->request);
+	if (a->origin != a)
+		buf_printf(out, "Last-Event-Id: %u\r\nResumes: %s\r\n",
+			   a->resume_after, a->origin->id);
 	if (!chance(c->all->rng, CHUNKED_SHARE)) {
 		buf_printf(out, "Content-Length: %zu\r\n\r\n%s", body.n,
 			   body.p);
@@ -172,7 +193,8 @@
 	int64_t now = soak_now(s);
 	AUTO_BUF buf_t out = {0};
 
-	c->attempt = record_sent(s->record, c->cls, c->request, c->host);
+	c->attempt = record_sent(s->record, c->cls, c->request, c->host,
+				 c->origin, c->resume_after);
 	c->state = CALLER_WAITING;
 	write_request(c, &out);
 	http1_send(c->conn, out.p, out.n);
@@ -240,6 +262,8 @@
 	}
 	c->request = ++c->all->n_requests;
 	c->retries = 0;
+	c->origin = NULL;
+	c->resume_after = 0;
 	c->deadline_us =
 		soak_now(soak_of(c)) + c->cls->deadline_ms * USEC_PER_MSEC;
 }
--- a/tests/soak/hosts.c
+++ b/tests/soak/hosts.c
@@ -370,6 +370,16 @@
 	return t->state == HOST_RUNNING && t->disturbed_us < since_us;
 }
 
+bool host_in_touch(const hosts_t *h, unsigned int host)
+{
+	int64_t since = soak_now(h->s) - CONTACT_US;
+
+	for (unsigned int i = 0; i < h->s->cfg.n_voters; i++)
+		if (!host_calm_since(h, i, since))
+			return false;
+	return host_calm_since(h, host, since);
+}
+
 void host_kill(hosts_t *h, unsigned int host, int64_t down_us)
 {
 	host_t *t = &h->host[host];
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -178,6 +178,7 @@
 	timer_sub_init(&m->timer, on_timer, m);
 	timer_svc_arm(s->timers, &m->timer, s->began_us);
 	loop_run(s->loop);
+	record_end(s->record);
 	plan_print_injected(m->plan, stdout);
 	platform_print_faults(s->platform, stdout);
 	record_print(s->record, stdout);
--- a/tests/soak/plan.c
+++ b/tests/soak/plan.c
@@ -18,6 +18,8 @@
 #define ZONE_DOWN_US (700 * USEC_PER_MSEC)
 /* Longest that one fault lasts. */
 #define FAULT_MAX_MS 5000
+/* Share of the seeds whose faults leave the voters alone. */
+#define SPARE_VOTERS_SHARE 0.4
 
 /* X(NAME, "name", weight) */
 #define PLAN_FAULTS(X)                     \
@@ -102,6 +104,17 @@
 	return f;
 }
 
+/* Turns the fault into one that meets no voter. */
+static void spare_voters(const soak_t *s, fault_t *f)
+{
+	unsigned int n_others = s->cfg.n_hosts - s->cfg.n_voters;
+
+	f->host = s->cfg.n_voters + f->host % n_others;
+	if (f->kind == PLAN_TERM_ZONE || f->kind == PLAN_KILL_ALL ||
+	    f->kind == PLAN_WIPE || f->kind == PLAN_LONE_VOTER)
+		f->kind = PLAN_KILL;
+}
+
 static gint compare_faults(gconstpointer a, gconstpointer b)
 {
 	int64_t x = ((const fault_t *)a)->at_us;
@@ -128,12 +141,16 @@
 	plan_t *p = xcalloc(1, sizeof(*p));
 	GRand *rng = soak_rand(s, "plan");
 	int64_t at_us = 0;
+	bool spares = s->cfg.n_hosts > s->cfg.n_voters &&
+		      chance(rng, SPARE_VOTERS_SHARE);
 
 	p->s = s;
 	p->faults = g_array_new(FALSE, FALSE, sizeof(fault_t));
 	while (at_us < s->cfg.duration_us - CALM_END_US) {
 		fault_t f = draw_fault(s, rng, at_us);
 
+		if (spares)
+			spare_voters(s, &f);
 		g_array_append_val(p->faults, f);
 		if (f.kind == PLAN_LONE_VOTER)
 			add_kill_of_lone_voter(p, &f);
--- a/tests/soak/platform.c
+++ b/tests/soak/platform.c
@@ -25,6 +25,8 @@
 #define LATE_MAX_MS 40
 /* Share of the runs whose response ends with its connection. */
 #define BY_CLOSE_SHARE 0.4
+/* Software versions side by side; each start of a runner draws one. */
+#define BUILDS 2u
 /* Bytes that are no answer, sent at a time as long as the daemon reads. */
 #define JUNK_PIECE 16384u
 #define JUNK_UNSENT_MAX (4 * JUNK_PIECE)
@@ -48,6 +50,7 @@
 	bool is_model;
 	char addr[32];
 	char id[24];
+	unsigned int build; /* version of its software */
 	uint32_t n_boots;
 	int64_t born_ms;
 	http1_listener_t *listener; /* NULL: it is down */
@@ -482,7 +485,7 @@
 	runner_t *r = c->r;
 
 	c->by_close = chance(c->p->rng, BY_CLOSE_SHARE);
-	c->serial = record_run(c->p->s->record, c->attempt, r->id);
+	c->serial = record_run(c->p->s->record, c->attempt, r->id, r->build);
 	r->n_running++;
 	c->next_event = (uint32_t)c->resume_after + 1;
 	arm_ms(c, &c->timer, WORK_MIN_MS, WORK_MAX_MS);
@@ -557,9 +560,10 @@
 
 	buf_printf(out,
 		   "{\"id\":\"%s\",\"service\":\"%s\",\"addr\":\"%s\","
-		   "\"zone\":\"z%u\",\"slots\":%u,\"born\":%lld,"
+		   "\"version\":\"v%u\",\"zone\":\"z%u\",\"slots\":%u,\"born\":"
+		   "%lld,"
 		   "\"state\":\"%s\",",
-		   r->id, r->is_model ? "llm" : "app", r->addr,
+		   r->id, r->is_model ? "llm" : "app", r->addr, r->build,
 		   r->index % ZONES, SLOTS, (long long)r->born_ms,
 		   drains ? "draining" : "ready");
 	write_models(out, r, now);
@@ -816,6 +820,7 @@
 	struct sockaddr_in to;
 
 	r->n_boots++;
+	r->build = 1 + (unsigned int)g_rand_int_range(r->p->rng, 0, BUILDS);
 	snprintf(r->id, sizeof(r->id), "i-%u-%u", r->index, r->n_boots);
 	r->born_ms = soak_now(r->p->s) / USEC_PER_MSEC + 1;
 	r->leaving_us = 0;
@@ -927,6 +932,16 @@
 	return ARRAY_SIZE(p->runners);
 }
 
+unsigned int platform_n_serving(const platform_t *p, unsigned int build)
+{
+	unsigned int n = 0;
+
+	for (size_t i = 0; i < MODEL_RUNNERS; i++)
+		n += p->runners[i].listener && p->runners[i].build == build &&
+		     !is_leaving(&p->runners[i]);
+	return n;
+}
+
 void platform_set_fault(platform_t *p, unsigned int runner, runner_fault_t f,
 			double share, int64_t for_us)
 {
--- a/tests/soak/record.c
+++ b/tests/soak/record.c
@@ -12,6 +12,8 @@
 #define PAUSE_ARRIVALS_MAX 2u
 /* A pause is judged from so long after the runner asked for it. */
 #define PAUSE_GRACE_US (500 * USEC_PER_MSEC)
+/* Fewer streams taken up again are not judged. */
+#define TAKEN_UP_MIN 12u
 
 static const struct {
 	const char *name;
@@ -56,6 +58,10 @@
 	uint32_t n_promises;
 	uint32_t n_cut;
 	uint32_t served_since;
+	/* Judged streams that were taken up, or new; and that brought events. */
+	uint32_t n_taken_up, n_went_on, n_new, n_began;
+	/* Of all hosts and versions. */
+	uint32_t n_all_taken_up, n_all_went_on;
 };
 
 static void attempt_free(void *p)
@@ -101,8 +107,61 @@
 	fflush(stdout);
 }
 
+/*
+ * A stream that is taken up counts while two runners of its software version
+ * serve, a new one beside it; both only at hosts in touch.
+ */
+static bool is_judged_stream(const record_t *r, const attempt_t *a)
+{
+	if (!a->cls->is_stream || !a->cls->repeatable ||
+	    !host_in_touch(r->s->hosts, a->host))
+		return false;
+	return a->origin == a ||
+	       platform_n_serving(r->s->platform, a->first_build) >= 2;
+}
+
+static void count_stream(record_t *r, const attempt_t *a, bool has_events)
+{
+	bool is_new = a->origin == a;
+
+	if (!a->cls->is_stream || !a->cls->repeatable)
+		return;
+	if (!is_new) {
+		r->n_all_taken_up++;
+		r->n_all_went_on += has_events;
+	}
+	if (!a->is_judged)
+		return;
+	if (is_new) {
+		r->n_new++;
+		r->n_began += has_events;
+	} else {
+		r->n_taken_up++;
+		r->n_went_on += has_events;
+	}
+}
+
+void record_end(record_t *r)
+{
+	/* n_went_on / n_taken_up is under half of n_began / n_new. */
+	if (r->n_taken_up >= TAKEN_UP_MIN &&
+	    (uint64_t)r->n_went_on * r->n_new * 2 <
+		    (uint64_t)r->n_began * r->n_taken_up)
+		record_broken(r, RULE_STREAMS_DROPPED,
+			      "%u of %u went on, %u of %u began", r->n_went_on,
+			      r->n_taken_up, r->n_began, r->n_new);
+}
+
+static uint32_t draw_n_events(const req_class_t *cls, uint64_t n)
+{
+	/* Long ones meet more faults, and can be taken up again. */
+	return cls->repeatable ? 20 + (uint32_t)(n % 40)
+			       : 4 + (uint32_t)(n % 12);
+}
+
 attempt_t *record_sent(record_t *r, const req_class_t *cls, uint32_t request,
-		       unsigned int host)
+		       unsigned int host, attempt_t *origin,
+		       uint32_t resume_after)
 {
 	attempt_t *a = xcalloc(1, sizeof(*a));
 	uint64_t n = ++r->n_ids;
@@ -112,9 +171,13 @@
 	a->cls = cls;
 	a->request = request;
 	a->host = host;
-	a->n_events = 4 + (uint32_t)(n % 12);
+	a->origin = origin ? origin : a;
+	a->resume_after = resume_after;
+	a->n_events = origin ? origin->n_events : draw_n_events(cls, n);
+	a->first_build = origin ? origin->first_build : 0;
 	a->sent_us = soak_now(r->s);
 	a->runs = g_array_new(FALSE, FALSE, sizeof(run_t));
+	a->is_judged = is_judged_stream(r, a);
 	g_hash_table_insert(r->attempts, a->id, a);
 	return a;
 }
@@ -139,9 +202,10 @@
 			      g_array_index(a->runs, run_t, 0).runner);
 }
 
-uint64_t record_run(record_t *r, attempt_t *a, const char *runner)
+uint64_t record_run(record_t *r, attempt_t *a, const char *runner,
+		    unsigned int build)
 {
-	run_t run = {.serial = ++r->last_serial};
+	run_t run = {.serial = ++r->last_serial, .build = build};
 
 	r->n_runs++;
 	snprintf(run.runner, sizeof(run.runner), "%s", runner);
@@ -196,6 +260,15 @@
 		   (unsigned long long)serial);
 }
 
+uint32_t count_events(str_t body)
+{
+	uint32_t n = 0;
+
+	for (size_t i = 1; i < body.n; i++)
+		n += body.p[i] == '\n' && body.p[i - 1] == '\n';
+	return n;
+}
+
 /* Answers. */
 
 static void check_plain(record_t *r, const attempt_t *a, const answer_t *ans,
@@ -212,31 +285,44 @@
 			      ans->body.p);
 }
 
+/* Whether the run's software version is that of the stream's first event. */
+static bool fits_build(attempt_t *a, const run_t *run)
+{
+	attempt_t *origin = a->origin;
+
+	if (!origin->first_build)
+		origin->first_build = run->build;
+	return origin->first_build == run->build;
+}
+
 /*
  * Each event has to be the next one, and of a run of this attempt; only a stream
  * that may be resumed changes to another run.
  */
-static void check_stream(record_t *r, const attempt_t *a, const answer_t *ans)
+static void check_stream(record_t *r, attempt_t *a, const answer_t *ans)
 {
 	str_t rest = ans->body;
 	uint64_t first = 0;
-	uint32_t n = 0;
+	uint32_t n = a->resume_after;
+	bool mixed = false;
 
 	while (rest.n) {
 		AUTO_BUF buf_t expected = {0};
 		unsigned long long serial = 0;
 		char id[20] = "";
 		unsigned int number = 0;
+		const run_t *run;
 
 		if (sscanf(rest.p, "id: %u data: %19s %llu", &number, id,
 			   &serial) != 3)
 			break;
 		write_event(&expected, a, serial, n + 1);
+		run = find_run(a, serial);
 		if (rest.n < expected.n ||
-		    memcmp(rest.p, expected.p, expected.n) ||
-		    !find_run(a, serial) ||
+		    memcmp(rest.p, expected.p, expected.n) || !run ||
 		    (first && serial != first && !a->cls->repeatable))
 			break;
+		mixed |= !fits_build(a, run);
 		if (!first)
 			first = serial;
 		n++;
@@ -250,6 +336,11 @@
 		record_broken(r, RULE_STREAM_ORDER,
 			      "%s %s by host-%u: %u of %u events, complete",
 			      a->cls->name, a->id, a->host, n, a->n_events);
+	if (mixed)
+		record_broken(r, RULE_STREAM_BUILDS,
+			      "%s %s by host-%u, stream %s of v%u",
+			      a->cls->name, a->id, a->host, a->origin->id,
+			      a->origin->first_build);
 }
 
 static void check_failure(record_t *r, const attempt_t *a, const answer_t *ans,
@@ -301,6 +392,7 @@
 	r->n_promises += a->promised;
 	r->n_cut += !ans->complete;
 	check_refused(r, a);
+	count_stream(r, a, ans->status == 200 && count_events(ans->body) > 0);
 	if (ans->leaving)
 		note_leaving(r, a, serial);
 	if (ans->status >= 300) {
@@ -384,10 +476,12 @@
 {
 	fprintf(out,
 		"attempts %llu, runs %u, served %u, 3xx/4xx/5xx %u/%u/%u, "
-		"promises %u, cut %u\n",
+		"promises %u, cut %u, taken up %u of %u, in touch %u of %u, "
+		"new %u of %u\n",
 		(unsigned long long)r->n_ids, r->n_runs, r->n_served,
 		r->n_answers[3], r->n_answers[4], r->n_answers[5],
-		r->n_promises, r->n_cut);
+		r->n_promises, r->n_cut, r->n_all_went_on, r->n_all_taken_up,
+		r->n_went_on, r->n_taken_up, r->n_began, r->n_new);
 	for (unsigned int i = 0; i < RULE_COUNT; i++)
 		if (r->broken[i])
 			fprintf(out, "%s %s: %u (%s)\n",
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -22,6 +22,8 @@
 #define DRAIN_US (3 * USEC_PER_SEC)
 #define GRACE_US (8 * USEC_PER_SEC)
 #define CONFIG_US (2 * USEC_PER_SEC)
+/* A host is in touch if nothing has disturbed it for so long. */
+#define CONTACT_US (3 * USEC_PER_SEC)
 /* Longest response of a daemon to a call of the soak, in bytes. */
 #define RESPONSE_MAX (1u << 20)
 
@@ -83,6 +85,10 @@
 	X(TOO_MANY_RUNS, "too_many_runs", "more runs than the route allows")  \
 	X(WRONG_ANSWER, "wrong_answer", "an answer that no run gave")         \
 	X(STREAM_ORDER, "stream_order", "events are missing, doubled, mixed") \
+	X(STREAM_BUILDS, "stream_builds",                                     \
+	  "a stream holds events of two software versions")                   \
+	X(STREAMS_DROPPED, "streams_dropped",                                 \
+	  "streams taken up go on half as often as new ones begin")           \
 	X(SENT_TO_LEAVING, "sent_to_leaving",                                 \
 	  "sent to a runner long after it said that it leaves")               \
 	X(SENT_IN_PAUSE, "sent_in_pause",                                     \
@@ -127,7 +133,8 @@
 typedef struct run {
 	uint64_t serial;
 	char runner[24];
-	int status; /* that the runner gave; 0: none yet */
+	unsigned int build; /* version of the runner's software */
+	int status;	    /* that the runner gave; 0: none yet */
 } run_t;
 
 /* One attempt of a caller; kept to the end, as it may run late. */
@@ -137,6 +144,13 @@
 	uint32_t request; /* number of the request that it is an attempt of */
 	unsigned int host;
 	uint32_t n_events; /* of the stream */
+	/* The attempt that brought the first event of the stream; or itself. */
+	struct attempt *origin;
+	uint32_t resume_after; /* events that earlier attempts brought */
+	unsigned int
+		first_build; /* that made the stream's first event; 0: none */
+	/* Counts for STREAMS_DROPPED; set when it is sent. */
+	bool is_judged;
 	int64_t sent_us;
 	GArray *runs; /* run_t */
 	bool answered;
@@ -158,11 +172,18 @@
 void record_free(record_t *r);
 void record_broken(record_t *r, rule_t rule, const char *fmt, ...)
 	__attribute__((format(printf, 3, 4)));
+/* origin: whose stream it takes up behind event resume_after; NULL: none. */
 attempt_t *record_sent(record_t *r, const req_class_t *cls, uint32_t request,
-		       unsigned int host);
+		       unsigned int host, attempt_t *origin,
+		       uint32_t resume_after);
+/* Complete events at the start of a body. */
+uint32_t count_events(str_t body);
+/* All attempts have ended: judges what only the whole run shows. */
+void record_end(record_t *r);
 attempt_t *record_find(record_t *r, str_t id);
 /* A runner begins to work on it; the serial number of the run. */
-uint64_t record_run(record_t *r, attempt_t *a, const char *runner);
+uint64_t record_run(record_t *r, attempt_t *a, const char *runner,
+		    unsigned int build);
 void record_run_status(attempt_t *a, uint64_t serial, int status);
 void record_answer(record_t *r, attempt_t *a, const answer_t *ans);
 /* A request of this attempt has come to a runner, whether it runs or not. */
@@ -220,6 +241,8 @@
 platform_t *platform_new(soak_t *s);
 void platform_free(platform_t *p);
 unsigned int platform_n_runners(const platform_t *p);
+/* Model runners of this software version that serve and do not leave. */
+unsigned int platform_n_serving(const platform_t *p, unsigned int build);
 /* Number of requests that a fault of a runner met, by kind. */
 void platform_print_faults(const platform_t *p, FILE *out);
 /* For for_us the runner does this to a share of its requests. */
@@ -240,6 +263,8 @@
 bool host_is_running(const hosts_t *h, unsigned int host);
 /* Whether it runs, and met no fault since since_us. */
 bool host_calm_since(const hosts_t *h, unsigned int host, int64_t since_us);
+/* Whether it and all voters met no fault for long enough to be in touch. */
+bool host_in_touch(const hosts_t *h, unsigned int host);
 /* "ip:port" of a daemon. */
 void host_addr(const soak_t *s, buf_t *out, unsigned int host, uint16_t port);
 /* SIGKILL; it starts again after down_us. */
