--- a/proto/dispatch.pb-c.c
+++ b/proto/dispatch.pb-c.c
@@ -232,6 +232,51 @@
   assert(message->base.descriptor == &dispatch__started__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   dispatch__streams__init
+                     (Dispatch__Streams         *message)
+{
+  static const Dispatch__Streams init_value = DISPATCH__STREAMS__INIT;
+  *message = init_value;
+}
+size_t dispatch__streams__get_packed_size
+                     (const Dispatch__Streams *message)
+{
+  assert(message->base.descriptor == &dispatch__streams__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dispatch__streams__pack
+                     (const Dispatch__Streams *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dispatch__streams__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dispatch__streams__pack_to_buffer
+                     (const Dispatch__Streams *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dispatch__streams__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dispatch__Streams *
+       dispatch__streams__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dispatch__Streams *)
+     protobuf_c_message_unpack (&dispatch__streams__descriptor,
+                                allocator, len, data);
+}
+void   dispatch__streams__free_unpacked
+                     (Dispatch__Streams *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dispatch__streams__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   dispatch__done__init
                      (Dispatch__Done         *message)
 {
@@ -598,7 +643,7 @@
   (ProtobufCMessageInit) dispatch__prompt_part__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dispatch__ask__field_descriptors[14] =
+static const ProtobufCFieldDescriptor dispatch__ask__field_descriptors[16] =
 {
   {
     "id",
@@ -768,10 +813,35 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "stream",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Dispatch__Ask, stream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "build",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Dispatch__Ask, build),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dispatch__ask__field_indices_by_name[] = {
   3,   /* field[3] = adapter */
   10,   /* field[10] = avoid */
+  15,   /* field[15] = build */
   0,   /* field[0] = id */
   8,   /* field[8] = left_us */
   2,   /* field[2] = model */
@@ -780,6 +850,7 @@
   9,   /* field[9] = repeat */
   13,   /* field[13] = request */
   1,   /* field[1] = service */
+  14,   /* field[14] = stream */
   7,   /* field[7] = target_us */
   4,   /* field[4] = tokens_in */
   5,   /* field[5] = tokens_out */
@@ -788,7 +859,7 @@
 static const ProtobufCIntRange dispatch__ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor dispatch__ask__descriptor =
 {
@@ -798,14 +869,14 @@
   "Dispatch__Ask",
   "dispatch",
   sizeof(Dispatch__Ask),
-  14,
+  16,
   dispatch__ask__field_descriptors,
   dispatch__ask__field_indices_by_name,
   1,  dispatch__ask__number_ranges,
   (ProtobufCMessageInit) dispatch__ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dispatch__grant__field_descriptors[6] =
+static const ProtobufCFieldDescriptor dispatch__grant__field_descriptors[7] =
 {
   {
     "id",
@@ -879,6 +950,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "stream_known",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dispatch__Grant, stream_known),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dispatch__grant__field_indices_by_name[] = {
   3,   /* field[3] = adapter_version */
@@ -886,12 +969,13 @@
   5,   /* field[5] = build */
   0,   /* field[0] = id */
   1,   /* field[1] = runner */
+  6,   /* field[6] = stream_known */
   4,   /* field[4] = term */
 };
 static const ProtobufCIntRange dispatch__grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor dispatch__grant__descriptor =
 {
@@ -901,7 +985,7 @@
   "Dispatch__Grant",
   "dispatch",
   sizeof(Dispatch__Grant),
-  6,
+  7,
   dispatch__grant__field_descriptors,
   dispatch__grant__field_indices_by_name,
   1,  dispatch__grant__number_ranges,
@@ -972,7 +1056,7 @@
   (ProtobufCMessageInit) dispatch__refusal__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dispatch__started__field_descriptors[3] =
+static const ProtobufCFieldDescriptor dispatch__started__field_descriptors[6] =
 {
   {
     "id",
@@ -1010,16 +1094,55 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "stream",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Dispatch__Started, stream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "build",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Dispatch__Started, build),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "keep_us",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Dispatch__Started, keep_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dispatch__started__field_indices_by_name[] = {
+  4,   /* field[4] = build */
   0,   /* field[0] = id */
+  5,   /* field[5] = keep_us */
   2,   /* field[2] = leaving */
+  3,   /* field[3] = stream */
   1,   /* field[1] = waited_us */
 };
 static const ProtobufCIntRange dispatch__started__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor dispatch__started__descriptor =
 {
@@ -1029,13 +1152,77 @@
   "Dispatch__Started",
   "dispatch",
   sizeof(Dispatch__Started),
-  3,
+  6,
   dispatch__started__field_descriptors,
   dispatch__started__field_indices_by_name,
   1,  dispatch__started__number_ranges,
   (ProtobufCMessageInit) dispatch__started__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor dispatch__streams__field_descriptors[3] =
+{
+  {
+    "build",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Dispatch__Streams, build),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "streams",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Dispatch__Streams, n_streams),
+    offsetof(Dispatch__Streams, streams),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "keep_us",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_INT64,
+    offsetof(Dispatch__Streams, n_keep_us),
+    offsetof(Dispatch__Streams, keep_us),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dispatch__streams__field_indices_by_name[] = {
+  0,   /* field[0] = build */
+  2,   /* field[2] = keep_us */
+  1,   /* field[1] = streams */
+};
+static const ProtobufCIntRange dispatch__streams__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor dispatch__streams__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dispatch.Streams",
+  "Streams",
+  "Dispatch__Streams",
+  "dispatch",
+  sizeof(Dispatch__Streams),
+  3,
+  dispatch__streams__field_descriptors,
+  dispatch__streams__field_indices_by_name,
+  1,  dispatch__streams__number_ranges,
+  (ProtobufCMessageInit) dispatch__streams__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor dispatch__done__field_descriptors[4] =
 {
   {
@@ -1355,7 +1542,7 @@
   (ProtobufCMessageInit) dispatch__uses__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dispatch__msg__field_descriptors[10] =
+static const ProtobufCFieldDescriptor dispatch__msg__field_descriptors[11] =
 {
   {
     "ask",
@@ -1477,6 +1664,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "streams",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dispatch__Msg, body_case),
+    offsetof(Dispatch__Msg, streams),
+    &dispatch__streams__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dispatch__msg__field_indices_by_name[] = {
   0,   /* field[0] = ask */
@@ -1487,13 +1686,14 @@
   8,   /* field[8] = pong */
   2,   /* field[2] = refusal */
   3,   /* field[3] = started */
+  10,   /* field[10] = streams */
   9,   /* field[9] = uses */
   6,   /* field[6] = waiting */
 };
 static const ProtobufCIntRange dispatch__msg__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor dispatch__msg__descriptor =
 {
@@ -1503,7 +1703,7 @@
   "Dispatch__Msg",
   "dispatch",
   sizeof(Dispatch__Msg),
-  10,
+  11,
   dispatch__msg__field_descriptors,
   dispatch__msg__field_indices_by_name,
   1,  dispatch__msg__number_ranges,
--- a/proto/dispatch.pb-c.h
+++ b/proto/dispatch.pb-c.h
@@ -20,6 +20,7 @@
 typedef struct Dispatch__Grant Dispatch__Grant;
 typedef struct Dispatch__Refusal Dispatch__Refusal;
 typedef struct Dispatch__Started Dispatch__Started;
+typedef struct Dispatch__Streams Dispatch__Streams;
 typedef struct Dispatch__Done Dispatch__Done;
 typedef struct Dispatch__Held Dispatch__Held;
 typedef struct Dispatch__Waiting Dispatch__Waiting;
@@ -88,10 +89,19 @@
    * id that the caller gave, for logs
    */
   ProtobufCBinaryData request;
+  /*
+   * Key of the stream that the request takes up, whose software version the
+   * dispatcher has to know; 0: none, or build says it.
+   */
+  uint64_t stream;
+  /*
+   * only runners with this software version; empty: any
+   */
+  ProtobufCBinaryData build;
 };
 #define DISPATCH__ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dispatch__ask__descriptor) \
-    , 0, {0,NULL}, {0,NULL}, {0,NULL}, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, {0,NULL}, {0,NULL} }
+    , 0, {0,NULL}, {0,NULL}, {0,NULL}, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, {0,NULL}, {0,NULL}, 0, {0,NULL} }
 
 
 struct  Dispatch__Grant
@@ -112,10 +122,14 @@
    * version of the runner's software; empty: not known
    */
   ProtobufCBinaryData build;
+  /*
+   * build is the one that began the Ask's stream
+   */
+  protobuf_c_boolean stream_known;
 };
 #define DISPATCH__GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dispatch__grant__descriptor) \
-    , 0, {0,NULL}, {0,NULL}, 0, 0, {0,NULL} }
+    , 0, {0,NULL}, {0,NULL}, 0, 0, {0,NULL}, 0 }
 
 
 struct  Dispatch__Refusal
@@ -148,10 +162,42 @@
    * the target said that it shuts down
    */
   protobuf_c_boolean leaving;
+  /*
+   * key of the stream that has begun; 0: none
+   */
+  uint64_t stream;
+  /*
+   * software version that began it
+   */
+  ProtobufCBinaryData build;
+  /*
+   * how long a caller may take it up again
+   */
+  int64_t keep_us;
 };
 #define DISPATCH__STARTED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dispatch__started__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0, {0,NULL}, 0 }
+
+
+/*
+ * Streams whose responses an entry has relayed, all begun by one software version.
+ */
+struct  Dispatch__Streams
+{
+  ProtobufCMessage base;
+  ProtobufCBinaryData build;
+  size_t n_streams;
+  uint64_t *streams;
+  /*
+   * of each of them
+   */
+  size_t n_keep_us;
+  int64_t *keep_us;
+};
+#define DISPATCH__STREAMS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dispatch__streams__descriptor) \
+    , {0,NULL}, 0,NULL, 0,NULL }
 
 
 /*
@@ -261,7 +307,8 @@
   DISPATCH__MSG__BODY_WAITING = 7,
   DISPATCH__MSG__BODY_PING = 8,
   DISPATCH__MSG__BODY_PONG = 9,
-  DISPATCH__MSG__BODY_USES = 10
+  DISPATCH__MSG__BODY_USES = 10,
+  DISPATCH__MSG__BODY_STREAMS = 11
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(DISPATCH__MSG__BODY__CASE)
 } Dispatch__Msg__BodyCase;
 
@@ -280,6 +327,7 @@
     Dispatch__Ping *ping;
     Dispatch__Pong *pong;
     Dispatch__Uses *uses;
+    Dispatch__Streams *streams;
   };
 };
 #define DISPATCH__MSG__INIT \
@@ -382,6 +430,25 @@
 void   dispatch__started__free_unpacked
                      (Dispatch__Started *message,
                       ProtobufCAllocator *allocator);
+/* Dispatch__Streams methods */
+void   dispatch__streams__init
+                     (Dispatch__Streams         *message);
+size_t dispatch__streams__get_packed_size
+                     (const Dispatch__Streams   *message);
+size_t dispatch__streams__pack
+                     (const Dispatch__Streams   *message,
+                      uint8_t             *out);
+size_t dispatch__streams__pack_to_buffer
+                     (const Dispatch__Streams   *message,
+                      ProtobufCBuffer     *buffer);
+Dispatch__Streams *
+       dispatch__streams__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dispatch__streams__free_unpacked
+                     (Dispatch__Streams *message,
+                      ProtobufCAllocator *allocator);
 /* Dispatch__Done methods */
 void   dispatch__done__init
                      (Dispatch__Done         *message);
@@ -532,6 +599,9 @@
 typedef void (*Dispatch__Started_Closure)
                  (const Dispatch__Started *message,
                   void *closure_data);
+typedef void (*Dispatch__Streams_Closure)
+                 (const Dispatch__Streams *message,
+                  void *closure_data);
 typedef void (*Dispatch__Done_Closure)
                  (const Dispatch__Done *message,
                   void *closure_data);
@@ -564,6 +634,7 @@
 extern const ProtobufCMessageDescriptor dispatch__grant__descriptor;
 extern const ProtobufCMessageDescriptor dispatch__refusal__descriptor;
 extern const ProtobufCMessageDescriptor dispatch__started__descriptor;
+extern const ProtobufCMessageDescriptor dispatch__streams__descriptor;
 extern const ProtobufCMessageDescriptor dispatch__done__descriptor;
 extern const ProtobufCMessageDescriptor dispatch__held__descriptor;
 extern const ProtobufCMessageDescriptor dispatch__waiting__descriptor;
--- a/src/choice.c
+++ b/src/choice.c
@@ -367,12 +367,19 @@
 	return m;
 }
 
+/* Whether the runner has the software version that the request needs, if any. */
+static bool has_build(const runner_t *r, const Dispatch__Ask *ask)
+{
+	return !ask->build.len || str_eq(r->build, pb_str(ask->build));
+}
+
 /* Whether the runner is considered for the request at all. */
 static bool is_candidate(const service_t *s, const runner_t *r,
 			 const Dispatch__Ask *ask, int64_t now_us)
 {
-	return str_eq(r->service, s->name) && runner_usable(r, now_us) &&
-	       !is_avoided(ask, r) && (!s->engine || r->models_known);
+	return str_eq(r->service, s->name) && has_build(r, ask) &&
+	       runner_usable(r, now_us) && !is_avoided(ask, r) &&
+	       (!s->engine || r->models_known);
 }
 
 static double failure_cost(const runner_t *r, int64_t now_us)
@@ -442,7 +449,9 @@
 	runner_t *runner;   /* NULL: none yet */
 	offer_t offer;	    /* of that runner */
 	bool any_candidate; /* some runner of the service may be used */
-	uint64_t n_offers;  /* computed so far */
+	/* Some runner has the needed software version, and does not leave. */
+	bool any_of_build;
+	uint64_t n_offers; /* computed so far */
 } search_t;
 
 /* Takes the runner's offer if it is better. holds: it has a copy, or loads it. */
@@ -453,6 +462,7 @@
 	offer_t offer = {0};
 
 	r->considered_by = d->n_queries;
+	best->any_of_build |= has_build(r, q->ask) && !runner_is_leaving(r);
 	if (!is_candidate(best->s, r, q->ask, now_us))
 		return;
 	best->any_candidate = true;
@@ -467,6 +477,25 @@
 	best->offer = offer;
 }
 
+/* Considers those of the runners that have the needed software version. */
+static void search_build(dispatch_t *d, search_t *best,
+			 const GPtrArray *runners, size_t start, int64_t now_us)
+{
+	uint32_t n_sampled = 0;
+
+	for (size_t i = 0; i < runners->len && n_sampled < RUNNERS_SAMPLED_MAX;
+	     i++) {
+		runner_t *r =
+			g_ptr_array_index(runners, (start + i) % runners->len);
+
+		if (r->considered_by == d->n_queries ||
+		    !has_build(r, best->q->ask))
+			continue;
+		consider(d, best, r, false, now_us);
+		n_sampled++;
+	}
+}
+
 /*
  * Considers the runners that hold the adapter, and RUNNERS_SAMPLED_MAX others:
  * all of a small fleet; of a large one, which are spread over its failure
@@ -487,6 +516,10 @@
 	if (set)
 		cds_list_for_each_entry (c, &set->copies, same_key)
 			consider(d, best, c->runner, true, now_us);
+	if (q->ask->build.len && fleet) {
+		search_build(d, best, fleet->runners, start, now_us);
+		return;
+	}
 	for (size_t i = 0; i < n_sampled; i++) {
 		size_t at = (start + i * n / n_sampled) % n;
 		runner_t *r = g_ptr_array_index(fleet->runners, at);
@@ -518,8 +551,12 @@
 	search_runners(d, &best, now_us);
 	counter_add(CTR_DISPATCH_DECISIONS, 1);
 	counter_add(CTR_DISPATCH_OFFERS, best.n_offers);
-	if (best.any_candidate)
+	if (best.any_candidate) {
 		choice.reason = REASON_QUEUE_FULL;
+	} else if (ask->build.len && !best.any_of_build) {
+		choice.reason = REASON_STREAM_UNSERVED;
+		choice.retry_us = 0;
+	}
 	choice.runner = best.runner;
 	if (!choice.runner)
 		return choice;
--- a/src/counter.h
+++ b/src/counter.h
@@ -20,6 +20,8 @@
 	  "Streams sent on to another target within one response")          \
 	X(STREAMS_TAKEN_UP, "streams_taken_up",                             \
 	  "Streams that callers took up again, sent to a target")           \
+	X(STREAMS_FORGOTTEN, "streams_forgotten",                           \
+	  "Streams not recorded as too many are known; none can go on")     \
 	X(STREAMS_ENDED_MIDWAY, "streams_ended_midway",                     \
 	  "Streams that their target ended inside an event")
 
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -40,6 +40,12 @@
 /* Bounds of runner_t.slowdown. */
 #define SLOWDOWN_MIN 0.5
 #define SLOWDOWN_MAX 6.0
+/*
+ * How long after a takeover entries may still tell of their streams, and how long a
+ * daemon may have to wait for another dispatcher. Requests that take up an unknown
+ * stream wait until then.
+ */
+#define STREAMS_SETTLE_US (1 * USEC_PER_SEC)
 /* Delay that a refused caller is told to wait before it comes back. */
 #define REFUSAL_RETRY_US (1 * USEC_PER_SEC)
 
@@ -86,6 +92,7 @@
 	d->adapter_versions = g_hash_table_new(NULL, NULL);
 	CDS_INIT_LIST_HEAD(&d->pending);
 	CDS_INIT_LIST_HEAD(&d->early_held);
+	d->streams = stream_builds_new();
 	retry_budgets_init(&d->budgets, cfg->retry_ratio, cfg->retry_slack,
 			   cfg->retry_window_us);
 	return d;
@@ -150,6 +157,7 @@
 	pb.addr = pb_bytes(g->runner->addr);
 	pb.term = d->term;
 	pb.build = pb_bytes(g->runner->build);
+	pb.stream_known = g->for_stream;
 	if (g->copy)
 		pb.adapter_version = g->copy->version;
 	msg.body_case = DISPATCH__MSG__BODY_GRANT;
@@ -242,6 +250,7 @@
 	g->granted_us = now_us;
 	g->expected_first_event_us = first_event_us;
 	g->deadline_us = now_us + ask->left_us;
+	g->for_stream = ask->stream != 0;
 	r->pending_prefill_tokens += g->prefill_tokens;
 	r->reserved_tokens += g->tokens;
 	choice_record_grant(r, g->prefill_tokens, now_us);
@@ -327,6 +336,31 @@
 	return c && c->state == COPY_READY;
 }
 
+/*
+ * Sets the software version that a request needs which takes up a stream. False: it
+ * is not known; the request was refused, or waits for an entry to tell.
+ */
+static bool resolve_stream(dispatch_t *d, pending_request_t *req,
+			   int64_t now_us)
+{
+	Dispatch__Ask *a = req->msg->ask;
+	str_t build;
+
+	if (!a->stream || a->build.len)
+		return true;
+	build = stream_builds_find(d->streams, a->stream, now_us);
+	if (build.n) {
+		a->build.data = (uint8_t *)str_dup(build);
+		a->build.len = build.n;
+		return true;
+	}
+	if (now_us - d->began_us >= STREAMS_SETTLE_US)
+		pending_refuse(d, req, REASON_STREAM_UNKNOWN,
+			       d->mode == DISPATCH_LEADER ? 0
+							  : REFUSAL_RETRY_US);
+	return false;
+}
+
 /* Grants or refuses a pending request, or leaves it pending. */
 static void pending_decide(dispatch_t *d, pending_request_t *req,
 			   int64_t now_us)
@@ -336,6 +370,8 @@
 
 	if (!d->list_known || !d->manifest)
 		return; /* decided again once both are known */
+	if (!resolve_stream(d, req, now_us))
+		return;
 	leave_queue(req);
 	choice = choose_runner(d, a, now_us - req->received_us,
 			       req->load_waited_us, now_us);
@@ -482,11 +518,22 @@
 			(held_us - g->runner->mean_hold_us) / HOLD_TIME_DIV;
 }
 
+static void on_streams(dispatch_t *d, const Dispatch__Streams *m,
+		       int64_t now_us)
+{
+	for (size_t i = 0; i < m->n_streams && i < m->n_keep_us; i++)
+		stream_builds_put(d->streams, m->streams[i], pb_str(m->build),
+				  now_us, now_us + m->keep_us[i]);
+}
+
 static void on_started(dispatch_t *d, const request_key_t *key,
 		       const Dispatch__Started *m, int64_t now_us)
 {
 	grant_t *g = g_hash_table_lookup(d->grants, key);
 
+	if (m->stream)
+		stream_builds_put(d->streams, m->stream, pb_str(m->build),
+				  now_us, now_us + m->keep_us);
 	if (!g || g->started)
 		return;
 	g->runner->said_leaving |= m->leaving;
@@ -696,6 +743,9 @@
 	case DISPATCH__MSG__BODY_USES:
 		on_uses(d, from, msg->uses, now_us);
 		break;
+	case DISPATCH__MSG__BODY_STREAMS:
+		on_streams(d, msg->streams, now_us);
+		break;
 	case DISPATCH__MSG__BODY_HELD:
 		key.id = msg->held->id;
 		on_held(d, &key, msg);
@@ -859,6 +909,7 @@
 		early_held_free(e);
 	fleet_clear(d);
 	retry_budgets_clear(&d->budgets);
+	stream_builds_clear(d->streams);
 	d->active = false;
 	d->lease_until_us = INT64_MIN;
 }
@@ -894,6 +945,7 @@
 	g_hash_table_destroy(d->grants);
 	g_hash_table_destroy(d->pending_by_key);
 	fleet_free(d);
+	stream_builds_free(d->streams);
 	g_hash_table_destroy(d->adapter_versions);
 	manifest_unref(d->manifest);
 	decided_unref(d->tables);
--- a/src/dispatch_int.h
+++ b/src/dispatch_int.h
@@ -9,6 +9,7 @@
 #include "dispatch.h"
 #include "pb.h"
 #include "retry_budget.h"
+#include "stream_build.h"
 
 #include <glib.h>
 #include <urcu/list.h>
@@ -198,6 +199,7 @@
 	int64_t expected_first_event_us; /* delay from granted_us */
 	int64_t deadline_us;		 /* the caller has given up by then */
 	bool started;			 /* the answer has begun */
+	bool for_stream; /* at the build that began the Ask's stream */
 } grant_t;
 
 /* A request without a grant: it waits for a copy, or for a place. */
@@ -275,6 +277,7 @@
 	int64_t orders_due_us;
 	int64_t sweep_due_us;
 	retry_budgets_t budgets;
+	stream_builds_t *streams;     /* of all entries, as far as they told */
 	GHashTable *pending_by_key;   /* request_key_t -> pending_request_t */
 	GHashTable *grants;	      /* request_key_t -> grant_t */
 	GHashTable *adapter_versions; /* copy_key() -> decided version */
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -332,7 +332,6 @@
 	runner_t *r = xcalloc(1, sizeof(*r));
 
 	r->id = str_copy(info->id);
-	set_str(&r->build, info->build);
 	set_service(d, r, info->service);
 	r->addr = str_copy(info->addr);
 	r->zone = str_copy(info->zone);
@@ -599,6 +598,7 @@
 	    info->start_time_ms < r->start_time_ms)
 		return; /* a row from before the runner's restart */
 	update_start_time(d, r, info->start_time_ms);
+	set_str(&r->build, info->build);
 	set_service(d, r, info->service);
 	set_str(&r->addr, info->addr);
 	if (info->draining != r->draining)
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -8,6 +8,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <glib.h>
 #include <http_parser.h>
 
 #include "counter.h"
@@ -37,6 +38,10 @@
 #define CONNECT_AGAIN_US (150 * USEC_PER_MSEC)
 /* Time before the deadline that is reserved for sending to the target. */
 #define SEND_MARGIN_US (20 * USEC_PER_MSEC)
+/* Streams named in one message to a new dispatcher. */
+#define STREAMS_PER_MSG_MAX 4096u
+/* A caller that takes a stream up may be so late after its deadline. */
+#define STREAM_KEEP_MARGIN_US (1 * USEC_PER_SEC)
 /* Limits of callers' connections until a manifest sets them. */
 #define IDLE_TIMEOUT_US (15 * USEC_PER_SEC)
 #define HEAD_TIMEOUT_US (3 * USEC_PER_SEC)
@@ -85,6 +90,7 @@
 	str_free(&r->runner);
 	str_free(&r->addr);
 	str_free(&r->build);
+	str_free(&r->stream_build);
 	buf_free(&r->head_text);
 	buf_free(&r->forwarded_fields);
 	buf_free(&r->body);
@@ -101,6 +107,12 @@
 	return r->route->kind == ROUTE_IDEMPOTENT;
 }
 
+/* Whether the request goes on with the stream of an earlier one. */
+static bool takes_up_stream(const request_t *r)
+{
+	return r->info.resumes && r->route->kind == ROUTE_STREAMING;
+}
+
 /* Messages to the dispatcher. */
 
 /* Most runners held off that an Ask names. */
@@ -157,6 +169,9 @@
 	fill_ask_lists(r, &lists, &pb);
 	pb.zone = pb_bytes(r->gw->zone);
 	pb.request = pb_bytes(r->info.id);
+	pb.build = pb_bytes(r->stream_build);
+	if (takes_up_stream(r) && !r->stream_build.n)
+		pb.stream = r->stream_key;
 	msg.body_case = DISPATCH__MSG__BODY_ASK;
 	msg.ask = &pb;
 	r->asked_us = now;
@@ -214,16 +229,54 @@
 	send_done(r->gw, &done);
 }
 
+/* How long a caller may take up the stream, from now. */
+static int64_t stream_keep_us(const request_t *r)
+{
+	int64_t wait_us =
+		r->info.left_us >= 0 ? r->info.left_us : r->route->timeout_us;
+
+	return r->arrived_us + wait_us + STREAM_KEEP_MARGIN_US -
+	       gateway_now(r->gw);
+}
+
+/*
+ * Records the software version of a stream whose body begins. From here on it stays
+ * that version, whether or not an event has come. Returns how long the stream may be
+ * taken up again; 0: it may not, or its version is not known.
+ */
+static int64_t record_stream(request_t *r)
+{
+	int64_t now = gateway_now(r->gw);
+	int64_t keep_us = stream_keep_us(r);
+
+	if (!r->stream_key || r->response_head.status != 200)
+		return 0;
+	if (!r->stream_build.n)
+		r->stream_build = str_copy(r->build);
+	if (!r->stream_build.n || keep_us <= 0)
+		return 0;
+	stream_builds_put(r->gw->streams, r->stream_key, r->stream_build, now,
+			  now + keep_us);
+	return keep_us;
+}
+
 void request_report_started(request_t *r)
 {
 	Dispatch__Started pb = DISPATCH__STARTED__INIT;
 	Dispatch__Msg msg = DISPATCH__MSG__INIT;
 
-	if (!r->ask_id || !r->service->engine)
+	int64_t keep_us = record_stream(r);
+
+	if (!r->ask_id || !(r->service->engine || keep_us))
 		return;
 	pb.id = r->ask_id;
 	pb.waited_us = gateway_now(r->gw) - r->sent_us;
 	pb.leaving = r->leaving;
+	if (keep_us) {
+		pb.stream = r->stream_key;
+		pb.build = pb_bytes(r->stream_build);
+		pb.keep_us = keep_us;
+	}
 	msg.body_case = DISPATCH__MSG__BODY_STARTED;
 	msg.started = &pb;
 	r->gw->ops.send(r->gw->ctx, &msg);
@@ -390,6 +443,8 @@
 	if (r->n_asks >= ASKS_MAX ||
 	    gateway_now(r->gw) + SEND_MARGIN_US * 2 >= r->deadline_us)
 		return false;
+	if (r->head_sent && !r->stream_build.n)
+		return false;
 	if (!end->sent)
 		return !r->head_sent || r->route->resumable;
 	if (!request_may_repeat(r) || r->n_possible_runs >= r->route->attempts)
@@ -493,6 +548,17 @@
 	send_done(g, &done);
 }
 
+/*
+ * Whether a stream may go on at the runner that is granted. The dispatcher may be of
+ * an older version, which does not heed what the Ask says.
+ */
+static bool grant_fits_stream(const request_t *r, const Dispatch__Grant *m)
+{
+	if (r->stream_build.n)
+		return str_eq(r->stream_build, pb_str(m->build));
+	return !takes_up_stream(r) || (m->stream_known && m->build.len);
+}
+
 static void on_grant(gateway_t *g, const Dispatch__Grant *m)
 {
 	request_t *r = find_by_ask_id(g, m->id);
@@ -503,12 +569,19 @@
 	}
 	if (r->state != REQUEST_AWAITING_GRANT)
 		return; /* duplicate */
+	if (!grant_fits_stream(r, m)) {
+		request_release_place(r, PLACE_UNUSED);
+		request_refuse(r, REASON_STREAM_UNKNOWN, 0);
+		return;
+	}
 	str_free(&r->runner);
 	str_free(&r->addr);
 	str_free(&r->build);
 	r->runner = str_copy(pb_str(m->runner));
 	r->addr = str_copy(pb_str(m->addr));
 	r->build = str_copy(pb_str(m->build));
+	if (takes_up_stream(r) && !r->stream_build.n)
+		r->stream_build = str_copy(r->build);
 	r->adapter_version = m->adapter_version;
 	r->grant_term = m->term;
 	hist_add(HIST_GRANT, gateway_now(g) - r->asked_us);
@@ -585,10 +658,65 @@
 	g->ops.send(g->ctx, &msg);
 }
 
+/* Streams of one software version, collected for a message. */
+typedef struct stream_list {
+	gateway_t *gw;
+	str_t build;
+	GArray *keys;	 /* uint64_t */
+	GArray *keep_us; /* int64_t */
+} stream_list_t;
+
+static void send_streams_of_build(stream_list_t *l)
+{
+	Dispatch__Streams pb = DISPATCH__STREAMS__INIT;
+	Dispatch__Msg msg = DISPATCH__MSG__INIT;
+
+	if (!l->keys->len)
+		return;
+	pb.build = pb_bytes(l->build);
+	pb.streams = (uint64_t *)(void *)l->keys->data;
+	pb.n_streams = l->keys->len;
+	pb.keep_us = (int64_t *)(void *)l->keep_us->data;
+	pb.n_keep_us = l->keep_us->len;
+	msg.body_case = DISPATCH__MSG__BODY_STREAMS;
+	msg.streams = &pb;
+	l->gw->ops.send(l->gw->ctx, &msg);
+	g_array_set_size(l->keys, 0);
+	g_array_set_size(l->keep_us, 0);
+}
+
+static void add_stream(void *ctx, uint64_t key, str_t build, int64_t until_us)
+{
+	stream_list_t *l = ctx;
+	int64_t keep_us = until_us - gateway_now(l->gw);
+
+	if (!str_eq(build, l->build) || l->keys->len == STREAMS_PER_MSG_MAX)
+		send_streams_of_build(l);
+	l->build = build;
+	g_array_append_val(l->keys, key);
+	g_array_append_val(l->keep_us, keep_us);
+}
+
+/* Tells a dispatcher that may not know it at which versions streams began. */
+static void send_streams(gateway_t *g)
+{
+	stream_list_t l = {
+		.gw = g,
+		.keys = g_array_new(FALSE, FALSE, sizeof(uint64_t)),
+		.keep_us = g_array_new(FALSE, FALSE, sizeof(int64_t)),
+	};
+
+	stream_builds_each(g->streams, gateway_now(g), add_stream, &l);
+	send_streams_of_build(&l);
+	g_array_free(l.keys, TRUE);
+	g_array_free(l.keep_us, TRUE);
+}
+
 void gateway_resync_dispatcher(gateway_t *g)
 {
 	request_t *r;
 
+	send_streams(g);
 	send_uses(g);
 	cds_list_for_each_entry (r, &g->requests, node) {
 		if (r->state == REQUEST_AWAITING_GRANT) {
@@ -634,6 +762,21 @@
 	return g->rng_state;
 }
 
+/* Notes which stream the request begins or takes up, and where that began. */
+static void note_stream(request_t *r)
+{
+	str_t id = r->info.resumes ? r->info.resumed_stream : r->info.id;
+
+	if (r->route->kind != ROUTE_STREAMING || !id.n)
+		return;
+	if (!r->route->resumable && !r->info.resumes)
+		return;
+	r->stream_key = stream_key(id);
+	if (r->info.resumes)
+		r->stream_build = str_copy(stream_builds_find(
+			r->gw->streams, r->stream_key, gateway_now(r->gw)));
+}
+
 static request_t *request_new(caller_t *c, const http1_head_t *h,
 			      const request_info_t *info, const route_t *route)
 {
@@ -651,6 +794,7 @@
 	r->info = *info;
 	copy_head_texts(r, h);
 	relay_copy_fields(&r->forwarded_fields, h, dialect_drops_field);
+	note_stream(r);
 	r->has_body = h->body_length > 0 || h->chunked ||
 		      http1_field(h, STR("Content-Length")).n;
 	r->arrived_us = gateway_now(g);
@@ -736,12 +880,22 @@
 	buf_put(&r->body, piece.p, piece.n);
 }
 
+/* All of the request was read. */
+static void begin_request(request_t *r)
+{
+	r->state = REQUEST_AWAITING_GRANT;
+	if (takes_up_stream(r) && !r->stream_key)
+		request_refuse(r, REASON_STREAM_UNKNOWN, 0);
+	else
+		ask_for_place(r);
+}
+
 static void on_request_end(void *ctx)
 {
 	caller_t *c = ctx;
 
 	if (c->req)
-		ask_for_place(c->req);
+		begin_request(c->req);
 	else if (c->refused)
 		caller_end_response(c, true);
 }
@@ -859,6 +1013,7 @@
 	g->ops = *ops;
 	g->ctx = ctx;
 	g->holdoff = holdoff_new();
+	g->streams = stream_builds_new();
 	g->limits.head_max = HEAD_MAX;
 	g->limits.head_timeout_us = HEAD_TIMEOUT_US;
 	g->limits.idle_timeout_us = IDLE_TIMEOUT_US;
@@ -889,6 +1044,7 @@
 	http1_unlisten(g->listener);
 	manifest_unref(g->manifest);
 	holdoff_free(g->holdoff);
+	stream_builds_free(g->streams);
 	str_free(&g->zone);
 	free(g);
 }
--- a/src/gateway_int.h
+++ b/src/gateway_int.h
@@ -8,6 +8,7 @@
 
 #include "gateway.h"
 #include "holdoff.h"
+#include "stream_build.h"
 
 /*
  * Most places that one request asks the dispatcher for, including those at
@@ -123,6 +124,13 @@
 	/* An event was sent to the caller in pieces: no resumption. */
 	bool event_split;
 	uint64_t last_event_id; /* of the last event sent to the caller */
+	/* Of the stream that the request begins or takes up; 0: neither. */
+	uint64_t stream_key;
+	/*
+	 * Owned: the software version that began the stream, set from the first
+	 * byte of its body on; empty: not known. No other one may go on with it.
+	 */
+	str_t stream_build;
 } request_t;
 
 /* The connection of a caller. */
@@ -150,6 +158,7 @@
 	manifest_t *manifest; /* in force; NULL: none yet */
 	/* Runners that asked this host for no requests. */
 	holdoff_t *holdoff;
+	stream_builds_t *streams; /* that this host has relayed */
 	struct cds_list_head requests;
 	size_t n_requests;
 	/* Callers that connected while this host starts; not read yet. */
@@ -180,8 +189,9 @@
  */
 void request_release_place(request_t *r, place_outcome_t outcome);
 /*
- * Tells the dispatcher that the target has begun to respond, if the target is a
- * model runner and the request still has its place there.
+ * The body of the response begins: records the software version of a stream, and
+ * tells the dispatcher, if the target is a model runner or the response a stream
+ * that may be resumed, and the request still has its place there.
  */
 void request_report_started(request_t *r);
 /* Retries, or refuses, after an attempt without a response for the caller. */
--- a/src/reason.h
+++ b/src/reason.h
@@ -80,6 +80,11 @@
 	  "This daemon holds no confirmed manifest yet; use another address.") \
 	X(NO_PLACE, "no_place", 503, RUN_NO, RETRY_SOON,                       \
 	  "No place at a target was granted in time.")                         \
+	X(STREAM_UNKNOWN, "stream_unknown", 503, RUN_NO, RETRY_NEVER,          \
+	  "Which software version began the stream is not known; begin anew.") \
+	X(STREAM_UNSERVED, "stream_unserved", 503, RUN_NO, RETRY_NEVER,        \
+	  "No target has the software version that began the stream any "      \
+	  "more; begin anew.")                                                 \
 	X(RETRY_BUDGET, "retry_budget", 503, RUN_NO, RETRY_LATER,              \
 	  "The service's budget of repeats is spent; nothing has run.")        \
 	X(CLAIM_FAILED, "claim_failed", 503, RUN_NO, RETRY_SOON,               \
--- a/tests/dialect_test.cc
+++ b/tests/dialect_test.cc
@@ -126,11 +126,11 @@
 	const std::string list =
 		R"({"instances":[)"
 		R"({"id":"i-1","service":"llm","addr":"10.0.0.1:80","zone":"z",)"
-		R"("slots":64,"state":"ready","born":5,"models":[{"name":"m",)"
+		R"("slots":64,"state":"ready","born":5,"version":"v1.2","models":[{"name":"m",)"
 		R"("version":1,"adapters":["a3@2","a4"]}],)"
 		R"("at_hand":{"in_memory":[],"on_disk":["m"]}},)"
 		R"({"id":"i-2","service":"llm","addr":"10.0.0.2:80",)"
-		R"("state":"draining","remaining_ms":1500},)"
+		R"("state":"draining","remaining_ms":1500,"version":12},)"
 		R"({"id":"i-3","service":"llm","addr":"nowhere","state":"ready"},)"
 		R"({"id":7,"service":"llm","addr":"10.0.0.1:80","state":"ready"},)"
 		R"({"id":"i-4","service":"llm","addr":"10.0.0.1:80",)"
@@ -142,6 +142,8 @@
 	EXPECT_EQ("p-2", text(l.next_page));
 	EXPECT_EQ("i-1", text(l.rows[0].id));
 	EXPECT_EQ(5u, l.rows[0].start_time_ms);
+	EXPECT_EQ("v1.2", text(l.rows[0].build));
+	EXPECT_EQ("", text(l.rows[1].build));
 	EXPECT_TRUE(l.rows[0].models_known);
 	ASSERT_EQ(2u, l.rows[0].n_adapters);
 	EXPECT_EQ("a3", text(l.rows[0].adapters[0].adapter));
@@ -212,7 +214,8 @@
 			       {"Token-Usage", "1460,80"},
 			       {"Prompt-Prefix", "5c:800,91:410,bad"},
 			       {"Deadline-Ms", "1500"},
-			       {"Last-Event-Id", "12"}});
+			       {"Last-Event-Id", "12"},
+			       {"Resumes", "abc"}});
 	request_info_t info;
 
 	dialect_read_request_head(&h, &info);
@@ -226,6 +229,7 @@
 	EXPECT_EQ(1500 * USEC_PER_MSEC, info.left_us);
 	EXPECT_TRUE(info.resumes);
 	EXPECT_EQ(12u, info.resume_after);
+	EXPECT_EQ("abc", text(info.resumed_stream));
 	h = head({{"Deadline-Ms", "-5"}});
 	dialect_read_request_head(&h, &info);
 	EXPECT_EQ(-1, info.left_us);
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -18,6 +18,9 @@
 	}
 } quiet_log;
 
+// The next runner list has arrived by then.
+constexpr int64_t LIST_ARRIVES_US = 5000 * MS;
+
 std::string adapter(size_t i)
 {
 	return "cold" + std::to_string(i);
@@ -609,4 +612,86 @@
 	EXPECT_GT(granted * 2, asked);
 }
 
+TEST(Dispatch, StreamTakenUpGoesToTheSoftwareVersionThatBeganIt)
+{
+	World w(1, {});
+
+	w.runners[1].build = w.runners[2].build = "v2";
+	w.run(LIST_ARRIVES_US, 0);
+	w.tell_stream(11, "v1");
+	w.tell_stream(12, "v2");
+	for (int i = 0; i < 10; i++) {
+		uint64_t v1 = w.take_up(11);
+		uint64_t v2 = w.take_up(12);
+
+		w.run(50 * MS, 0);
+		EXPECT_EQ("i-0", w.requests[v1].runner);
+		EXPECT_EQ(1, w.requests[v2].grants);
+		EXPECT_NE("i-0", w.requests[v2].runner);
+	}
+}
+
+TEST(Dispatch, StreamThatNobodyKnowsIsRefusedAtOnce)
+{
+	World w(1, {});
+
+	w.run(LIST_ARRIVES_US, 0);
+	w.tell_stream(11, "v1", 200 * MS);
+	w.run(300 * MS, 0);
+	uint64_t forgotten = w.take_up(11);
+	uint64_t unknown = w.take_up(12);
+
+	EXPECT_EQ(REASON_STREAM_UNKNOWN, w.requests[forgotten].refusal);
+	EXPECT_EQ(REASON_STREAM_UNKNOWN, w.requests[unknown].refusal);
+}
+
+TEST(Dispatch, StreamTakenUpAfterATakeoverWaitsForEntriesToTell)
+{
+	World w(1, {});
+
+	w.runners[1].build = w.runners[2].build = "v2";
+	w.run(LIST_ARRIVES_US, 0);
+	w.tell_stream(11, "v1");
+	w.begin(false);
+	uint64_t told = w.take_up(11);
+	uint64_t untold = w.take_up(12);
+
+	w.run(300 * MS, 0);
+	EXPECT_EQ(0, w.requests[told].grants + w.requests[told].refusals);
+	w.tell_stream(11, "v1");
+	w.run(50 * MS, 0);
+	EXPECT_EQ("i-0", w.requests[told].runner);
+	w.run(1000 * MS, 0);
+	EXPECT_EQ(REASON_STREAM_UNKNOWN, w.requests[untold].refusal);
+}
+
+TEST(Dispatch, StreamWhoseSoftwareVersionIsGoneIsRefusedAtOnce)
+{
+	World w(1, {});
+
+	w.runners[0].build = "v2";
+	w.run(LIST_ARRIVES_US, 0);
+	w.tell_stream(11, "v2");
+	w.runners[0].draining = true;
+	w.run(LIST_ARRIVES_US, 0);
+	uint64_t id = w.take_up(11);
+
+	EXPECT_EQ(REASON_STREAM_UNSERVED, w.requests[id].refusal);
+}
+
+TEST(Dispatch, RunnerThatHasRestartedGetsNoStreamBeforeItsVersionIsKnown)
+{
+	World w(1, {});
+
+	w.runners[1].build = w.runners[2].build = "v2";
+	w.run(LIST_ARRIVES_US, 0);
+	w.tell_stream(11, "v1");
+	w.restart(w.runners[0]);
+	w.runners[0].build = "v3";
+	w.run(LIST_ARRIVES_US, 0);
+	uint64_t id = w.take_up(11);
+
+	EXPECT_EQ(REASON_STREAM_UNSERVED, w.requests[id].refusal);
+}
+
 } // namespace
--- a/tests/dispatch_world.h
+++ b/tests/dispatch_world.h
@@ -60,6 +60,7 @@
 
 struct SimRunner {
 	std::string id, addr, service = "llm";
+	std::string build = "v1"; // version of its software
 	uint64_t born = 1;
 	bool draining = false;
 	bool gone = false;
@@ -86,8 +87,9 @@
 	std::string adapter;
 	int grants = 0;
 	int refusals = 0;
-	uint64_t version = 0; // of the adapter, as granted
-	uint32_t tokens = 0;  // of the prompt
+	uint32_t refusal = REASON_NONE; // the last one
+	uint64_t version = 0;		// of the adapter, as granted
+	uint32_t tokens = 0;		// of the prompt
 	uint32_t pause_permille = 0;
 	std::string runner; // of the last grant
 	bool ended = false;
@@ -136,7 +138,7 @@
 
 	uint64_t ask(const std::string &adapter, int64_t target_us = 800 * MS,
 		     int64_t left_us = 8000 * MS, uint32_t tokens = 600,
-		     uint32_t priority = 0)
+		     uint32_t priority = 0, uint64_t stream = 0)
 	{
 		Dispatch__Ask a = DISPATCH__ASK__INIT;
 		Dispatch__Msg msg = DISPATCH__MSG__INIT;
@@ -152,6 +154,7 @@
 		a.target_us = target_us;
 		a.left_us = left_us;
 		a.zone = bytes("zone-a");
+		a.stream = stream;
 		msg.body_case = DISPATCH__MSG__BODY_ASK;
 		msg.ask = &a;
 		requests[id] = {now, left_us, adapter};
@@ -160,6 +163,28 @@
 		return id;
 	}
 
+	// A caller takes up the stream with this key.
+	uint64_t take_up(uint64_t stream)
+	{
+		return ask("", 800 * MS, 8000 * MS, 600, 0, stream);
+	}
+	// An entry tells of a stream that began at this software version.
+	void tell_stream(uint64_t stream, const char *build,
+			 int64_t keep_us = 8000 * MS)
+	{
+		Dispatch__Streams m = DISPATCH__STREAMS__INIT;
+		Dispatch__Msg msg = DISPATCH__MSG__INIT;
+
+		m.build = bytes(build);
+		m.n_streams = 1;
+		m.streams = &stream;
+		m.n_keep_us = 1;
+		m.keep_us = &keep_us;
+		msg.body_case = DISPATCH__MSG__BODY_STREAMS;
+		msg.streams = &m;
+		dispatch_recv(d, ENTRY, &msg, now);
+	}
+
 	void begin(bool first)
 	{
 		term++;
@@ -339,6 +364,7 @@
 			str_copy(str_n(r.service.data(), r.service.size()));
 		info.addr = str_copy(str_n(r.addr.data(), r.addr.size()));
 		info.zone = str_copy(STR("zone-a"));
+		info.build = str_copy(str_n(r.build.data(), r.build.size()));
 		info.start_time_ms = h.born;
 		info.draining = r.draining;
 		info.slots = 16;
@@ -581,6 +607,7 @@
 			uint64_t id = msg->refusal->id;
 
 			w->requests[id].refusals++;
+			w->requests[id].refusal = msg->refusal->reason;
 			w->requests[id].ended = true;
 			w->refused++;
 		}
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -6,12 +6,14 @@
 #include <atomic>
 #include <deque>
 #include <fstream>
+#include <map>
 #include <mutex>
 #include <vector>
 
 #include "gateway.h"
 #include "log.h"
 #include "loop_util.h"
+#include "stream_build.h"
 
 using namespace loop_util;
 
@@ -258,7 +260,12 @@
 	std::atomic<bool> starting{false};
 	bool dispatcher_replies = true; // to Ask messages
 	size_t n_replies = SIZE_MAX;	// Asks beyond these get no reply
-	bool reset = false;		// the last ask() ended by a TCP reset
+	// Asks from this one on are refused.
+	std::atomic<size_t> refuse_from{SIZE_MAX};
+	std::vector<std::string> asked_builds; // that each Ask needs
+	// Streams that the dispatcher was told of, and their software versions.
+	std::map<uint64_t, std::string> told_streams;
+	bool reset = false; // the last ask() ended by a TCP reset
 	std::atomic<int> n_replied_asks{0};
 	std::vector<std::string> avoided; // of each Ask; its first runner
 	size_t leaving_runners = 0;	  // Done messages that tell of one
@@ -306,6 +313,22 @@
 		return m;
 	}
 
+	static std::string text(const ProtobufCBinaryData &b)
+	{
+		return std::string((char *)b.data, b.len);
+	}
+	void note_streams(const Dispatch__Msg *msg)
+	{
+		if (msg->body_case == DISPATCH__MSG__BODY_STARTED &&
+		    msg->started->stream)
+			told_streams[msg->started->stream] =
+				text(msg->started->build);
+		if (msg->body_case != DISPATCH__MSG__BODY_STREAMS)
+			return;
+		for (size_t i = 0; i < msg->streams->n_streams; i++)
+			told_streams[msg->streams->streams[i]] =
+				text(msg->streams->build);
+	}
 	static void on_unresponsive(void *ctx)
 	{
 		GatewayFixture *fixture = (GatewayFixture *)ctx;
@@ -323,6 +346,7 @@
 		    !fixture->asked_us)
 			fixture->asked_us = timer_svc_now(fixture->l.timers);
 
+		fixture->note_streams(msg);
 		if (msg->body_case == DISPATCH__MSG__BODY_DONE) {
 			fixture->done.push_back((int)msg->done->outcome);
 			fixture->leaving_runners += msg->done->leaving;
@@ -336,6 +360,7 @@
 				? std::string((char *)msg->ask->avoid[0].data,
 					      msg->ask->avoid[0].len)
 				: "");
+		fixture->asked_builds.push_back(text(msg->ask->build));
 		fixture->unanswered_ask_ids.push_back(msg->ask->id);
 		timer_svc_arm(fixture->l.timers, &fixture->timer,
 			      timer_svc_now(fixture->l.timers));
@@ -349,7 +374,8 @@
 			size_t n = (size_t)fixture->n_replied_asks++;
 
 			fixture->unanswered_ask_ids.pop_front();
-			if (n < fixture->targets.size())
+			if (n < fixture->targets.size() &&
+			    n < fixture->refuse_from)
 				fixture->grant(id, n);
 			else
 				fixture->refuse(id);
@@ -1092,6 +1118,40 @@
 	EXPECT_EQ(0u, t.received().size());
 }
 
+TEST(Gateway, StreamTakenUpWhereItBeganAsksForItsSoftwareVersion)
+{
+	Target a({{std::string(STREAM_HEAD) + chunk("id: 1\ndata: a\n\n"),
+		   false, true, false}});
+	Target b({{std::string(STREAM_HEAD) + chunk("id: 2\ndata: b\n\n") +
+		   "0\r\n\r\n"}});
+	GatewayFixture fixture({&a, &b}, {"v1", "v1"});
+
+	fixture.refuse_from = 1;
+	EXPECT_TRUE(has(fixture.ask("/resume/x"), "data: a"));
+	fixture.refuse_from = SIZE_MAX;
+	fixture.l.call([&] { fixture.n_replied_asks = 1; });
+	EXPECT_EQ(200, status(fixture.ask("/resume/x", "Last-Event-Id: 1\r\n"
+						       "Resumes: r1\r\n")));
+	EXPECT_EQ((std::vector<std::string>{"", "v1", "v1"}),
+		  fixture.asked_builds);
+}
+
+TEST(Gateway, NewDispatcherIsToldAtWhichVersionsStreamsBegan)
+{
+	Target a({{std::string(STREAM_HEAD) + chunk("id: 1\ndata: a\n\n"),
+		   false, true, false}});
+	GatewayFixture fixture({&a}, {"v7"});
+	uint64_t key = stream_key(STR("r1"));
+
+	fixture.ask("/resume/x");
+	EXPECT_EQ((std::map<uint64_t, std::string>{{key, "v7"}}),
+		  fixture.told_streams);
+	fixture.told_streams.clear();
+	fixture.l.call([&] { gateway_resync_dispatcher(fixture.gateway); });
+	EXPECT_EQ((std::map<uint64_t, std::string>{{key, "v7"}}),
+		  fixture.told_streams);
+}
+
 TEST(Gateway, ErrorOfTheNextTargetIsNoPartOfTheResumedStream)
 {
 	Target a({{std::string(STREAM_HEAD) + chunk("id: 1\ndata: a\n\n"),
