Streams: another daemon keeps copies, for a dispatcher that comes later

A stream whose entry and dispatcher ended together was known to nobody and could not go on. Each daemon copies its new streams, collected for 30 ms, to the live host that comes first in an order of its own; whoever keeps copies tells them to a new dispatcher like its own. Lost now only if entry, keeper and dispatcher end within the time that a caller needs to come back. Cost: some 11 bytes a stream that may be resumed, in at most 33 messages a second a daemon.

Test: StreamsAreCopiedToAnotherDaemonWhichTellsThemToADispatcher.

--- a/proto/dispatch.pb-c.c
+++ b/proto/dispatch.pb-c.c
@@ -1159,7 +1159,7 @@
   (ProtobufCMessageInit) dispatch__started__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dispatch__streams__field_descriptors[3] =
+static const ProtobufCFieldDescriptor dispatch__streams__field_descriptors[4] =
 {
   {
     "build",
@@ -1197,8 +1197,21 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "backup",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dispatch__Streams, backup),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dispatch__streams__field_indices_by_name[] = {
+  3,   /* field[3] = backup */
   0,   /* field[0] = build */
   2,   /* field[2] = keep_us */
   1,   /* field[1] = streams */
@@ -1206,7 +1219,7 @@
 static const ProtobufCIntRange dispatch__streams__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor dispatch__streams__descriptor =
 {
@@ -1216,7 +1229,7 @@
   "Dispatch__Streams",
   "dispatch",
   sizeof(Dispatch__Streams),
-  3,
+  4,
   dispatch__streams__field_descriptors,
   dispatch__streams__field_indices_by_name,
   1,  dispatch__streams__number_ranges,
--- a/proto/dispatch.pb-c.h
+++ b/proto/dispatch.pb-c.h
@@ -194,10 +194,14 @@
    */
   size_t n_keep_us;
   int64_t *keep_us;
+  /*
+   * To another entry, which tells them to the next dispatcher too.
+   */
+  protobuf_c_boolean backup;
 };
 #define DISPATCH__STREAMS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dispatch__streams__descriptor) \
-    , {0,NULL}, 0,NULL, 0,NULL }
+    , {0,NULL}, 0,NULL, 0,NULL, 0 }
 
 
 /*
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -518,12 +518,12 @@
 			(held_us - g->runner->mean_hold_us) / HOLD_TIME_DIV;
 }
 
-static void on_streams(dispatch_t *d, const Dispatch__Streams *m,
-		       int64_t now_us)
+void dispatch_store_streams(stream_builds_t *to, const Dispatch__Streams *m,
+			    int64_t now_us)
 {
 	for (size_t i = 0; i < m->n_streams && i < m->n_keep_us; i++)
-		stream_builds_put(d->streams, m->streams[i], pb_str(m->build),
-				  now_us, now_us + m->keep_us[i]);
+		stream_builds_put(to, m->streams[i], pb_str(m->build), now_us,
+				  now_us + m->keep_us[i]);
 }
 
 static void on_started(dispatch_t *d, const request_key_t *key,
@@ -744,7 +744,7 @@
 		on_uses(d, from, msg->uses, now_us);
 		break;
 	case DISPATCH__MSG__BODY_STREAMS:
-		on_streams(d, msg->streams, now_us);
+		dispatch_store_streams(d->streams, msg->streams, now_us);
 		break;
 	case DISPATCH__MSG__BODY_HELD:
 		key.id = msg->held->id;
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -16,6 +16,7 @@
 #include "dialect.h"
 #include "manifest.h"
 #include "reason.h"
+#include "stream_build.h"
 #include "dispatch.pb-c.h"
 
 #ifdef __cplusplus
@@ -136,6 +137,10 @@
 /* Does what is due; returns when it has to be called again. */
 int64_t dispatch_tick(dispatch_t *d, int64_t now_us);
 
+/* Records the streams that an entry tells of. */
+void dispatch_store_streams(stream_builds_t *to, const Dispatch__Streams *m,
+			    int64_t now_us);
+
 #ifdef __cplusplus
 }
 #endif
--- a/src/dispatch_int.h
+++ b/src/dispatch_int.h
@@ -9,7 +9,6 @@
 #include "dispatch.h"
 #include "pb.h"
 #include "retry_budget.h"
-#include "stream_build.h"
 
 #include <glib.h>
 #include <urcu/list.h>
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -38,7 +38,9 @@
 #define CONNECT_AGAIN_US (150 * USEC_PER_MSEC)
 /* Time before the deadline that is reserved for sending to the target. */
 #define SEND_MARGIN_US (20 * USEC_PER_MSEC)
-/* Streams named in one message to a new dispatcher. */
+/* New streams are collected for so long before their copies are sent. */
+#define BACKUP_DELAY_US (30 * USEC_PER_MSEC)
+/* Streams named in one message. */
 #define STREAMS_PER_MSG_MAX 4096u
 /* A caller that takes a stream up may be so late after its deadline. */
 #define STREAM_KEEP_MARGIN_US (1 * USEC_PER_SEC)
@@ -239,6 +241,17 @@
 	       gateway_now(r->gw);
 }
 
+/* Has the stream copied to another daemon, together with others of that time. */
+static void back_up_stream(request_t *r, int64_t now, int64_t keep_us)
+{
+	gateway_t *g = r->gw;
+
+	stream_builds_put(g->new_streams, r->stream_key, r->stream_build, now,
+			  now + keep_us);
+	timer_svc_arm_earlier(loop_timers(g->loop), &g->backup_timer,
+			      now + BACKUP_DELAY_US);
+}
+
 /*
  * Records the software version of a stream whose body begins. From here on it stays
  * that version, whether or not an event has come. Returns how long the stream may be
@@ -257,6 +270,7 @@
 		return 0;
 	stream_builds_put(r->gw->streams, r->stream_key, r->stream_build, now,
 			  now + keep_us);
+	back_up_stream(r, now, keep_us);
 	return keep_us;
 }
 
@@ -661,6 +675,7 @@
 /* Streams of one software version, collected for a message. */
 typedef struct stream_list {
 	gateway_t *gw;
+	bool backup; /* for the daemon that keeps copies, not the dispatcher */
 	str_t build;
 	GArray *keys;	 /* uint64_t */
 	GArray *keep_us; /* int64_t */
@@ -680,7 +695,11 @@
 	pb.n_keep_us = l->keep_us->len;
 	msg.body_case = DISPATCH__MSG__BODY_STREAMS;
 	msg.streams = &pb;
-	l->gw->ops.send(l->gw->ctx, &msg);
+	pb.backup = l->backup;
+	if (l->backup)
+		l->gw->ops.send_backup(l->gw->ctx, &msg);
+	else
+		l->gw->ops.send(l->gw->ctx, &msg);
 	g_array_set_size(l->keys, 0);
 	g_array_set_size(l->keep_us, 0);
 }
@@ -697,26 +716,42 @@
 	g_array_append_val(l->keep_us, keep_us);
 }
 
-/* Tells a dispatcher that may not know it at which versions streams began. */
-static void send_streams(gateway_t *g)
+/* Tells at which software versions streams began. */
+static void send_streams(gateway_t *g, const stream_builds_t *streams,
+			 bool backup)
 {
 	stream_list_t l = {
 		.gw = g,
+		.backup = backup,
 		.keys = g_array_new(FALSE, FALSE, sizeof(uint64_t)),
 		.keep_us = g_array_new(FALSE, FALSE, sizeof(int64_t)),
 	};
 
-	stream_builds_each(g->streams, gateway_now(g), add_stream, &l);
+	stream_builds_each(streams, gateway_now(g), add_stream, &l);
 	send_streams_of_build(&l);
 	g_array_free(l.keys, TRUE);
 	g_array_free(l.keep_us, TRUE);
 }
 
+static void on_backup_timer(void *ctx, int64_t now)
+{
+	gateway_t *g = ctx;
+
+	(void)now;
+	send_streams(g, g->new_streams, true);
+	stream_builds_clear(g->new_streams);
+}
+
+void gateway_keep_streams(gateway_t *g, const Dispatch__Streams *m)
+{
+	dispatch_store_streams(g->streams, m, gateway_now(g));
+}
+
 void gateway_resync_dispatcher(gateway_t *g)
 {
 	request_t *r;
 
-	send_streams(g);
+	send_streams(g, g->streams, false);
 	send_uses(g);
 	cds_list_for_each_entry (r, &g->requests, node) {
 		if (r->state == REQUEST_AWAITING_GRANT) {
@@ -1014,6 +1049,8 @@
 	g->ctx = ctx;
 	g->holdoff = holdoff_new();
 	g->streams = stream_builds_new();
+	g->new_streams = stream_builds_new();
+	timer_sub_init(&g->backup_timer, on_backup_timer, g);
 	g->limits.head_max = HEAD_MAX;
 	g->limits.head_timeout_us = HEAD_TIMEOUT_US;
 	g->limits.idle_timeout_us = IDLE_TIMEOUT_US;
@@ -1044,7 +1081,9 @@
 	http1_unlisten(g->listener);
 	manifest_unref(g->manifest);
 	holdoff_free(g->holdoff);
+	timer_svc_cancel(loop_timers(g->loop), &g->backup_timer);
 	stream_builds_free(g->streams);
+	stream_builds_free(g->new_streams);
 	str_free(&g->zone);
 	free(g);
 }
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -22,6 +22,8 @@
 typedef struct gateway_ops {
 	/* Sends to the dispatcher; the message is lost where there is none. */
 	void (*send)(void *ctx, const Dispatch__Msg *msg);
+	/* Sends to the daemon that keeps copies for this one, if there is any. */
+	void (*send_backup)(void *ctx, const Dispatch__Msg *msg);
 	/* The dispatcher did not reply in time. */
 	void (*dispatcher_unresponsive)(void *ctx);
 	/* Why new requests are refused; REASON_NONE: they are accepted. */
@@ -50,6 +52,8 @@
 void gateway_set_manifest(gateway_t *g, manifest_t *m);
 /* Handles a message of the dispatcher. */
 void gateway_recv(gateway_t *g, const Dispatch__Msg *msg);
+/* Keeps copies of streams that another daemon has relayed. */
+void gateway_keep_streams(gateway_t *g, const Dispatch__Streams *m);
 /*
  * To be called when the dispatcher has changed or messages may have been lost:
  * asks again for each request that awaits a grant, and reports the places in
--- a/src/gateway_int.h
+++ b/src/gateway_int.h
@@ -8,7 +8,6 @@
 
 #include "gateway.h"
 #include "holdoff.h"
-#include "stream_build.h"
 
 /*
  * Most places that one request asks the dispatcher for, including those at
@@ -158,7 +157,11 @@
 	manifest_t *manifest; /* in force; NULL: none yet */
 	/* Runners that asked this host for no requests. */
 	holdoff_t *holdoff;
-	stream_builds_t *streams; /* that this host has relayed */
+	/* That this host has relayed, or keeps copies of for others. */
+	stream_builds_t *streams;
+	/* Relayed since the last message to the daemon that keeps copies. */
+	stream_builds_t *new_streams;
+	timer_sub_t backup_timer;
 	struct cds_list_head requests;
 	size_t n_requests;
 	/* Callers that connected while this host starts; not read yet. */
--- a/src/site.c
+++ b/src/site.c
@@ -326,6 +326,9 @@
 	if (msg->body_case == DISPATCH__MSG__BODY_PONG) {
 		if (site_now(s) - msg->pong->sent_us <= PING_ROUND_TRIP_MAX_US)
 			end_isolated(s);
+	} else if (msg->body_case == DISPATCH__MSG__BODY_STREAMS &&
+		   msg->streams->backup) {
+		gateway_keep_streams(s->gateway, msg->streams);
 	} else if (is_for_gateway(msg)) {
 		gateway_recv(s->gateway, msg);
 	} else if (from == s->self && dispatch_active(s->isolated_dispatch)) {
@@ -392,6 +395,37 @@
 		send_message(s, s->lease_status.leader, msg);
 }
 
+/*
+ * The live host, other than this one and the dispatcher, that comes first in an
+ * order of this host's own; 0: there is none.
+ */
+static host_id_t backup_host(const site_t *s)
+{
+	const lease_status_t *st = &s->lease_status;
+	uint64_t highest = 0;
+	host_id_t best = 0;
+
+	for (size_t i = 0; i < st->n_live; i++) {
+		host_id_t host = st->live[i];
+		uint64_t rank = hash_bytes(&host, sizeof(host), s->self);
+
+		if (host == s->self || host == st->leader || rank < highest)
+			continue;
+		highest = rank;
+		best = host;
+	}
+	return best;
+}
+
+static void send_to_backup(void *ctx, const Dispatch__Msg *msg)
+{
+	site_t *s = ctx;
+	host_id_t to = backup_host(s);
+
+	if (to)
+		send_message(s, to, msg);
+}
+
 static void send_to_entry(void *ctx, host_id_t to, const Dispatch__Msg *msg)
 {
 	send_message(ctx, to, msg);
@@ -588,10 +622,9 @@
 
 static int create_serving(site_t *s)
 {
-	static const gateway_ops_t gateway_ops = {send_to_dispatcher,
-						  begin_isolated,
-						  refusal_reason, is_starting,
-						  is_draining};
+	static const gateway_ops_t gateway_ops = {
+		send_to_dispatcher, send_to_backup, begin_isolated,
+		refusal_reason,	    is_starting,    is_draining};
 	static const dispatch_ops_t dispatch_ops = {
 		send_to_entry, site_send_order, site_request_report};
 	const dispatch_cfg_t cfg = {
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -8,6 +8,7 @@
 #include <fstream>
 #include <map>
 #include <mutex>
+#include <set>
 #include <vector>
 
 #include "gateway.h"
@@ -198,7 +199,9 @@
 		this->builds.resize(targets.size(), "v1");
 
 		static const gateway_ops_t ops = {
-			on_send, on_unresponsive,
+			on_send,
+			on_send_backup,
+			on_unresponsive,
 			[](void *ctx) -> reason_t {
 				return ((GatewayFixture *)ctx)->refusal;
 			},
@@ -265,7 +268,8 @@
 	std::vector<std::string> asked_builds; // that each Ask needs
 	// Streams that the dispatcher was told of, and their software versions.
 	std::map<uint64_t, std::string> told_streams;
-	bool reset = false; // the last ask() ended by a TCP reset
+	std::set<uint64_t> backed_up; // streams copied to another daemon
+	bool reset = false;	      // the last ask() ended by a TCP reset
 	std::atomic<int> n_replied_asks{0};
 	std::vector<std::string> avoided; // of each Ask; its first runner
 	size_t leaving_runners = 0;	  // Done messages that tell of one
@@ -337,6 +341,14 @@
 			fixture->unresponsive_us =
 				timer_svc_now(fixture->l.timers);
 	}
+	static void on_send_backup(void *ctx, const Dispatch__Msg *msg)
+	{
+		GatewayFixture *fixture = (GatewayFixture *)ctx;
+
+		EXPECT_TRUE(msg->streams->backup);
+		for (size_t i = 0; i < msg->streams->n_streams; i++)
+			fixture->backed_up.insert(msg->streams->streams[i]);
+	}
 	// The dispatcher replies in a later turn of the loop.
 	static void on_send(void *ctx, const Dispatch__Msg *msg)
 	{
@@ -1152,6 +1164,40 @@
 		  fixture.told_streams);
 }
 
+TEST(Gateway, StreamsAreCopiedToAnotherDaemonWhichTellsThemToADispatcher)
+{
+	Target a({{std::string(STREAM_HEAD) + chunk("id: 1\ndata: a\n\n"),
+		   false, true, false}});
+	GatewayFixture fixture({&a}, {"v7"});
+	uint64_t own = stream_key(STR("r1"));
+	uint64_t copy = 4711;
+	int64_t keep_us = USEC_PER_SEC;
+	Dispatch__Streams m = DISPATCH__STREAMS__INIT;
+
+	fixture.ask("/resume/x");
+	for (int i = 0; i < 200; i++) {
+		size_t n = 0;
+
+		fixture.l.call([&] { n = fixture.backed_up.size(); });
+		if (n)
+			break;
+		usleep(5000);
+	}
+	EXPECT_EQ(std::set<uint64_t>{own}, fixture.backed_up);
+	m.build = {2, (uint8_t *)"v8"};
+	m.n_streams = 1;
+	m.streams = &copy;
+	m.n_keep_us = 1;
+	m.keep_us = &keep_us;
+	fixture.told_streams.clear();
+	fixture.l.call([&] {
+		gateway_keep_streams(fixture.gateway, &m);
+		gateway_resync_dispatcher(fixture.gateway);
+	});
+	EXPECT_EQ((std::map<uint64_t, std::string>{{own, "v7"}, {copy, "v8"}}),
+		  fixture.told_streams);
+}
+
 TEST(Gateway, ErrorOfTheNextTargetIsNoPartOfTheResumedStream)
 {
 	Target a({{std::string(STREAM_HEAD) + chunk("id: 1\ndata: a\n\n"),
