Streams: one that is taken up goes to the service that began it

The service of a stream follows from the id of the request that began it, and the key of its record from both: after a manifest that moves the route, the stream is not known and not sent on.

--- a/src/gateway.c
+++ b/src/gateway.c
@@ -797,21 +797,42 @@
 	return g->rng_state;
 }
 
+/* Id of the request that brings, or brought, the first event of its stream. */
+static str_t stream_id(const request_info_t *info)
+{
+	return info->resumes ? info->resumed_stream : info->id;
+}
+
 /* Notes which stream the request begins or takes up, and where that began. */
 static void note_stream(request_t *r)
 {
-	str_t id = r->info.resumes ? r->info.resumed_stream : r->info.id;
+	str_t id = stream_id(&r->info);
 
 	if (r->route->kind != ROUTE_STREAMING || !id.n)
 		return;
 	if (!r->route->resumable && !r->info.resumes)
 		return;
-	r->stream_key = stream_key(id);
+	r->stream_key = stream_key(r->service->name, id);
 	if (r->info.resumes)
 		r->stream_build = str_copy(stream_builds_find(
 			r->gw->streams, r->stream_key, gateway_now(r->gw)));
 }
 
+/*
+ * The service that the request goes to. Of a split route, a stream that is taken up
+ * goes to the service that began it.
+ */
+static const service_t *pick_service(gateway_t *g, const route_t *route,
+				     const request_info_t *info)
+{
+	str_t id = stream_id(info);
+	uint64_t number = route->kind == ROUTE_STREAMING && id.n
+				  ? hash_bytes(id.p, id.n, 0)
+				  : next_random(g);
+
+	return &g->manifest->services[route_pick_share(route, number)->index];
+}
+
 static request_t *request_new(caller_t *c, const http1_head_t *h,
 			      const request_info_t *info, const route_t *route)
 {
@@ -823,9 +844,7 @@
 	r->caller = c;
 	r->manifest = manifest_ref(g->manifest);
 	r->route = route;
-	r->service =
-		&r->manifest->services[route_pick_share(route, next_random(g))
-					       ->index];
+	r->service = pick_service(g, route, info);
 	r->info = *info;
 	copy_head_texts(r, h);
 	relay_copy_fields(&r->forwarded_fields, h, dialect_drops_field);
--- a/src/stream_build.c
+++ b/src/stream_build.c
@@ -53,9 +53,11 @@
 	g_hash_table_remove_all(b->streams);
 }
 
-uint64_t stream_key(str_t request_id)
+uint64_t stream_key(str_t service, str_t request_id)
 {
-	return hash_bytes(request_id.p, request_id.n, 0) | 1;
+	uint64_t seed = hash_bytes(service.p, service.n, 0);
+
+	return hash_bytes(request_id.p, request_id.n, seed) | 1;
 }
 
 static gboolean is_expired(gpointer key, gpointer value, gpointer now_us)
--- a/src/stream_build.h
+++ b/src/stream_build.h
@@ -23,10 +23,10 @@
 void stream_builds_clear(stream_builds_t *b);
 
 /*
- * Key of a stream, from the id of the request that brought its first event. Never
- * 0; 0 stands for no stream where a key is stored.
+ * Key of a stream, from the service that writes it and the id of the request that
+ * brought its first event. Never 0; 0 stands for no stream where a key is stored.
  */
-uint64_t stream_key(str_t request_id);
+uint64_t stream_key(str_t service, str_t request_id);
 
 /*
  * Records that build began the stream, until until_us. The last record of a key
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -232,15 +232,15 @@
 
 	// Sends a POST request as a caller; returns all bytes that come back.
 	std::string ask(const std::string &path, const std::string &fields = "",
-			const std::string &body = "")
+			const std::string &body = "",
+			const std::string &id = "r1")
 	{
 		Client c(port);
 
-		c.send("POST " + path +
-		       " HTTP/1.1\r\nHost: x\r\nRequest-Id: r1\r\n"
-		       "Connection: close\r\n" +
-		       fields + "Content-Length: " +
-		       std::to_string(body.size()) + "\r\n\r\n" + body);
+		c.send("POST " + path + " HTTP/1.1\r\nHost: x\r\nRequest-Id: " +
+		       id + "\r\nConnection: close\r\n" + fields +
+		       "Content-Length: " + std::to_string(body.size()) +
+		       "\r\n\r\n" + body);
 		std::string got = c.read_all();
 
 		reset = c.reset;
@@ -266,6 +266,7 @@
 	// Asks from this one on are refused.
 	std::atomic<size_t> refuse_from{SIZE_MAX};
 	std::vector<std::string> asked_builds; // that each Ask needs
+	std::vector<std::string> asked_services;
 	// Streams that the dispatcher was told of, and their software versions.
 	std::map<uint64_t, std::string> told_streams;
 	std::set<uint64_t> backed_up; // streams copied to another daemon
@@ -279,6 +280,14 @@
 	std::atomic<int64_t> unresponsive_us{0};
 
       private:
+	static void add_share(route_t *r, const char *service)
+	{
+		route_share_t *share = route_add_share(r);
+
+		share->service = str_copy(str_c(service));
+		share->weight = 1;
+	}
+	// The last route is split between two services.
 	static manifest_t *make_manifest()
 	{
 		static const struct {
@@ -292,6 +301,7 @@
 			{"/again/", ROUTE_IDEMPOTENT, false, 2},
 			{"/stream/", ROUTE_STREAMING, false, 1},
 			{"/resume/", ROUTE_STREAMING, true, 2},
+			{"/split/", ROUTE_STREAMING, true, 2},
 		};
 		manifest_t *m = manifest_new();
 		service_t *s = manifest_add_service(m);
@@ -300,8 +310,6 @@
 		s->name = str_copy(STR("app"));
 		for (auto &row : routes) {
 			route_t *r = manifest_add_route(m);
-			route_share_t *share = route_add_share(r);
-
 			r->name = str_copy(str_c(row.prefix));
 			r->host = str_copy(STR("x"));
 			r->prefix = str_copy(str_c(row.prefix));
@@ -310,9 +318,11 @@
 			r->attempts = row.attempts;
 			r->timeout_us = 1500 * USEC_PER_MSEC;
 			r->target_us = 150 * USEC_PER_MSEC;
-			share->service = str_copy(STR("app"));
-			share->weight = 1;
+			add_share(r, "app");
 		}
+		s = manifest_add_service(m);
+		s->name = str_copy(STR("app-2"));
+		add_share(&m->routes[m->n_routes - 1], "app-2");
 		EXPECT_EQ(0, manifest_compile(m, &error));
 		return m;
 	}
@@ -373,6 +383,7 @@
 					      msg->ask->avoid[0].len)
 				: "");
 		fixture->asked_builds.push_back(text(msg->ask->build));
+		fixture->asked_services.push_back(text(msg->ask->service));
 		fixture->unanswered_ask_ids.push_back(msg->ask->id);
 		timer_svc_arm(fixture->l.timers, &fixture->timer,
 			      timer_svc_now(fixture->l.timers));
@@ -1148,12 +1159,33 @@
 		  fixture.asked_builds);
 }
 
+TEST(Gateway, StreamTakenUpGoesToTheServiceThatBeganIt)
+{
+	GatewayFixture fixture({});
+
+	for (int i = 0; i < 20; i++) {
+		std::string id = "s" + std::to_string(i);
+
+		fixture.ask("/split/x", "", "", id);
+		fixture.ask("/split/x",
+			    "Last-Event-Id: 1\r\nResumes: " + id + "\r\n");
+	}
+	ASSERT_EQ(40u, fixture.asked_services.size());
+	std::set<std::string> services;
+	for (size_t i = 0; i < 40; i += 2) {
+		EXPECT_EQ(fixture.asked_services[i],
+			  fixture.asked_services[i + 1]);
+		services.insert(fixture.asked_services[i]);
+	}
+	EXPECT_EQ(2u, services.size());
+}
+
 TEST(Gateway, NewDispatcherIsToldAtWhichVersionsStreamsBegan)
 {
 	Target a({{std::string(STREAM_HEAD) + chunk("id: 1\ndata: a\n\n"),
 		   false, true, false}});
 	GatewayFixture fixture({&a}, {"v7"});
-	uint64_t key = stream_key(STR("r1"));
+	uint64_t key = stream_key(STR("app"), STR("r1"));
 
 	fixture.ask("/resume/x");
 	EXPECT_EQ((std::map<uint64_t, std::string>{{key, "v7"}}),
@@ -1169,7 +1201,7 @@
 	Target a({{std::string(STREAM_HEAD) + chunk("id: 1\ndata: a\n\n"),
 		   false, true, false}});
 	GatewayFixture fixture({&a}, {"v7"});
-	uint64_t own = stream_key(STR("r1"));
+	uint64_t own = stream_key(STR("app"), STR("r1"));
 	uint64_t copy = 4711;
 	int64_t keep_us = USEC_PER_SEC;
 	Dispatch__Streams m = DISPATCH__STREAMS__INIT;
