Streams: decided software versions let any stream go on while there is one

Change: the versions that the targets of each service have are a decided document. The leader proposes what the list shows; a stream that may be resumed begins at a version only once that is decided (it waits a few ms for a new one), so where one version of a service is decided, every stream of it began there. A leader under its lease takes up any stream then, named or not; without a lease, or isolated, it does not. A version that no runner has shown for ten minutes is dropped.

Tests: 3 of dispatch_test, 1 of base_test.

--- a/proto/dispatch.pb-c.c
+++ b/proto/dispatch.pb-c.c
@@ -643,7 +643,7 @@
   (ProtobufCMessageInit) dispatch__prompt_part__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dispatch__ask__field_descriptors[16] =
+static const ProtobufCFieldDescriptor dispatch__ask__field_descriptors[18] =
 {
   {
     "id",
@@ -837,10 +837,35 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "takes_up",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dispatch__Ask, takes_up),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "begins_stream",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dispatch__Ask, begins_stream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dispatch__ask__field_indices_by_name[] = {
   3,   /* field[3] = adapter */
   10,   /* field[10] = avoid */
+  17,   /* field[17] = begins_stream */
   15,   /* field[15] = build */
   0,   /* field[0] = id */
   8,   /* field[8] = left_us */
@@ -851,6 +876,7 @@
   13,   /* field[13] = request */
   1,   /* field[1] = service */
   14,   /* field[14] = stream */
+  16,   /* field[16] = takes_up */
   7,   /* field[7] = target_us */
   4,   /* field[4] = tokens_in */
   5,   /* field[5] = tokens_out */
@@ -859,7 +885,7 @@
 static const ProtobufCIntRange dispatch__ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor dispatch__ask__descriptor =
 {
@@ -869,7 +895,7 @@
   "Dispatch__Ask",
   "dispatch",
   sizeof(Dispatch__Ask),
-  16,
+  18,
   dispatch__ask__field_descriptors,
   dispatch__ask__field_indices_by_name,
   1,  dispatch__ask__number_ranges,
--- a/proto/dispatch.pb-c.h
+++ b/proto/dispatch.pb-c.h
@@ -90,18 +90,26 @@
    */
   ProtobufCBinaryData request;
   /*
-   * Key of the stream that the request takes up, whose software version the
-   * dispatcher has to know; 0: none, or build says it.
+   * Key of the stream that the request takes up; 0: not known, or build says where
+   * it began.
    */
   uint64_t stream;
   /*
    * only runners with this software version; empty: any
    */
   ProtobufCBinaryData build;
+  /*
+   * goes on with a stream, also where stream is not known
+   */
+  protobuf_c_boolean takes_up;
+  /*
+   * that may be taken up again
+   */
+  protobuf_c_boolean begins_stream;
 };
 #define DISPATCH__ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dispatch__ask__descriptor) \
-    , 0, {0,NULL}, {0,NULL}, {0,NULL}, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, {0,NULL}, {0,NULL}, 0, {0,NULL} }
+    , 0, {0,NULL}, {0,NULL}, {0,NULL}, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, {0,NULL}, {0,NULL}, 0, {0,NULL}, 0, 0 }
 
 
 struct  Dispatch__Grant
--- a/src/choice.c
+++ b/src/choice.c
@@ -451,6 +451,8 @@
 	bool any_candidate; /* some runner of the service may be used */
 	/* Some runner has the needed software version, and does not leave. */
 	bool any_of_build;
+	/* Some runner may be used once its software version is decided. */
+	bool any_undecided;
 	uint64_t n_offers; /* computed so far */
 } search_t;
 
@@ -465,6 +467,10 @@
 	best->any_of_build |= has_build(r, q->ask) && !runner_is_leaving(r);
 	if (!is_candidate(best->s, r, q->ask, now_us))
 		return;
+	if (q->ask->begins_stream && !r->build_decided) {
+		best->any_undecided = true;
+		return;
+	}
 	best->any_candidate = true;
 	if (best->runner && !holds && least_load_cost(r, q) >= best->offer.cost)
 		return;
@@ -558,8 +564,11 @@
 		choice.retry_us = 0;
 	}
 	choice.runner = best.runner;
-	if (!choice.runner)
+	if (!choice.runner) {
+		choice.awaits_decision =
+			best.any_undecided && d->mode == DISPATCH_LEADER;
 		return choice;
+	}
 	choice.reason = REASON_NONE;
 	choice.first_event_us = best.offer.first_event_us;
 	choice.grant_in_us = best.offer.grant_in_us;
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -46,6 +46,13 @@
  * stream wait until then.
  */
 #define STREAMS_SETTLE_US (1 * USEC_PER_SEC)
+/*
+ * A software version that no runner has shown for so long has no stream that a
+ * caller may still take up.
+ */
+#define BUILD_FORGET_US (600 * USEC_PER_SEC)
+/* A proposal of software versions without effect is made again after this time. */
+#define BUILDS_PROPOSE_AGAIN_US (300 * USEC_PER_MSEC)
 /* Delay that a refused caller is told to wait before it comes back. */
 #define REFUSAL_RETRY_US (1 * USEC_PER_SEC)
 
@@ -93,6 +100,8 @@
 	CDS_INIT_LIST_HEAD(&d->pending);
 	CDS_INIT_LIST_HEAD(&d->early_held);
 	d->streams = stream_builds_new();
+	d->decided_builds = build_set_new();
+	d->seen_builds = build_set_new();
 	retry_budgets_init(&d->budgets, cfg->retry_ratio, cfg->retry_slack,
 			   cfg->retry_window_us);
 	return d;
@@ -250,7 +259,7 @@
 	g->granted_us = now_us;
 	g->expected_first_event_us = first_event_us;
 	g->deadline_us = now_us + ask->left_us;
-	g->for_stream = ask->stream != 0;
+	g->for_stream = ask->takes_up;
 	r->pending_prefill_tokens += g->prefill_tokens;
 	r->reserved_tokens += g->tokens;
 	choice_record_grant(r, g->prefill_tokens, now_us);
@@ -336,6 +345,22 @@
 	return c && c->state == COPY_READY;
 }
 
+/*
+ * The software version that began the stream which a request takes up: as an entry
+ * told, or the only one that can have begun any; empty: not known.
+ */
+static str_t build_of_stream(const dispatch_t *d, const Dispatch__Ask *a,
+			     int64_t now_us)
+{
+	str_t build = stream_builds_find(d->streams, a->stream, now_us);
+
+	/* Under a lease, no other dispatcher has let another version begin one. */
+	if (!build.n && d->mode == DISPATCH_LEADER &&
+	    now_us < d->lease_until_us)
+		build = build_set_only(d->decided_builds, pb_str(a->service));
+	return build;
+}
+
 /*
  * Sets the software version that a request needs which takes up a stream. False: it
  * is not known; the request was refused, or waits for an entry to tell.
@@ -346,15 +371,15 @@
 	Dispatch__Ask *a = req->msg->ask;
 	str_t build;
 
-	if (!a->stream || a->build.len)
+	if (!a->takes_up || a->build.len)
 		return true;
-	build = stream_builds_find(d->streams, a->stream, now_us);
+	build = build_of_stream(d, a, now_us);
 	if (build.n) {
 		a->build.data = (uint8_t *)str_dup(build);
 		a->build.len = build.n;
 		return true;
 	}
-	if (now_us - d->began_us >= STREAMS_SETTLE_US)
+	if (!a->stream || now_us - d->began_us >= STREAMS_SETTLE_US)
 		pending_refuse(d, req, REASON_STREAM_UNKNOWN,
 			       d->mode == DISPATCH_LEADER ? 0
 							  : REFUSAL_RETRY_US);
@@ -375,6 +400,8 @@
 	leave_queue(req);
 	choice = choose_runner(d, a, now_us - req->received_us,
 			       req->load_waited_us, now_us);
+	if (!choice.runner && choice.awaits_decision)
+		return; /* decided again at decide_due_us */
 	if (!choice.runner) {
 		pending_refuse(d, req, choice.reason, choice.retry_us);
 		return;
@@ -796,12 +823,44 @@
 	}
 }
 
+static str_t decided_builds_body(const dispatch_t *d)
+{
+	const doc_t *doc =
+		d->tables ? decided_doc_by_name(d->tables, STR(DOC_BUILDS))
+			  : NULL;
+
+	return doc ? doc->body : str_n(NULL, 0);
+}
+
+/*
+ * Proposes the versions that the list shows, or showed lately. Before a version is
+ * decided no stream that may be resumed begins there.
+ */
+static void propose_builds(dispatch_t *d, const runner_list_t *l,
+			   int64_t now_us)
+{
+	AUTO_BUF buf_t body = {0};
+
+	for (size_t i = 0; i < l->n; i++)
+		build_set_add(d->seen_builds, l->rows[i].service,
+			      l->rows[i].build, now_us);
+	build_set_forget(d->seen_builds, now_us - BUILD_FORGET_US);
+	if (build_set_equal(d->seen_builds, d->decided_builds) ||
+	    now_us - d->builds_proposed_us < BUILDS_PROPOSE_AGAIN_US)
+		return;
+	d->builds_proposed_us = now_us;
+	build_set_write(d->seen_builds, &body);
+	d->ops.propose_builds(d->ctx, buf_str(&body));
+}
+
 void dispatch_set_tables(dispatch_t *d, manifest_t *m, const decided_t *tables)
 {
 	manifest_unref(d->manifest);
 	d->manifest = manifest_ref(m);
 	decided_unref(d->tables);
 	d->tables = decided_ref(tables);
+	build_set_read(d->decided_builds, decided_builds_body(d), 0);
+	fleet_apply_builds(d);
 	index_adapter_versions(d);
 	if (d->store_concurrency < store_initial_concurrency(d))
 		d->store_concurrency = store_initial_concurrency(d);
@@ -812,6 +871,9 @@
 	if (!d->active)
 		return;
 	fleet_apply_list(d, l, now_us);
+	fleet_apply_builds(d);
+	if (d->mode == DISPATCH_LEADER)
+		propose_builds(d, l, now_us);
 	d->list_known = true;
 	add_early_held(d);
 	d->decide_due_us = now_us;
@@ -875,6 +937,9 @@
 	d->orders_from_us =
 		orders_settled ? now_us : now_us + d->cfg.takeover_wait_us;
 	d->order_lost_us = INT64_MIN / 2;
+	d->builds_proposed_us = INT64_MIN / 2;
+	/* What was decided may have begun streams until now. */
+	build_set_read(d->seen_builds, decided_builds_body(d), now_us);
 	log_event(LOG_INFO, "dispatch_started", kv_u("term", term),
 		  kv_u("orders_settled", orders_settled));
 }
@@ -946,6 +1011,8 @@
 	g_hash_table_destroy(d->pending_by_key);
 	fleet_free(d);
 	stream_builds_free(d->streams);
+	build_set_free(d->decided_builds);
+	build_set_free(d->seen_builds);
 	g_hash_table_destroy(d->adapter_versions);
 	manifest_unref(d->manifest);
 	decided_unref(d->tables);
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -55,6 +55,9 @@
 	ORDER_NO_ANSWER, /* the order may be carried out, now or later */
 } order_result_t;
 
+/* Name of the decided document with the software versions of the runners. */
+#define DOC_BUILDS "builds"
+
 typedef struct dispatch_ops {
 	/* Sends a message to an entry. */
 	void (*send)(void *ctx, host_id_t to, const Dispatch__Msg *msg);
@@ -63,6 +66,8 @@
 		      const runner_order_t *o);
 	/* Requests a report; it comes by dispatch_runner_report(). */
 	void (*request_report)(void *ctx, str_t runner, str_t addr);
+	/* Proposes a new body of DOC_BUILDS. */
+	void (*propose_builds)(void *ctx, str_t body);
 } dispatch_ops_t;
 
 typedef struct dispatch_cfg {
--- a/src/dispatch_int.h
+++ b/src/dispatch_int.h
@@ -6,6 +6,7 @@
 #ifndef DK_DISPATCH_INT_H
 #define DK_DISPATCH_INT_H
 
+#include "build_set.h"
 #include "dispatch.h"
 #include "pb.h"
 #include "retry_budget.h"
@@ -98,8 +99,9 @@
 	str_t addr;
 	str_t zone;
 	uint64_t start_time_ms; /* start time of its process; 0: unknown */
-	str_t build;   /* owned: version of its software; empty: unknown */
-	bool draining; /* the runner list says so */
+	str_t build;	    /* owned: version of its software; empty: unknown */
+	bool build_decided; /* streams that may be resumed can begin there */
+	bool draining;	    /* the runner list says so */
 	/* It said itself that it shuts down, which the list shows later. */
 	bool said_leaving;
 	bool listed; /* seen in the runner list that is being applied */
@@ -276,7 +278,11 @@
 	int64_t orders_due_us;
 	int64_t sweep_due_us;
 	retry_budgets_t budgets;
-	stream_builds_t *streams;     /* of all entries, as far as they told */
+	stream_builds_t *streams; /* of all entries, as far as they told */
+	build_set_t *decided_builds;
+	/* Seen in the list, or decided, within BUILD_FORGET_US. */
+	build_set_t *seen_builds;
+	int64_t builds_proposed_us;   /* when seen_builds was last proposed */
 	GHashTable *pending_by_key;   /* request_key_t -> pending_request_t */
 	GHashTable *grants;	      /* request_key_t -> grant_t */
 	GHashTable *adapter_versions; /* copy_key() -> decided version */
@@ -291,6 +297,8 @@
 service_fleet_t *fleet_of_service(const dispatch_t *d, str_t service);
 /* All copies with this copy_key(); NULL: none. */
 const copy_set_t *fleet_copies(const dispatch_t *d, uint64_t key);
+/* Updates build_decided of all runners. */
+void fleet_apply_builds(dispatch_t *d);
 void fleet_apply_list(dispatch_t *d, const runner_list_t *l, int64_t now_us);
 void fleet_apply_report(dispatch_t *d, runner_t *r, const runner_info_t *info,
 			int64_t now_us);
@@ -387,6 +395,8 @@
 	int64_t prefill_us;	/* the part of it until the prefill ends */
 	int64_t grant_in_us;	/* until a place may be granted; 0: now */
 	bool needs_load;	/* the adapter has to be loaded there first */
+	/* No runner, as software versions of some are not decided yet. */
+	bool awaits_decision;
 } choice_t;
 
 /*
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -610,6 +610,15 @@
 	apply_holdings(d, r, info, true, now_us);
 }
 
+void fleet_apply_builds(dispatch_t *d)
+{
+	runner_t *r;
+
+	cds_list_for_each_entry (r, &d->runners, node)
+		r->build_decided =
+			build_set_has(d->decided_builds, r->service, r->build);
+}
+
 void fleet_apply_list(dispatch_t *d, const runner_list_t *l, int64_t now_us)
 {
 	runner_t *r, *tmp;
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -172,7 +172,9 @@
 	pb.zone = pb_bytes(r->gw->zone);
 	pb.request = pb_bytes(r->info.id);
 	pb.build = pb_bytes(r->stream_build);
-	if (takes_up_stream(r) && !r->stream_build.n)
+	pb.takes_up = takes_up_stream(r);
+	pb.begins_stream = r->stream_key && !pb.takes_up;
+	if (pb.takes_up && !r->stream_build.n)
 		pb.stream = r->stream_key;
 	msg.body_case = DISPATCH__MSG__BODY_ASK;
 	msg.ask = &pb;
@@ -934,22 +936,12 @@
 	buf_put(&r->body, piece.p, piece.n);
 }
 
-/* All of the request was read. */
-static void begin_request(request_t *r)
-{
-	r->state = REQUEST_AWAITING_GRANT;
-	if (takes_up_stream(r) && !r->stream_key)
-		request_refuse(r, REASON_STREAM_UNKNOWN, 0);
-	else
-		ask_for_place(r);
-}
-
 static void on_request_end(void *ctx)
 {
 	caller_t *c = ctx;
 
 	if (c->req)
-		begin_request(c->req);
+		ask_for_place(c->req);
 	else if (c->refused)
 		caller_end_response(c, true);
 }
--- a/src/site.c
+++ b/src/site.c
@@ -426,6 +426,14 @@
 		send_message(s, to, msg);
 }
 
+static void propose_builds(void *ctx, str_t body)
+{
+	site_t *s = ctx;
+	const doc_t *doc = decided_doc_by_name(s->tables, STR(DOC_BUILDS));
+
+	site_propose_doc(s, STR(DOC_BUILDS), doc ? doc->version + 1 : 1, body);
+}
+
 static void send_to_entry(void *ctx, host_id_t to, const Dispatch__Msg *msg)
 {
 	send_message(ctx, to, msg);
@@ -625,8 +633,10 @@
 	static const gateway_ops_t gateway_ops = {
 		send_to_dispatcher, send_to_backup, begin_isolated,
 		refusal_reason,	    is_starting,    is_draining};
-	static const dispatch_ops_t dispatch_ops = {
-		send_to_entry, site_send_order, site_request_report};
+	static const dispatch_ops_t dispatch_ops = {send_to_entry,
+						    site_send_order,
+						    site_request_report,
+						    propose_builds};
 	const dispatch_cfg_t cfg = {
 		.holder = s->settings.host,
 		.takeover_wait_us = s->settings.runners_check_fence
--- a/tests/base_test.cc
+++ b/tests/base_test.cc
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "build_set.h"
 #include "compress.h"
 #include "counter.h"
 #include "holdoff.h"
@@ -323,3 +324,28 @@
 			<< info->name;
 	}
 }
+
+TEST(BuildSet, IsStoredAndComparedWhateverItsOrder)
+{
+	build_set_t *a = build_set_new();
+	build_set_t *b = build_set_new();
+	buf_t body = {};
+
+	build_set_add(a, STR("llm"), STR("v1"), 1);
+	build_set_add(a, STR("app"), STR("v1"), 2);
+	EXPECT_TRUE(str_eq(STR("v1"), build_set_only(a, STR("llm"))));
+	build_set_add(a, STR("llm"), STR("v2"), 3);
+	EXPECT_EQ(0u, build_set_only(a, STR("llm")).n);
+	EXPECT_EQ(0u, build_set_only(a, STR("none")).n);
+	build_set_add(a, STR("llm"), STR("tab\there"), 3);
+	build_set_write(a, &body);
+	build_set_read(b, buf_str(&body), 9);
+	EXPECT_TRUE(build_set_equal(a, b));
+	EXPECT_TRUE(build_set_has(b, STR("llm"), STR("v2")));
+	build_set_forget(a, 3);
+	EXPECT_FALSE(build_set_equal(a, b));
+	EXPECT_FALSE(build_set_has(a, STR("llm"), STR("v1")));
+	buf_free(&body);
+	build_set_free(a);
+	build_set_free(b);
+}
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -694,4 +694,57 @@
 	EXPECT_EQ(REASON_STREAM_UNSERVED, w.requests[id].refusal);
 }
 
+TEST(Dispatch, StreamBeginsOnlyAtADecidedSoftwareVersion)
+{
+	World w(1, {});
+
+	w.run(LIST_ARRIVES_US, 0);
+	EXPECT_EQ("llm\tv1\n", w.proposed_builds);
+	uint64_t id = w.begin_stream();
+
+	w.run(200 * MS, 0);
+	EXPECT_EQ(0, w.requests[id].grants + w.requests[id].refusals);
+	w.decide_builds("llm\tv1\n");
+	w.run(50 * MS, 0);
+	EXPECT_EQ(1, w.requests[id].grants);
+	w.runners[0].build = "v2";
+	w.run(LIST_ARRIVES_US, 0);
+	EXPECT_EQ("llm\tv1\nllm\tv2\n", w.proposed_builds);
+	for (int i = 0; i < 20; i++) {
+		id = w.begin_stream();
+		w.run(20 * MS, 0);
+		EXPECT_EQ(1, w.requests[id].grants);
+		EXPECT_NE("i-0", w.requests[id].runner);
+	}
+}
+
+TEST(Dispatch, AnyStreamIsTakenUpWhereOneSoftwareVersionIsDecided)
+{
+	World w(1, {});
+
+	w.run(LIST_ARRIVES_US, 0);
+	w.decide_builds("llm\tv1\nother\tv5\n");
+	uint64_t one = w.take_up(11);
+
+	w.run(50 * MS, 0);
+	EXPECT_EQ(1, w.requests[one].grants);
+	w.decide_builds("llm\tv1\nllm\tv2\n");
+	uint64_t two = w.take_up(12);
+
+	EXPECT_EQ(REASON_STREAM_UNKNOWN, w.requests[two].refusal);
+}
+
+TEST(Dispatch, WithoutALeaseNoStreamIsTakenUpByDecidedVersionsAlone)
+{
+	World w(1, {});
+
+	w.run(LIST_ARRIVES_US, 0);
+	w.decide_builds("llm\tv1\n");
+	w.lease_renewed = false;
+	w.run(LIST_ARRIVES_US, 0);
+	uint64_t id = w.take_up(11);
+
+	EXPECT_EQ(REASON_STREAM_UNKNOWN, w.requests[id].refusal);
+}
+
 } // namespace
--- a/tests/dispatch_world.h
+++ b/tests/dispatch_world.h
@@ -102,7 +102,8 @@
 	    : faults(f), sizes(sizes), rng(seed)
 	{
 		static const dispatch_ops_t ops = {on_send, on_order,
-						   on_request_report};
+						   on_request_report,
+						   on_propose_builds};
 		dispatch_cfg_t cfg = {STR("host-1"), sizes.takeover_wait_us,
 				      0.2, 64, 10000 * MS};
 
@@ -155,6 +156,8 @@
 		a.left_us = left_us;
 		a.zone = bytes("zone-a");
 		a.stream = stream;
+		a.takes_up = stream != 0;
+		a.begins_stream = begins_stream;
 		msg.body_case = DISPATCH__MSG__BODY_ASK;
 		msg.ask = &a;
 		requests[id] = {now, left_us, adapter};
@@ -163,6 +166,25 @@
 		return id;
 	}
 
+	// The decided software versions: lines of service, tab, version.
+	void decide_builds(const std::string &body)
+	{
+		doc_t doc = {0, STR(DOC_BUILDS), ++builds_version,
+			     str_n(body.data(), body.size())};
+
+		tables = decided_unshare(tables);
+		decided_put_doc(tables, &doc);
+		dispatch_set_tables(d, manifest, tables);
+	}
+	// A new stream that may be taken up again.
+	uint64_t begin_stream()
+	{
+		begins_stream = true;
+		uint64_t id = ask("");
+
+		begins_stream = false;
+		return id;
+	}
 	// A caller takes up the stream with this key.
 	uint64_t take_up(uint64_t stream)
 	{
@@ -261,7 +283,10 @@
 	std::vector<std::string> violations; // of rules for runners
 	size_t served = 0, refused = 0, adapter_misses = 0, loads = 0;
 	size_t report_requests = 0;
-	size_t paused_too_long = 0; // streams with a pause over PAUSE_MAX_US
+	size_t paused_too_long = 0;  // streams with a pause over PAUSE_MAX_US
+	std::string proposed_builds; // the last body of DOC_BUILDS
+	uint64_t builds_version = 0;
+	bool begins_stream = false; // of the next Ask
 	bool lists_arrive = true;
 	bool lease_renewed = true;
 
@@ -383,6 +408,12 @@
 		return info;
 	}
 
+	static void on_propose_builds(void *ctx, str_t body)
+	{
+		World *w = (World *)ctx;
+
+		w->proposed_builds = std::string(body.p ? body.p : "", body.n);
+	}
 	void send_runner_list()
 	{
 		runner_list_t list = {};
