--- a/tests/site_platform.c
+++ b/tests/site_platform.c
@@ -98,7 +98,8 @@
 		buf_printf(
 			&out,
 			"%s{\"id\":\"%s\",\"service\":\"%s\",\"addr\":\"%s\","
-			"\"zone\":\"z1\",\"slots\":8,\"state\":\"ready\",",
+			"\"zone\":\"z1\",\"version\":\"v1\",\"slots\":8,"
+			"\"state\":\"ready\",",
 			i ? "," : "", r->id, r->engine ? "llm" : "app",
 			r->addr);
 		write_models(&out, r);
