--- a/src/gateway.c
+++ b/src/gateway.c
@@ -44,6 +44,8 @@
 #define STREAMS_PER_MSG_MAX 4096u
 /* A caller that takes a stream up may be so late after its deadline. */
 #define STREAM_KEEP_MARGIN_US (1 * USEC_PER_SEC)
+/* No stream is remembered for longer, whatever its caller's deadline. */
+#define STREAM_KEEP_MAX_US (3600 * USEC_PER_SEC)
 /* Limits of callers' connections until a manifest sets them. */
 #define IDLE_TIMEOUT_US (15 * USEC_PER_SEC)
 #define HEAD_TIMEOUT_US (3 * USEC_PER_SEC)
