Upstream: a timeout of a call tells whether the response or the connection is late

Test: TimeoutTellsWhatDidNotArrive, 'connecting timed out' before. The test of the body's bound shares its code; its checks are the same.

--- a/src/http1.h
+++ b/src/http1.h
@@ -60,6 +60,7 @@
 	X(MALFORMED, "malformed message")                      \
 	X(HEAD_TOO_LARGE, "head too large")                    \
 	X(HEAD_TIMEOUT, "head did not arrive in time")         \
+	X(RESPONSE_TIMEOUT, "response did not arrive in time") \
 	X(BODY_TOO_LARGE, "body too large")                    \
 	X(IDLE, "idle")                                        \
 	X(UNEXPECTED_BYTES, "bytes that belong to no message") \
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -237,7 +237,8 @@
 	(void)now;
 	if (c->conn)
 		http1_close(c->conn);
-	call_finish(c, 0, HTTP1_CONNECT_TIMEOUT);
+	call_finish(c, 0,
+		    c->sent ? HTTP1_RESPONSE_TIMEOUT : HTTP1_CONNECT_TIMEOUT);
 }
 
 static void call_connect_failed(void *ctx)
--- a/tests/http1_test.cc
+++ b/tests/http1_test.cc
@@ -389,46 +389,66 @@
 	std::thread thread;
 };
 
+// Makes one call and waits for its end.
+struct CallOnce {
+	CallOnce(uint16_t port, size_t response_max, int64_t timeout_us)
+	{
+		Loop l;
+		upstream_t *u = upstream_new(l.loop);
+		std::string addr = "127.0.0.1:" + std::to_string(port);
+		upstream_request_t req = {};
+
+		req.addr = str_c(addr.c_str());
+		req.target = STR("/x");
+		req.response_max = response_max;
+		req.timeout_us = timeout_us;
+		l.start();
+		l.call([&] { upstream_call(u, &req, on_done, this); });
+		for (int i = 0; i < 1000 && !done; i++)
+			usleep(5000);
+		l.call([&] { upstream_free(u); });
+		l.stop();
+	}
+	static void on_done(void *ctx, const call_result_t *res)
+	{
+		CallOnce *c = (CallOnce *)ctx;
+
+		c->status = res->status;
+		c->bytes = res->body.n;
+		c->end = res->end;
+		c->done = true;
+	}
+	std::atomic<bool> done{false};
+	int status = -1;
+	size_t bytes = 0;
+	http1_close_reason_t end = HTTP1_CLOSED_LOCALLY;
+};
+
 TEST(Upstream, ResponseBodyWithoutEndFailsTheCallAtItsBound)
 {
-	struct Result {
-		std::atomic<bool> done{false};
-		int status = -1;
-		size_t bytes = 0;
-		http1_close_reason_t end = HTTP1_CLOSED_LOCALLY;
-	} result;
 	EndlessServer server;
-	Loop l;
-	upstream_t *u = upstream_new(l.loop);
-	std::string addr = "127.0.0.1:" + std::to_string(server.port);
-	upstream_request_t req = {};
-
-	req.addr = str_c(addr.c_str());
-	req.target = STR("/x");
-	req.response_max = 64u << 10;
-	req.timeout_us = 3 * USEC_PER_SEC;
-	l.start();
-	l.call([&] {
-		upstream_call(
-			u, &req,
-			[](void *ctx, const call_result_t *res) {
-				Result *r = (Result *)ctx;
-
-				r->status = res->status;
-				r->bytes = res->body.n;
-				r->end = res->end;
-				r->done = true;
-			},
-			&result);
-	});
-	for (int i = 0; i < 1000 && !result.done; i++)
-		usleep(5000);
-	EXPECT_TRUE(result.done);
-	EXPECT_EQ(0, result.status);
-	EXPECT_EQ(HTTP1_BODY_TOO_LARGE, result.end);
-	EXPECT_LE(result.bytes, req.response_max);
-	l.call([&] { upstream_free(u); });
-	l.stop();
+	CallOnce call(server.port, 64u << 10, 3 * USEC_PER_SEC);
+
+	EXPECT_TRUE(call.done);
+	EXPECT_EQ(0, call.status);
+	EXPECT_EQ(HTTP1_BODY_TOO_LARGE, call.end);
+	EXPECT_LE(call.bytes, 64u << 10);
+}
+
+TEST(Upstream, TimeoutTellsWhatDidNotArrive)
+{
+	struct sockaddr_in a = loopback_addr();
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	uint16_t port = free_port();
+
+	a.sin_port = htons(port);
+	bind(fd, (struct sockaddr *)&a, sizeof(a));
+	listen(fd, 4); // connects, and never answers
+	CallOnce call(port, 1024, 50 * USEC_PER_MSEC);
+
+	EXPECT_EQ(0, call.status);
+	EXPECT_EQ(HTTP1_RESPONSE_TIMEOUT, call.end);
+	close(fd);
 }
 
 } // namespace
