--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -369,6 +369,7 @@
 			   int64_t now_us)
 {
 	Dispatch__Ask *a = req->msg->ask;
+	bool is_leader = d->mode == DISPATCH_LEADER;
 	str_t build;
 
 	if (!a->takes_up || a->build.len)
@@ -379,10 +380,10 @@
 		a->build.len = build.n;
 		return true;
 	}
-	if (!a->stream || now_us - d->began_us >= STREAMS_SETTLE_US)
+	if (now_us - d->began_us >= STREAMS_SETTLE_US ||
+	    (is_leader && !a->stream))
 		pending_refuse(d, req, REASON_STREAM_UNKNOWN,
-			       d->mode == DISPATCH_LEADER ? 0
-							  : REFUSAL_RETRY_US);
+			       is_leader ? 0 : REFUSAL_RETRY_US);
 	return false;
 }
 
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -240,9 +240,10 @@
 {
 	int64_t wait_us =
 		r->info.left_us >= 0 ? r->info.left_us : r->route->timeout_us;
+	int64_t keep_us = r->arrived_us + wait_us + STREAM_KEEP_MARGIN_US -
+			  gateway_now(r->gw);
 
-	return r->arrived_us + wait_us + STREAM_KEEP_MARGIN_US -
-	       gateway_now(r->gw);
+	return keep_us < STREAM_KEEP_MAX_US ? keep_us : STREAM_KEEP_MAX_US;
 }
 
 /* Has the stream copied to another daemon, together with others of that time. */
