--- a/src/http1.c
+++ b/src/http1.c
@@ -377,8 +377,11 @@
 
 		if (memchr(name.p, ' ', name.n) || memchr(name.p, '\t', name.n))
 			return false;
-		if (http1_name_eq(name, STR("Content-Length")))
+		if (http1_name_eq(name, STR("Content-Length"))) {
+			if (c->parser.content_length > INT64_MAX)
+				return false;
 			lengths++;
+		}
 		if (!http1_name_eq(name, STR("Transfer-Encoding")))
 			continue;
 		codings++;
--- a/tests/http1_test.cc
+++ b/tests/http1_test.cc
@@ -158,6 +158,8 @@
 		"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
 		"zz\r\nabc\r\n0\r\n\r\n",
 		"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+		"POST / HTTP/1.1\r\nContent-Length: "
+		"9223372036854775808\r\n\r\n",
 		"NONSENSE\r\n\r\n",
 	};
 
@@ -324,6 +326,9 @@
 	// reset truncates it.
 	EXPECT_TRUE(fetch("HTTP/1.1 200 OK\r\n\r\nabc").complete);
 	EXPECT_FALSE(fetch("HTTP/1.1 200 OK\r\n\r\nabc", true).complete);
+	EXPECT_EQ(HTTP1_MALFORMED, fetch("HTTP/1.1 200 OK\r\nContent-Length: "
+					 "9223372036854775808\r\n\r\nabc")
+					   .close_reason);
 	EXPECT_FALSE(fetch("rubbish that is no answer\r\n\r\n").complete);
 }
 
