Fleet: a restarted runner begins no stream before its version is decided

Whether a runner's software version is decided was kept apart from the version: after a restart, and after a report with another version, the old answer held until the next list, so that a stream could begin at a version that nobody had decided, and a later one be taken up as if there were one version. Both are set together now. Test: StreamBeginsNowhereBeforeARestartedRunnersVersionIsKnown failed before.

--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -872,7 +872,6 @@
 	if (!d->active)
 		return;
 	fleet_apply_list(d, l, now_us);
-	fleet_apply_builds(d);
 	if (d->mode == DISPATCH_LEADER)
 		propose_builds(d, l, now_us);
 	d->list_known = true;
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -82,6 +82,13 @@
 	*to = str_copy(from);
 }
 
+static void set_build(const dispatch_t *d, runner_t *r, str_t build)
+{
+	set_str(&r->build, build);
+	r->build_decided =
+		build_set_has(d->decided_builds, r->service, r->build);
+}
+
 service_fleet_t *fleet_of_service(const dispatch_t *d, str_t service)
 {
 	service_fleet_t *f;
@@ -302,7 +309,7 @@
 	remove_copies(d, r);
 	memset(r->prefix_cache, 0, sizeof(r->prefix_cache));
 	memset(r->recent_adapters, 0, sizeof(r->recent_adapters));
-	str_free(&r->build);
+	set_build(d, r, str_n(NULL, 0));
 	r->order_pending = false;
 	r->report_pending = false;
 	r->seq_known = false;
@@ -598,8 +605,8 @@
 	    info->start_time_ms < r->start_time_ms)
 		return; /* a row from before the runner's restart */
 	update_start_time(d, r, info->start_time_ms);
-	set_str(&r->build, info->build);
 	set_service(d, r, info->service);
+	set_build(d, r, info->build);
 	set_str(&r->addr, info->addr);
 	if (info->draining != r->draining)
 		log_event(LOG_INFO, "runner_state", kv_s("runner", r->id),
@@ -615,8 +622,7 @@
 	runner_t *r;
 
 	cds_list_for_each_entry (r, &d->runners, node)
-		r->build_decided =
-			build_set_has(d->decided_builds, r->service, r->build);
+		set_build(d, r, r->build);
 }
 
 void fleet_apply_list(dispatch_t *d, const runner_list_t *l, int64_t now_us)
@@ -641,7 +647,7 @@
 	if (update_start_time(d, r, info->start_time_ms))
 		r->report_due_us = INT64_MAX; /* this is the report */
 	if (info->build.n)
-		set_str(&r->build, info->build);
+		set_build(d, r, info->build);
 	if (info->draining)
 		r->said_leaving = true;
 	if (info->seq_known) {
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -283,7 +283,6 @@
 {
 	Dispatch__Started pb = DISPATCH__STARTED__INIT;
 	Dispatch__Msg msg = DISPATCH__MSG__INIT;
-
 	int64_t keep_us = record_stream(r);
 
 	if (!r->ask_id || !(r->service->engine || keep_us))
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -747,4 +747,26 @@
 	EXPECT_EQ(REASON_STREAM_UNKNOWN, w.requests[id].refusal);
 }
 
+TEST(Dispatch, StreamBeginsNowhereBeforeARestartedRunnersVersionIsKnown)
+{
+	World w(1, {});
+
+	w.runners[1].gone = w.runners[2].gone = true;
+	w.run(LIST_ARRIVES_US, 0);
+	w.decide_builds("llm\tv1\n");
+	w.run(50 * MS, 0);
+	w.restart(w.runners[0]);
+	w.runners[0].build = "v2";
+	w.lists_arrive = false;
+	// A report tells that it has restarted, not at which version.
+	runner_info_t info = {};
+
+	info.start_time_ms = w.runners[0].born;
+	dispatch_runner_report(w.d, STR("i-0"), &info, w.now);
+	uint64_t id = w.begin_stream();
+
+	w.run(100 * MS, 0);
+	EXPECT_EQ(0, w.requests[id].grants);
+}
+
 } // namespace
