--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -762,7 +762,9 @@
 	runner_info_t info = {};
 
 	info.start_time_ms = w.runners[0].born;
-	dispatch_runner_report(w.d, STR("i-0"), &info, w.now);
+	info.models_known = true;
+	fleet_apply_report(w.d, fleet_find(w.d, STR("i-0")), &info, w.now);
+	EXPECT_FALSE(fleet_find(w.d, STR("i-0"))->build_decided);
 	uint64_t id = w.begin_stream();
 
 	w.run(100 * MS, 0);
