--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -46,13 +46,6 @@
  * stream wait until then.
  */
 #define STREAMS_SETTLE_US (1 * USEC_PER_SEC)
-/*
- * A software version that no runner has shown for so long has no stream that a
- * caller may still take up.
- */
-#define BUILD_FORGET_US (600 * USEC_PER_SEC)
-/* A proposal of software versions without effect is made again after this time. */
-#define BUILDS_PROPOSE_AGAIN_US (300 * USEC_PER_MSEC)
 /* Delay that a refused caller is told to wait before it comes back. */
 #define REFUSAL_RETRY_US (1 * USEC_PER_SEC)
 
@@ -345,22 +338,6 @@
 	return c && c->state == COPY_READY;
 }
 
-/*
- * The software version that began the stream which a request takes up: as an entry
- * told, or the only one that can have begun any; empty: not known.
- */
-static str_t build_of_stream(const dispatch_t *d, const Dispatch__Ask *a,
-			     int64_t now_us)
-{
-	str_t build = stream_builds_find(d->streams, a->stream, now_us);
-
-	/* Under a lease, no other dispatcher has let another version begin one. */
-	if (!build.n && d->mode == DISPATCH_LEADER &&
-	    now_us < d->lease_until_us)
-		build = build_set_only(d->decided_builds, pb_str(a->service));
-	return build;
-}
-
 /*
  * Sets the software version that a request needs which takes up a stream. False: it
  * is not known; the request was refused, or waits for an entry to tell.
@@ -374,7 +351,7 @@
 
 	if (!a->takes_up || a->build.len)
 		return true;
-	build = build_of_stream(d, a, now_us);
+	build = builds_of_stream(d, a, now_us);
 	if (build.n) {
 		a->build.data = (uint8_t *)str_dup(build);
 		a->build.len = build.n;
@@ -824,44 +801,13 @@
 	}
 }
 
-static str_t decided_builds_body(const dispatch_t *d)
-{
-	const doc_t *doc =
-		d->tables ? decided_doc_by_name(d->tables, STR(DOC_BUILDS))
-			  : NULL;
-
-	return doc ? doc->body : str_n(NULL, 0);
-}
-
-/*
- * Proposes the versions that the list shows, or showed lately. Before a version is
- * decided no stream that may be resumed begins there.
- */
-static void propose_builds(dispatch_t *d, const runner_list_t *l,
-			   int64_t now_us)
-{
-	AUTO_BUF buf_t body = {0};
-
-	for (size_t i = 0; i < l->n; i++)
-		build_set_add(d->seen_builds, l->rows[i].service,
-			      l->rows[i].build, now_us);
-	build_set_forget(d->seen_builds, now_us - BUILD_FORGET_US);
-	if (build_set_equal(d->seen_builds, d->decided_builds) ||
-	    now_us - d->builds_proposed_us < BUILDS_PROPOSE_AGAIN_US)
-		return;
-	d->builds_proposed_us = now_us;
-	build_set_write(d->seen_builds, &body);
-	d->ops.propose_builds(d->ctx, buf_str(&body));
-}
-
 void dispatch_set_tables(dispatch_t *d, manifest_t *m, const decided_t *tables)
 {
 	manifest_unref(d->manifest);
 	d->manifest = manifest_ref(m);
 	decided_unref(d->tables);
 	d->tables = decided_ref(tables);
-	build_set_read(d->decided_builds, decided_builds_body(d), 0);
-	fleet_apply_builds(d);
+	builds_apply_tables(d);
 	index_adapter_versions(d);
 	if (d->store_concurrency < store_initial_concurrency(d))
 		d->store_concurrency = store_initial_concurrency(d);
@@ -873,7 +819,7 @@
 		return;
 	fleet_apply_list(d, l, now_us);
 	if (d->mode == DISPATCH_LEADER)
-		propose_builds(d, l, now_us);
+		builds_propose(d, l, now_us);
 	d->list_known = true;
 	add_early_held(d);
 	d->decide_due_us = now_us;
@@ -937,9 +883,7 @@
 	d->orders_from_us =
 		orders_settled ? now_us : now_us + d->cfg.takeover_wait_us;
 	d->order_lost_us = INT64_MIN / 2;
-	d->builds_proposed_us = INT64_MIN / 2;
-	/* What was decided may have begun streams until now. */
-	build_set_read(d->seen_builds, decided_builds_body(d), now_us);
+	builds_begin(d, now_us);
 	log_event(LOG_INFO, "dispatch_started", kv_u("term", term),
 		  kv_u("orders_settled", orders_settled));
 }
--- a/src/dispatch_int.h
+++ b/src/dispatch_int.h
@@ -1,7 +1,8 @@
 /*
  * dispatch_int.h - internals of the dispatcher, included only by dispatch.c
  * (pending requests and grants), fleet.c (the state of the runners), orders.c
- * (loading and unloading adapters and models) and choice.c (choosing a runner).
+ * (loading and unloading adapters and models), choice.c (choosing a runner) and
+ * builds.c (their software versions).
  */
 #ifndef DK_DISPATCH_INT_H
 #define DK_DISPATCH_INT_H
@@ -409,6 +410,23 @@
 /* Adds the prompt of a request that is granted now to the prefill backlog. */
 void choice_record_grant(runner_t *r, uint32_t prefill_tokens, int64_t now_us);
 
+/* builds.c */
+/*
+ * The software version that began the stream which a request takes up: as an entry
+ * told, or the only one that can have begun any; empty: not known.
+ */
+str_t builds_of_stream(const dispatch_t *d, const Dispatch__Ask *a,
+		       int64_t now_us);
+/*
+ * Proposes the versions that the list shows, or showed lately. Before a version is
+ * decided no stream that may be resumed begins there.
+ */
+void builds_propose(dispatch_t *d, const runner_list_t *l, int64_t now_us);
+/* Takes in the versions that are decided now. */
+void builds_apply_tables(dispatch_t *d);
+/* The dispatcher begins a term. */
+void builds_begin(dispatch_t *d, int64_t now_us);
+
 /* dispatch.c */
 /* The copy is ready: the requests that wait for it are decided again. */
 void pending_copy_ready(dispatch_t *d, copy_t *c, int64_t now_us);
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -8,7 +8,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include <glib.h>
 #include <http_parser.h>
 
 #include "counter.h"
@@ -38,14 +37,6 @@
 #define CONNECT_AGAIN_US (150 * USEC_PER_MSEC)
 /* Time before the deadline that is reserved for sending to the target. */
 #define SEND_MARGIN_US (20 * USEC_PER_MSEC)
-/* New streams are collected for so long before their copies are sent. */
-#define BACKUP_DELAY_US (30 * USEC_PER_MSEC)
-/* Streams named in one message. */
-#define STREAMS_PER_MSG_MAX 4096u
-/* A caller that takes a stream up may be so late after its deadline. */
-#define STREAM_KEEP_MARGIN_US (1 * USEC_PER_SEC)
-/* No stream is remembered for longer, whatever its caller's deadline. */
-#define STREAM_KEEP_MAX_US (3600 * USEC_PER_SEC)
 /* Limits of callers' connections until a manifest sets them. */
 #define IDLE_TIMEOUT_US (15 * USEC_PER_SEC)
 #define HEAD_TIMEOUT_US (3 * USEC_PER_SEC)
@@ -111,12 +102,6 @@
 	return r->route->kind == ROUTE_IDEMPOTENT;
 }
 
-/* Whether the request goes on with the stream of an earlier one. */
-static bool takes_up_stream(const request_t *r)
-{
-	return r->info.resumes && r->route->kind == ROUTE_STREAMING;
-}
-
 /* Messages to the dispatcher. */
 
 /* Most runners held off that an Ask names. */
@@ -174,7 +159,7 @@
 	pb.zone = pb_bytes(r->gw->zone);
 	pb.request = pb_bytes(r->info.id);
 	pb.build = pb_bytes(r->stream_build);
-	pb.takes_up = takes_up_stream(r);
+	pb.takes_up = request_takes_up_stream(r);
 	pb.begins_stream = r->stream_key && !pb.takes_up;
 	if (pb.takes_up && !r->stream_build.n)
 		pb.stream = r->stream_key;
@@ -235,55 +220,11 @@
 	send_done(r->gw, &done);
 }
 
-/* How long a caller may take up the stream, from now. */
-static int64_t stream_keep_us(const request_t *r)
-{
-	int64_t wait_us =
-		r->info.left_us >= 0 ? r->info.left_us : r->route->timeout_us;
-	int64_t keep_us = r->arrived_us + wait_us + STREAM_KEEP_MARGIN_US -
-			  gateway_now(r->gw);
-
-	return keep_us < STREAM_KEEP_MAX_US ? keep_us : STREAM_KEEP_MAX_US;
-}
-
-/* Has the stream copied to another daemon, together with others of that time. */
-static void back_up_stream(request_t *r, int64_t now, int64_t keep_us)
-{
-	gateway_t *g = r->gw;
-
-	stream_builds_put(g->new_streams, r->stream_key, r->stream_build, now,
-			  now + keep_us);
-	timer_svc_arm_earlier(loop_timers(g->loop), &g->backup_timer,
-			      now + BACKUP_DELAY_US);
-}
-
-/*
- * Records the software version of a stream whose body begins. From here on it stays
- * that version, whether or not an event has come. Returns how long the stream may be
- * taken up again; 0: it may not, or its version is not known.
- */
-static int64_t record_stream(request_t *r)
-{
-	int64_t now = gateway_now(r->gw);
-	int64_t keep_us = stream_keep_us(r);
-
-	if (!r->stream_key || r->response_head.status != 200)
-		return 0;
-	if (!r->stream_build.n)
-		r->stream_build = str_copy(r->build);
-	if (!r->stream_build.n || keep_us <= 0)
-		return 0;
-	stream_builds_put(r->gw->streams, r->stream_key, r->stream_build, now,
-			  now + keep_us);
-	back_up_stream(r, now, keep_us);
-	return keep_us;
-}
-
 void request_report_started(request_t *r)
 {
 	Dispatch__Started pb = DISPATCH__STARTED__INIT;
 	Dispatch__Msg msg = DISPATCH__MSG__INIT;
-	int64_t keep_us = record_stream(r);
+	int64_t keep_us = request_record_stream(r);
 
 	if (!r->ask_id || !(r->service->engine || keep_us))
 		return;
@@ -566,17 +507,6 @@
 	send_done(g, &done);
 }
 
-/*
- * Whether a stream may go on at the runner that is granted. The dispatcher may be of
- * an older version, which does not heed what the Ask says.
- */
-static bool grant_fits_stream(const request_t *r, const Dispatch__Grant *m)
-{
-	if (r->stream_build.n)
-		return str_eq(r->stream_build, pb_str(m->build));
-	return !takes_up_stream(r) || (m->stream_known && m->build.len);
-}
-
 static void on_grant(gateway_t *g, const Dispatch__Grant *m)
 {
 	request_t *r = find_by_ask_id(g, m->id);
@@ -587,7 +517,7 @@
 	}
 	if (r->state != REQUEST_AWAITING_GRANT)
 		return; /* duplicate */
-	if (!grant_fits_stream(r, m)) {
+	if (!request_grant_fits(r, m)) {
 		request_release_place(r, PLACE_UNUSED);
 		request_refuse(r, REASON_STREAM_UNKNOWN, 0);
 		return;
@@ -598,7 +528,7 @@
 	r->runner = str_copy(pb_str(m->runner));
 	r->addr = str_copy(pb_str(m->addr));
 	r->build = str_copy(pb_str(m->build));
-	if (takes_up_stream(r) && !r->stream_build.n)
+	if (request_takes_up_stream(r) && !r->stream_build.n)
 		r->stream_build = str_copy(r->build);
 	r->adapter_version = m->adapter_version;
 	r->grant_term = m->term;
@@ -676,86 +606,11 @@
 	g->ops.send(g->ctx, &msg);
 }
 
-/* Streams of one software version, collected for a message. */
-typedef struct stream_list {
-	gateway_t *gw;
-	bool backup; /* for the daemon that keeps copies, not the dispatcher */
-	str_t build;
-	GArray *keys;	 /* uint64_t */
-	GArray *keep_us; /* int64_t */
-} stream_list_t;
-
-static void send_streams_of_build(stream_list_t *l)
-{
-	Dispatch__Streams pb = DISPATCH__STREAMS__INIT;
-	Dispatch__Msg msg = DISPATCH__MSG__INIT;
-
-	if (!l->keys->len)
-		return;
-	pb.build = pb_bytes(l->build);
-	pb.streams = (uint64_t *)(void *)l->keys->data;
-	pb.n_streams = l->keys->len;
-	pb.keep_us = (int64_t *)(void *)l->keep_us->data;
-	pb.n_keep_us = l->keep_us->len;
-	msg.body_case = DISPATCH__MSG__BODY_STREAMS;
-	msg.streams = &pb;
-	pb.backup = l->backup;
-	if (l->backup)
-		l->gw->ops.send_backup(l->gw->ctx, &msg);
-	else
-		l->gw->ops.send(l->gw->ctx, &msg);
-	g_array_set_size(l->keys, 0);
-	g_array_set_size(l->keep_us, 0);
-}
-
-static void add_stream(void *ctx, uint64_t key, str_t build, int64_t until_us)
-{
-	stream_list_t *l = ctx;
-	int64_t keep_us = until_us - gateway_now(l->gw);
-
-	if (!str_eq(build, l->build) || l->keys->len == STREAMS_PER_MSG_MAX)
-		send_streams_of_build(l);
-	l->build = build;
-	g_array_append_val(l->keys, key);
-	g_array_append_val(l->keep_us, keep_us);
-}
-
-/* Tells at which software versions streams began. */
-static void send_streams(gateway_t *g, const stream_builds_t *streams,
-			 bool backup)
-{
-	stream_list_t l = {
-		.gw = g,
-		.backup = backup,
-		.keys = g_array_new(FALSE, FALSE, sizeof(uint64_t)),
-		.keep_us = g_array_new(FALSE, FALSE, sizeof(int64_t)),
-	};
-
-	stream_builds_each(streams, gateway_now(g), add_stream, &l);
-	send_streams_of_build(&l);
-	g_array_free(l.keys, TRUE);
-	g_array_free(l.keep_us, TRUE);
-}
-
-static void on_backup_timer(void *ctx, int64_t now)
-{
-	gateway_t *g = ctx;
-
-	(void)now;
-	send_streams(g, g->new_streams, true);
-	stream_builds_clear(g->new_streams);
-}
-
-void gateway_keep_streams(gateway_t *g, const Dispatch__Streams *m)
-{
-	dispatch_store_streams(g->streams, m, gateway_now(g));
-}
-
 void gateway_resync_dispatcher(gateway_t *g)
 {
 	request_t *r;
 
-	send_streams(g, g->streams, false);
+	gateway_tell_streams(g);
 	send_uses(g);
 	cds_list_for_each_entry (r, &g->requests, node) {
 		if (r->state == REQUEST_AWAITING_GRANT) {
@@ -801,27 +656,6 @@
 	return g->rng_state;
 }
 
-/* Id of the request that brings, or brought, the first event of its stream. */
-static str_t stream_id(const request_info_t *info)
-{
-	return info->resumes ? info->resumed_stream : info->id;
-}
-
-/* Notes which stream the request begins or takes up, and where that began. */
-static void note_stream(request_t *r)
-{
-	str_t id = stream_id(&r->info);
-
-	if (r->route->kind != ROUTE_STREAMING || !id.n)
-		return;
-	if (!r->route->resumable && !r->info.resumes)
-		return;
-	r->stream_key = stream_key(r->service->name, id);
-	if (r->info.resumes)
-		r->stream_build = str_copy(stream_builds_find(
-			r->gw->streams, r->stream_key, gateway_now(r->gw)));
-}
-
 /*
  * The service that the request goes to. Of a split route, a stream that is taken up
  * goes to the service that began it.
@@ -829,7 +663,7 @@
 static const service_t *pick_service(gateway_t *g, const route_t *route,
 				     const request_info_t *info)
 {
-	str_t id = stream_id(info);
+	str_t id = request_stream_id(info);
 	uint64_t number = route->kind == ROUTE_STREAMING && id.n
 				  ? hash_bytes(id.p, id.n, 0)
 				  : next_random(g);
@@ -852,7 +686,7 @@
 	r->info = *info;
 	copy_head_texts(r, h);
 	relay_copy_fields(&r->forwarded_fields, h, dialect_drops_field);
-	note_stream(r);
+	request_note_stream(r);
 	r->has_body = h->body_length > 0 || h->chunked ||
 		      http1_field(h, STR("Content-Length")).n;
 	r->arrived_us = gateway_now(g);
@@ -1061,9 +895,7 @@
 	g->ops = *ops;
 	g->ctx = ctx;
 	g->holdoff = holdoff_new();
-	g->streams = stream_builds_new();
-	g->new_streams = stream_builds_new();
-	timer_sub_init(&g->backup_timer, on_backup_timer, g);
+	gateway_streams_init(g);
 	g->limits.head_max = HEAD_MAX;
 	g->limits.head_timeout_us = HEAD_TIMEOUT_US;
 	g->limits.idle_timeout_us = IDLE_TIMEOUT_US;
@@ -1094,9 +926,7 @@
 	http1_unlisten(g->listener);
 	manifest_unref(g->manifest);
 	holdoff_free(g->holdoff);
-	timer_svc_cancel(loop_timers(g->loop), &g->backup_timer);
-	stream_builds_free(g->streams);
-	stream_builds_free(g->new_streams);
+	gateway_streams_free(g);
 	str_free(&g->zone);
 	free(g);
 }
--- a/src/gateway_int.h
+++ b/src/gateway_int.h
@@ -1,7 +1,7 @@
 /*
  * gateway_int.h - internals of the gateway, shared by gateway.c (requests of
- * callers), attempt.c (one attempt at one target) and relay.c (responses of
- * targets). No other file includes it.
+ * callers), attempt.c (one attempt at one target), relay.c (responses of targets)
+ * and streams.c (which streams may go on where). No other file includes it.
  */
 #ifndef DK_GATEWAY_INT_H
 #define DK_GATEWAY_INT_H
@@ -202,6 +202,31 @@
 /* Whether a second target may run the request after a first one may have. */
 bool request_may_repeat(const request_t *r);
 
+/* streams.c */
+
+/* Creates and frees what the gateway remembers of streams. */
+void gateway_streams_init(gateway_t *g);
+void gateway_streams_free(gateway_t *g);
+/* Tells the dispatcher of all streams that are known here. */
+void gateway_tell_streams(gateway_t *g);
+/* Whether the request goes on with the stream of an earlier one. */
+bool request_takes_up_stream(const request_t *r);
+/* Id of the request that brings, or brought, the first event of its stream. */
+str_t request_stream_id(const request_info_t *info);
+/* Notes which stream the request begins or takes up, and where that began. */
+void request_note_stream(request_t *r);
+/*
+ * Records the software version of a stream whose body begins. From here on it stays
+ * that version, whether or not an event has come. Returns how long the stream may be
+ * taken up again; 0: it may not, or its version is not known.
+ */
+int64_t request_record_stream(request_t *r);
+/*
+ * Whether a stream may go on at the runner that is granted. The dispatcher may be of
+ * an older version, which does not heed what the Ask says.
+ */
+bool request_grant_fits(const request_t *r, const Dispatch__Grant *m);
+
 /* attempt.c */
 
 /* Sends the request to the runner that was granted. */
