--- a/src/attempt.c
+++ b/src/attempt.c
@@ -151,7 +151,7 @@
 		       : PLACE_NO_ADAPTER;
 }
 
-/* The same of one whose response the caller may not get. */
+/* What it is told of a target whose response the caller may not get. */
 static place_outcome_t failure_outcome(const request_t *r)
 {
 	return r->response_head.status / 100 == 2 ? PLACE_BROKEN : PLACE_FAILED;
--- a/src/dispatch_int.h
+++ b/src/dispatch_int.h
@@ -201,7 +201,7 @@
 	int64_t expected_first_event_us; /* delay from granted_us */
 	int64_t deadline_us;		 /* the caller has given up by then */
 	bool started;			 /* the answer has begun */
-	bool for_stream; /* at the build that began the Ask's stream */
+	bool for_stream; /* of a request that takes up a stream */
 } grant_t;
 
 /* A request without a grant: it waits for a copy, or for a place. */
--- a/src/relay.c
+++ b/src/relay.c
@@ -16,7 +16,7 @@
 #include "counter.h"
 #include "hist.h"
 
-/* A larger success is sent to the caller piece by piece; a larger failure, not. */
+/* A larger success is sent piece by piece; a larger failure ends the attempt. */
 #define BUFFERED_RESPONSE_MAX (256u << 10)
 /* A larger event is sent to the caller in pieces. */
 #define BUFFERED_EVENT_MAX (256u << 10)
--- a/src/streams.c
+++ b/src/streams.c
@@ -139,7 +139,10 @@
 		g->ops.send(g->ctx, &msg);
 }
 
-/* Tells at which software versions streams began: to the keeper, if backup. */
+/*
+ * Tells at which software versions streams began: the daemon that keeps copies, if
+ * backup, else the dispatcher.
+ */
 static void send_streams(gateway_t *g, const stream_builds_t *streams,
 			 bool backup)
 {
