Relay: an attempt that fails in the relay ends like any other

relay.c had fail_attempt(), attempt.c end_attempt(): both drop what is buffered and tell the request, the second closes the connection too. One function is left, attempt_end(); where the relay calls it the connection is closed already or has to be.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -34,8 +34,8 @@
 	relay_reset(r);
 }
 
-static void end_attempt(request_t *r, place_outcome_t outcome, bool sent,
-			reason_t reason)
+void attempt_end(request_t *r, place_outcome_t outcome, bool sent,
+		 reason_t reason)
 {
 	const attempt_end_t end = {outcome, sent, reason};
 
@@ -95,11 +95,11 @@
 
 	close_spare(r);
 	if (is_held_off(r)) {
-		end_attempt(r, PLACE_UNUSED, false, REASON_NO_PLACE);
+		attempt_end(r, PLACE_UNUSED, false, REASON_NO_PLACE);
 		return;
 	}
 	if (r->deadline_us - gateway_now(r->gw) < USEC_PER_MSEC) {
-		end_attempt(r, PLACE_UNUSED, false, REASON_NO_PLACE);
+		attempt_end(r, PLACE_UNUSED, false, REASON_NO_PLACE);
 		return;
 	}
 	write_request(r, &out);
@@ -171,7 +171,7 @@
 	r->wrong_request = info.id.n && !str_eq(info.id, r->info.id);
 	if (r->wrong_request) {
 		if (++r->n_strays > STRAYS_MAX)
-			end_attempt(r, PLACE_BROKEN, true, REASON_TARGET_ERROR);
+			attempt_end(r, PLACE_BROKEN, true, REASON_TARGET_ERROR);
 		return;
 	}
 	r->named = info.id.n > 0;
@@ -182,10 +182,10 @@
 	r->response_head = *h;
 	r->response_head.n_fields = 0; /* their texts become invalid */
 	if (not_run)
-		end_attempt(r, refusal_outcome(r, &info), false,
+		attempt_end(r, refusal_outcome(r, &info), false,
 			    REASON_TARGET_REFUSED);
 	else if (relay_head(r, h, &info) < 0)
-		end_attempt(r, failure_outcome(r), true, REASON_TARGET_ERROR);
+		attempt_end(r, failure_outcome(r), true, REASON_TARGET_ERROR);
 }
 
 static void record_pause(request_t *r, int64_t pause_us)
@@ -202,7 +202,7 @@
 	if (r->wrong_request) {
 		r->stray_bytes += piece.n;
 		if (r->stray_bytes > STRAY_BYTES_MAX)
-			end_attempt(r, PLACE_BROKEN, true, REASON_TARGET_ERROR);
+			attempt_end(r, PLACE_BROKEN, true, REASON_TARGET_ERROR);
 		return;
 	}
 	if (r->body_started && r->route->kind == ROUTE_STREAMING)
@@ -233,9 +233,9 @@
 	r->target_close = http1_close_reason_text(why);
 	relay_note_end(r);
 	if (r->state == REQUEST_CONNECTING)
-		end_attempt(r, PLACE_UNREACHABLE, false, REASON_TARGET_LOST);
+		attempt_end(r, PLACE_UNREACHABLE, false, REASON_TARGET_LOST);
 	else
-		end_attempt(r, PLACE_BROKEN, true,
+		attempt_end(r, PLACE_BROKEN, true,
 			    why == HTTP1_MALFORMED ? REASON_TARGET_ERROR
 						   : REASON_TARGET_LOST);
 }
@@ -298,7 +298,7 @@
 {
 	bool sent = r->state != REQUEST_CONNECTING;
 
-	end_attempt(r, sent ? PLACE_SILENT : PLACE_UNREACHABLE, sent,
+	attempt_end(r, sent ? PLACE_SILENT : PLACE_UNREACHABLE, sent,
 		    sent ? REASON_DEADLINE_EXCEEDED : REASON_NO_PLACE);
 }
 
@@ -322,10 +322,10 @@
 	r->unfinished_bytes = 0;
 	memset(&r->response_head, 0, sizeof(r->response_head));
 	if (is_held_off(r)) {
-		end_attempt(r, PLACE_UNUSED, false, REASON_NO_PLACE);
+		attempt_end(r, PLACE_UNUSED, false, REASON_NO_PLACE);
 		return;
 	}
 	r->conn = connect_to_target(r, &target_ops);
 	if (!r->conn)
-		end_attempt(r, PLACE_UNREACHABLE, false, REASON_TARGET_LOST);
+		attempt_end(r, PLACE_UNREACHABLE, false, REASON_TARGET_LOST);
 }
--- a/src/gateway_int.h
+++ b/src/gateway_int.h
@@ -238,6 +238,12 @@
 void attempt_connect_again(request_t *r);
 /* Closes the connection to the target, which cancels the request there. */
 void attempt_abort(request_t *r);
+/*
+ * Ends the attempt without a response for the caller, and tells the request. sent:
+ * something may have reached the target; reason: for the caller, without a retry.
+ */
+void attempt_end(request_t *r, place_outcome_t outcome, bool sent,
+		 reason_t reason);
 /* Ends the attempt, and so the request, at the deadline. */
 void attempt_time_out(request_t *r);
 
--- a/src/relay.c
+++ b/src/relay.c
@@ -227,14 +227,6 @@
 	buf_consume(&r->body_out, n);
 }
 
-static void fail_attempt(request_t *r, reason_t reason, place_outcome_t outcome)
-{
-	const attempt_end_t end = {outcome, true, reason};
-
-	relay_reset(r);
-	request_attempt_ended(r, &end);
-}
-
 void relay_body(request_t *r, str_t piece)
 {
 	if (!r->body_started) {
@@ -259,8 +251,7 @@
 	if (r->body_out.n <= BUFFERED_RESPONSE_MAX)
 		return;
 	if (r->response_head.status / 100 != 2) {
-		attempt_abort(r);
-		fail_attempt(r, REASON_TARGET_ERROR, PLACE_FAILED);
+		attempt_end(r, PLACE_FAILED, true, REASON_TARGET_ERROR);
 		return;
 	}
 	send_to_caller(r, buf_str(&r->body_out), r->response_head.body_length);
@@ -298,7 +289,7 @@
 static void end_stream(request_t *r)
 {
 	if (!stream_is_whole(r)) {
-		fail_attempt(r, REASON_STREAM_TRUNCATED, PLACE_BROKEN);
+		attempt_end(r, PLACE_BROKEN, true, REASON_STREAM_TRUNCATED);
 		return;
 	}
 	if (r->body_out.n || !r->head_sent)
@@ -322,7 +313,7 @@
 		buf_put(&r->fallback_response, r->head_out.p, r->head_out.n);
 		finish_head(r, &r->fallback_response, (int64_t)r->body_out.n);
 		buf_put(&r->fallback_response, r->body_out.p, r->body_out.n);
-		fail_attempt(r, REASON_TARGET_ERROR, PLACE_FAILED);
+		attempt_end(r, PLACE_FAILED, true, REASON_TARGET_ERROR);
 		return;
 	}
 	if (r->head_sent) {
