--- a/src/http1.c
+++ b/src/http1.c
@@ -335,12 +335,19 @@
 		c->ops.closed(c->ctx, why);
 }
 
-static void close_malformed(http1_conn_t *c)
+/* Ends the connection; a caller gets the status first. */
+static void refuse_message(http1_conn_t *c, const char *status,
+			   http1_close_reason_t why)
 {
 	if (!c->incoming)
-		conn_end(c, HTTP1_MALFORMED);
+		conn_end(c, why);
 	else if (!c->closing)
-		send_error_and_close(c, "400 Bad Request", HTTP1_MALFORMED);
+		send_error_and_close(c, status, why);
+}
+
+static void close_malformed(http1_conn_t *c)
+{
+	refuse_message(c, "400 Bad Request", HTTP1_MALFORMED);
 }
 
 /*
@@ -450,15 +457,6 @@
 	c->preamble_bytes += n;
 }
 
-static void close_head_too_large(http1_conn_t *c)
-{
-	if (c->incoming)
-		send_error_and_close(c, "431 Request Header Fields Too Large",
-				     HTTP1_HEAD_TOO_LARGE);
-	else
-		conn_end(c, HTTP1_HEAD_TOO_LARGE);
-}
-
 static void finish_message(http1_conn_t *c)
 {
 	http_parser_pause(&c->parser, 0);
@@ -477,7 +475,8 @@
 	skip_empty_lines(c);
 	n = c->in.n ? head_size(&c->in) : 0;
 	if (n > max || (!n && c->in.n > max) || c->preamble_bytes > max) {
-		close_head_too_large(c);
+		refuse_message(c, "431 Request Header Fields Too Large",
+			       HTTP1_HEAD_TOO_LARGE);
 		return false;
 	}
 	if (!n) {
