Streams: how long a stream is kept is told where it is known

send_streams() kept the end of a stream's time in a field for what is left of it, and turned it into that in its loop. The table tells what is left itself.

--- a/src/stream_build.c
+++ b/src/stream_build.c
@@ -114,7 +114,7 @@
 
 void stream_builds_each(const stream_builds_t *b, int64_t now_us,
 			void (*fn)(void *ctx, uint64_t key, str_t build,
-				   int64_t until_us),
+				   int64_t left_us),
 			void *ctx)
 {
 	GHashTableIter it;
@@ -127,6 +127,6 @@
 		if (s->until_us > now_us)
 			fn(ctx, s->key,
 			   str_n(s->build, g_ref_string_length(s->build)),
-			   s->until_us);
+			   s->until_us - now_us);
 	}
 }
--- a/src/stream_build.h
+++ b/src/stream_build.h
@@ -37,10 +37,10 @@
 /* A view, valid until the next put or clear; empty: not known. */
 str_t stream_builds_find(const stream_builds_t *b, uint64_t key,
 			 int64_t now_us);
-/* Calls fn for each stream that is known, in no order. */
+/* Calls fn for each stream that is known, in no order; left_us: for how long. */
 void stream_builds_each(const stream_builds_t *b, int64_t now_us,
 			void (*fn)(void *ctx, uint64_t key, str_t build,
-				   int64_t until_us),
+				   int64_t left_us),
 			void *ctx);
 
 #ifdef __cplusplus
--- a/src/streams.c
+++ b/src/streams.c
@@ -51,7 +51,7 @@
 	int64_t keep_us = r->arrived_us + wait_us + STREAM_KEEP_MARGIN_US -
 			  gateway_now(r->gw);
 
-	return keep_us < STREAM_KEEP_MAX_US ? keep_us : STREAM_KEEP_MAX_US;
+	return MIN(keep_us, STREAM_KEEP_MAX_US);
 }
 
 /* Has the stream copied to another daemon, together with others of that time. */
@@ -105,9 +105,9 @@
 	return order ? order : (x.n > y.n) - (x.n < y.n);
 }
 
-static void add_stream(void *ctx, uint64_t key, str_t build, int64_t until_us)
+static void add_stream(void *ctx, uint64_t key, str_t build, int64_t left_us)
 {
-	const told_stream_t t = {key, until_us, build};
+	const told_stream_t t = {key, left_us, build};
 
 	g_array_append_val((GArray *)ctx, t);
 }
@@ -147,16 +147,14 @@
 			 bool backup)
 {
 	GArray *all = g_array_new(FALSE, FALSE, sizeof(told_stream_t));
-	int64_t now = gateway_now(g);
 	guint from = 0;
 
-	stream_builds_each(streams, now, add_stream, all);
+	stream_builds_each(streams, gateway_now(g), add_stream, all);
 	g_array_sort(all, compare_builds);
 	for (guint i = 0; i < all->len; i++) {
-		told_stream_t *t = &g_array_index(all, told_stream_t, i);
+		const told_stream_t *t = &g_array_index(all, told_stream_t, i);
 		const told_stream_t *next = i + 1 < all->len ? t + 1 : NULL;
 
-		t->keep_us -= now;
 		if (next && str_eq(next->build, t->build) &&
 		    i + 1 - from < STREAMS_PER_MSG_MAX)
 			continue;
