Logs: a digest that tells which requests are alike

A request has a digest now, over method, host, target, what tells who asks (HTTP's own fields; the platform has none) and body; the lines sent and attempt_ended name it. Fields that differ between repeats (ids, deadline, token counts) are left out.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -123,7 +123,8 @@
 		  kv_s("runner", r->runner), kv_s("build", r->build),
 		  kv_s("adapter", r->info.adapter),
 		  kv_u("version", r->adapter_version),
-		  kv_s("parts", buf_str(&parts)), kv_u("term", r->grant_term),
+		  kv_x("digest", r->digest), kv_s("parts", buf_str(&parts)),
+		  kv_u("term", r->grant_term),
 		  kv_i("waited_ms",
 		       (r->sent_us - r->arrived_us) / USEC_PER_MSEC));
 	if (r->have_event_id || r->info.resumes)
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -112,6 +112,8 @@
 typedef struct request_info {
 	str_t id;
 	str_t host;
+	uint64_t
+		caller; /* digest of what tells who asks; alike where nothing does */
 	str_t model;	    /* empty: the request is for no model */
 	str_t adapter;	    /* empty: the model itself */
 	int64_t left_us;    /* how long the caller still waits; -1: not given */
--- a/src/event.h
+++ b/src/event.h
@@ -63,15 +63,18 @@
 	X("grant_refused", 100, "id reason retry_ms",                          \
 	  "Dispatcher: a request was refused a grant.")                        \
 	X("sent", 100,                                                         \
-	  "id route kind manifest runner build adapter version parts term "    \
-	  "waited_ms",                                                         \
+	  "id route kind manifest runner build adapter version digest parts "  \
+	  "term waited_ms",                                                    \
 	  "The request is sent to a runner; build is the version of its "      \
-	  "software, version that of the adapter, parts the ids of its "       \
-	  "prompt's parts, term that of the grant.")                           \
+	  "software, version that of the adapter, digest is alike for all "    \
+	  "requests with the same target, caller and body, parts are the ids " \
+	  "of its prompt's parts, term is that of the grant.")                 \
 	X("attempt_ended", 100,                                                \
-	  "id runner outcome sent response_status named framing body_started " \
-	  "unfinished_bytes target_close after_send_ms tries retry after_ms",  \
+	  "id runner digest outcome sent response_status named framing "       \
+	  "body_started unfinished_bytes target_close after_send_ms tries "    \
+	  "retry after_ms",                                                    \
 	  "An attempt at a runner ended without a response for the caller; "   \
+	  "digest: as in sent; "                                               \
 	  "response_status=0: it brought no valid response head; named=1: "    \
 	  "the response names the request; framing: what delimits its body; "  \
 	  "body_started=1: a byte of the body had come; "                      \
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -11,6 +11,7 @@
 #include <http_parser.h>
 
 #include "counter.h"
+#include "digest.h"
 #include "hist.h"
 #include "log.h"
 #include "pb.h"
@@ -420,7 +421,7 @@
 	r->n_possible_runs += end->sent;
 	request_release_place(r, end->outcome);
 	log_event(LOG_INFO, "attempt_ended", kv_s("id", r->info.id),
-		  kv_s("runner", r->runner),
+		  kv_s("runner", r->runner), kv_x("digest", r->digest),
 		  KV_C("outcome", place_outcome_name(end->outcome)),
 		  kv_u("sent", end->sent),
 		  kv_i("response_status", r->response_head.status),
@@ -783,14 +784,30 @@
 	buf_put(&r->body, piece.p, piece.n);
 }
 
+static uint64_t request_digest(const request_t *r)
+{
+	digest_t d;
+
+	digest_init(&d);
+	digest_put(&d, r->method);
+	digest_put(&d, r->info.host);
+	digest_put(&d, r->target);
+	digest_put(&d, str_n((const char *)&r->info.caller,
+			     sizeof(r->info.caller)));
+	digest_put(&d, buf_str(&r->body));
+	return digest_end(&d);
+}
+
 static void on_request_end(void *ctx)
 {
 	caller_t *c = ctx;
 
-	if (c->req)
+	if (c->req) {
+		c->req->digest = request_digest(c->req);
 		ask_for_place(c->req);
-	else if (c->refused)
+	} else if (c->refused) {
 		caller_end_response(c, true);
+	}
 }
 
 static const char *state_name(request_state_t s)
--- a/src/gateway_int.h
+++ b/src/gateway_int.h
@@ -60,6 +60,8 @@
 	buf_t forwarded_fields; /* header lines for the target, formatted */
 	bool has_body;
 	buf_t body;
+	/* Alike for all requests with the same method, target, caller and body. */
+	uint64_t digest;
 	int64_t arrived_us;
 	/* When the caller stops waiting or the route's timeout ends. */
 	int64_t deadline_us;
--- a/src/log.c
+++ b/src/log.c
@@ -85,6 +85,8 @@
 		buf_printf(out, "%s%s=", i ? " " : "", kv->key);
 		if (kv->kind == 'i')
 			buf_printf(out, "%lld", (long long)kv->i);
+		else if (kv->kind == 'x')
+			buf_printf(out, "%llx", (unsigned long long)kv->u);
 		else if (kv->kind == 'u')
 			buf_printf(out, "%llu", (unsigned long long)kv->u);
 		else if (needs_quotes(kv->s))
--- a/src/log.h
+++ b/src/log.h
@@ -30,10 +30,10 @@
 /* Number of lines dropped as standard output did not take them. */
 uint64_t log_dropped_lines(void);
 
-/* One pair of a log line; made by kv_s(), kv_i(), kv_u() or KV_C(). */
+/* One pair of a log line; made by kv_s(), kv_i(), kv_u(), kv_x() or KV_C(). */
 typedef struct kv {
 	const char *key;
-	char kind; /* 's' string, 'i' signed, 'u' unsigned */
+	char kind; /* 's' string, 'i' signed, 'u' unsigned, 'x' hexadecimal */
 	str_t s;
 	int64_t i;
 	uint64_t u;
@@ -57,6 +57,12 @@
 	return kv;
 }
 
+static inline kv_t kv_x(const char *key, uint64_t u)
+{
+	kv_t kv = {key, 'x', {NULL, 0}, 0, u};
+	return kv;
+}
+
 #define KV_C(key, cstr) kv_s(key, str_c(cstr))
 
 /* Writes one line unless prio is less important than the level set. */
