Tests: a request that crashes runners and comes again alike, in virtual time and in soaks (they fail)

Messages to the dispatcher carry the digest, which nothing reads yet. 'make proto' did nothing, as a folder has that name: it is a phony target now.

--- a/Makefile
+++ b/Makefile
@@ -52,7 +52,7 @@
 FORMATTED = $(wildcard src/*.[ch] src/*.cc platform/*.[ch] dev/*.[ch] tests/*.c tests/*.cc \
 	tests/*.h tests/soak/*.[ch])
 
-.PHONY: all deps check test demo run fuzz soak scenarios capacity pages lint format format-check clean
+.PHONY: all deps check test demo run fuzz soak scenarios capacity pages proto lint format format-check clean
 all: $(O)/damasklug $(DEV_BIN) $(TEST_BIN) $(FUZZ_BIN) $(TEST_PROGRAM) $(SOAK_BIN)
 
 $(O)/%.c.o: %.c
--- a/proto/dispatch.pb-c.c
+++ b/proto/dispatch.pb-c.c
@@ -778,7 +778,7 @@
   (ProtobufCMessageInit) dispatch__prompt_part__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dispatch__ask__field_descriptors[19] =
+static const ProtobufCFieldDescriptor dispatch__ask__field_descriptors[20] =
 {
   {
     "id",
@@ -1008,12 +1008,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "digest",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Dispatch__Ask, digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dispatch__ask__field_indices_by_name[] = {
   3,   /* field[3] = adapter */
   10,   /* field[10] = avoid */
   17,   /* field[17] = begins_stream */
   15,   /* field[15] = build */
+  19,   /* field[19] = digest */
   0,   /* field[0] = id */
   8,   /* field[8] = left_us */
   2,   /* field[2] = model */
@@ -1033,7 +1046,7 @@
 static const ProtobufCIntRange dispatch__ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor dispatch__ask__descriptor =
 {
@@ -1043,7 +1056,7 @@
   "Dispatch__Ask",
   "dispatch",
   sizeof(Dispatch__Ask),
-  19,
+  20,
   dispatch__ask__field_descriptors,
   dispatch__ask__field_indices_by_name,
   1,  dispatch__ask__number_ranges,
@@ -1500,7 +1513,7 @@
   (ProtobufCMessageInit) dispatch__done__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dispatch__held__field_descriptors[5] =
+static const ProtobufCFieldDescriptor dispatch__held__field_descriptors[6] =
 {
   {
     "id",
@@ -1562,9 +1575,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "digest",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Dispatch__Held, digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dispatch__held__field_indices_by_name[] = {
   3,   /* field[3] = adapter */
+  5,   /* field[5] = digest */
   0,   /* field[0] = id */
   2,   /* field[2] = model */
   1,   /* field[1] = runner */
@@ -1573,7 +1599,7 @@
 static const ProtobufCIntRange dispatch__held__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor dispatch__held__descriptor =
 {
@@ -1583,7 +1609,7 @@
   "Dispatch__Held",
   "dispatch",
   sizeof(Dispatch__Held),
-  5,
+  6,
   dispatch__held__field_descriptors,
   dispatch__held__field_indices_by_name,
   1,  dispatch__held__number_ranges,
@@ -1742,7 +1768,7 @@
   (ProtobufCMessageInit) dispatch__uses__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dispatch__crash__field_descriptors[4] =
+static const ProtobufCFieldDescriptor dispatch__crash__field_descriptors[5] =
 {
   {
     "runner",
@@ -1792,9 +1818,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "digest",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Dispatch__Crash, digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dispatch__crash__field_indices_by_name[] = {
   2,   /* field[2] = ago_us */
+  4,   /* field[4] = digest */
   3,   /* field[3] = own_part */
   1,   /* field[1] = parts */
   0,   /* field[0] = runner */
@@ -1802,7 +1841,7 @@
 static const ProtobufCIntRange dispatch__crash__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor dispatch__crash__descriptor =
 {
@@ -1812,14 +1851,14 @@
   "Dispatch__Crash",
   "dispatch",
   sizeof(Dispatch__Crash),
-  4,
+  5,
   dispatch__crash__field_descriptors,
   dispatch__crash__field_indices_by_name,
   1,  dispatch__crash__number_ranges,
   (ProtobufCMessageInit) dispatch__crash__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dispatch__answered__field_descriptors[2] =
+static const ProtobufCFieldDescriptor dispatch__answered__field_descriptors[4] =
 {
   {
     "parts",
@@ -1845,15 +1884,41 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "digests",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Dispatch__Answered, n_digests),
+    offsetof(Dispatch__Answered, digests),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "digests_ago_us",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_INT64,
+    offsetof(Dispatch__Answered, n_digests_ago_us),
+    offsetof(Dispatch__Answered, digests_ago_us),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dispatch__answered__field_indices_by_name[] = {
   1,   /* field[1] = ago_us */
+  2,   /* field[2] = digests */
+  3,   /* field[3] = digests_ago_us */
   0,   /* field[0] = parts */
 };
 static const ProtobufCIntRange dispatch__answered__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor dispatch__answered__descriptor =
 {
@@ -1863,7 +1928,7 @@
   "Dispatch__Answered",
   "dispatch",
   sizeof(Dispatch__Answered),
-  2,
+  4,
   dispatch__answered__field_descriptors,
   dispatch__answered__field_indices_by_name,
   1,  dispatch__answered__number_ranges,
--- a/proto/dispatch.pb-c.h
+++ b/proto/dispatch.pb-c.h
@@ -113,10 +113,14 @@
    * An earlier target has ended as it was about to answer this request.
    */
   protobuf_c_boolean target_ended;
+  /*
+   * alike for all requests that are alike; 0: not given
+   */
+  uint64_t digest;
 };
 #define DISPATCH__ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dispatch__ask__descriptor) \
-    , 0, {0,NULL}, {0,NULL}, {0,NULL}, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, {0,NULL}, {0,NULL}, 0, {0,NULL}, 0, 0, 0 }
+    , 0, {0,NULL}, {0,NULL}, {0,NULL}, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, {0,NULL}, {0,NULL}, 0, {0,NULL}, 0, 0, 0, 0 }
 
 
 struct  Dispatch__Grant
@@ -260,10 +264,14 @@
   ProtobufCBinaryData model;
   ProtobufCBinaryData adapter;
   uint32_t tokens;
+  /*
+   * of its request, as in Ask
+   */
+  uint64_t digest;
 };
 #define DISPATCH__HELD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dispatch__held__descriptor) \
-    , 0, {0,NULL}, {0,NULL}, {0,NULL}, 0 }
+    , 0, {0,NULL}, {0,NULL}, {0,NULL}, 0, 0 }
 
 
 /*
@@ -337,14 +345,19 @@
    * the last one, the request's own or its session's
    */
   uint64_t own_part;
+  /*
+   * of the request, as in Ask
+   */
+  uint64_t digest;
 };
 #define DISPATCH__CRASH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dispatch__crash__descriptor) \
-    , {0,NULL}, 0,NULL, 0, 0 }
+    , {0,NULL}, 0,NULL, 0, 0, 0 }
 
 
 /*
- * Parts of prompts that were answered at this entry, told to another dispatcher.
+ * Parts of prompts, and digests of requests, that were answered at this entry, told
+ * to another dispatcher.
  */
 struct  Dispatch__Answered
 {
@@ -356,10 +369,14 @@
    */
   size_t n_ago_us;
   int64_t *ago_us;
+  size_t n_digests;
+  uint64_t *digests;
+  size_t n_digests_ago_us;
+  int64_t *digests_ago_us;
 };
 #define DISPATCH__ANSWERED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dispatch__answered__descriptor) \
-    , 0,NULL, 0,NULL }
+    , 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -160,6 +160,7 @@
 	fill_ask_lists(r, &lists, &pb);
 	pb.zone = pb_bytes(r->gw->zone);
 	pb.request = pb_bytes(r->info.id);
+	pb.digest = r->digest;
 	pb.build = pb_bytes(r->stream_build);
 	pb.takes_up = request_takes_up_stream(r);
 	pb.begins_stream = r->stream_key && !pb.takes_up;
@@ -589,6 +590,7 @@
 	pb.model = pb_bytes(r->info.model);
 	pb.adapter = pb_bytes(r->info.adapter);
 	pb.tokens = r->info.tokens_in + r->info.tokens_out;
+	pb.digest = r->digest;
 	msg.body_case = DISPATCH__MSG__BODY_HELD;
 	msg.held = &pb;
 	r->gw->ops.send(r->gw->ctx, &msg);
--- a/tests/dispatch_world.h
+++ b/tests/dispatch_world.h
@@ -82,6 +82,7 @@
 	std::string id, addr, service = "llm";
 	std::string build = "v1"; // version of its software
 	uint64_t born = 1;
+	uint32_t slots = 16;
 	bool draining = false;
 	bool gone = false;
 	bool fails = false; // answers every request with an error after 5 ms
@@ -118,17 +119,19 @@
 	std::string runner; // of the last grant
 	bool ended = false;
 	std::vector<uint64_t> parts; // of its prompt
-	bool repeats = false;	     // asks again if its runner crashes
-	bool is_repeat = false;	     // of another request
-	bool running = false;	     // it has reached its runner
-	bool begun = false;	     // its answer has
+	std::string service = "llm";
+	uint64_t digest = 0;	// alike for requests that are alike
+	bool repeats = false;	// asks again if its runner crashes
+	bool is_repeat = false; // of another request
+	bool running = false;	// it has reached its runner
+	bool begun = false;	// its answer has
 	int64_t begun_us = 0;
 };
 
-// A request with one of crash_parts has reached a runner.
+// A request with one of crash_parts or crash_digests has reached a runner.
 struct CrashingRun {
 	int64_t at_us;
-	uint64_t part;
+	uint64_t part; // or digest
 };
 
 class World
@@ -176,8 +179,11 @@
 		uint64_t id = ++next_id;
 
 		a.id = id;
-		a.service = bytes("llm");
-		a.model = bytes("base");
+		a.service = {next_service.size(),
+			     (uint8_t *)next_service.data()};
+		if (next_service == "llm")
+			a.model = bytes("base");
+		a.digest = next_digest;
 		a.adapter = {adapter.size(), (uint8_t *)adapter.data()};
 		a.tokens_in = tokens;
 		a.tokens_out = 50;
@@ -205,6 +211,8 @@
 		requests[id] = {now, left_us, adapter};
 		requests[id].tokens = tokens;
 		requests[id].parts = next_parts;
+		requests[id].service = next_service;
+		requests[id].digest = next_digest;
 		requests[id].repeats = repeats && !is_repeat;
 		requests[id].is_repeat = is_repeat;
 		dispatch_recv(d, ENTRY, &msg, now);
@@ -222,6 +230,33 @@
 		repeats = false;
 		return id;
 	}
+	// A request that is alike to all others with this digest.
+	uint64_t ask_alike(const std::string &service, uint64_t digest,
+			   const std::vector<uint64_t> &parts = {},
+			   bool may_repeat = false)
+	{
+		next_service = service;
+		next_digest = digest;
+		uint64_t id = ask_with_parts(parts, may_repeat);
+
+		next_service = "llm";
+		next_digest = 0;
+		return id;
+	}
+	// Runners of a plain service; they have fewer slots than model runners.
+	void add_plain_runners(size_t n)
+	{
+		for (size_t i = 0; i < n; i++) {
+			SimRunner r;
+
+			r.id = "p-" + std::to_string(i);
+			r.addr = "10.9.1." + std::to_string(i + 1) + ":8000";
+			r.born = 2000 + i;
+			r.service = "app";
+			r.slots = 6;
+			runners.push_back(r);
+		}
+	}
 	// As entries do it for a new dispatcher.
 	void tell_all_limits()
 	{
@@ -273,6 +308,8 @@
 
 		next.id = "i-" + std::to_string(runners.size() + n_reborn++);
 		next.addr = r->addr;
+		next.service = r->service;
+		next.slots = r->slots;
 		next.born = r->born + 100000;
 		schedule(CRASHED_FOR_US, [=]() { runners.push_back(next); });
 	}
@@ -287,16 +324,20 @@
 		decided_put_doc(tables, &doc);
 		dispatch_set_tables(d, manifest, tables);
 	}
-	// A runner ended, at ago_us, as it was about to answer a prompt with
-	// these parts, of which the last one is its own.
+	// A runner ended, at ago_us, as it was about to answer a request with
+	// this digest, whose prompt has these parts; the last one is its own.
 	void tell_crash_of(const std::string &runner,
-			   std::vector<uint64_t> parts, int64_t ago_us = 0)
+			   std::vector<uint64_t> parts, int64_t ago_us = 0,
+			   uint64_t digest = 0)
 	{
 		Dispatch__Crash m = DISPATCH__CRASH__INIT;
 		Dispatch__Msg msg = DISPATCH__MSG__INIT;
 
-		m.own_part = parts.back();
-		parts.pop_back();
+		m.digest = digest;
+		if (!parts.empty()) {
+			m.own_part = parts.back();
+			parts.pop_back();
+		}
 		m.runner = {runner.size(), (uint8_t *)runner.data()};
 		m.n_parts = parts.size();
 		m.parts = parts.data();
@@ -319,6 +360,15 @@
 		m.n_parts = m.n_ago_us = parts.size();
 		m.parts = parts.data();
 		m.ago_us = ago_us.data();
+		std::vector<uint64_t> digests;
+		std::vector<int64_t> digests_ago_us;
+		for (auto &a : answered_digests) {
+			digests.push_back(a.first);
+			digests_ago_us.push_back(now - a.second);
+		}
+		m.n_digests = m.n_digests_ago_us = digests.size();
+		m.digests = digests.data();
+		m.digests_ago_us = digests_ago_us.data();
 		msg.body_case = DISPATCH__MSG__BODY_ANSWERED;
 		msg.answered = &m;
 		dispatch_recv(d, ENTRY, &msg, now);
@@ -329,7 +379,7 @@
 		tell_answered();
 		for (auto &c : crash_reports)
 			tell_crash_of(c.second.runner, c.second.parts,
-				      now - c.first);
+				      now - c.first, c.second.digest);
 	}
 	// The decided parts in quarantine: lines of part, tab, crashes.
 	void decide_quarantine(const std::string &body)
@@ -473,13 +523,20 @@
 	std::vector<uint64_t> next_parts; // as are these
 	bool repeats = false;
 	bool is_repeat = false;
+	std::string next_service = "llm";
+	uint64_t next_digest = 0;
 	// Each crashes the runner that begins to answer a prompt with it.
 	std::set<uint64_t> crash_parts;
+	// Each crashes the runner that begins to run such a request.
+	std::set<uint64_t> crash_digests;
+	// A caller whose request broke off sends it again, so often.
+	int callers_retries = 0;
 	std::vector<CrashingRun> crashing_runs;
-	// By the part that caused it; 0: an ordinary crash.
+	// By the part or digest that caused it; 0: an ordinary crash.
 	std::map<uint64_t, std::vector<int64_t>> crash_times;
 	size_t n_reborn = 0;
 	std::map<uint64_t, int64_t> answered_parts; // shared ones, and when
+	std::map<uint64_t, int64_t> answered_digests;
 	// By runner, the last limit in an answer, and when.
 	std::map<std::string, std::pair<double, int64_t>> named_limits;
 	// By when they ended, the requests whose runner ended first.
@@ -488,6 +545,8 @@
 	bool lease_renewed = true;
 
       private:
+	std::map<uint64_t, int> callers_retries_of; // by digest
+
 	static ProtobufCBinaryData bytes(const char *s)
 	{
 		return {strlen(s), (uint8_t *)s};
@@ -507,6 +566,7 @@
 		model = service_add_model(s);
 		model->name = str_copy(STR("base"));
 		model->load_us = 1000 * MS;
+		manifest_add_service(m)->name = str_copy(STR("app"));
 		return m;
 	}
 
@@ -600,7 +660,9 @@
 		info.build = str_copy(str_n(r.build.data(), r.build.size()));
 		info.start_time_ms = h.born;
 		info.draining = r.draining;
-		info.slots = 16;
+		info.slots = r.slots;
+		if (r.service != "llm")
+			return info;
 		info.models_known = true;
 		info.models =
 			(runner_model_t *)xcalloc(1, sizeof(runner_model_t));
@@ -876,6 +938,8 @@
 		Dispatch__Msg msg = DISPATCH__MSG__INIT;
 
 		requests[id].ended = true;
+		if (outcome == PLACE_ANSWERED && requests[id].digest)
+			answered_digests[requests[id].digest] = now;
 		if (outcome == PLACE_ANSWERED)
 			for (size_t i = 0; i + 1 < requests[id].parts.size();
 			     i++)
@@ -929,12 +993,21 @@
 			return;
 		}
 		begin_prefill(*r, id);
-		if (uint64_t part = crash_part_of(id)) {
+		if (uint64_t part = crash_cause_of(id)) {
 			crashing_runs.push_back({now, part});
 			schedule(between(30, 80) * MS,
 				 [=]() { crash(runner, part); });
 			return;
 		}
+		if (r->service != "llm") {
+			schedule(between(20, 60) * MS, [=]() {
+				if (requests[id].ended)
+					return;
+				requests[id].begun = true;
+				send_done(id, PLACE_ANSWERED);
+			});
+			return;
+		}
 		schedule(between(30, 80) * MS, [=]() {
 			if (!requests[id].ended)
 				started(id);
@@ -953,9 +1026,11 @@
 							     : PLACE_BROKEN);
 		});
 	}
-	// The part of its prompt that crashes runners; 0: none.
-	uint64_t crash_part_of(uint64_t id)
+	// The part of its prompt, or its digest, if it crashes runners; 0: none.
+	uint64_t crash_cause_of(uint64_t id)
 	{
+		if (crash_digests.count(requests[id].digest))
+			return requests[id].digest;
 		for (uint64_t part : requests[id].parts)
 			if (crash_parts.count(part))
 				return part;
@@ -964,10 +1039,10 @@
 	// The entry reports that its runner ended as it was about to answer.
 	void tell_crash(const Request &r)
 	{
-		if (r.parts.size() >= 2)
-			crash_reports.push_back({now, r});
-		if (r.parts.size() >= 2)
-			tell_crash_of(r.runner, r.parts);
+		if (r.parts.size() < 2 && !r.digest)
+			return;
+		crash_reports.push_back({now, r});
+		tell_crash_of(r.runner, r.parts, 0, r.digest);
 	}
 	// Its runner has crashed under the request.
 	void break_off(uint64_t id)
@@ -980,11 +1055,16 @@
 		if (!r.begun || now - r.begun_us < 50 * MS)
 			tell_crash(r);
 		send_done(id, PLACE_BROKEN);
-		if (!r.repeats || r.begun)
-			return;
-		is_repeat = true;
-		ask_with_parts(r.parts);
-		is_repeat = false;
+		if (r.repeats && !r.begun) {
+			is_repeat = true;
+			ask_alike(r.service, r.digest, r.parts);
+			is_repeat = false;
+		} else if (r.digest &&
+			   callers_retries_of[r.digest]++ < callers_retries) {
+			schedule(between(10, 200) * MS, [=]() {
+				ask_alike(r.service, r.digest, r.parts, true);
+			});
+		}
 	}
 	// The prefill of a prompt makes the streams that are running pause.
 	void begin_prefill(SimRunner &r, uint64_t id)
--- a/tests/soak/caller.c
+++ b/tests/soak/caller.c
@@ -35,8 +35,8 @@
 	http1_conn_t *conn; /* NULL: none */
 	unsigned int host;  /* of conn */
 	uint32_t request;
-	const req_class_t *cls;	 /* NULL: between two requests */
-	unsigned int crash_part; /* of its prompt; 0: none */
+	const req_class_t *cls; /* NULL: between two requests */
+	request_traits_t traits;
 	uint32_t retries;
 	int64_t deadline_us;
 	attempt_t *attempt; /* under way; NULL: none */
@@ -160,28 +160,32 @@
  */
 static void write_prompt_fields(const attempt_t *a, buf_t *out)
 {
+	uint32_t n = a->traits.alike ? a->traits.alike : a->request;
+
 	buf_printf(out,
-		   "Model: base/a%d\r\nToken-Usage: 100,40\r\n"
+		   "Model: base/a%u\r\nToken-Usage: 100,40\r\n"
 		   "Prompt-Prefix: a%u:40,",
-		   a->request % ADAPTERS + 1, a->request % 7);
-	if (a->request % 3)
-		buf_printf(out, "dd%u:20,", a->request % 10);
-	if (a->crash_part)
-		buf_printf(out, "bad%u:10,", a->crash_part);
-	buf_printf(out, "b%u:40\r\n", a->request);
+		   n % ADAPTERS + 1, n % 7);
+	if (n % 3)
+		buf_printf(out, "dd%u:20,", n % 10);
+	if (a->traits.crash_part)
+		buf_printf(out, "bad%u:10,", a->traits.crash_part);
+	buf_printf(out, "b%u:40\r\n", n);
 }
 
 static void write_request(caller_t *c, buf_t *out)
 {
 	const attempt_t *a = c->attempt;
 	int64_t left = c->deadline_us - soak_now(soak_of(c));
+	AUTO_BUF buf_t name = {0};
 	AUTO_BUF buf_t body = {0};
 
+	write_request_name(&name, a);
 	write_request_body(&body, a);
 	buf_printf(out,
 		   "POST /%s/%s HTTP/1.1\r\nHost: x.example\r\n"
 		   "Request-Id: %s\r\nDeadline-Ms: %lld\r\n",
-		   a->cls->name, a->id, a->id,
+		   a->cls->name, name.p, a->id,
 		   (long long)(left / USEC_PER_MSEC));
 	if (a->cls->is_stream)
 		write_prompt_fields(a, out);
@@ -209,7 +213,7 @@
 
 	c->attempt = record_sent(s->record, c->cls, c->request, c->host,
 				 c->origin, c->resume_after);
-	c->attempt->crash_part = c->crash_part;
+	c->attempt->traits = c->traits;
 	c->state = CALLER_WAITING;
 	write_request(c, &out);
 	http1_send(c->conn, out.p, out.n);
@@ -276,8 +280,7 @@
 			break;
 	}
 	c->request = ++c->all->n_requests;
-	c->crash_part =
-		c->cls->is_stream ? crashes_draw(soak_of(c)->crashes) : 0;
+	c->traits = crashes_draw(soak_of(c)->crashes, c->cls);
 	c->retries = 0;
 	c->origin = NULL;
 	c->resume_after = 0;
--- a/tests/soak/platform.c
+++ b/tests/soak/platform.c
@@ -27,6 +27,10 @@
 #define BY_CLOSE_SHARE 0.4
 /* Of the runs whose prompt crashes their runner. */
 #define HEAD_BEFORE_CRASH_SHARE 0.5
+/* Of the streams that crash their runner as they are sent again alike. */
+#define EVENT_BEFORE_CRASH_SHARE 0.3
+#define CRASH_MIN_MS 20
+#define CRASH_MAX_MS 100
 /* Software versions side by side; each start of a runner draws one. */
 #define BUILDS 2u
 /* Bytes that are no answer, sent at a time as long as the daemon reads. */
@@ -96,6 +100,7 @@
 	bool by_close; /* only the close ends the response of this run */
 	size_t n_junk; /* bytes that are no answer, sent so far */
 	bool refused_early;
+	bool crashes_next; /* the run's first event was sent */
 	timer_sub_t timer;
 	buf_t slow; /* sent a byte at a time */
 	timer_sub_t slow_timer;
@@ -432,12 +437,23 @@
 }
 
 /* The answer would begin: the runner ends, for some with the head sent. */
-static void crash_by_prompt(conn_t *c)
+static void crash_by_request(conn_t *c)
 {
+	const attempt_t *a = c->attempt;
 	runner_t *r = c->r;
+	bool may_begin = a->traits.alike && a->cls->is_stream &&
+			 c->fault == FAULT_NONE && c->next_event < a->n_events;
 
-	crashes_note_crash(r->p->s->crashes, c->attempt->crash_part);
-	if (chance(r->p->rng, HEAD_BEFORE_CRASH_SHARE))
+	if (may_begin && !c->crashes_next &&
+	    chance(r->p->rng, EVENT_BEFORE_CRASH_SHARE)) {
+		c->crashes_next = true;
+		continue_stream(c);
+		arm_ms(c, &c->timer, CRASH_MIN_MS, CRASH_MAX_MS);
+		return;
+	}
+	crashes_note_crash(r->p->s->crashes, a->traits.crash_cause);
+	if (a->cls->is_stream && !c->crashes_next &&
+	    chance(r->p->rng, HEAD_BEFORE_CRASH_SHARE))
 		send_stream_head(c);
 	runner_end(r, REBORN_AFTER_US);
 }
@@ -448,8 +464,8 @@
 	conn_t *c = ctx;
 
 	(void)now;
-	if (c->attempt->crash_part) {
-		crash_by_prompt(c);
+	if (c->attempt->traits.crash_cause) {
+		crash_by_request(c);
 		return;
 	}
 	switch (c->fault) {
@@ -501,12 +517,14 @@
 /* The body must be what the caller of this attempt sent. */
 static bool request_is_intact(const conn_t *c)
 {
+	AUTO_BUF buf_t name = {0};
 	AUTO_BUF buf_t expected = {0};
 
+	write_request_name(&name, c->attempt);
 	write_request_body(&expected, c->attempt);
 	return str_eq(buf_str(&c->body), buf_str(&expected)) &&
 	       strstr(c->target, c->attempt->cls->name) &&
-	       strstr(c->target, c->attempt->id);
+	       strstr(c->target, name.p);
 }
 
 static void start_run(conn_t *c)
@@ -516,6 +534,7 @@
 	c->by_close = chance(c->p->rng, BY_CLOSE_SHARE);
 	c->serial = record_run(c->p->s->record, c->attempt, r->id, r->build);
 	r->n_running++;
+	c->crashes_next = false;
 	c->next_event = (uint32_t)c->resume_after + 1;
 	arm_ms(c, &c->timer, WORK_MIN_MS, WORK_MAX_MS);
 }
--- a/tests/soak/record.c
+++ b/tests/soak/record.c
@@ -123,7 +123,7 @@
 {
 	bool is_new = a->origin == a;
 
-	if (!a->cls->is_stream || a->crash_part)
+	if (!a->cls->is_stream || a->traits.crash_cause)
 		return;
 	if (is_new)
 		crashes_note_sound(r->s->crashes, a, has_events);
@@ -246,9 +246,20 @@
 
 /* Texts. */
 
+void write_request_name(buf_t *out, const attempt_t *a)
+{
+	if (a->traits.alike)
+		buf_printf(out, "alike%u", a->traits.alike);
+	else
+		buf_puts(out, a->id);
+}
+
 void write_request_body(buf_t *out, const attempt_t *a)
 {
-	buf_printf(out, "request %s of %u", a->id, a->request);
+	if (a->traits.alike)
+		buf_printf(out, "request alike to %u", a->traits.alike);
+	else
+		buf_printf(out, "request %s of %u", a->id, a->request);
 }
 
 void write_answer(buf_t *out, const attempt_t *a, uint64_t serial)
@@ -383,6 +394,13 @@
 		t->leaving_us = soak_now(r->s);
 }
 
+/* Whether the daemon refused it as a request that crashes runners. */
+static bool blames_request(const answer_t *ans)
+{
+	return ans->status == 503 && ans->body.n &&
+	       memmem(ans->body.p, ans->body.n, "quarantined", 11);
+}
+
 void record_answer(record_t *r, attempt_t *a, const answer_t *ans)
 {
 	uint64_t serial = 0;
@@ -399,6 +417,8 @@
 	count_stream(r, a, ans->status == 200 && count_events(ans->body) > 0);
 	if (ans->leaving)
 		note_leaving(r, a, serial);
+	if (blames_request(ans))
+		crashes_note_refused(r->s->crashes, a);
 	if (ans->status >= 300) {
 		check_failure(r, a, ans, serial);
 		return;
@@ -429,7 +449,7 @@
 	told_t *t = told_by(r, a->host, runner);
 	int64_t now = soak_now(r->s);
 
-	if (a->crash_part)
+	if (a->traits.crash_cause)
 		crashes_note_arrival(r->s->crashes, a, runner);
 	if (t->leaving_us && a->sent_us > t->leaving_us + DRAIN_US)
 		record_broken(r, RULE_SENT_TO_LEAVING,
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -99,7 +99,7 @@
 	  "what came in a runner's pause was sent to it")                     \
 	X(JUNK_READ, "junk_read", "bytes that are no answer were read on")    \
 	X(SOUND_DROPPED, "sound_dropped",                                     \
-	  "streams without such a part begin half as often as before")        \
+	  "streams that crash nothing begin half as often as before")         \
 	X(TWO_HOLDERS, "two_holders", "orders of two hosts with one fence")   \
 	X(MANIFEST_OLDER, "manifest_older", "a read gave an older manifest")  \
 	X(MANIFEST_LOST, "manifest_lost", "an acknowledged manifest is gone") \
@@ -109,6 +109,8 @@
 #define SOAK_LATE(X)                                                         \
 	X(CRASHES_GO_ON, "crashes_go_on",                                    \
 	  "what crashes runners was sent on long after it had")              \
+	X(SOUND_BLAMED, "sound_blamed",                                      \
+	  "refused for crashes that it had not caused")                      \
 	X(LIMIT_EXCEEDED, "limit_exceeded",                                  \
 	  "a runner got far more than the limit it had named")               \
 	X(UNANSWERED, "unanswered", "no answer a second after the deadline") \
@@ -140,6 +142,16 @@
 #define CLASS_COUNT 4u
 extern const req_class_t req_classes[CLASS_COUNT];
 
+/* What a request has in common with others. */
+typedef struct request_traits {
+	/* Of its prompt, crashes a runner that begins to answer it; 0: none. */
+	unsigned int crash_part;
+	/* It is alike to all others with this number, but for its id; 0: to none. */
+	unsigned int alike;
+	/* What crashes a runner that begins to run it; 0: nothing does. */
+	unsigned int crash_cause;
+} request_traits_t;
+
 typedef struct run {
 	uint64_t serial;
 	char runner[24];
@@ -162,8 +174,7 @@
 	/* Counts for STREAMS_DROPPED; set when it is sent. */
 	bool is_judged;
 	bool host_was_in_touch; /* when it was sent */
-	/* Of its prompt, crashes a runner that begins to answer it; 0: none. */
-	unsigned int crash_part;
+	request_traits_t traits;
 	int64_t sent_us;
 	GArray *runs; /* run_t */
 	bool answered;
@@ -211,25 +222,28 @@
 void record_print(const record_t *r, FILE *out);
 /* Number of broken rules: all, or without those that depend on time. */
 uint32_t record_n_broken(const record_t *r, bool with_late);
-/* The body of a request, and what a run of it answers. */
+/* The last part of the path, the body of a request, and what a run of it answers. */
+void write_request_name(buf_t *out, const attempt_t *a);
 void write_request_body(buf_t *out, const attempt_t *a);
 void write_answer(buf_t *out, const attempt_t *a, uint64_t serial);
 void write_event(buf_t *out, const attempt_t *a, uint64_t serial, uint32_t n);
 
-/* crashes.c: parts of prompts that crash runners. */
+/* crashes.c: parts of prompts, and requests, that crash runners. */
 
 crashes_t *crashes_new(soak_t *s);
 void crashes_free(crashes_t *c);
 /* The callers begin. */
 void crashes_start(crashes_t *c);
-/* Such a part for a new request for a stream; 0: it has none. */
-unsigned int crashes_draw(crashes_t *c);
-/* A runner has crashed as it began to answer on the part. */
-void crashes_note_crash(crashes_t *c, unsigned int part);
-/* A request with such a part has come to a runner. */
+/* What a new request of this kind has in common with others. */
+request_traits_t crashes_draw(crashes_t *c, const req_class_t *cls);
+/* A runner has crashed by the cause. */
+void crashes_note_crash(crashes_t *c, unsigned int cause);
+/* A request with a cause of crashes has come to a runner. */
 void crashes_note_arrival(crashes_t *c, const attempt_t *a, const char *runner);
-/* A stream without such a part has ended; began: it brought an event. */
+/* A stream without a cause of crashes has ended; began: it brought an event. */
 void crashes_note_sound(crashes_t *c, const attempt_t *a, bool began);
+/* Such a request was refused as one that crashes runners. */
+void crashes_note_refused(crashes_t *c, const attempt_t *a);
 /* Judges what only the whole run shows. */
 void crashes_end(crashes_t *c);
 void crashes_print(const crashes_t *c, FILE *out);
