Quarantine: a request that crashes runners each time it comes again is found and refused

Cause: what ends a runner was charged to shared parts of prompts alone. A request without a prompt was not even reported; of one that comes again all crashes counted as one. Change: one evidence holds both kinds of cause. A request is named by its digest; three crashes of runners that did not end together name it, five if a rival is in all of them; an answer clears it. Until then a suspect runs at one runner at a time, from the second crash on apart from other suspects, is not repeated by its host, and never at the last runner of its service. Decided, told to other dispatchers, tried again and released as parts are. A dispatcher that begins takes its evidence from what entries tell; an isolated one names only what it has seen.

--- a/src/counter.h
+++ b/src/counter.h
@@ -73,7 +73,9 @@
 	X(DISPATCH_OFFERS, "dispatch_offers",                           \
 	  "Runners whose cost was computed for such a choice")          \
 	X(PARTS_QUARANTINED, "parts_quarantined",                       \
-	  "Parts of prompts found to crash runners")
+	  "Parts of prompts found to crash runners")                    \
+	X(REQUESTS_QUARANTINED, "requests_quarantined",                 \
+	  "Requests, sent again alike, found to crash runners")
 
 #define COUNTERS(X)       \
 	COUNTERS_HTTP(X)  \
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -242,15 +242,23 @@
 	return false;
 }
 
-static bool may_pass_quarantine(dispatch_t *d, pending_request_t *req,
-				int64_t now_us)
+/* Refuses the request if the quarantine holds it; returns whether it has. */
+static bool refuse_quarantined(dispatch_t *d, pending_request_t *req,
+			       int64_t now_us)
 {
 	const Dispatch__Ask *a = req->msg->ask;
+	reason_t reason;
 
-	if (req->is_trial || !quarantine_holds(d, a, now_us))
-		return true;
+	if (req->is_trial)
+		return false;
+	reason = quarantine_reason(d, a, now_us);
+	if (reason == REASON_NONE)
+		return false;
 	req->is_trial = quarantine_begin_trial(d, a, now_us);
-	return req->is_trial;
+	if (req->is_trial)
+		return false;
+	pending_refuse(d, req, reason, 0);
+	return true;
 }
 
 /* Grants or refuses a pending request, or leaves it pending. */
@@ -260,10 +268,8 @@
 	const Dispatch__Ask *a = req->msg->ask;
 	choice_t choice;
 
-	if (!may_pass_quarantine(d, req, now_us)) {
-		pending_refuse(d, req, REASON_PROMPT_QUARANTINED, 0);
+	if (refuse_quarantined(d, req, now_us))
 		return;
-	}
 	if (a->target_ended && quarantine_suspects(d, a)) {
 		pending_refuse(d, req, REASON_TARGET_LOST, 0);
 		return;
@@ -273,6 +279,8 @@
 	if (!resolve_stream(d, req, now_us))
 		return;
 	leave_queue(req);
+	if (quarantine_runs_alike(d, a, now_us))
+		return; /* decided again at decide_due_us */
 	choice = choose_runner(d, a, now_us - req->received_us,
 			       req->load_waited_us, now_us);
 	if (!choice.runner && choice.stays_pending)
@@ -281,6 +289,12 @@
 		pending_refuse(d, req, choice.reason, choice.retry_us);
 		return;
 	}
+	if (quarantine_spares_last(d, a, choice.runner, now_us)) {
+		pending_refuse(d, req, REASON_NO_TARGET, REFUSAL_RETRY_US);
+		return;
+	}
+	if (quarantine_keeps_away(d, a, choice.runner, now_us))
+		return; /* decided again at decide_due_us */
 	if (!choice.needs_load && has_ready_copy(choice.runner, a)) {
 		if (choice.grant_in_us > 0) {
 			/* It is decided again at decide_due_us. */
@@ -327,8 +341,7 @@
 	pending_request_t *req, *tmp;
 
 	cds_list_for_each_entry_safe (req, tmp, &d->pending, node)
-		if (!may_pass_quarantine(d, req, now_us))
-			pending_refuse(d, req, REASON_PROMPT_QUARANTINED, 0);
+		refuse_quarantined(d, req, now_us);
 }
 
 /*
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -57,7 +57,7 @@
 
 /* Names of decided documents of the dispatcher. */
 #define DOC_BUILDS "builds" /* the software versions of the runners */
-/* The parts of prompts that no runner gets, as they crash it. */
+/* What no runner gets, as it crashes it. */
 #define DOC_QUARANTINE "quarantine"
 
 typedef struct dispatch_ops {
@@ -145,10 +145,10 @@
 int64_t dispatch_tick(dispatch_t *d, int64_t now_us);
 
 /*
- * Appends the body of DOC_QUARANTINE without the part of this id, written as there;
- * false: it is not in it.
+ * Appends the body of DOC_QUARANTINE without this cause, written as there; false: it is
+ * not in it.
  */
-bool dispatch_release_part(str_t body, str_t part, buf_t *out);
+bool dispatch_release_cause(str_t body, str_t cause, buf_t *out);
 
 /* Records the streams that an entry tells of. */
 void dispatch_store_streams(stream_builds_t *to, const Dispatch__Streams *m,
--- a/src/dispatch_int.h
+++ b/src/dispatch_int.h
@@ -2,7 +2,7 @@
  * dispatch_int.h - internals of the dispatcher, included only by dispatch.c
  * (pending requests), grants.c (granted places), fleet.c (the state of the runners), orders.c
  * (loading and unloading adapters and models), choice.c (choosing a runner),
- * builds.c (their software versions), quarantine.c (prompts that crash them) and
+ * builds.c (their software versions), quarantine.c (what crashes them) and
  * pacing.c (their limits).
  */
 #ifndef DK_DISPATCH_INT_H
@@ -208,7 +208,9 @@
 	/* Owned: ids of the prompt's parts that other prompts may share. */
 	uint64_t *shared_parts;
 	uint32_t n_shared_parts;
-	bool for_stream; /* of a request that takes up a stream */
+	uint64_t digest; /* of the request; 0: not known, or answered */
+	struct cds_list_head suspect; /* in those of quarantine_t, or empty */
+	bool for_stream;	      /* of a request that takes up a stream */
 } grant_t;
 
 /* A request without a grant: it waits for a copy, or for a place. */
@@ -223,7 +225,7 @@
 	int64_t load_waited_us;	    /* time spent waiting for earlier copies */
 	int64_t deadline_us;	    /* refused then */
 	uint32_t load_attempts;
-	bool is_trial; /* of a part of its prompt in quarantine */
+	bool is_trial; /* of what it has of the quarantine */
 } pending_request_t;
 
 /*
@@ -454,30 +456,47 @@
 void quarantine_free(quarantine_t *q);
 /* The dispatcher begins. */
 void quarantine_begin(dispatch_t *d, int64_t now_us);
-/* Whether a part of the prompt is in quarantine. */
-bool quarantine_holds(const dispatch_t *d, const Dispatch__Ask *ask,
-		      int64_t now_us);
-/* Whether a request whose part is in quarantine is granted, as a trial. */
+/* Why the request is refused: what it has of the quarantine; or REASON_NONE. */
+reason_t quarantine_reason(const dispatch_t *d, const Dispatch__Ask *ask,
+			   int64_t now_us);
+/* Whether a request that would be refused is granted, as a trial. */
 bool quarantine_begin_trial(dispatch_t *d, const Dispatch__Ask *ask,
 			    int64_t now_us);
 /* A new request has come. */
 void quarantine_on_ask(dispatch_t *d, const Dispatch__Ask *ask);
+/* Whether a request under which a runner has ended is likely to end another one. */
+bool quarantine_suspects(const dispatch_t *d, const Dispatch__Ask *ask);
 /*
- * Whether a request under which a runner has ended has a part that is likely to end
- * another one.
+ * Whether the request is suspected, and another one that is alike runs: what becomes
+ * of that one is to be known first.
  */
-bool quarantine_suspects(const dispatch_t *d, const Dispatch__Ask *ask);
+bool quarantine_runs_alike(const dispatch_t *d, const Dispatch__Ask *ask,
+			   int64_t now_us);
+/*
+ * Whether the request has ended so many runners that the last one of its service that
+ * is left, which this is, is not risked for it.
+ */
+bool quarantine_spares_last(const dispatch_t *d, const Dispatch__Ask *ask,
+			    const runner_t *r, int64_t now_us);
+/*
+ * Whether the request is suspected, and not to be sent to this runner now, as that runs
+ * another suspect: an end of it would not tell which of them is the cause.
+ */
+bool quarantine_keeps_away(const dispatch_t *d, const Dispatch__Ask *ask,
+			   const runner_t *r, int64_t now_us);
+/* A place was granted; digest and runner of the grant are set. */
+void quarantine_on_grant(dispatch_t *d, grant_t *g);
 void quarantine_on_crash(dispatch_t *d, const Dispatch__Crash *m,
 			 int64_t now_us);
 /* What an entry has seen answered before this dispatcher began. */
 void quarantine_on_answered_before(dispatch_t *d, const Dispatch__Answered *m,
 				   int64_t now_us);
-/* The prompt of this grant is answered, and the runner lives on. */
+/* The request of this grant is answered, and the runner lives on. */
 void quarantine_on_answered(dispatch_t *d, grant_t *g, int64_t now_us);
 /* The runner has sent something. */
 void quarantine_on_sign_of_life(dispatch_t *d, const runner_t *r,
 				int64_t now_us);
-/* Takes in the parts that are decided now. */
+/* Takes in the causes that are decided now. */
 void quarantine_apply_tables(dispatch_t *d);
 /* Does what is due; returns when it has to be called again. */
 int64_t quarantine_tick(dispatch_t *d, int64_t now_us);
@@ -529,7 +548,7 @@
 Dispatch__Msg *dispatch_msg_copy(const Dispatch__Msg *msg);
 /* The copy is ready: the requests that wait for it are decided again. */
 void pending_copy_ready(dispatch_t *d, copy_t *c, int64_t now_us);
-/* A part of prompts is in quarantine now: refuses the requests that have it. */
+/* The quarantine has grown: refuses the requests that it holds. */
 void pending_refuse_quarantined(dispatch_t *d, int64_t now_us);
 /* The copy is about to be freed: no request waits for it any more. */
 void pending_copy_removed(dispatch_t *d, const copy_t *c);
--- a/src/event.h
+++ b/src/event.h
@@ -96,17 +96,17 @@
 	  "or this daemon's.")                                                 \
 	X("cancelled", 100, "id route state after_ms",                         \
 	  "The caller's connection ended before the response.")                \
-	X("part_quarantined", 10, "part crashes",                              \
-	  "Dispatcher: runners have ended as they were about to answer so "    \
-	  "many different prompts with this part, and no other explains it; "  \
-	  "requests with it are refused from now on.")                         \
-	X("part_trial", 10, "part trials",                                     \
-	  "Dispatcher: one request with this part is let pass, to learn "      \
+	X("quarantine_begun", 10, "cause crashes",                             \
+	  "Dispatcher: so many runners have ended as they were about to "      \
+	  "answer what the cause names, and nothing else explains it; it is "  \
+	  "refused from now on. The cause is a part of prompts, or request: "  \
+	  "and the digest of a request.")                                      \
+	X("quarantine_trial", 10, "cause trials",                              \
+	  "Dispatcher: one request with this cause is let pass, to learn "     \
 	  "whether it still crashes runners.")                                 \
-	X("part_released", 10, "part why",                                     \
-	  "Dispatcher: requests with this part are served again, as its "      \
-	  "prompts were answered, nobody asked for it any more, or an "        \
-	  "operator released it.")                                             \
+	X("quarantine_ended", 10, "cause why",                                 \
+	  "Dispatcher: requests with this cause are served again, as one was " \
+	  "answered, nobody sent any more, or an operator released it.")       \
 	X("dispatch_started", 10, "term orders_settled",                       \
 	  "This daemon becomes the dispatcher; orders_settled=1: no order "    \
 	  "of an earlier one can still be carried out.")                       \
--- a/src/gateway_int.h
+++ b/src/gateway_int.h
@@ -27,8 +27,8 @@
 
 /* Reports of crashes kept. */
 #define CRASH_REPORTS_MAX 32u
-/* Answered parts kept, in a direct-mapped table. */
-#define ANSWERED_PARTS_MAX 256u
+/* Answered requests kept, and parts, in a direct-mapped table each. */
+#define ANSWERED_MAX 256u
 /* Limits of runners kept. */
 #define NAMED_LIMITS_MAX 64u
 
@@ -164,14 +164,15 @@
 	int64_t at_us;
 	uint64_t parts[PROMPT_PARTS_MAX]; /* that other prompts may share */
 	uint32_t n_parts;
-	uint64_t own_part;
+	uint64_t own_part; /* 0: the request has no prompt */
+	uint64_t digest;
 } crash_report_t;
 
-/* A shared part of a prompt that was answered at this daemon. */
-typedef struct answered_part {
-	uint64_t id;
+/* A request that was answered at this daemon, or a shared part of its prompt. */
+typedef struct answered {
+	uint64_t id;   /* the digest, or that of the part */
 	int64_t at_us; /* 0: none */
-} answered_part_t;
+} answered_t;
 
 /* The limit that a runner named last in a response to this daemon. */
 typedef struct named_limit {
@@ -201,8 +202,9 @@
 	/* The last ones, to be told to another dispatcher. */
 	crash_report_t crashes[CRASH_REPORTS_MAX];
 	uint32_t n_crashes; /* so far, also those overwritten */
-	answered_part_t answered_parts[ANSWERED_PARTS_MAX]; /* as crashes */
-	named_limit_t named_limits[NAMED_LIMITS_MAX];	    /* as crashes */
+	answered_t answered_parts[ANSWERED_MAX];      /* as crashes */
+	answered_t answered_requests[ANSWERED_MAX];   /* as crashes */
+	named_limit_t named_limits[NAMED_LIMITS_MAX]; /* as crashes */
 	struct cds_list_head requests;
 	size_t n_requests;
 	/* Callers that connected while this host starts; not read yet. */
@@ -272,10 +274,10 @@
 
 /*
  * The target closed the connection of the attempt under way. Tells the dispatcher if
- * it was about to answer a prompt, which may have ended it.
+ * it was about to answer the request, which may have ended it.
  */
 void crashes_note_close(request_t *r, http1_close_reason_t why);
-/* The prompt was answered: its parts crash no target. */
+/* The request was answered: neither it nor its parts crash a target. */
 void crashes_note_answered(const request_t *r);
 /* Tells the dispatcher of all recent crashes, and of parts answered lately. */
 void crashes_tell(gateway_t *g);
--- a/src/grants.c
+++ b/src/grants.c
@@ -35,7 +35,7 @@
 /* Bounds of runner_t.slowdown. */
 #define SLOWDOWN_MIN 0.5
 #define SLOWDOWN_MAX 6.0
-/* A runner that lives so long after a prompt's answer began did not crash on it. */
+/* A runner that lives so long after an answer began did not crash on its request. */
 #define ANSWER_SETTLED_US (300 * USEC_PER_MSEC)
 
 void grants_send(dispatch_t *d, const grant_t *g)
@@ -75,6 +75,7 @@
 		g->copy->last_used_us = now_us;
 	}
 	cds_list_del(&g->node);
+	cds_list_del(&g->suspect);
 	g_hash_table_remove(d->grants, &g->key);
 	free(g->shared_parts);
 	free(g);
@@ -101,6 +102,7 @@
 	g->key = *key;
 	g->runner = r;
 	g->copy = c;
+	CDS_INIT_LIST_HEAD(&g->suspect);
 	cds_list_add_tail(&g->node, &r->grants);
 	r->n_grants++;
 	if (c)
@@ -139,6 +141,8 @@
 	g->deadline_us = now_us + ask->left_us;
 	g->for_stream = ask->takes_up;
 	grant_set_parts(g, ask);
+	g->digest = ask->digest;
+	quarantine_on_grant(d, g);
 	r->pending_prefill_tokens += g->prefill_tokens;
 	r->reserved_tokens += g->tokens;
 	choice_record_grant(r, g->prefill_tokens, now_us);
@@ -258,6 +262,7 @@
 			  kv_i("load_ms", d->adapter_load_us / USEC_PER_MSEC));
 	if (o == PLACE_ANSWERED) {
 		learn_hold_time(g, now_us);
+		quarantine_on_sign_of_life(d, r, now_us);
 		quarantine_on_answered(d, g, now_us);
 	}
 	learn_prefill_share(r, m->pause_permille);
@@ -297,6 +302,7 @@
 		    : NULL;
 	g = grant_add(d, key, r, c);
 	g->tokens = m->tokens;
+	g->digest = m->digest;
 	g->started = true;
 	g->deadline_us = INT64_MAX / 2;
 	r->reserved_tokens += g->tokens;
--- a/src/reason.h
+++ b/src/reason.h
@@ -122,6 +122,10 @@
 	  "The daemon was told to stop at once.")                              \
 	X(PROMPT_QUARANTINED, "prompt_quarantined", 503, RUN_NO, RETRY_NEVER,  \
 	  "A part of the prompt crashes targets; leave it out, or release it " \
+	  "once the targets are mended.")                                      \
+	X(REQUEST_QUARANTINED, "request_quarantined", 503, RUN_NO,             \
+	  RETRY_NEVER,                                                         \
+	  "The request crashes targets; do not send it again, or release it "  \
 	  "once the targets are mended.")
 
 typedef enum reason {
--- a/src/site_ports.c
+++ b/src/site_ports.c
@@ -29,8 +29,8 @@
 #define METRICS_PORT 9464
 #define METRICS_PATH "/metrics"
 /*
- * On the same port, GET: the parts of prompts in quarantine, a line each; DELETE with
- * a slash and a part behind it: releases that one.
+ * On the same port, GET: what is in quarantine, a line for each cause; DELETE with a
+ * slash and a cause behind it: releases that one.
  */
 #define QUARANTINE_PATH "/quarantine"
 /* With fewer live hosts in its own zone, a caller gets the addresses of all. */
@@ -360,21 +360,21 @@
 	respond_as(c, 200, "text/plain; version=0.0.4", buf_str(&body));
 }
 
-static str_t quarantined_parts(const site_t *s)
+static str_t quarantined_causes(const site_t *s)
 {
 	const doc_t *doc = find_doc(s, STR(DOC_QUARANTINE));
 
 	return doc ? doc->body : str_n(NULL, 0);
 }
 
-static void release_part(port_call_t *c, str_t part)
+static void release_cause(port_call_t *c, str_t cause)
 {
 	site_t *s = c->site;
 	const doc_t *doc = find_doc(s, STR(DOC_QUARANTINE));
 	AUTO_BUF buf_t body = {0};
 
-	if (!dispatch_release_part(quarantined_parts(s), part, &body)) {
-		respond_error(c, 404, STR("no such part is in quarantine"));
+	if (!dispatch_release_cause(quarantined_causes(s), cause, &body)) {
+		respond_error(c, 404, STR("this is not in quarantine"));
 		return;
 	}
 	wait_for_log(c);
@@ -391,11 +391,11 @@
 	if (str_eq(target, STR(METRICS_PATH)))
 		respond_metrics(c);
 	else if (str_eq(target, STR(QUARANTINE_PATH)))
-		respond_as(c, 200, "text/plain", quarantined_parts(c->site));
+		respond_as(c, 200, "text/plain", quarantined_causes(c->site));
 	else if (c->is_delete && target.n > prefix.n &&
 		 str_eq(str_n(target.p, prefix.n), prefix))
-		release_part(c,
-			     str_n(target.p + prefix.n, target.n - prefix.n));
+		release_cause(c,
+			      str_n(target.p + prefix.n, target.n - prefix.n));
 	else
 		respond_error(c, 404, STR("no such call"));
 }
--- a/tests/crash_request_test.cc
+++ b/tests/crash_request_test.cc
@@ -75,7 +75,8 @@
 	size_t n = 0;
 
 	for (auto &r : w.requests)
-		n += r.second.refusal == REASON_PROMPT_QUARANTINED &&
+		n += (r.second.refusal == REASON_REQUEST_QUARANTINED ||
+		      r.second.refusal == REASON_PROMPT_QUARANTINED) &&
 		     !w.crash_digests.count(r.second.digest);
 	return n;
 }
@@ -199,6 +200,81 @@
 	}
 }
 
+TEST(CrashRequest, ADispatcherThatStartsAnewRefusesWhatIsDecided)
+{
+	std::unique_ptr<World> w(world_of(1, {}, 3));
+
+	w->decide_quarantine("request:d1e\t3\t0\n");
+	w->another_takes_over();
+	uint64_t id = w->ask_alike("app", CRASH_DIGEST);
+
+	EXPECT_EQ((uint32_t)REASON_REQUEST_QUARANTINED,
+		  w->requests[id].refusal);
+	// A part of a prompt with the same id is another cause.
+	id = w->ask_alike("llm", 0, {FIRST_PART, CRASH_DIGEST, 7});
+	w->run(500 * MS, 0);
+	EXPECT_EQ(1, w->requests[id].grants);
+}
+
+// Sends the request until it is granted, for at most this long.
+bool is_served_within(World &w, int64_t us)
+{
+	for (int64_t end = w.now + us; w.now < end;) {
+		uint64_t id = w.ask_alike("app", CRASH_DIGEST);
+
+		w.run(500 * MS, 0);
+		if (w.requests[id].grants)
+			return true;
+	}
+	return false;
+}
+
+TEST(CrashRequest, ARequestThatCrashesNoRunnerAnyMoreIsReleasedByATrial)
+{
+	std::unique_ptr<World> w(world_of(1, {}, 3));
+
+	w->decide_quarantine("request:d1e\t3\t0\n");
+	w->another_takes_over();
+	EXPECT_FALSE(is_served_within(*w, 8000 * MS));
+	EXPECT_TRUE(is_served_within(*w, 10000 * MS));
+	w->run(1000 * MS, 0); // the trial is answered
+	EXPECT_TRUE(is_served_within(*w, 500 * MS));
+}
+
+TEST(CrashRequest, TrialsOfARequestThatStillCrashesRunnersAreFew)
+{
+	std::unique_ptr<World> w(world_of(1, {}, 3));
+
+	w->crash_digests.insert(CRASH_DIGEST);
+	w->decide_quarantine("request:d1e\t3\t0\n");
+	for (int i = 0; i < 1800; i++) {
+		w->ask_alike("app", CRASH_DIGEST, {}, true);
+		w->run(1000 * MS, 0);
+		if (i % 600 == 0)
+			w->begin(false);
+	}
+	EXPECT_GE(w->crashing_runs.size(), 1u);
+	EXPECT_LE(w->crashing_runs.size(), MOST_MORE);
+}
+
+TEST(CrashRequest, TheLastRunnerOfAServiceIsNotRiskedForASuspect)
+{
+	std::unique_ptr<World> w(world_of(1, {}, 3));
+
+	w->crash_digests.insert(CRASH_DIGEST);
+	for (int i = 0; i < 3; i++) {
+		w->ask_alike("app", CRASH_DIGEST);
+		w->run(200 * MS, 0);
+	}
+	EXPECT_EQ(2u, w->crash_times[CRASH_DIGEST].size());
+	uint64_t id = w->ask_alike("app", CRASH_DIGEST);
+	EXPECT_EQ(0, w->requests[id].grants);
+	EXPECT_EQ((uint32_t)REASON_NO_TARGET, w->requests[id].refusal);
+	id = w->ask_alike("app", CRASH_DIGEST + 1);
+	w->run(200 * MS, 0);
+	EXPECT_TRUE(w->requests[id].begun);
+}
+
 // Crashes any runner about once in 1.5 s.
 void run_with_crashes(World &w, int64_t us, const Alike &t)
 {
--- a/tests/crash_test.cc
+++ b/tests/crash_test.cc
@@ -280,12 +280,12 @@
 {
 	buf_t out = {};
 
-	EXPECT_TRUE(dispatch_release_part(STR("a\t3\t0\nbad0\t5\t1\n"),
-					  STR("a"), &out));
+	EXPECT_TRUE(dispatch_release_cause(STR("a\t3\t0\nbad0\t5\t1\n"),
+					   STR("a"), &out));
 	EXPECT_EQ("bad0\t5\t1\n", std::string(out.p, out.n));
 	buf_reset(&out);
-	EXPECT_FALSE(dispatch_release_part(STR("a\t3\t0\n"), STR("b"), &out));
-	EXPECT_FALSE(dispatch_release_part(STR(""), STR("b"), &out));
+	EXPECT_FALSE(dispatch_release_cause(STR("a\t3\t0\n"), STR("b"), &out));
+	EXPECT_FALSE(dispatch_release_cause(STR(""), STR("b"), &out));
 	buf_free(&out);
 }
 
--- a/tests/dispatch_world.h
+++ b/tests/dispatch_world.h
@@ -1037,8 +1037,10 @@
 		return 0;
 	}
 	// The entry reports that its runner ended as it was about to answer.
-	void tell_crash(const Request &r)
+	void tell_crash(Request r)
 	{
+		if (r.begun && now - r.begun_us >= 50 * MS && !r.parts.empty())
+			r.parts = {r.parts.back()};
 		if (r.parts.size() < 2 && !r.digest)
 			return;
 		crash_reports.push_back({now, r});
@@ -1052,7 +1054,7 @@
 		requests[id].running = false;
 		if (r.ended)
 			return;
-		if (!r.begun || now - r.begun_us < 50 * MS)
+		if (!r.begun || now - r.begun_us < 150 * MS)
 			tell_crash(r);
 		send_done(id, PLACE_BROKEN);
 		if (r.repeats && !r.begun) {
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -277,6 +277,9 @@
 	// Reports of targets that ended: "RUNNER PART..." each.
 	std::vector<std::string> crashes;
 	std::vector<bool> asked_after_crash; // of each Ask
+	std::vector<uint64_t> digests;	     // of each Ask
+	std::vector<uint64_t> crashed;	     // digests in reports of crashes
+	std::set<uint64_t> answered_digests; // that a new dispatcher is told of
 	std::set<uint64_t> answered; // parts that a new dispatcher is told of
 	std::vector<double> limits;  // told; LIMIT_NONE: its end
 	bool grants_limited = false; // as Grants say
@@ -356,6 +359,7 @@
 		for (size_t i = 0; i < m->n_parts; i++)
 			report += " " + std::to_string(m->parts[i]);
 		crashes.push_back(report);
+		crashed.push_back(m->digest);
 	}
 	static void on_unresponsive(void *ctx)
 	{
@@ -391,8 +395,14 @@
 			for (size_t i = 0; i < msg->answered->n_parts; i++)
 				fixture->answered.insert(
 					msg->answered->parts[i]);
+		if (msg->body_case == DISPATCH__MSG__BODY_ANSWERED)
+			for (size_t i = 0; i < msg->answered->n_digests; i++)
+				fixture->answered_digests.insert(
+					msg->answered->digests[i]);
 		if (msg->body_case == DISPATCH__MSG__BODY_CRASH)
 			fixture->note_crash(msg->crash);
+		if (msg->body_case == DISPATCH__MSG__BODY_ASK)
+			fixture->digests.push_back(msg->ask->digest);
 		if (msg->body_case == DISPATCH__MSG__BODY_ASK)
 			fixture->asked_after_crash.push_back(
 				msg->ask->target_ended);
@@ -1243,6 +1253,47 @@
 	}
 }
 
+TEST(Gateway, RequestsThatAreAlikeHaveOneDigest)
+{
+	Target t(std::deque<Action>(9, ok_response()));
+	GatewayFixture fixture(std::vector<Target *>(9, &t));
+
+	fixture.ask("/again/x", "", "body");
+	fixture.ask("/again/x", "Deadline-Ms: 900\r\nToken-Usage: 1,2\r\n",
+		    "body", "r2");
+	Client c(fixture.port);
+	c.send("POST /again/x HTTP/1.1\r\nHost: x\r\nRequest-Id: r3\r\n"
+	       "Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
+	       "2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n");
+	c.read_all();
+	ASSERT_EQ(3u, fixture.digests.size());
+	EXPECT_EQ(fixture.digests[0], fixture.digests[1]);
+	EXPECT_EQ(fixture.digests[0], fixture.digests[2]);
+	fixture.ask("/again/x", "", "body2");
+	fixture.ask("/again/y", "", "body");
+	fixture.ask("/again/x?y", "", "body");
+	fixture.ask("/again/xb", "", "ody");
+	fixture.ask("/again/x", "Authorization: Bearer a\r\n", "body");
+	fixture.ask("/again/x", "Authorization: Bearer b\r\n", "body");
+	std::set<uint64_t> all(fixture.digests.begin(), fixture.digests.end());
+	EXPECT_EQ(7u, all.size());
+}
+
+TEST(Gateway, TargetThatEndsUnderARequestWithoutAPromptIsReported)
+{
+	Target t({Action{"", true}, ok_response()});
+	GatewayFixture fixture({&t, &t});
+
+	fixture.ask("/once/x", "", "body");
+	ASSERT_EQ(1u, fixture.crashed.size());
+	EXPECT_EQ(fixture.digests[0], fixture.crashed[0]);
+	fixture.ask("/once/y", "", "body", "r2");
+	fixture.l.call([&] { gateway_resync_dispatcher(fixture.gateway); });
+	EXPECT_EQ(2u, fixture.crashed.size());
+	EXPECT_EQ((std::set<uint64_t>{fixture.digests[1]}),
+		  fixture.answered_digests);
+}
+
 TEST(Gateway, NewDispatcherIsToldWhichPartsWereAnswered)
 {
 	Target t({ok_response(), response(500, "", "no")});
