--- a/src/dispatch_int.h
+++ b/src/dispatch_int.h
@@ -338,8 +338,11 @@
 bool copy_is_current(const dispatch_t *d, const copy_t *c);
 /* Decided version of the adapter with this copy_key(); 0: none. */
 uint64_t decided_version(const dispatch_t *d, uint64_t key);
-/* Counts the outcome of a grant for or against the runner's health. */
-void runner_record_outcome(runner_t *r, place_outcome_t outcome,
+/*
+ * Counts the outcome of a grant for or against the runner's health. host: that told it;
+ * 0: the dispatcher itself.
+ */
+void runner_record_outcome(runner_t *r, place_outcome_t outcome, host_id_t host,
 			   int64_t now_us);
 /* The runner gets no request until until_us, and then one as a probe. */
 void runner_suspend(runner_t *r, int64_t until_us);
--- a/src/event.h
+++ b/src/event.h
@@ -125,8 +125,9 @@
 	  "The list says that the runner began or ended draining.")            \
 	X("runner_restarted", 50, "runner born_ms",                            \
 	  "The runner has restarted; all that was known of it is discarded.")  \
-	X("runner_suspended", 50, "runner failures outcome for_ms",            \
-	  "The runner gets no requests for a while, then one as a trial.")     \
+	X("runner_suspended", 50, "runner failures outcome host for_ms",       \
+	  "The runner gets no requests for a while, then one as a trial; "     \
+	  "host told the last failure, 0: the dispatcher saw it.")             \
 	X("runner_held_off", 50, "runner leaving for_ms",                      \
 	  "The runner answered that it wants no requests of this host for a "  \
 	  "time, or, with leaving=1, that it shuts down.")                     \
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -707,7 +707,8 @@
 	r->failure_rate_us = now_us;
 }
 
-void runner_record_outcome(runner_t *r, place_outcome_t outcome, int64_t now_us)
+void runner_record_outcome(runner_t *r, place_outcome_t outcome, host_id_t host,
+			   int64_t now_us)
 {
 	uint32_t shift;
 
@@ -735,6 +736,7 @@
 	log_event(LOG_INFO, "runner_suspended", kv_s("runner", r->id),
 		  kv_u("failures", r->consecutive_failures),
 		  KV_C("outcome", place_outcome_name(outcome)),
+		  kv_u("host", host),
 		  kv_i("for_ms",
 		       (r->suspended_until_us - now_us) / USEC_PER_MSEC));
 }
--- a/src/grants.c
+++ b/src/grants.c
@@ -278,7 +278,7 @@
 	}
 	if (o == PLACE_NOT_RUN)
 		r->full_until_us = now_us + FULL_BACKOFF_US;
-	runner_record_outcome(r, o, now_us);
+	runner_record_outcome(r, o, key->host, now_us);
 	if (o == PLACE_NO_ADAPTER || o == PLACE_OTHER_RUNNER)
 		d->orders_due_us = now_us;
 	if (o == PLACE_NO_ADAPTER)
@@ -396,7 +396,7 @@
 			hangs = true;
 	}
 	if (hangs && r->suspended_until_us <= now_us)
-		runner_record_outcome(r, PLACE_SILENT, now_us);
+		runner_record_outcome(r, PLACE_SILENT, 0, now_us);
 }
 
 void grants_sweep(dispatch_t *d, int64_t now_us)
