Http1: connections are made from the daemon's own address

A host may have several addresses; what it connects to sees the one that callers know. Lets a stand-in of the soak tell who connects. http1_connect() takes what it needs in one struct, as does gateway_new().

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -293,11 +293,12 @@
 
 static http1_conn_t *connect_to_target(request_t *r, const http1_ops_t *ops)
 {
-	struct sockaddr_in to;
+	http1_dial_t dial = {.from = r->gw->ip,
+			     .timeout_us = CONNECT_TIMEOUT_US};
 
-	if (http1_parse_addr(r->addr, &to) < 0)
+	if (http1_parse_addr(r->addr, &dial.to) < 0)
 		return NULL;
-	return http1_connect(r->gw->loop, &to, CONNECT_TIMEOUT_US, ops, r);
+	return http1_connect(r->gw->loop, &dial, ops, r);
 }
 
 void attempt_connect_again(request_t *r)
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -913,15 +913,16 @@
 	return c;
 }
 
-gateway_t *gateway_new(loop_t *l, str_t zone, uint64_t seed,
+gateway_t *gateway_new(loop_t *l, const gateway_cfg_t *cfg,
 		       const gateway_ops_t *ops, void *ctx)
 {
 	gateway_t *g = xcalloc(1, sizeof(*g));
 
 	g->loop = l;
-	g->zone = str_copy(zone);
-	g->rng_state = seed;
-	g->last_ask_id = seed & 0xffffffffffff0000ull;
+	g->zone = str_copy(cfg->zone);
+	g->ip = cfg->ip;
+	g->rng_state = cfg->seed;
+	g->last_ask_id = cfg->seed & 0xffffffffffff0000ull;
 	g->ops = *ops;
 	g->ctx = ctx;
 	g->holdoff = holdoff_new();
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -40,7 +40,14 @@
 	bool (*is_draining)(void *ctx);
 } gateway_ops_t;
 
-gateway_t *gateway_new(loop_t *l, str_t zone, uint64_t seed,
+typedef struct gateway_cfg {
+	str_t zone; /* failure domain of this host */
+	struct in_addr
+		ip;    /* of this host; connections to targets come from it */
+	uint64_t seed; /* of ids and choices */
+} gateway_cfg_t;
+
+gateway_t *gateway_new(loop_t *l, const gateway_cfg_t *cfg,
 		       const gateway_ops_t *ops, void *ctx);
 /* Ends all requests without a response. */
 void gateway_free(gateway_t *g);
--- a/src/gateway_int.h
+++ b/src/gateway_int.h
@@ -184,6 +184,7 @@
 struct gateway {
 	loop_t *loop;
 	str_t zone;		     /* owned */
+	struct in_addr ip;	     /* connections to targets come from it */
 	int64_t dispatcher_heard_us; /* when its last message came */
 	uint64_t last_ask_id;
 	uint64_t rng_state;
--- a/src/http1.c
+++ b/src/http1.c
@@ -703,16 +703,29 @@
 	return NULL;
 }
 
-http1_conn_t *http1_connect(loop_t *l, const struct sockaddr_in *addr,
-			    int64_t timeout_us, const http1_ops_t *ops,
-			    void *ctx)
+/* The port is chosen when the socket connects: each peer has all ports. */
+static int bind_to(int fd, struct in_addr from)
+{
+	const struct sockaddr_in addr = {.sin_family = AF_INET,
+					 .sin_addr = from};
+	const int one = 1;
+
+	setsockopt(fd, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &one, sizeof(one));
+	return bind(fd, (const struct sockaddr *)&addr, sizeof(addr));
+}
+
+http1_conn_t *http1_connect(loop_t *l, const http1_dial_t *dial,
+			    const http1_ops_t *ops, void *ctx)
 {
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	http1_conn_t *c;
 
 	if (fd < 0)
 		return NULL;
-	if (connect(fd, (const struct sockaddr *)addr, sizeof(*addr)) < 0 &&
+	if (dial->from.s_addr && bind_to(fd, dial->from) < 0)
+		goto fail;
+	if (connect(fd, (const struct sockaddr *)&dial->to, sizeof(dial->to)) <
+		    0 &&
 	    errno != EINPROGRESS)
 		goto fail;
 	c = conn_new(l, fd, EPOLLIN | EPOLLOUT | EPOLLRDHUP);
@@ -722,7 +735,7 @@
 	c->ops = *ops;
 	c->ctx = ctx;
 	c->owned = true;
-	timer_svc_arm(loop_timers(l), &c->timer, now_us(c) + timeout_us);
+	timer_svc_arm(loop_timers(l), &c->timer, now_us(c) + dial->timeout_us);
 	return c;
 fail:
 	close(fd);
--- a/src/http1.h
+++ b/src/http1.h
@@ -114,10 +114,16 @@
 /* Stops accepting, closes all connections and frees the listener. */
 void http1_unlisten(http1_listener_t *ls);
 
+/* How an outgoing connection is made. */
+typedef struct http1_dial {
+	struct sockaddr_in to;
+	struct in_addr from; /* this end's address; 0: any */
+	int64_t timeout_us;
+} http1_dial_t;
+
 /* Starts to connect; NULL with errno set where that fails at once. */
-http1_conn_t *http1_connect(loop_t *l, const struct sockaddr_in *addr,
-			    int64_t timeout_us, const http1_ops_t *ops,
-			    void *ctx);
+http1_conn_t *http1_connect(loop_t *l, const http1_dial_t *dial,
+			    const http1_ops_t *ops, void *ctx);
 /* The next response has no body, whatever its head says (HEAD requests). */
 void http1_expect_no_body(http1_conn_t *c);
 /* The message that has just ended was not the response: awaits another one. */
--- a/src/site.c
+++ b/src/site.c
@@ -650,9 +650,14 @@
 		.retry_window_us = s->settings.retry_window_us,
 	};
 
-	s->upstream = upstream_new(s->loop);
-	s->gateway = gateway_new(s->loop, s->settings.zone, random_seed(),
-				 &gateway_ops, s);
+	const gateway_cfg_t gateway_cfg = {
+		.zone = s->settings.zone,
+		.ip = {htonl(s->self)},
+		.seed = random_seed(),
+	};
+
+	s->upstream = upstream_new(s->loop, gateway_cfg.ip);
+	s->gateway = gateway_new(s->loop, &gateway_cfg, &gateway_ops, s);
 	s->dispatch = dispatch_new(&cfg, &dispatch_ops, s);
 	s->isolated_dispatch = dispatch_new(&cfg, &dispatch_ops, s);
 	timer_sub_init(&s->ping_timer, on_ping_timer, s);
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -45,16 +45,18 @@
 
 struct upstream {
 	loop_t *loop;
+	struct in_addr from;
 	struct cds_list_head
 		idle[POOL_BUCKETS]; /* by address; most recently used first */
 	struct cds_list_head calls;
 };
 
-upstream_t *upstream_new(loop_t *l)
+upstream_t *upstream_new(loop_t *l, struct in_addr from)
 {
 	upstream_t *u = xcalloc(1, sizeof(*u));
 
 	u->loop = l;
+	u->from = from;
 	for (size_t i = 0; i < POOL_BUCKETS; i++)
 		CDS_INIT_LIST_HEAD(&u->idle[i]);
 	CDS_INIT_LIST_HEAD(&u->calls);
@@ -269,7 +271,7 @@
 		   call_done_t done, void *ctx)
 {
 	call_t *c = xcalloc(1, sizeof(*c));
-	struct sockaddr_in to;
+	http1_dial_t dial = {.from = u->from, .timeout_us = req->timeout_us};
 
 	c->upstream = u;
 	c->addr = str_copy(req->addr);
@@ -289,9 +291,8 @@
 		call_send_request(c);
 		return;
 	}
-	if (http1_parse_addr(req->addr, &to) == 0)
-		c->conn = http1_connect(u->loop, &to, req->timeout_us,
-					&call_ops, c);
+	if (http1_parse_addr(req->addr, &dial.to) == 0)
+		c->conn = http1_connect(u->loop, &dial, &call_ops, c);
 	if (!c->conn)
 		loop_defer(u->loop, &c->connect_failed_task);
 }
--- a/src/upstream.h
+++ b/src/upstream.h
@@ -13,7 +13,8 @@
 
 typedef struct upstream upstream_t;
 
-upstream_t *upstream_new(loop_t *l);
+/* from: this end's address of all connections; 0: any. */
+upstream_t *upstream_new(loop_t *l, struct in_addr from);
 /* Calls under way end without their callback. */
 void upstream_free(upstream_t *u);
 
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -213,7 +213,8 @@
 
 		port = free_port();
 		a.sin_port = htons(port);
-		gateway = gateway_new(l.loop, STR("z"), 1, &ops, this);
+		const gateway_cfg_t cfg = {STR("z"), {}, 1};
+		gateway = gateway_new(l.loop, &cfg, &ops, this);
 		timer_sub_init(&timer, on_timer, this);
 		manifest = make_manifest();
 		gateway_set_manifest(gateway, manifest);
--- a/tests/http1_test.cc
+++ b/tests/http1_test.cc
@@ -289,13 +289,12 @@
 	Target t(bytes, with_reset);
 	Loop l;
 	Response a;
-	struct sockaddr_in to = loopback_addr();
+	http1_dial_t dial = {loopback_addr(), {}, USEC_PER_SEC};
 
-	to.sin_port = htons(t.port);
+	dial.to.sin_port = htons(t.port);
 	l.start();
 	l.call([&] {
-		http1_conn_t *c =
-			http1_connect(l.loop, &to, USEC_PER_SEC, &ops, &a);
+		http1_conn_t *c = http1_connect(l.loop, &dial, &ops, &a);
 
 		http1_send(c, "GET / HTTP/1.1\r\n\r\n", 18);
 	});
@@ -399,7 +398,7 @@
 	CallOnce(uint16_t port, size_t response_max, int64_t timeout_us)
 	{
 		Loop l;
-		upstream_t *u = upstream_new(l.loop);
+		upstream_t *u = upstream_new(l.loop, {});
 		std::string addr = "127.0.0.1:" + std::to_string(port);
 		upstream_request_t req = {};
 
--- a/tests/soak/caller.c
+++ b/tests/soak/caller.c
@@ -292,7 +292,7 @@
 {
 	callers_t *all = c->all;
 	AUTO_BUF buf_t addr = {0};
-	struct sockaddr_in to;
+	http1_dial_t dial = {.timeout_us = CONNECT_TIMEOUT_US};
 
 	if (!all->n_hosts) {
 		think(c, 100 * USEC_PER_MSEC);
@@ -300,9 +300,9 @@
 	}
 	c->host = all->hosts[g_rand_int_range(all->rng, 0, (gint)all->n_hosts)];
 	host_addr(all->s, &addr, c->host, all->s->cfg.front);
-	http1_parse_addr(buf_str(&addr), &to);
+	http1_parse_addr(buf_str(&addr), &dial.to);
 	c->state = CALLER_CONNECTING;
-	c->conn = http1_connect(all->s->loop, &to, CONNECT_TIMEOUT_US, &ops, c);
+	c->conn = http1_connect(all->s->loop, &dial, &ops, c);
 	if (!c->conn)
 		end_attempt(c, false);
 }
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -165,7 +165,7 @@
 
 	s->timers = timer_svc_new_polled();
 	s->loop = loop_new(s->timers, m);
-	s->upstream = upstream_new(s->loop);
+	s->upstream = upstream_new(s->loop, (struct in_addr){0});
 	s->began_us = soak_now(s);
 	s->record = record_new(s);
 	s->crashes = crashes_new(s);
