--- a/src/http1.c
+++ b/src/http1.c
@@ -747,6 +747,15 @@
 	c->no_body = true;
 }
 
+struct in_addr http1_peer(const http1_conn_t *c)
+{
+	struct sockaddr_in addr = {0};
+	socklen_t n = sizeof(addr);
+
+	getpeername(c->watch.fd, (struct sockaddr *)&addr, &n);
+	return addr.sin_addr;
+}
+
 void http1_set_owner(http1_conn_t *c, const http1_ops_t *ops, void *ctx)
 {
 	c->ops = *ops;
--- a/src/http1.h
+++ b/src/http1.h
@@ -128,6 +128,8 @@
 void http1_expect_no_body(http1_conn_t *c);
 /* The message that has just ended was not the response: awaits another one. */
 void http1_await_response(http1_conn_t *c);
+/* Address of the other end; 0 where it is gone. */
+struct in_addr http1_peer(const http1_conn_t *c);
 /* Gives the connection to another owner: its callbacks replace the present. */
 void http1_set_owner(http1_conn_t *c, const http1_ops_t *ops, void *ctx);
 
--- a/tests/dispatch_world.h
+++ b/tests/dispatch_world.h
@@ -120,7 +120,9 @@
 	bool ended = false;
 	std::vector<uint64_t> parts; // of its prompt
 	std::string service = "llm";
-	uint64_t digest = 0;	// alike for requests that are alike
+	uint64_t digest = 0; // alike for requests that are alike
+	host_id_t host = ENTRY;
+	int tries = 1;		// places asked for, this one included
 	bool repeats = false;	// asks again if its runner crashes
 	bool is_repeat = false; // of another request
 	bool running = false;	// it has reached its runner
@@ -213,9 +215,19 @@
 		requests[id].parts = next_parts;
 		requests[id].service = next_service;
 		requests[id].digest = next_digest;
+		requests[id].host = next_host;
 		requests[id].repeats = repeats && !is_repeat;
 		requests[id].is_repeat = is_repeat;
-		dispatch_recv(d, ENTRY, &msg, now);
+		dispatch_recv(d, next_host, &msg, now);
+		return id;
+	}
+	// A request of this host's callers.
+	uint64_t ask_of(host_id_t host, const std::string &service = "llm")
+	{
+		next_host = host;
+		uint64_t id = ask_alike(service, 0);
+
+		next_host = ENTRY;
 		return id;
 	}
 	// A request for the model itself whose prompt has these parts.
@@ -243,6 +255,10 @@
 		next_digest = 0;
 		return id;
 	}
+	SimRunner *find_runner(const std::string &id)
+	{
+		return find(id);
+	}
 	// Runners of a plain service; they have fewer slots than model runners.
 	void add_plain_runners(size_t n)
 	{
@@ -523,6 +539,10 @@
 	std::vector<uint64_t> next_parts; // as are these
 	bool repeats = false;
 	bool is_repeat = false;
+	host_id_t next_host = ENTRY;
+	// These reach no runner: each try ends after cut_us.
+	std::set<host_id_t> cut_hosts;
+	int64_t cut_us = 700 * MS;
 	std::string next_service = "llm";
 	uint64_t next_digest = 0;
 	// Each crashes the runner that begins to answer a prompt with it.
@@ -953,7 +973,21 @@
 		done.leaving = r && r->says_leaving;
 		msg.body_case = DISPATCH__MSG__BODY_DONE;
 		msg.done = &done;
-		dispatch_recv(d, ENTRY, &msg, now);
+		dispatch_recv(d, requests[id].host, &msg, now);
+	}
+	// Its host has no path to the runner; it tries another one, once.
+	void lose_path(uint64_t id)
+	{
+		Request r = requests[id];
+
+		schedule(cut_us, [=]() {
+			send_done(id, PLACE_UNREACHABLE);
+			if (r.tries > 1)
+				return;
+			uint64_t again = ask_of(r.host, r.service);
+
+			requests[again].tries = r.tries + 1;
+		});
 	}
 	void start_request(uint64_t id, const std::string &runner,
 			   uint64_t version)
@@ -961,6 +995,10 @@
 		SimRunner *r = find(runner);
 		std::string adapter = requests[id].adapter;
 
+		if (cut_hosts.count(requests[id].host)) {
+			lose_path(id);
+			return;
+		}
 		if (!r) {
 			send_done(id, PLACE_UNREACHABLE);
 			return;
@@ -1124,7 +1162,7 @@
 			hear_limit(id, *r);
 		msg.body_case = DISPATCH__MSG__BODY_STARTED;
 		msg.started = &m;
-		dispatch_recv(d, ENTRY, &msg, now);
+		dispatch_recv(d, requests[id].host, &msg, now);
 	}
 
 	void finish_loads(SimRunner &r)
--- a/tests/soak/caller.c
+++ b/tests/soak/caller.c
@@ -214,6 +214,8 @@
 	c->attempt = record_sent(s->record, c->cls, c->request, c->host,
 				 c->origin, c->resume_after);
 	c->attempt->traits = c->traits;
+	c->attempt->is_first = c->retries == 0;
+	c->attempt->cut_group = cuts_group(s->cuts, c->attempt);
 	c->state = CALLER_WAITING;
 	write_request(c, &out);
 	http1_send(c->conn, out.p, out.n);
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -94,6 +94,7 @@
 	m->served_us = m->phase_us;
 	crashes_start(m->s.crashes);
 	limits_start(m->s.limits);
+	cuts_start(m->s.cuts);
 	callers_start(m->s.callers);
 	plan_start(m->plan);
 }
@@ -170,6 +171,7 @@
 	s->record = record_new(s);
 	s->crashes = crashes_new(s);
 	s->limits = limits_new(s);
+	s->cuts = cuts_new(s);
 	s->platform = platform_new(s);
 	s->hosts = hosts_new(s);
 	s->callers = callers_new(s);
@@ -184,10 +186,12 @@
 	loop_run(s->loop);
 	record_end(s->record);
 	crashes_end(s->crashes);
+	cuts_end(s->cuts);
 	plan_print_injected(m->plan, stdout);
 	platform_print_faults(s->platform, stdout);
 	crashes_print(s->crashes, stdout);
 	limits_print(s->limits, stdout);
+	cuts_print(s->cuts, stdout);
 	record_print(s->record, stdout);
 	hosts_print_use(s->hosts, stdout);
 	if (!m->gave_up)
@@ -208,6 +212,7 @@
 	upstream_free(s->upstream);
 	crashes_free(s->crashes);
 	limits_free(s->limits);
+	cuts_free(s->cuts);
 	record_free(s->record);
 	loop_free(s->loop);
 	timer_svc_free(s->timers);
--- a/tests/soak/platform.c
+++ b/tests/soak/platform.c
@@ -2,6 +2,7 @@
  * platform.c - the runner list, and runners that serve, refuse, fail, leave and
  * crash. Model runners load adapters on order; two plain targets serve calls.
  */
+#include <arpa/inet.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -89,7 +90,9 @@
 	struct cds_list_head node; /* of the runner, or of itself */
 	http1_conn_t *c;
 	platform_t *p;
-	runner_t *r; /* NULL: to the list */
+	runner_t *r;	   /* NULL: to the list */
+	unsigned int host; /* that connected */
+	bool hangs;	   /* since its host was cut off */
 	char method[8], target[200], id[32], adapter[32], expected[32];
 	uint64_t resume_after;
 	buf_t body;
@@ -798,16 +801,21 @@
 		serve_request(c);
 }
 
-static void conn_free(conn_t *c)
+static void stop_timers(conn_t *c)
 {
 	timer_svc_t *timers = c->p->s->timers;
 
-	end_run(c);
-	cds_list_del(&c->node);
 	timer_svc_cancel(timers, &c->timer);
 	timer_svc_cancel(timers, &c->slow_timer);
 	timer_svc_cancel(timers, &c->late_timer);
 	timer_svc_cancel(timers, &c->junk_timer);
+}
+
+static void conn_free(conn_t *c)
+{
+	end_run(c);
+	cds_list_del(&c->node);
+	stop_timers(c);
 	buf_free(&c->body);
 	buf_free(&c->slow);
 	buf_free(&c->late);
@@ -850,11 +858,77 @@
 	return c;
 }
 
+/* Nothing moves on the connection any more. */
+static void hang_conn(conn_t *c)
+{
+	c->hangs = true;
+	stop_timers(c);
+	http1_pause_reading(c->c, true);
+}
+
+static void on_reset_timer(void *ctx, int64_t now)
+{
+	(void)now;
+	reset_conn(ctx);
+}
+
+/* The connection must not end while it is being accepted. */
+static void reset_when_accepted(conn_t *c)
+{
+	hang_conn(c);
+	timer_sub_init(&c->timer, on_reset_timer, c);
+	timer_svc_arm(c->p->s->timers, &c->timer, soak_now(c->p->s));
+}
+
+static unsigned int host_of(struct in_addr ip)
+{
+	return (ntohl(ip.s_addr) & 255) - 10;
+}
+
 static void *on_runner_accepted(void *ctx, http1_conn_t *http)
 {
 	runner_t *r = ctx;
+	conn_t *c = conn_new(r->p, r, http);
+	cut_way_t way;
+
+	c->host = host_of(http1_peer(http));
+	if (c->host >= r->p->s->cfg.n_hosts || !r->p->s->cuts)
+		return c;
+	way = cuts_way(r->p->s->cuts, c->host);
+	if (way == CUT_HANG)
+		hang_conn(c);
+	else if (way != CUT_NONE)
+		reset_when_accepted(c);
+	return c;
+}
+
+void platform_cut(platform_t *p, unsigned int host, cut_way_t way)
+{
+	for (size_t i = 0; i < ARRAY_SIZE(p->runners); i++) {
+		conn_t *c, *tmp;
+
+		cds_list_for_each_entry_safe (c, tmp, &p->runners[i].conns,
+					      node) {
+			if (c->host != host || way == CUT_LIVE_ON)
+				continue;
+			if (way == CUT_HANG)
+				hang_conn(c);
+			else
+				reset_conn(c);
+		}
+	}
+}
 
-	return conn_new(r->p, r, http);
+void platform_heal(platform_t *p, unsigned int host)
+{
+	for (size_t i = 0; i < ARRAY_SIZE(p->runners); i++) {
+		conn_t *c, *tmp;
+
+		cds_list_for_each_entry_safe (c, tmp, &p->runners[i].conns,
+					      node)
+			if (c->host == host && c->hangs)
+				reset_conn(c);
+	}
 }
 
 static void *on_list_accepted(void *ctx, http1_conn_t *http)
--- a/tests/soak/record.c
+++ b/tests/soak/record.c
@@ -415,6 +415,7 @@
 	r->n_cut += !ans->complete;
 	check_refused(r, a);
 	count_stream(r, a, ans->status == 200 && count_events(ans->body) > 0);
+	cuts_note_end(r->s->cuts, a, ans->complete && ans->status == 200);
 	if (ans->leaving)
 		note_leaving(r, a, serial);
 	if (blames_request(ans))
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -46,6 +46,7 @@
 typedef struct operator_calls operator_calls_t;
 typedef struct crashes crashes_t;
 typedef struct limits limits_t;
+typedef struct cuts cuts_t;
 
 typedef struct soak {
 	soak_cfg_t cfg;
@@ -60,6 +61,7 @@
 	operator_calls_t *operator_calls;
 	crashes_t *crashes;
 	limits_t *limits;
+	cuts_t *cuts;
 } soak_t;
 
 static inline int64_t soak_now(const soak_t *s)
@@ -113,6 +115,8 @@
 	  "refused for crashes that it had not caused")                      \
 	X(LIMIT_EXCEEDED, "limit_exceeded",                                  \
 	  "a runner got far more than the limit it had named")               \
+	X(CUT_OFF_UNSERVED, "cut_off_unserved",                              \
+	  "hosts without a path to runners served far worse than others")    \
 	X(UNANSWERED, "unanswered", "no answer a second after the deadline") \
 	X(OUTLIVED_GRACE, "outlived_grace", "still running after its grace") \
 	X(ARRIVED_IN_PAUSE, "arrived_in_pause",                              \
@@ -175,6 +179,9 @@
 	bool is_judged;
 	bool host_was_in_touch; /* when it was sent */
 	request_traits_t traits;
+	bool is_first; /* of its request */
+	/* Counts for CUT_OFF_UNSERVED, by whether the host was cut off; 0: not. */
+	int cut_group;
 	int64_t sent_us;
 	GArray *runs; /* run_t */
 	bool answered;
@@ -267,8 +274,41 @@
 void limits_runner_ended(limits_t *l, unsigned int runner);
 void limits_print(const limits_t *l, FILE *out);
 
+/* cuts.c: hosts that lose their paths to all runners. */
+
+/* X(NAME, "name") - what becomes of connections while a host is cut off. */
+#define CUT_WAYS(X)                                                         \
+	X(RESET, "reset")     /* all are reset, new ones too */             \
+	X(HANG, "hang")	      /* none moves any more; reset when it ends */ \
+	X(LIVE_ON, "live_on") /* those under way go on, new ones are reset */
+
+typedef enum cut_way {
+	CUT_NONE,
+#define X(name, text) CUT_##name,
+	CUT_WAYS(X)
+#undef X
+} cut_way_t;
+
+cuts_t *cuts_new(soak_t *s);
+void cuts_free(cuts_t *c);
+/* The callers begin. */
+void cuts_start(cuts_t *c);
+/* What becomes of connections between the host and any runner now. */
+cut_way_t cuts_way(const cuts_t *c, unsigned int host);
+/* Whether the attempt, which is sent now, counts, and for which hosts. */
+int cuts_group(const cuts_t *c, const attempt_t *a);
+/* The attempt has ended, with a complete answer of a runner or not. */
+void cuts_note_end(cuts_t *c, const attempt_t *a, bool served);
+/* Judges what only the whole run shows. */
+void cuts_end(cuts_t *c);
+void cuts_print(const cuts_t *c, FILE *out);
+
 /* platform.c: the runner list and the runners. */
 
+/* The host's paths to all runners begin or cease to be cut off. */
+void platform_cut(platform_t *p, unsigned int host, cut_way_t way);
+void platform_heal(platform_t *p, unsigned int host);
+
 /* X(NAME, "name") - what a runner does wrong with a part of its requests. */
 #define RUNNER_FAULTS(X)                                                       \
 	X(REJECT, "reject") /* refuses, and says that nothing ran */           \
