Paths: a host's lost path is not charged to the runner at its end

Cause: a failure counted against the runner, whichever host told it; 36 times a runner was suspended that served others all the while. Class: a failure of a path is charged to one end of it. Change: the dispatcher keeps for each host which runners it has lost since it last heard from any. One that has lost two, while others hear, is cut off, and its failures count against no runner; nor does an unreachable runner that has answered another host since the place was granted.

--- a/src/counter.h
+++ b/src/counter.h
@@ -72,6 +72,8 @@
 	  "Choices of a runner for a request, also for one that waits") \
 	X(DISPATCH_OFFERS, "dispatch_offers",                           \
 	  "Runners whose cost was computed for such a choice")          \
+	X(PATHS_BLAMED, "paths_blamed",                                 \
+	  "Attempts that failed by their host's path to the runner")    \
 	X(PARTS_QUARANTINED, "parts_quarantined",                       \
 	  "Parts of prompts found to crash runners")                    \
 	X(REQUESTS_QUARANTINED, "requests_quarantined",                 \
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -68,6 +68,7 @@
 	CDS_INIT_LIST_HEAD(&d->early_held);
 	d->streams = stream_builds_new();
 	d->quarantine = quarantine_new();
+	d->paths = paths_new();
 	pacing_init(d);
 	d->decided_builds = build_set_new();
 	d->seen_builds = build_set_new();
@@ -529,6 +530,7 @@
 	pending_request_t *req, *tmp;
 
 	grants_free_of_host(d, host, NULL, now_us);
+	paths_host_lost(d->paths, host);
 	cds_list_for_each_entry_safe (req, tmp, &d->pending, node)
 		if (req->key.host == host)
 			pending_free(d, req);
@@ -688,6 +690,7 @@
 		pending_free(d, req);
 	grants_clear(d);
 	pacing_clear(d);
+	paths_clear(d->paths);
 	fleet_clear(d);
 	retry_budgets_clear(&d->budgets);
 	stream_builds_clear(d->streams);
@@ -728,6 +731,7 @@
 	fleet_free(d);
 	stream_builds_free(d->streams);
 	quarantine_free(d->quarantine);
+	paths_free(d->paths);
 	pacing_free(d);
 	build_set_free(d->decided_builds);
 	build_set_free(d->seen_builds);
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -73,7 +73,8 @@
 } dispatch_ops_t;
 
 typedef struct dispatch_cfg {
-	str_t holder; /* name of this host, sent in each order */
+	host_id_t self; /* this host */
+	str_t holder;	/* name of this host, sent in each order */
 	/*
 	 * Delay of the first order after a takeover: orders of the earlier
 	 * holder may still be on their way.
--- a/src/dispatch_int.h
+++ b/src/dispatch_int.h
@@ -2,7 +2,8 @@
  * dispatch_int.h - internals of the dispatcher, included only by dispatch.c
  * (pending requests), grants.c (granted places), fleet.c (the state of the runners), orders.c
  * (loading and unloading adapters and models), choice.c (choosing a runner),
- * builds.c (their software versions), quarantine.c (what crashes them) and
+ * builds.c (their software versions), quarantine.c (what crashes them), paths.c (who
+ * reaches them) and
  * pacing.c (their limits).
  */
 #ifndef DK_DISPATCH_INT_H
@@ -169,6 +170,7 @@
 	int64_t suspended_until_us;
 	/* After a suspension: one request at a time until one is answered. */
 	bool half_open;
+	int64_t heard_us; /* when it last answered, whichever host */
 	/* It rejected a request that had a place, and gets none until then. */
 	int64_t full_until_us;
 	runner_limit_t limit;
@@ -239,6 +241,7 @@
 } early_held_t;
 
 typedef struct quarantine quarantine_t;
+typedef struct paths paths_t;
 
 struct dispatch {
 	dispatch_cfg_t cfg;
@@ -295,6 +298,7 @@
 	retry_budgets_t budgets;
 	stream_builds_t *streams; /* of all entries, as far as they told */
 	quarantine_t *quarantine;
+	paths_t *paths;
 	build_set_t *decided_builds;
 	/* Seen in the list, or decided, within BUILD_FORGET_US. */
 	build_set_t *seen_builds;
@@ -504,6 +508,22 @@
 /* Does what is due; returns when it has to be called again. */
 int64_t quarantine_tick(dispatch_t *d, int64_t now_us);
 
+/* paths.c */
+paths_t *paths_new(void);
+void paths_free(paths_t *p);
+void paths_clear(paths_t *p);
+/* The host has gone. */
+void paths_host_lost(paths_t *p, host_id_t host);
+/* The host has heard from the runner. */
+void paths_on_heard(dispatch_t *d, host_id_t host, runner_t *r, int64_t now_us);
+/*
+ * A place at the runner has ended with this outcome, and the host has heard nothing
+ * there: whether the host's path is to blame, and not the runner.
+ */
+bool paths_is_to_blame(dispatch_t *d, host_id_t host, const runner_t *r,
+		       place_outcome_t outcome, int64_t granted_us,
+		       int64_t now_us);
+
 /* grants.c */
 /* Grants the request a place at the runner, and tells its entry. */
 void grants_issue(dispatch_t *d, const request_key_t *key,
--- a/src/grants.c
+++ b/src/grants.c
@@ -208,6 +208,7 @@
 	if (!g || g->started)
 		return;
 	g->started_us = now_us;
+	paths_on_heard(d, key->host, g->runner, now_us);
 	quarantine_on_sign_of_life(d, g->runner, now_us);
 	g->runner->said_leaving |= m->leaving;
 	if (g->copy)
@@ -234,12 +235,37 @@
 	return NULL;
 }
 
+/* Whether an attempt that ends so has brought a response of the runner. */
+static bool shows_runner(place_outcome_t o)
+{
+	return o == PLACE_ANSWERED || o == PLACE_FAILED || o == PLACE_NOT_RUN ||
+	       o == PLACE_NO_ADAPTER || o == PLACE_OTHER_RUNNER;
+}
+
+/* Charges a failure to the runner, or to the path of the host that tells it. */
+static void record_outcome(dispatch_t *d, host_id_t host, runner_t *r,
+			   place_outcome_t o, bool started, int64_t granted_us,
+			   int64_t now_us)
+{
+	bool is_loss = o == PLACE_UNREACHABLE || o == PLACE_SILENT ||
+		       o == PLACE_BROKEN;
+
+	if (shows_runner(o))
+		paths_on_heard(d, host, r, now_us);
+	if (is_loss && !started &&
+	    paths_is_to_blame(d, host, r, o, granted_us, now_us))
+		return;
+	runner_record_outcome(r, o, host, now_us);
+}
+
 void grants_on_done(dispatch_t *d, const request_key_t *key,
 		    const Dispatch__Done *m, int64_t now_us)
 {
 	early_held_t *early = early_held_find(d, key);
 	grant_t *g = g_hash_table_lookup(d->grants, key);
 	place_outcome_t o = (place_outcome_t)m->outcome;
+	int64_t granted_us;
+	bool started;
 	runner_t *r;
 	copy_t *c;
 
@@ -249,6 +275,8 @@
 		return;
 	r = g->runner;
 	c = g->copy;
+	granted_us = g->granted_us;
+	started = g->started_us != 0;
 	if (o == PLACE_NO_ADAPTER && c)
 		log_event(LOG_DEBUG, "adapter_not_loaded",
 			  kv_s("runner", r->id), kv_s("adapter", c->adapter),
@@ -278,7 +306,7 @@
 	}
 	if (o == PLACE_NOT_RUN)
 		r->full_until_us = now_us + FULL_BACKOFF_US;
-	runner_record_outcome(r, o, key->host, now_us);
+	record_outcome(d, key->host, r, o, started, granted_us, now_us);
 	if (o == PLACE_NO_ADAPTER || o == PLACE_OTHER_RUNNER)
 		d->orders_due_us = now_us;
 	if (o == PLACE_NO_ADAPTER)
--- a/src/site.c
+++ b/src/site.c
@@ -641,6 +641,7 @@
 						    site_request_report,
 						    propose_doc};
 	const dispatch_cfg_t cfg = {
+		.self = s->self,
 		.holder = s->settings.host,
 		.takeover_wait_us = s->settings.runners_check_fence
 					    ? FENCED_TAKEOVER_WAIT_US
--- a/tests/dispatch_world.h
+++ b/tests/dispatch_world.h
@@ -594,8 +594,11 @@
 	{
 		static const dispatch_ops_t ops = {
 			on_send, on_order, on_request_report, on_propose_doc};
-		dispatch_cfg_t cfg = {str_n(holder.data(), holder.size()),
-				      sizes.takeover_wait_us, 0.2, 64,
+		dispatch_cfg_t cfg = {ENTRY,
+				      str_n(holder.data(), holder.size()),
+				      sizes.takeover_wait_us,
+				      0.2,
+				      64,
 				      10000 * MS};
 
 		return dispatch_new(&cfg, &ops, this);
