Tunnel: a host without a path to runners sends by way of another daemon

Cause: an entry connects to the runner itself, and nothing else. Change: the entry stays the one that asks, counts attempts and answers; another daemon, named in the grant, connects to the runner and moves the bytes. The dispatcher is told which outcomes came by a peer: they say nothing of the host's own path, nor against the runner. A leader whose host is cut off hands over, as orders have one holder.

--- a/proto/dispatch.pb-c.c
+++ b/proto/dispatch.pb-c.c
@@ -1063,7 +1063,7 @@
   (ProtobufCMessageInit) dispatch__ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dispatch__grant__field_descriptors[8] =
+static const ProtobufCFieldDescriptor dispatch__grant__field_descriptors[9] =
 {
   {
     "id",
@@ -1161,6 +1161,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "via",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dispatch__Grant, via),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dispatch__grant__field_indices_by_name[] = {
   3,   /* field[3] = adapter_version */
@@ -1171,11 +1183,12 @@
   1,   /* field[1] = runner */
   6,   /* field[6] = stream_known */
   4,   /* field[4] = term */
+  8,   /* field[8] = via */
 };
 static const ProtobufCIntRange dispatch__grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor dispatch__grant__descriptor =
 {
@@ -1185,7 +1198,7 @@
   "Dispatch__Grant",
   "dispatch",
   sizeof(Dispatch__Grant),
-  8,
+  9,
   dispatch__grant__field_descriptors,
   dispatch__grant__field_indices_by_name,
   1,  dispatch__grant__number_ranges,
@@ -1256,7 +1269,7 @@
   (ProtobufCMessageInit) dispatch__refusal__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dispatch__started__field_descriptors[6] =
+static const ProtobufCFieldDescriptor dispatch__started__field_descriptors[7] =
 {
   {
     "id",
@@ -1330,9 +1343,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "by_peer",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dispatch__Started, by_peer),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dispatch__started__field_indices_by_name[] = {
   4,   /* field[4] = build */
+  6,   /* field[6] = by_peer */
   0,   /* field[0] = id */
   5,   /* field[5] = keep_us */
   2,   /* field[2] = leaving */
@@ -1342,7 +1368,7 @@
 static const ProtobufCIntRange dispatch__started__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor dispatch__started__descriptor =
 {
@@ -1352,7 +1378,7 @@
   "Dispatch__Started",
   "dispatch",
   sizeof(Dispatch__Started),
-  6,
+  7,
   dispatch__started__field_descriptors,
   dispatch__started__field_indices_by_name,
   1,  dispatch__started__number_ranges,
@@ -1436,7 +1462,7 @@
   (ProtobufCMessageInit) dispatch__streams__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dispatch__done__field_descriptors[4] =
+static const ProtobufCFieldDescriptor dispatch__done__field_descriptors[5] =
 {
   {
     "id",
@@ -1486,8 +1512,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "by_peer",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dispatch__Done, by_peer),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dispatch__done__field_indices_by_name[] = {
+  4,   /* field[4] = by_peer */
   0,   /* field[0] = id */
   3,   /* field[3] = leaving */
   1,   /* field[1] = outcome */
@@ -1496,7 +1535,7 @@
 static const ProtobufCIntRange dispatch__done__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor dispatch__done__descriptor =
 {
@@ -1506,7 +1545,7 @@
   "Dispatch__Done",
   "dispatch",
   sizeof(Dispatch__Done),
-  4,
+  5,
   dispatch__done__field_descriptors,
   dispatch__done__field_indices_by_name,
   1,  dispatch__done__number_ranges,
--- a/proto/dispatch.pb-c.h
+++ b/proto/dispatch.pb-c.h
@@ -149,10 +149,14 @@
    * the runner has named a limit
    */
   protobuf_c_boolean limited;
+  /*
+   * another host that reaches runners; 0: none is known
+   */
+  uint32_t via;
 };
 #define DISPATCH__GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dispatch__grant__descriptor) \
-    , 0, {0,NULL}, {0,NULL}, 0, 0, {0,NULL}, 0, 0 }
+    , 0, {0,NULL}, {0,NULL}, 0, 0, {0,NULL}, 0, 0, 0 }
 
 
 struct  Dispatch__Refusal
@@ -197,10 +201,14 @@
    * how long a caller may take it up again
    */
   int64_t keep_us;
+  /*
+   * by way of another host: the entry's own path is lost
+   */
+  protobuf_c_boolean by_peer;
 };
 #define DISPATCH__STARTED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dispatch__started__descriptor) \
-    , 0, 0, 0, 0, {0,NULL}, 0 }
+    , 0, 0, 0, 0, {0,NULL}, 0, 0 }
 
 
 /*
@@ -247,10 +255,14 @@
    * the target said that it shuts down
    */
   protobuf_c_boolean leaving;
+  /*
+   * as in Started
+   */
+  protobuf_c_boolean by_peer;
 };
 #define DISPATCH__DONE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dispatch__done__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/attempt.c
+++ b/src/attempt.c
@@ -4,7 +4,9 @@
 #include "counter.h"
 #include "hist.h"
 #include "log.h"
+#include "tunnel.h"
 
+#include <arpa/inet.h>
 #include <string.h>
 
 /* Longest wait for a connection to a reachable target. */
@@ -116,17 +118,18 @@
 	request_arm_timer(r);
 	r->sent_us = gateway_now(r->gw);
 	r->last_byte_us = r->sent_us;
-	log_event(LOG_INFO, "sent", kv_s("id", r->info.id),
-		  kv_s("route", r->route->name),
-		  KV_C("kind", route_kind_name(r->route->kind)),
-		  kv_u("manifest", r->manifest->version),
-		  kv_s("runner", r->runner), kv_s("build", r->build),
-		  kv_s("adapter", r->info.adapter),
-		  kv_u("version", r->adapter_version),
-		  kv_x("digest", r->digest), kv_s("parts", buf_str(&parts)),
-		  kv_u("term", r->grant_term),
-		  kv_i("waited_ms",
-		       (r->sent_us - r->arrived_us) / USEC_PER_MSEC));
+	log_event(
+		LOG_INFO, "sent", kv_s("id", r->info.id),
+		kv_s("route", r->route->name),
+		KV_C("kind", route_kind_name(r->route->kind)),
+		kv_u("manifest", r->manifest->version),
+		kv_s("runner", r->runner), kv_s("build", r->build),
+		kv_s("adapter", r->info.adapter),
+		kv_u("version", r->adapter_version), kv_x("digest", r->digest),
+		kv_s("parts", buf_str(&parts)), kv_u("term", r->grant_term),
+		kv_i("waited_ms", (r->sent_us - r->arrived_us) / USEC_PER_MSEC),
+		kv_u("by_peer", r->by_peer ? r->via : 0));
+	counter_add(CTR_SENT_BY_PEER, r->by_peer);
 	if (r->have_event_id || r->info.resumes)
 		log_resumed(r);
 	if (str_eq(r->method, STR("HEAD")))
@@ -185,6 +188,8 @@
 		return;
 	}
 	r->named = info.id.n > 0;
+	if (!r->by_peer)
+		reach_note_heard(r->gw);
 	/* Behind a stray response, one without a name may be another stray. */
 	not_run = info.not_run && (r->named || !r->n_strays);
 	r->last_byte_us = gateway_now(r->gw);
@@ -235,15 +240,81 @@
 	relay_end(r);
 }
 
+static const http1_ops_t target_ops;
+
+static http1_conn_t *connect_by_peer(request_t *r, const http1_ops_t *ops)
+{
+	gateway_t *g = r->gw;
+	AUTO_BUF buf_t opening = {0};
+	http1_dial_t dial = {
+		.to = {.sin_family = AF_INET,
+		       .sin_port = htons(g->tunnel_port),
+		       .sin_addr = {htonl(r->via)}},
+		.from = g->ip,
+		.timeout_us = CONNECT_TIMEOUT_US,
+		.opened = tunnel_read_opened,
+	};
+
+	tunnel_write_open(&opening, g->secret, r->addr, CONNECT_TIMEOUT_US);
+	dial.opening = buf_str(&opening);
+	return http1_connect(g->loop, &dial, ops, r);
+}
+
+static http1_conn_t *connect_to_target(request_t *r, bool by_peer,
+				       const http1_ops_t *ops)
+{
+	http1_dial_t dial = {.from = r->gw->ip,
+			     .timeout_us = CONNECT_TIMEOUT_US};
+
+	if (by_peer)
+		return connect_by_peer(r, ops);
+	if (http1_parse_addr(r->addr, &dial.to) < 0)
+		return NULL;
+	return http1_connect(r->gw->loop, &dial, ops, r);
+}
+
+static bool may_go_by_peer(const request_t *r)
+{
+	return r->via && r->gw->tunnel_port;
+}
+
+/* The attempt ends; nothing has come from the target, if so. */
+static void note_lost(const request_t *r)
+{
+	if (!r->by_peer && !r->response_head.status)
+		reach_note_lost(r->gw, r->runner);
+}
+
+/* Another way is under way already, or is tried now; false: there is none. */
+static bool go_another_way(request_t *r)
+{
+	if (r->spare) {
+		r->conn = r->spare;
+		r->by_peer = r->spare_by_peer;
+		r->spare = NULL;
+		http1_set_owner(r->conn, &target_ops, r);
+		return true;
+	}
+	if (r->tried_both || !may_go_by_peer(r))
+		return false;
+	r->tried_both = true;
+	r->by_peer = !r->by_peer;
+	r->conn = connect_to_target(r, r->by_peer, &target_ops);
+	return r->conn != NULL;
+}
+
 static void on_target_closed(void *ctx, http1_close_reason_t why)
 {
 	request_t *r = ctx;
 
 	r->conn = NULL;
+	if (r->state == REQUEST_CONNECTING && go_another_way(r))
+		return;
 	close_spare(r);
 	r->target_close = http1_close_reason_text(why);
 	relay_note_end(r);
 	crashes_note_close(r, why);
+	note_lost(r);
 	if (r->state == REQUEST_CONNECTING)
 		attempt_end(r, PLACE_UNREACHABLE, false, REASON_TARGET_LOST);
 	else
@@ -272,7 +343,10 @@
 	request_t *r = ctx;
 
 	http1_close(r->conn);
+	if (r->spare_by_peer && !r->by_peer)
+		reach_note_lost(r->gw, r->runner);
 	r->conn = r->spare;
+	r->by_peer = r->spare_by_peer;
 	r->spare = NULL;
 	http1_set_owner(r->conn, &target_ops, r);
 	send_request(r);
@@ -291,26 +365,21 @@
 	.closed = on_spare_closed,
 };
 
-static http1_conn_t *connect_to_target(request_t *r, const http1_ops_t *ops)
-{
-	http1_dial_t dial = {.from = r->gw->ip,
-			     .timeout_us = CONNECT_TIMEOUT_US};
-
-	if (http1_parse_addr(r->addr, &dial.to) < 0)
-		return NULL;
-	return http1_connect(r->gw->loop, &dial, ops, r);
-}
-
 void attempt_connect_again(request_t *r)
 {
 	r->connect_again_us = INT64_MAX;
-	r->spare = connect_to_target(r, &spare_ops);
+	if (r->tried_both)
+		return;
+	r->tried_both = may_go_by_peer(r);
+	r->spare_by_peer = r->tried_both && !r->by_peer;
+	r->spare = connect_to_target(r, r->spare_by_peer, &spare_ops);
 }
 
 void attempt_time_out(request_t *r)
 {
 	bool sent = r->state != REQUEST_CONNECTING;
 
+	note_lost(r);
 	attempt_end(r, sent ? PLACE_SILENT : PLACE_UNREACHABLE, sent,
 		    sent ? REASON_DEADLINE_EXCEEDED : REASON_NO_PLACE);
 }
@@ -338,7 +407,10 @@
 		attempt_end(r, PLACE_UNUSED, false, REASON_NO_PLACE);
 		return;
 	}
-	r->conn = connect_to_target(r, &target_ops);
+	reach_note_attempt(r->gw, r->addr);
+	r->tried_both = false;
+	r->by_peer = r->gw->reach.cut_off && may_go_by_peer(r);
+	r->conn = connect_to_target(r, r->by_peer, &target_ops);
 	if (!r->conn)
 		attempt_end(r, PLACE_UNREACHABLE, false, REASON_TARGET_LOST);
 }
--- a/src/counter.h
+++ b/src/counter.h
@@ -50,6 +50,11 @@
 	X(CLAIMS, "claims", "Claims decided")
 
 #define COUNTERS_LINK(X)                                                       \
+	X(TUNNELS_OPENED, "tunnels_opened",                                    \
+	  "Connections to targets made for other daemons")                     \
+	X(TUNNEL_BYTES, "tunnel_bytes", "Bytes moved on these, both ways")     \
+	X(SENT_BY_PEER, "sent_by_peer",                                        \
+	  "Requests sent to a target by way of another daemon")                \
 	X(LINK_DIALS, "link_dials", "Connections dialed to peers")             \
 	X(LINK_CUT_SECRET, "link_cut_secret", "Peers cut: wrong secret")       \
 	X(LINK_CUT_CLUSTER, "link_cut_cluster", "Peers cut: other cluster id") \
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -412,6 +412,7 @@
 		return;
 	}
 	quarantine_on_ask(d, a);
+	paths_on_ask(d, key->host, pb_str(a->zone));
 	if (!retry_budget_spend(&d->budgets, pb_str(a->service), a->repeat,
 				retry_slack_share(d, now_us), now_us)) {
 		send_refusal(d, key, REASON_RETRY_BUDGET, REFUSAL_RETRY_US);
--- a/src/dispatch_int.h
+++ b/src/dispatch_int.h
@@ -212,6 +212,7 @@
 	uint32_t n_shared_parts;
 	uint64_t digest; /* of the request; 0: not known, or answered */
 	struct cds_list_head suspect; /* in those of quarantine_t, or empty */
+	host_id_t via;		      /* as told to its host */
 	bool for_stream;	      /* of a request that takes up a stream */
 } grant_t;
 
@@ -524,6 +525,18 @@
 		       place_outcome_t outcome, int64_t granted_us,
 		       int64_t now_us);
 
+/* The host has heard from the runner, but by way of another host. */
+void paths_on_by_peer(dispatch_t *d, host_id_t host, runner_t *r,
+		      int64_t now_us);
+/* A host of this failure domain asks. */
+void paths_on_ask(dispatch_t *d, host_id_t host, str_t zone);
+/*
+ * Another host that reaches runners, best one in this runner's failure domain; 0: none
+ * is known. seed: differs from grant to grant.
+ */
+host_id_t paths_choose_via(const dispatch_t *d, host_id_t host, uint64_t seed,
+			   const runner_t *r, int64_t now_us);
+
 /* grants.c */
 /* Grants the request a place at the runner, and tells its entry. */
 void grants_issue(dispatch_t *d, const request_key_t *key,
--- a/src/event.h
+++ b/src/event.h
@@ -37,6 +37,9 @@
 	X("leader_overloaded", 10, "term",                                     \
 	  "The leader's loop is too slow to dispatch; another host is to "     \
 	  "lead.")                                                             \
+	X("leader_cut_off", 10, "term",                                        \
+	  "The leader's host reaches no runner, so that it can give no "       \
+	  "orders; another host is to lead.")                                  \
 	X("leader_changed", 20, "host term",                                   \
 	  "The log has another leader or another term.")                       \
 	X("manifest_in_force", 20, "version routes services",                  \
@@ -64,11 +67,17 @@
 	  "Dispatcher: a request was refused a grant.")                        \
 	X("sent", 100,                                                         \
 	  "id route kind manifest runner build adapter version digest parts "  \
-	  "term waited_ms",                                                    \
+	  "term waited_ms by_peer",                                            \
 	  "The request is sent to a runner; build is the version of its "      \
 	  "software, version that of the adapter, digest is alike for all "    \
 	  "requests with the same target, caller and body, parts are the ids " \
-	  "of its prompt's parts, term is that of the grant.")                 \
+	  "of its prompt's parts, term is that of the grant; by_peer: the "    \
+	  "host that moves the bytes, 0: this one.")                           \
+	X("runners_unreachable", 10, "runner",                                 \
+	  "This host has lost several runners, the last one is named, and "    \
+	  "has heard from none since: its requests go by way of other hosts.") \
+	X("runners_reached", 10, "after_ms",                                   \
+	  "This host reaches runners itself again.")                           \
 	X("attempt_ended", 100,                                                \
 	  "id runner digest outcome sent response_status named framing "       \
 	  "body_started unfinished_bytes target_close after_send_ms tries "    \
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -219,6 +219,7 @@
 	done.outcome = outcome;
 	done.pause_permille = pause_permille(r);
 	done.leaving = r->leaving;
+	done.by_peer = r->by_peer;
 	r->ask_id = 0;
 	send_done(r->gw, &done);
 }
@@ -234,6 +235,7 @@
 	pb.id = r->ask_id;
 	pb.waited_us = gateway_now(r->gw) - r->sent_us;
 	pb.leaving = r->leaving;
+	pb.by_peer = r->by_peer;
 	if (keep_us) {
 		pb.stream = r->stream_key;
 		pb.build = pb_bytes(r->stream_build);
@@ -538,6 +540,7 @@
 	r->adapter_version = m->adapter_version;
 	r->grant_term = m->term;
 	r->grant_limited = m->limited;
+	r->via = m->via ? m->via : g->ops.pick_peer(g->ctx);
 	hist_add(HIST_GRANT, gateway_now(g) - r->asked_us);
 	r->state = REQUEST_CONNECTING;
 	r->connect_again_us = gateway_now(g) + CONNECT_AGAIN_US;
@@ -921,11 +924,14 @@
 	g->loop = l;
 	g->zone = str_copy(cfg->zone);
 	g->ip = cfg->ip;
+	g->tunnel_port = cfg->tunnel_port;
+	g->secret = cfg->secret;
 	g->rng_state = cfg->seed;
 	g->last_ask_id = cfg->seed & 0xffffffffffff0000ull;
 	g->ops = *ops;
 	g->ctx = ctx;
 	g->holdoff = holdoff_new();
+	reach_init(g);
 	gateway_streams_init(g);
 	g->limits.head_max = HEAD_MAX;
 	g->limits.head_timeout_us = HEAD_TIMEOUT_US;
@@ -957,6 +963,7 @@
 	http1_unlisten(g->listener);
 	manifest_unref(g->manifest);
 	holdoff_free(g->holdoff);
+	reach_free(g);
 	gateway_streams_free(g);
 	crashes_free(g);
 	named_limits_free(g);
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -38,6 +38,10 @@
 	 * their connections.
 	 */
 	bool (*is_draining)(void *ctx);
+	/* Any other live host; 0: there is none. */
+	host_id_t (*pick_peer)(void *ctx);
+	/* Called again and again while this host reaches no target itself. */
+	void (*no_path)(void *ctx);
 } gateway_ops_t;
 
 typedef struct gateway_cfg {
@@ -45,6 +49,8 @@
 	struct in_addr
 		ip;    /* of this host; connections to targets come from it */
 	uint64_t seed; /* of ids and choices */
+	uint16_t tunnel_port; /* where all hosts take tunnels; 0: they don't */
+	str_t secret; /* that opens tunnels; has to outlive the gateway */
 } gateway_cfg_t;
 
 gateway_t *gateway_new(loop_t *l, const gateway_cfg_t *cfg,
--- a/src/gateway_int.h
+++ b/src/gateway_int.h
@@ -89,9 +89,13 @@
 	/* Term of the dispatcher; 0: granted by this daemon, in isolation. */
 	uint64_t grant_term;
 	bool grant_limited; /* the dispatcher knows a limit of the runner */
+	host_id_t via; /* another host that reaches runners; 0: none is known */
 	http1_conn_t *conn;
+	bool by_peer; /* conn is by way of it */
 	/* A second try to connect, while conn has not; NULL: none. */
 	http1_conn_t *spare;
+	bool spare_by_peer;
+	bool tried_both; /* a connection of this host's own, and one by a peer */
 	int64_t connect_again_us; /* when to begin it; INT64_MAX: never */
 	int64_t sent_us;
 	/*
@@ -181,10 +185,28 @@
 	int64_t at_us;
 } named_limit_t;
 
+/* Targets that this host has lost without hearing from any, if it is cut off. */
+#define LOST_TARGETS_MIN 2u
+
+/* Whether this host reaches targets itself. */
+typedef struct reach {
+	uint64_t lost[LOST_TARGETS_MIN]; /* hashes of their ids */
+	uint32_t n_lost;
+	bool cut_off;
+	int64_t since_us; /* while cut off */
+	str_t addr;	  /* owned: where the last attempt went */
+	/* A connection of its own, tried while cut off; NULL: none. */
+	http1_conn_t *probe;
+	timer_sub_t timer;
+} reach_t;
+
 struct gateway {
 	loop_t *loop;
-	str_t zone;		     /* owned */
-	struct in_addr ip;	     /* connections to targets come from it */
+	str_t zone;	      /* owned */
+	struct in_addr ip;    /* connections to targets come from it */
+	uint16_t tunnel_port; /* of all hosts */
+	str_t secret;	      /* that opens tunnels; not owned */
+	reach_t reach;
 	int64_t dispatcher_heard_us; /* when its last message came */
 	uint64_t last_ask_id;
 	uint64_t rng_state;
@@ -292,6 +314,17 @@
 void named_limits_tell(gateway_t *g);
 void named_limits_free(gateway_t *g);
 
+/* reach.c */
+
+void reach_init(gateway_t *g);
+void reach_free(gateway_t *g);
+/* A target has answered on a connection of this host's own. */
+void reach_note_heard(gateway_t *g);
+/* This host's own connection to it has failed, or ended without a response. */
+void reach_note_lost(gateway_t *g, str_t runner);
+/* An attempt goes to this address. */
+void reach_note_attempt(gateway_t *g, str_t addr);
+
 /* attempt.c */
 
 /* Sends the request to the runner that was granted. */
--- a/src/grants.c
+++ b/src/grants.c
@@ -50,6 +50,7 @@
 	pb.build = pb_bytes(g->runner->build);
 	pb.stream_known = g->for_stream;
 	pb.limited = g->runner->limit.active;
+	pb.via = g->via;
 	if (g->copy)
 		pb.adapter_version = g->copy->version;
 	msg.body_case = DISPATCH__MSG__BODY_GRANT;
@@ -142,6 +143,7 @@
 	g->for_stream = ask->takes_up;
 	grant_set_parts(g, ask);
 	g->digest = ask->digest;
+	g->via = paths_choose_via(d, key->host, key->id, r, now_us);
 	quarantine_on_grant(d, g);
 	r->pending_prefill_tokens += g->prefill_tokens;
 	r->reserved_tokens += g->tokens;
@@ -208,7 +210,10 @@
 	if (!g || g->started)
 		return;
 	g->started_us = now_us;
-	paths_on_heard(d, key->host, g->runner, now_us);
+	if (m->by_peer)
+		paths_on_by_peer(d, key->host, g->runner, now_us);
+	else
+		paths_on_heard(d, key->host, g->runner, now_us);
 	quarantine_on_sign_of_life(d, g->runner, now_us);
 	g->runner->said_leaving |= m->leaving;
 	if (g->copy)
@@ -244,14 +249,19 @@
 
 /* Charges a failure to the runner, or to the path of the host that tells it. */
 static void record_outcome(dispatch_t *d, host_id_t host, runner_t *r,
-			   place_outcome_t o, bool started, int64_t granted_us,
-			   int64_t now_us)
+			   place_outcome_t o, bool by_peer, bool started,
+			   int64_t granted_us, int64_t now_us)
 {
 	bool is_loss = o == PLACE_UNREACHABLE || o == PLACE_SILENT ||
 		       o == PLACE_BROKEN;
 
-	if (shows_runner(o))
+	if (shows_runner(o) && by_peer)
+		paths_on_by_peer(d, host, r, now_us);
+	else if (shows_runner(o))
 		paths_on_heard(d, host, r, now_us);
+	/* The other host may have ended, or its path. */
+	if (is_loss && by_peer)
+		return;
 	if (is_loss && !started &&
 	    paths_is_to_blame(d, host, r, o, granted_us, now_us))
 		return;
@@ -306,7 +316,8 @@
 	}
 	if (o == PLACE_NOT_RUN)
 		r->full_until_us = now_us + FULL_BACKOFF_US;
-	record_outcome(d, key->host, r, o, started, granted_us, now_us);
+	record_outcome(d, key->host, r, o, m->by_peer, started, granted_us,
+		       now_us);
 	if (o == PLACE_NO_ADAPTER || o == PLACE_OTHER_RUNNER)
 		d->orders_due_us = now_us;
 	if (o == PLACE_NO_ADAPTER)
--- a/src/http1.c
+++ b/src/http1.c
@@ -8,11 +8,12 @@
 #include <strings.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
-#include <netinet/tcp.h>
 #include <unistd.h>
 
 #include <http_parser.h>
 
+#include "socket.h"
+
 #define READ_BYTES 16384u
 /* A buffer of a larger capacity is freed once it is empty. */
 #define KEEP_BYTES 32768u
@@ -22,17 +23,13 @@
  */
 #define PIPELINED_BYTES_MAX 65536u
 #define RESPONSE_HEAD_MAX 65536u
-#define LISTEN_BACKLOG 512
-/* TCP_USER_TIMEOUT: a peer that acknowledges nothing for so long is gone. */
-#define USER_TIMEOUT_MS 4000
-#define KEEPALIVE_INTERVAL_S 1
-#define KEEPALIVE_PROBES 3
 /* How long a peer has to close first, once this end has sent its FIN. */
 #define LINGER_US (1 * USEC_PER_SEC)
 
 typedef enum conn_state {
 	CONN_CONNECTING,
-	CONN_IDLE, /* outgoing: no response is awaited */
+	CONN_OPENING, /* outgoing: the reply to http1_dial_t.opening is awaited */
+	CONN_IDLE,    /* outgoing: no response is awaited */
 	CONN_AWAIT_HEAD,
 	CONN_READ_BODY,
 	CONN_RESPONDING, /* incoming: the owner sends its response */
@@ -53,7 +50,11 @@
 	bool owned; /* the owner still gets callbacks */
 	bool incoming;
 	conn_state_t state;
-	bool no_body; /* see http1_expect_no_body() */
+	ssize_t (*opened)(str_t in); /* see http1_dial_t */
+	buf_t raw;		     /* of frames, not taken apart yet */
+	uint32_t frame_left;	     /* bytes of the frame under way */
+	bool peer_ended;	     /* its empty frame has come */
+	bool no_body;		     /* see http1_expect_no_body() */
 	bool reading_paused;
 	bool closing; /* no more is read or queued; closes once all is written */
 	bool message_complete;	 /* the parser saw the end of the message */
@@ -135,6 +136,7 @@
 	http1_conn_t *c = (http1_conn_t *)g;
 
 	buf_free(&c->in);
+	buf_free(&c->raw);
 	buf_free(&c->out);
 	buf_free(&c->head_bytes);
 	free(c);
@@ -570,17 +572,89 @@
 	conn_end(c, HTTP1_PEER_CLOSED);
 }
 
+/* The connection can carry a request. */
+static void become_usable(http1_conn_t *c)
+{
+	timer_svc_cancel(loop_timers(c->loop), &c->timer);
+	c->state = c->out.n ? CONN_AWAIT_HEAD : CONN_IDLE;
+	update_events(c);
+	if (c->owned && c->ops.connected)
+		c->ops.connected(c->ctx);
+}
+
+static bool read_opened(http1_conn_t *c)
+{
+	ssize_t n = c->opened(buf_str(&c->raw));
+
+	if (n < 0)
+		conn_end(c, HTTP1_REFUSED);
+	if (n <= 0)
+		return false;
+	buf_consume(&c->raw, (size_t)n);
+	become_usable(c);
+	return c->state != CONN_CLOSED;
+}
+
+/* Moves what is whole of the frames from raw to in. */
+static void unframe(http1_conn_t *c)
+{
+	while (c->raw.n && !c->peer_ended) {
+		uint32_t n = c->frame_left;
+
+		if (!n) {
+			if (c->raw.n < HTTP1_FRAME_LENGTH_BYTES)
+				return;
+			memcpy(&n, c->raw.p, sizeof(n));
+			buf_consume(&c->raw, HTTP1_FRAME_LENGTH_BYTES);
+			c->frame_left = ntohl(n);
+			c->peer_ended = !c->frame_left;
+			continue;
+		}
+		if (n > c->raw.n)
+			n = (uint32_t)c->raw.n;
+		buf_put(&c->in, c->raw.p, n);
+		buf_consume(&c->raw, n);
+		c->frame_left -= n;
+	}
+}
+
+/* Handles new bytes in raw; false: the connection has ended. */
+static bool take_frames(http1_conn_t *c)
+{
+	if (c->state == CONN_OPENING && !read_opened(c))
+		return c->state != CONN_CLOSED;
+	unframe(c);
+	process_input(c);
+	if (c->state != CONN_CLOSED && c->peer_ended)
+		on_eof(c);
+	return c->state != CONN_CLOSED;
+}
+
+/* Handles new bytes in in; false: the connection has ended. */
+static bool take_bytes(http1_conn_t *c)
+{
+	if (c->state == CONN_AWAIT_HEAD && !c->head_started_us && c->incoming) {
+		c->head_started_us = now_us(c);
+		timer_svc_arm(loop_timers(c->loop), &c->timer,
+			      c->head_started_us + c->limits->head_timeout_us);
+	}
+	process_input(c);
+	return c->state != CONN_CLOSED;
+}
+
 static void read_input(http1_conn_t *c)
 {
+	buf_t *to = c->opened ? &c->raw : &c->in;
+
 	for (;;) {
-		ssize_t n = recv(c->watch.fd, buf_reserve(&c->in, READ_BYTES),
+		ssize_t n = recv(c->watch.fd, buf_reserve(to, READ_BYTES),
 				 READ_BYTES, MSG_DONTWAIT);
 
 		if (n < 0 && errno == EINTR)
 			continue;
 		if (n < 0 && errno == EAGAIN)
 			return;
-		if (n < 0) {
+		if (n < 0 || (n == 0 && c->opened)) {
 			conn_end(c, HTTP1_RESET);
 			return;
 		}
@@ -589,19 +663,11 @@
 			return;
 		}
 		if (c->state == CONN_LINGERING || c->closing) {
-			buf_reset(&c->in);
+			buf_reset(to);
 			return;
 		}
-		c->in.n += (size_t)n;
-		if (c->state == CONN_AWAIT_HEAD && !c->head_started_us &&
-		    c->incoming) {
-			c->head_started_us = now_us(c);
-			timer_svc_arm(loop_timers(c->loop), &c->timer,
-				      c->head_started_us +
-					      c->limits->head_timeout_us);
-		}
-		process_input(c);
-		if (c->state == CONN_CLOSED)
+		to->n += (size_t)n;
+		if (!(c->opened ? take_frames(c) : take_bytes(c)))
 			return;
 		if (!c->in.n && c->in.cap > KEEP_BYTES)
 			buf_free(&c->in);
@@ -625,11 +691,12 @@
 		conn_end(c, HTTP1_REFUSED);
 		return;
 	}
-	timer_svc_cancel(loop_timers(c->loop), &c->timer);
-	c->state = c->out.n ? CONN_AWAIT_HEAD : CONN_IDLE;
-	update_events(c);
-	if (c->owned && c->ops.connected)
-		c->ops.connected(c->ctx);
+	if (c->opened) {
+		c->state = CONN_OPENING;
+		update_events(c);
+		return;
+	}
+	become_usable(c);
 }
 
 static void on_event(void *ctx, uint32_t events)
@@ -658,7 +725,7 @@
 	http1_conn_t *c = ctx;
 
 	(void)now;
-	if (c->state == CONN_CONNECTING)
+	if (c->state == CONN_CONNECTING || c->state == CONN_OPENING)
 		conn_end(c, HTTP1_CONNECT_TIMEOUT);
 	else if (c->state == CONN_LINGERING)
 		conn_destroy(c);
@@ -669,22 +736,6 @@
 		conn_end(c, HTTP1_IDLE);
 }
 
-static void set_options(int fd)
-{
-	const int one = 1;
-	const int idle = KEEPALIVE_INTERVAL_S;
-	const int probes = KEEPALIVE_PROBES;
-	const unsigned int user_ms = USER_TIMEOUT_MS;
-
-	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
-	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &one, sizeof(one));
-	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
-	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &idle, sizeof(idle));
-	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
-	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_ms,
-		   sizeof(user_ms));
-}
-
 static http1_conn_t *conn_new(loop_t *l, int fd, uint32_t events)
 {
 	http1_conn_t *c = xcalloc(1, sizeof(*c));
@@ -696,50 +747,34 @@
 	c->flush.fn = on_flush;
 	c->flush.ctx = c;
 	timer_sub_init(&c->timer, on_timer, c);
-	set_options(fd);
+	socket_set_options(fd);
 	if (loop_watch(l, &c->watch, fd, events) == 0)
 		return c;
 	free(c);
 	return NULL;
 }
 
-/* The port is chosen when the socket connects: each peer has all ports. */
-static int bind_to(int fd, struct in_addr from)
-{
-	const struct sockaddr_in addr = {.sin_family = AF_INET,
-					 .sin_addr = from};
-	const int one = 1;
-
-	setsockopt(fd, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &one, sizeof(one));
-	return bind(fd, (const struct sockaddr *)&addr, sizeof(addr));
-}
-
 http1_conn_t *http1_connect(loop_t *l, const http1_dial_t *dial,
 			    const http1_ops_t *ops, void *ctx)
 {
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	int fd = socket_connect(&dial->to, dial->from);
 	http1_conn_t *c;
 
 	if (fd < 0)
 		return NULL;
-	if (dial->from.s_addr && bind_to(fd, dial->from) < 0)
-		goto fail;
-	if (connect(fd, (const struct sockaddr *)&dial->to, sizeof(dial->to)) <
-		    0 &&
-	    errno != EINPROGRESS)
-		goto fail;
 	c = conn_new(l, fd, EPOLLIN | EPOLLOUT | EPOLLRDHUP);
-	if (!c)
-		goto fail;
+	if (!c) {
+		close(fd);
+		return NULL;
+	}
 	c->state = CONN_CONNECTING;
 	c->ops = *ops;
 	c->ctx = ctx;
 	c->owned = true;
+	c->opened = dial->opened;
+	buf_put(&c->out, dial->opening.p, dial->opening.n);
 	timer_svc_arm(loop_timers(l), &c->timer, now_us(c) + dial->timeout_us);
 	return c;
-fail:
-	close(fd);
-	return NULL;
 }
 
 void http1_expect_no_body(http1_conn_t *c)
@@ -873,8 +908,7 @@
 			       void *ctx)
 {
 	http1_listener_t *ls = xcalloc(1, sizeof(*ls));
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	int one = 1;
+	int fd = socket_listen(addr);
 
 	ls->loop = l;
 	ls->limits = limits;
@@ -884,15 +918,8 @@
 	ls->watch.fn = on_acceptable;
 	ls->watch.ctx = ls;
 	CDS_INIT_LIST_HEAD(&ls->conns);
-	if (fd < 0)
-		goto fail;
-	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-	if (bind(fd, (const struct sockaddr *)addr, sizeof(*addr)) < 0 ||
-	    listen(fd, LISTEN_BACKLOG) < 0 ||
-	    loop_watch(l, &ls->watch, fd, EPOLLIN) < 0)
-		goto fail;
-	return ls;
-fail:
+	if (fd >= 0 && loop_watch(l, &ls->watch, fd, EPOLLIN) == 0)
+		return ls;
 	if (fd >= 0)
 		close(fd);
 	free(ls);
--- a/src/http1.h
+++ b/src/http1.h
@@ -10,6 +10,7 @@
 #define DK_HTTP1_H
 
 #include <netinet/in.h>
+#include <sys/types.h>
 
 #include "loop.h"
 
@@ -119,8 +120,19 @@
 	struct sockaddr_in to;
 	struct in_addr from; /* this end's address; 0: any */
 	int64_t timeout_us;
+	/*
+	 * Sent first, where not empty. The connection can carry a request once opened(),
+	 * which gets what the other end replies, has taken bytes of it; 0: more are to
+	 * come, -1: the other end refuses. Both or none. What comes behind the reply is
+	 * in frames, a length of 4 bytes before each: an empty one is an orderly close,
+	 * and a close without it a reset.
+	 */
+	str_t opening;
+	ssize_t (*opened)(str_t in);
 } http1_dial_t;
 
+#define HTTP1_FRAME_LENGTH_BYTES 4u
+
 /* Starts to connect; NULL with errno set where that fails at once. */
 http1_conn_t *http1_connect(loop_t *l, const http1_dial_t *dial,
 			    const http1_ops_t *ops, void *ctx);
--- a/src/paths.c
+++ b/src/paths.c
@@ -12,10 +12,15 @@
 #define LOST_MIN 2u
 /* It counts as cut off only while others have heard from a runner within this time. */
 #define OTHERS_HEARD_US (1 * USEC_PER_SEC)
+/* A host is a good way for others if it has heard from a runner within this time. */
+#define GOOD_PATH_US (3 * USEC_PER_SEC)
+/* Hosts looked at for a way. */
+#define VIA_SAMPLES 8u
 
 /* What the ends of a host's places tell of its paths. */
 typedef struct host_path {
 	host_id_t host;
+	uint64_t zone;	  /* hash of its failure domain; 0: not known */
 	int64_t heard_us; /* from any runner, last */
 	/* Hashes of runners that it has lost since. */
 	uint64_t lost[LOST_MIN];
@@ -133,3 +138,45 @@
 		counter_add(CTR_PATHS_BLAMED, 1);
 	return to_blame;
 }
+
+void paths_on_by_peer(dispatch_t *d, host_id_t host, runner_t *r,
+		      int64_t now_us)
+{
+	host_path_t *h = get_path(d->paths, host);
+
+	r->heard_us = now_us;
+	h->n_lost = LOST_MIN;
+}
+
+static uint64_t zone_key(str_t zone)
+{
+	return zone.n ? hash_bytes(zone.p, zone.n, 0) : 0;
+}
+
+void paths_on_ask(dispatch_t *d, host_id_t host, str_t zone)
+{
+	get_path(d->paths, host)->zone = zone_key(zone);
+}
+
+host_id_t paths_choose_via(const dispatch_t *d, host_id_t host, uint64_t seed,
+			   const runner_t *r, int64_t now_us)
+{
+	const GPtrArray *all = d->paths->all;
+	uint64_t zone = zone_key(r->zone);
+	host_id_t found = 0;
+
+	for (uint32_t i = 0; i < VIA_SAMPLES && all->len; i++) {
+		uint64_t at = hash_bytes(&i, sizeof(i), seed) % all->len;
+		const host_path_t *h = g_ptr_array_index(all, at);
+
+		if (h->host == host || h->n_lost >= LOST_MIN ||
+		    now_us - h->heard_us > GOOD_PATH_US)
+			continue;
+		/* The dispatcher's own host has enough to do. */
+		if (h->zone == zone && h->host != d->cfg.self)
+			return h->host;
+		if (!found || found == d->cfg.self)
+			found = h->host;
+	}
+	return found;
+}
--- a/src/site.c
+++ b/src/site.c
@@ -61,8 +61,6 @@
  * decided state, or it cannot.
  */
 #define STARTUP_MAX_US (5 * USEC_PER_SEC)
-/* Shared by all daemons of a system, as the platform provides no secret. */
-#define SITE_SECRET "damasklug site, one system"
 
 /* Messages to the loop. */
 
@@ -589,6 +587,28 @@
 	return ((const site_t *)ctx)->leaving;
 }
 
+/* Any live host but this one; 0: there is none. */
+static host_id_t pick_peer(void *ctx)
+{
+	const site_t *s = ctx;
+	const lease_status_t *st = &s->lease_status;
+	size_t first = st->n_live ? (size_t)random_seed() % st->n_live : 0;
+
+	for (size_t i = 0; i < st->n_live; i++) {
+		host_id_t host = st->live[(first + i) % st->n_live];
+
+		if (host != s->self)
+			return host;
+	}
+	return 0;
+}
+
+/* The port behind the one for links. */
+static uint16_t tunnel_port(const site_t *s)
+{
+	return (uint16_t)(s->settings.peer_port + 1);
+}
+
 /* Construction. */
 
 static int create_loop(site_t *s)
@@ -635,7 +655,8 @@
 {
 	static const gateway_ops_t gateway_ops = {
 		send_to_dispatcher, send_to_backup, begin_isolated,
-		refusal_reason,	    is_starting,    is_draining};
+		refusal_reason,	    is_starting,    is_draining,
+		pick_peer,	    site_on_no_path};
 	static const dispatch_ops_t dispatch_ops = {send_to_entry,
 						    site_send_order,
 						    site_request_report,
@@ -655,6 +676,8 @@
 		.zone = s->settings.zone,
 		.ip = {htonl(s->self)},
 		.seed = random_seed(),
+		.tunnel_port = tunnel_port(s),
+		.secret = STR(SITE_SECRET),
 	};
 
 	s->upstream = upstream_new(s->loop, gateway_cfg.ip);
@@ -676,6 +699,23 @@
 	return site_create_state(s, &callbacks);
 }
 
+static int start_tunnels(site_t *s)
+{
+	const tunnels_cfg_t cfg = {
+		.listen = {.sin_family = AF_INET,
+			   .sin_port = htons(tunnel_port(s)),
+			   .sin_addr = {htonl(s->self)}},
+		.from = {htonl(s->self)},
+		.secret = STR(SITE_SECRET),
+	};
+
+	s->tunnels = tunnels_new(s->loop, &cfg);
+	if (s->tunnels)
+		return 0;
+	log_event(LOG_ERR, "listen_failed", kv_s("addr", s->settings.ip));
+	return -1;
+}
+
 static int start_io(site_t *s)
 {
 	struct sockaddr_in addr;
@@ -687,7 +727,8 @@
 			  KV_C("error", strerror(errno)));
 		return -1;
 	}
-	if (links_start(s->links) < 0 || site_ports_start(s) < 0)
+	if (links_start(s->links) < 0 || site_ports_start(s) < 0 ||
+	    start_tunnels(s) < 0)
 		return -1;
 	if (http1_parse_addr(s->settings.callers_addr, &addr) < 0 ||
 	    gateway_listen(s->gateway, &addr) < 0) {
--- a/src/site_int.h
+++ b/src/site_int.h
@@ -16,6 +16,7 @@
 #include "overload.h"
 #include "site.h"
 #include "state.h"
+#include "tunnel.h"
 #include "upstream.h"
 
 /*
@@ -30,6 +31,8 @@
 
 /* Cluster name, for the links between daemons and for their data folders. */
 #define SITE_CLUSTER "site"
+/* Shared by all daemons of a system, as the platform provides no secret. */
+#define SITE_SECRET "damasklug site, one system"
 
 typedef struct site {
 	char *settings_path;
@@ -45,6 +48,7 @@
 	state_t *state;
 	upstream_t *upstream;
 	gateway_t *gateway;
+	tunnels_t *tunnels;
 	dispatch_t *dispatch; /* active while this host is the leader */
 	/* Active while this daemon can reach no dispatcher. */
 	dispatch_t *isolated_dispatch;
@@ -121,6 +125,8 @@
 void site_begin_leaving(site_t *s);
 /* Timer callback of the shutdown; ctx is the site_t. */
 void site_on_leave_timer(void *ctx, int64_t now);
+/* Callback of the gateway while this host reaches no runner; ctx is the site_t. */
+void site_on_no_path(void *ctx);
 /* Callback of the loop for a turn that took long; ctx is the site_t. */
 void site_on_slow_turn(void *ctx, int64_t us, int events);
 
--- a/src/site_leave.c
+++ b/src/site_leave.c
@@ -1,6 +1,6 @@
 /*
  * site_leave.c - the daemon gives up its work: at its shutdown, and as the
- * leader if its host is too slow to dispatch.
+ * leader if its host is too slow to dispatch, or reaches no runner.
  */
 #include "site_int.h"
 
@@ -39,7 +39,7 @@
  * Has another voter lead. Orders go on until it does, so it has to wait for
  * them as after a loss.
  */
-static void resign(site_t *s, int64_t now)
+static void resign(site_t *s, const char *event, int64_t now)
 {
 	mail_t *m;
 
@@ -48,8 +48,7 @@
 	    (s->resigned_us && now - s->resigned_us < RESIGN_INTERVAL_US))
 		return;
 	s->resigned_us = now;
-	log_event(LOG_NOTICE, "leader_overloaded",
-		  kv_u("term", s->lease_status.term));
+	log_event(LOG_NOTICE, event, kv_u("term", s->lease_status.term));
 	m = xcalloc(1, sizeof(*m));
 	m->run = state_resign_run;
 	m->drop = mail_free;
@@ -64,7 +63,15 @@
 	log_event(LOG_NOTICE, "loop_slow", kv_i("turn_ms", us / USEC_PER_MSEC),
 		  kv_i("events", events));
 	if (overload_record_turn(&s->overload, now, us))
-		resign(s, now);
+		resign(s, "leader_overloaded", now);
+}
+
+void site_on_no_path(void *ctx)
+{
+	site_t *s = ctx;
+
+	/* Orders cannot go by way of other hosts: their holder is one host. */
+	resign(s, "leader_cut_off", site_now(s));
 }
 
 /* Shutdown. */
@@ -114,7 +121,8 @@
 	if (elapsed_us >= LEAVE_LISTEN_US)
 		gateway_drain(s->gateway);
 	if ((elapsed_us >= LEAVE_LISTEN_US &&
-	     !gateway_active_requests(s->gateway)) ||
+	     !gateway_active_requests(s->gateway) &&
+	     !tunnels_count(s->tunnels)) ||
 	    elapsed_us >= s->settings.grace_us - LEAVE_MARGIN_US) {
 		log_event(LOG_NOTICE, "stopped",
 			  kv_u("requests_aborted",
@@ -134,6 +142,7 @@
 	log_event(LOG_NOTICE, "leaving",
 		  kv_u("requests", gateway_active_requests(s->gateway)));
 	dispatch_set_lease(s->dispatch, INT64_MIN);
+	tunnels_drain(s->tunnels);
 	end_session(s, s->leave_began_us);
 	timer_svc_arm(s->timers, &s->leave_timer,
 		      s->leave_began_us + LEAVE_TICK_US);
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "gateway.h"
+#include "tunnel.h"
 #include "log.h"
 #include "loop_util.h"
 #include "stream_build.h"
@@ -96,6 +97,8 @@
 
 		return requests;
 	}
+	// Connections from other addresses are reset; 0: none are.
+	std::atomic<in_addr_t> only_from{0};
 	// The other side closed the connection while until_closed waited.
 	std::atomic<bool> closed_by_peer{false};
 	uint16_t port;
@@ -104,10 +107,20 @@
 	void serve()
 	{
 		while (!stopping) {
-			int c = accept(fd, nullptr, nullptr);
+			struct sockaddr_in peer = {};
+			socklen_t n = sizeof(peer);
+			int c = accept(fd, (struct sockaddr *)&peer, &n);
 
 			if (c < 0)
 				return;
+			if (only_from && peer.sin_addr.s_addr != only_from) {
+				struct linger l = {1, 0};
+
+				setsockopt(c, SOL_SOCKET, SO_LINGER, &l,
+					   sizeof(l));
+				close(c);
+				continue;
+			}
 			for (bool is_first = true; one(c, is_first);)
 				is_first = false;
 			close(c);
@@ -208,12 +221,21 @@
 			[](void *ctx) -> bool {
 				return ((GatewayFixture *)ctx)->starting;
 			},
-			[](void *) { return false; }};
+			[](void *) { return false; },
+			[](void *ctx) -> host_id_t {
+				return ((GatewayFixture *)ctx)->peer;
+			},
+			[](void *ctx) { ((GatewayFixture *)ctx)->no_paths++; }};
 		struct sockaddr_in a = loopback_addr();
 
 		port = free_port();
 		a.sin_port = htons(port);
-		const gateway_cfg_t cfg = {STR("z"), {}, 1};
+		tunnels_cfg_t tunnels_cfg = {a, {htonl(0x7f000002)}, STR("s")};
+		tunnel_port = free_port();
+		tunnels_cfg.listen.sin_port = htons(tunnel_port);
+		tunnels = tunnels_new(l.loop, &tunnels_cfg);
+		const gateway_cfg_t cfg = {
+			STR("z"), {}, 1, tunnel_port, STR("s")};
 		gateway = gateway_new(l.loop, &cfg, &ops, this);
 		timer_sub_init(&timer, on_timer, this);
 		manifest = make_manifest();
@@ -226,6 +248,7 @@
 		l.call([&] {
 			timer_svc_cancel(l.timers, &timer);
 			gateway_free(gateway);
+			tunnels_free(tunnels);
 		});
 		l.stop();
 		manifest_unref(manifest);
@@ -257,6 +280,11 @@
 	}
 
 	Loop l;
+	tunnels_t *tunnels; // of the other daemon, at 127.0.0.2
+	uint16_t tunnel_port;
+	host_id_t peer = 0; // that daemon's; 0: it is not known
+	std::atomic<int> no_paths{0};
+	size_t n_by_peer = 0; // Done messages that say so
 	gateway_t *gateway;
 	manifest_t *manifest;
 	uint16_t port;
@@ -410,6 +438,7 @@
 		if (msg->body_case == DISPATCH__MSG__BODY_DONE) {
 			fixture->done.push_back((int)msg->done->outcome);
 			fixture->leaving_runners += msg->done->leaving;
+			fixture->n_by_peer += msg->done->by_peer;
 		}
 		if (msg->body_case != DISPATCH__MSG__BODY_ASK ||
 		    !fixture->dispatcher_replies || !fixture->n_replies)
@@ -1254,6 +1283,49 @@
 	}
 }
 
+TEST(Gateway, HostWithoutAPathSendsRequestsByWayOfAnother)
+{
+	Target a(std::deque<Action>(5, ok_response()));
+	Target b(std::deque<Action>(5, ok_response()));
+	std::vector<Target *> targets;
+
+	for (int i = 0; i < 5; i++) {
+		targets.push_back(&a);
+		targets.push_back(&b);
+	}
+	GatewayFixture fixture(targets);
+
+	fixture.peer = 0x7f000001;
+	a.only_from = b.only_from = htonl(0x7f000002);
+	// Each of them is lost once on this host's own path.
+	fixture.ask("/again/1");
+	for (int i = 2; i <= 5; i++)
+		EXPECT_EQ(200,
+			  status(fixture.ask("/once/" + std::to_string(i), "",
+					     "", "r" + std::to_string(i))));
+	EXPECT_GE(fixture.n_by_peer, 4u);
+	for (int i = 0; i < 100 && !fixture.no_paths; i++)
+		usleep(10000);
+	EXPECT_GE(fixture.no_paths, 1);
+}
+
+TEST(Gateway, HostThatReachesTargetsAgainSendsRequestsItself)
+{
+	Target a(std::deque<Action>(9, ok_response()));
+	Target b(std::deque<Action>(9, ok_response()));
+	GatewayFixture fixture({&a, &b, &a, &b, &a, &b});
+
+	fixture.peer = 0x7f000001;
+	a.only_from = b.only_from = htonl(0x7f000002);
+	fixture.ask("/again/1");
+	EXPECT_EQ(200, status(fixture.ask("/once/2", "", "", "r2")));
+	a.only_from = b.only_from = 0;
+	usleep(1000000);
+	size_t before = fixture.n_by_peer;
+	EXPECT_EQ(200, status(fixture.ask("/once/3", "", "", "r3")));
+	EXPECT_EQ(before, fixture.n_by_peer);
+}
+
 TEST(Gateway, RequestsThatAreAlikeHaveOneDigest)
 {
 	Target t(std::deque<Action>(9, ok_response()));
--- a/tests/scripts/site.sh
+++ b/tests/scripts/site.sh
@@ -91,12 +91,12 @@
 ask 1 /talk/d gone1 other/a7 >/dev/null
 check_trace site-way-cut cut1 'request cut1, 4 lines
 HOST grant_issued runner=RUNNER build=v1 adapter=a7 version=N pending_prefill_tokens=N grants=N first_ms=N
-HOST sent route=talk kind=streaming manifest=3 runner=RUNNER build=v1 adapter=a7 version=N digest=N parts="" term=N waited_ms=N
+HOST sent route=talk kind=streaming manifest=3 runner=RUNNER build=v1 adapter=a7 version=N digest=N parts="" term=N waited_ms=N by_peer=0
 HOST attempt_ended runner=RUNNER digest=N outcome=broken sent=1 response_status=200 named=0 framing=chunks body_started=1 unfinished_bytes=0 target_close="closed by the peer" after_send_ms=N tries=1 retry=0 after_ms=N
 HOST refused route=talk reason=target_lost status=200 by=target run=unknown tries=1 after_ms=N' refused
 check_trace site-way-late late1 'request late1, 3 lines
 HOST grant_issued runner=RUNNER build=v1 adapter=a7 version=N pending_prefill_tokens=N grants=N first_ms=N
-HOST sent route=talk kind=streaming manifest=3 runner=RUNNER build=v1 adapter=a7 version=N digest=N parts="" term=N waited_ms=N
+HOST sent route=talk kind=streaming manifest=3 runner=RUNNER build=v1 adapter=a7 version=N digest=N parts="" term=N waited_ms=N by_peer=0
 HOST ended route=talk runner=RUNNER status=200 tries=1 framing=chunks unfinished_bytes=0 first_ms=N after_ms=N' ended
 check_trace site-way-refused gone1 'request gone1, 2 lines
 HOST grant_refused reason=queue_full retry_ms=N
