--- a/tests/soak/caller.c
+++ b/tests/soak/caller.c
@@ -361,6 +361,7 @@
 	if (c->state != CALLER_WAITING)
 		return;
 	c->retries = RETRIES_MAX;
+	c->attempt->given_up = true;
 	end_attempt(c, false);
 }
 
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -95,6 +95,7 @@
 	crashes_start(m->s.crashes);
 	limits_start(m->s.limits);
 	cuts_start(m->s.cuts);
+	strain_start(m->s.strain);
 	callers_start(m->s.callers);
 	plan_start(m->plan);
 }
@@ -172,6 +173,7 @@
 	s->crashes = crashes_new(s);
 	s->limits = limits_new(s);
 	s->cuts = cuts_new(s);
+	s->strain = strain_new(s);
 	s->platform = platform_new(s);
 	s->hosts = hosts_new(s);
 	s->callers = callers_new(s);
@@ -187,11 +189,13 @@
 	record_end(s->record);
 	crashes_end(s->crashes);
 	cuts_end(s->cuts);
+	strain_end(s->strain);
 	plan_print_injected(m->plan, stdout);
 	platform_print_faults(s->platform, stdout);
 	crashes_print(s->crashes, stdout);
 	limits_print(s->limits, stdout);
 	cuts_print(s->cuts, stdout);
+	strain_print(s->strain, stdout);
 	record_print(s->record, stdout);
 	hosts_print_use(s->hosts, stdout);
 	if (!m->gave_up)
@@ -213,6 +217,7 @@
 	crashes_free(s->crashes);
 	limits_free(s->limits);
 	cuts_free(s->cuts);
+	strain_free(s->strain);
 	record_free(s->record);
 	loop_free(s->loop);
 	timer_svc_free(s->timers);
--- a/tests/soak/platform.c
+++ b/tests/soak/platform.c
@@ -74,6 +74,7 @@
 	runner_fault_t fault;
 	double fault_share;
 	int64_t fault_until_us;
+	int64_t silent_until_us;
 } runner_t;
 
 struct platform {
@@ -175,13 +176,26 @@
 	buf_reset(&c->late);
 }
 
+/* Whether the runner is silent; what is due then comes when it goes on. */
+static bool defer_in_silence(conn_t *c, timer_sub_t *t, int64_t now)
+{
+	if (!c->r || now >= c->r->silent_until_us)
+		return false;
+	timer_svc_arm(c->p->s->timers, t, c->r->silent_until_us);
+	return true;
+}
+
 static void write_limit_field(const conn_t *c, buf_t *fields)
 {
+	uint32_t brittle = strain_named(c->p->s->strain, c->r->is_model);
+
 	double per_s =
 		limits_name(c->p->s->limits, c->r->index, c->attempt->host);
 
 	if (per_s >= 0)
 		buf_printf(fields, "Server-Limit: %.2f\r\n", per_s);
+	if (brittle)
+		buf_printf(fields, "Server-Brittle: %u\r\n", brittle);
 }
 
 /* A rejection: nothing has run. It does not name its request. */
@@ -242,7 +256,8 @@
 {
 	conn_t *c = ctx;
 
-	(void)now;
+	if (now && defer_in_silence(c, &c->slow_timer, now))
+		return;
 	if (!c->slow.n) {
 		finish_response(c);
 		return;
@@ -466,7 +481,8 @@
 {
 	conn_t *c = ctx;
 
-	(void)now;
+	if (defer_in_silence(c, &c->timer, now))
+		return;
 	if (c->attempt->traits.crash_cause) {
 		crash_by_request(c);
 		return;
@@ -542,6 +558,18 @@
 	arm_ms(c, &c->timer, WORK_MIN_MS, WORK_MAX_MS);
 }
 
+/* A brittle runner may fall over of it. */
+static void reject_for_room(conn_t *c)
+{
+	runner_t *r = c->r;
+	bool falls = strain_falls(r->p->s->strain, r->is_model, r->index,
+				  c->attempt->host);
+
+	reject(c, 0);
+	if (falls)
+		runner_end(r, strain_down_us());
+}
+
 static void serve_request(conn_t *c)
 {
 	runner_t *r = c->r;
@@ -572,8 +600,9 @@
 	else if (c->fault == FAULT_REJECT_PAUSE)
 		reject(c, g_rand_double_range(c->p->rng, 0.6, 2.0));
 	else if (c->fault == FAULT_REJECT || c->fault == FAULT_REJECT_TWICE ||
-		 r->n_running >= SLOTS)
-		reject(c, 0);
+		 r->n_running >=
+			 strain_slots(c->p->s->strain, r->is_model, SLOTS))
+		reject_for_room(c);
 	else
 		start_run(c);
 }
@@ -824,8 +853,16 @@
 
 static void on_closed(void *ctx, http1_close_reason_t why)
 {
+	conn_t *c = ctx;
+	soak_t *s = c->p->s;
+
 	(void)why;
-	conn_free(ctx);
+	if (c->r && c->serial && !c->hangs &&
+	    soak_now(s) < c->r->silent_until_us &&
+	    host_in_touch(s->hosts, c->attempt->host) &&
+	    !c->attempt->answered && !c->attempt->given_up)
+		strain_note_cut(s->strain, c->attempt);
+	conn_free(c);
 }
 
 static void reset_conn(conn_t *c)
@@ -891,6 +928,7 @@
 	conn_t *c = conn_new(r->p, r, http);
 	cut_way_t way;
 
+	http1_pause_reading(http, soak_now(r->p->s) < r->silent_until_us);
 	c->host = host_of(http1_peer(http));
 	if (c->host >= r->p->s->cfg.n_hosts || !r->p->s->cuts)
 		return c;
@@ -954,6 +992,7 @@
 	*r->holder = '\0';
 	r->n_adapters = 0;
 	r->fault = FAULT_NONE;
+	r->silent_until_us = 0;
 	http1_parse_addr(str_c(r->addr), &to);
 	r->listener = http1_listen(r->p->s->loop, &to, &limits, &conn_ops,
 				   on_runner_accepted, r);
@@ -979,6 +1018,15 @@
 	r->starts_us = soak_now(r->p->s) + down_us;
 }
 
+static void pause_conns(runner_t *r, bool on)
+{
+	conn_t *c;
+
+	cds_list_for_each_entry (c, &r->conns, node)
+		if (!c->hangs)
+			http1_pause_reading(c->c, on);
+}
+
 static void on_timer(void *ctx, int64_t now)
 {
 	platform_t *p = ctx;
@@ -986,6 +1034,10 @@
 	for (size_t i = 0; i < ARRAY_SIZE(p->runners); i++) {
 		runner_t *r = &p->runners[i];
 
+		if (r->silent_until_us && now >= r->silent_until_us) {
+			r->silent_until_us = 0;
+			pause_conns(r, false);
+		}
 		if (r->listener && now >= r->ends_us)
 			runner_end(r, REBORN_AFTER_US);
 		else if (!r->listener && now >= r->starts_us)
@@ -1051,6 +1103,23 @@
 	fprintf(out, "\n");
 }
 
+void platform_silence(platform_t *p, unsigned int runner, int64_t for_us)
+{
+	runner_t *r = &p->runners[runner];
+
+	r->silent_until_us = soak_now(p->s) + for_us;
+	pause_conns(r, true);
+}
+
+unsigned int platform_n_of_kind(const platform_t *p, bool is_model)
+{
+	unsigned int n = 0;
+
+	for (size_t i = 0; i < ARRAY_SIZE(p->runners); i++)
+		n += p->runners[i].is_model == is_model;
+	return n;
+}
+
 unsigned int platform_n_runners(const platform_t *p)
 {
 	return ARRAY_SIZE(p->runners);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -16,6 +16,7 @@
 #include "util.h"
 
 #define HOSTS_MAX 128u
+#define RUNNERS_MAX 16u
 /* Failure domains; host N is in zone N % ZONES. */
 #define ZONES 3u
 /* Bounds of the daemons' settings that the checks rest on. */
@@ -47,6 +48,7 @@
 typedef struct crashes crashes_t;
 typedef struct limits limits_t;
 typedef struct cuts cuts_t;
+typedef struct strain strain_t;
 
 typedef struct soak {
 	soak_cfg_t cfg;
@@ -62,6 +64,7 @@
 	crashes_t *crashes;
 	limits_t *limits;
 	cuts_t *cuts;
+	strain_t *strain;
 } soak_t;
 
 static inline int64_t soak_now(const soak_t *s)
@@ -117,6 +120,10 @@
 	  "a runner got far more than the limit it had named")               \
 	X(CUT_OFF_UNSERVED, "cut_off_unserved",                              \
 	  "hosts without a path to runners served far worse than others")    \
+	X(BRITTLE_FALLS, "brittle_falls",                                    \
+	  "brittle runners fell over, as too much was sent to them")         \
+	X(SILENCE_PUNISHED, "silence_punished",                              \
+	  "what ran at a runner that was silent for a second was ended")     \
 	X(UNANSWERED, "unanswered", "no answer a second after the deadline") \
 	X(OUTLIVED_GRACE, "outlived_grace", "still running after its grace") \
 	X(ARRIVED_IN_PAUSE, "arrived_in_pause",                              \
@@ -185,6 +192,7 @@
 	int64_t sent_us;
 	GArray *runs; /* run_t */
 	bool answered;
+	bool given_up; /* by its caller */
 	bool promised; /* the answer said that it did not run */
 	int status;
 } attempt_t;
@@ -303,8 +311,33 @@
 void cuts_end(cuts_t *c);
 void cuts_print(const cuts_t *c, FILE *out);
 
+/* strain.c: brittle runners, and runners that fall silent. */
+
+strain_t *strain_new(soak_t *s);
+void strain_free(strain_t *t);
+/* The callers begin. */
+void strain_start(strain_t *t);
+/* The number that runners of this kind name in their answers; 0: none. */
+uint32_t strain_named(const strain_t *t, bool is_model);
+/* Requests that one of them runs at once. */
+uint32_t strain_slots(const strain_t *t, bool is_model, uint32_t usual);
+/* It rejects a request of the host for want of room: whether it falls over. */
+bool strain_falls(strain_t *t, bool is_model, unsigned int runner,
+		  unsigned int host);
+/* How long it is down then. */
+int64_t strain_down_us(void);
+/* A daemon has ended a run at a runner that is silent. */
+void strain_note_cut(strain_t *t, const attempt_t *a);
+/* Judges what only the whole run shows. */
+void strain_end(strain_t *t);
+void strain_print(const strain_t *t, FILE *out);
+
 /* platform.c: the runner list and the runners. */
 
+/* It reads and sends nothing for for_us, and then goes on. */
+void platform_silence(platform_t *p, unsigned int runner, int64_t for_us);
+/* Runners that serve models, or the others. */
+unsigned int platform_n_of_kind(const platform_t *p, bool is_model);
 /* The host's paths to all runners begin or cease to be cut off. */
 void platform_cut(platform_t *p, unsigned int host, cut_way_t way);
 void platform_heal(platform_t *p, unsigned int host);
