Limits: an answer that is none does not end a limit

Traced: the runner sends some responses without proof, which no caller gets; the first one without the field was taken for the end of the limit (runner_unlimited), and 11 requests were granted in a millisecond, each half second. Now only an answer with a proof, or to this request, ends a limit.

--- a/src/named_limits.c
+++ b/src/named_limits.c
@@ -65,8 +65,8 @@
 	named_limit_t *known = find(r->gw, runner);
 
 	if (info->limit_per_s == LIMIT_NONE) {
-		/* A rejection need not be the runner's own word. */
-		if (info->not_run)
+		/* A rejection need not be the runner's own word, nor a stray answer. */
+		if (info->not_run || !(info->has_proof || r->named))
 			return;
 		if (known)
 			forget(known);
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -1420,6 +1420,20 @@
 	EXPECT_EQ(0u, fixture.limits.size());
 }
 
+TEST(Gateway, AnAnswerThatIsNoneEndsNoLimit)
+{
+	for (const Action &a :
+	     {response(200, "", "junk"), response(500, "", "junk"),
+	      Action{"HTTP/1.1 200 OK\r\n\r\n", true}}) {
+		Target t({a});
+		GatewayFixture fixture({&t});
+
+		fixture.grants_limited = true;
+		fixture.ask("/once/x");
+		EXPECT_EQ(0u, fixture.limits.size()) << a.bytes;
+	}
+}
+
 TEST(Gateway, EndOfALimitIsToldWhereItWasKnown)
 {
 	Target t({ok_response(), ok_response()});
