Attempt: a path that another host had to stand in for counts as lost, however it failed

Found in reading the diff: a connection of this host's own that is refused at once, and then made by a peer, was not counted, so that such a host tried its own way first for each request, and a cut-off leader did not hand over. Counted now where a request is sent by a peer after an own try. Where the own connection cannot even be begun, the other way is tried too.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -104,6 +104,9 @@
 	AUTO_BUF buf_t parts = {0};
 
 	close_spare(r);
+	/* A connection of this host's own has failed, or has not come about. */
+	if (r->by_peer && r->tried_both)
+		reach_note_lost(r->gw, r->runner);
 	if (is_held_off(r)) {
 		attempt_end(r, PLACE_UNUSED, false, REASON_NO_PLACE);
 		return;
@@ -343,8 +346,6 @@
 	request_t *r = ctx;
 
 	http1_close(r->conn);
-	if (r->spare_by_peer && !r->by_peer)
-		reach_note_lost(r->gw, r->runner);
 	r->conn = r->spare;
 	r->by_peer = r->spare_by_peer;
 	r->spare = NULL;
@@ -411,6 +412,6 @@
 	r->tried_both = false;
 	r->by_peer = r->gw->reach.cut_off && may_go_by_peer(r);
 	r->conn = connect_to_target(r, r->by_peer, &target_ops);
-	if (!r->conn)
+	if (!r->conn && !go_another_way(r))
 		attempt_end(r, PLACE_UNREACHABLE, false, REASON_TARGET_LOST);
 }
