--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -69,15 +69,7 @@
       public:
 	explicit Target(std::deque<Action> actions) : actions(actions)
 	{
-		struct sockaddr_in a = loopback_addr();
-		int one = 1;
-
-		port = free_port();
-		a.sin_port = htons(port);
-		fd = socket(AF_INET, SOCK_STREAM, 0);
-		setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-		bind(fd, (struct sockaddr *)&a, sizeof(a));
-		listen(fd, 16);
+		fd = listen_loopback(&port);
 		thread = std::thread([this] { serve(); });
 	}
 	~Target()
--- a/tests/loop_util.h
+++ b/tests/loop_util.h
@@ -16,6 +16,22 @@
 namespace loop_util
 {
 
+// A socket that listens on the loopback address; sets its port.
+inline int listen_loopback(uint16_t *port)
+{
+	struct sockaddr_in a = {};
+	socklen_t n = sizeof(a);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	a.sin_family = AF_INET;
+	a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	bind(fd, (struct sockaddr *)&a, sizeof(a));
+	listen(fd, 16);
+	getsockname(fd, (struct sockaddr *)&a, &n);
+	*port = ntohs(a.sin_port);
+	return fd;
+}
+
 class Loop
 {
       public:
--- a/tests/tunnel_test.cc
+++ b/tests/tunnel_test.cc
@@ -24,15 +24,7 @@
 
 	Target(const std::string &bytes, End end) : bytes(bytes), end(end)
 	{
-		struct sockaddr_in a = loopback_addr();
-		int one = 1;
-
-		port = free_port();
-		a.sin_port = htons(port);
-		fd = socket(AF_INET, SOCK_STREAM, 0);
-		setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-		bind(fd, (struct sockaddr *)&a, sizeof(a));
-		listen(fd, 4);
+		fd = listen_loopback(&port);
 		thread = std::thread([this] { serve(); });
 	}
 	~Target()
