--- a/tests/crash_request_test.cc
+++ b/tests/crash_request_test.cc
@@ -257,6 +257,23 @@
 	EXPECT_LE(w->crashing_runs.size(), MOST_MORE);
 }
 
+TEST(CrashRequest, OneSuspectRunsAtATimeUntilItIsAnswered)
+{
+	std::unique_ptr<World> w(world_of(1, {}, 4));
+	std::vector<uint64_t> ids;
+	int granted = 0;
+
+	w->tell_crash_of("p-9", {}, 0, POPULAR_DIGEST);
+	for (int i = 0; i < 4; i++)
+		ids.push_back(w->ask_alike("app", POPULAR_DIGEST));
+	for (uint64_t id : ids)
+		granted += w->requests[id].grants;
+	EXPECT_EQ(1, granted);
+	w->run(300 * MS, 0);
+	for (uint64_t id : ids)
+		EXPECT_TRUE(w->requests[id].begun);
+}
+
 TEST(CrashRequest, TheLastRunnerOfAServiceIsNotRiskedForASuspect)
 {
 	std::unique_ptr<World> w(world_of(1, {}, 3));
--- a/tests/tunnel_test.cc
+++ b/tests/tunnel_test.cc
@@ -200,6 +200,25 @@
 	EXPECT_FALSE(r.complete);
 }
 
+// What a daemon sends whose process is killed: no frame that ends the target's bytes.
+TEST(Tunnel, AnOrderlyCloseWithoutTheEmptyFrameDoesNotEndTheResponse)
+{
+	std::string sent = std::string("\0\0\0\2\x08\1", 6) +
+			   std::string("\0\0\0\x18", 4) + HEAD + "begin";
+	Target daemon(sent, Target::CLOSE);
+	Fixture f;
+	Response r;
+
+	ASSERT_EQ(0x18u, std::string(HEAD).size() + 5);
+	f.port = daemon.port;
+	f.connect(r, "127.0.0.1:1");
+	f.await(r.closed);
+	EXPECT_TRUE(r.connected);
+	EXPECT_EQ("begin", r.body);
+	EXPECT_EQ(HTTP1_RESET, r.why);
+	EXPECT_FALSE(r.complete);
+}
+
 TEST(Tunnel, TheTargetIsClosedOnceTheOpenerIsGone)
 {
 	Target t(std::string(HEAD) + "begin", Target::WAIT);
