Organisations on a platform: keys, priority and quotas from the manifest

Cause: the daemon on a platform read no organisations: keys went through to the runners, unknown and withdrawn ones were served, and nothing bounded what an organisation used.

Change: the manifest holds organisations with digests of their keys, a priority and a quota; the gateway refuses unknown keys (401) and sends targets the name, never the key; the dispatcher counts what organisations use (org_quota.c), a token bucket each, which starts with a part of the tolerance after a takeover and is shared among isolated daemons.

--- a/proto/dispatch.pb-c.c
+++ b/proto/dispatch.pb-c.c
@@ -778,7 +778,7 @@
   (ProtobufCMessageInit) dispatch__prompt_part__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dispatch__ask__field_descriptors[20] =
+static const ProtobufCFieldDescriptor dispatch__ask__field_descriptors[22] =
 {
   {
     "id",
@@ -1020,6 +1020,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "org",
+    30,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Dispatch__Ask, org),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "org_priority",
+    31,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dispatch__Ask, org_priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dispatch__ask__field_indices_by_name[] = {
   3,   /* field[3] = adapter */
@@ -1030,6 +1054,8 @@
   0,   /* field[0] = id */
   8,   /* field[8] = left_us */
   2,   /* field[2] = model */
+  20,   /* field[20] = org */
+  21,   /* field[21] = org_priority */
   11,   /* field[11] = parts */
   6,   /* field[6] = priority */
   9,   /* field[9] = repeat */
@@ -1043,10 +1069,11 @@
   5,   /* field[5] = tokens_out */
   12,   /* field[12] = zone */
 };
-static const ProtobufCIntRange dispatch__ask__number_ranges[1 + 1] =
+static const ProtobufCIntRange dispatch__ask__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 20 }
+  { 30, 20 },
+  { 0, 22 }
 };
 const ProtobufCMessageDescriptor dispatch__ask__descriptor =
 {
@@ -1056,10 +1083,10 @@
   "Dispatch__Ask",
   "dispatch",
   sizeof(Dispatch__Ask),
-  20,
+  22,
   dispatch__ask__field_descriptors,
   dispatch__ask__field_indices_by_name,
-  1,  dispatch__ask__number_ranges,
+  2,  dispatch__ask__number_ranges,
   (ProtobufCMessageInit) dispatch__ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/proto/dispatch.pb-c.h
+++ b/proto/dispatch.pb-c.h
@@ -117,10 +117,18 @@
    * alike for all requests that are alike; 0: not given
    */
   uint64_t digest;
+  /*
+   * the caller's organisation; empty: none
+   */
+  ProtobufCBinaryData org;
+  /*
+   * goes before priority
+   */
+  uint32_t org_priority;
 };
 #define DISPATCH__ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dispatch__ask__descriptor) \
-    , 0, {0,NULL}, {0,NULL}, {0,NULL}, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, {0,NULL}, {0,NULL}, 0, {0,NULL}, 0, 0, 0, 0 }
+    , 0, {0,NULL}, {0,NULL}, {0,NULL}, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, {0,NULL}, {0,NULL}, 0, {0,NULL}, 0, 0, 0, 0, {0,NULL}, 0 }
 
 
 struct  Dispatch__Grant
--- a/src/attempt.c
+++ b/src/attempt.c
@@ -60,6 +60,7 @@
 		.resumes = r->info.resumes || r->have_event_id,
 		.resume_after = r->have_event_id ? r->last_event_id
 						 : r->info.resume_after,
+		.org = r->org ? r->org->name : str_n(NULL, 0),
 	};
 
 	buf_printf(out, "%.*s %.*s HTTP/1.1\r\n", STR_ARG(r->method),
--- a/src/counter.h
+++ b/src/counter.h
@@ -20,6 +20,10 @@
 	  "Streams sent on to another target within one response")          \
 	X(STREAMS_TAKEN_UP, "streams_taken_up",                             \
 	  "Streams that callers took up again, sent to a target")           \
+	X(QUOTA_REFUSED, "quota_refused",                                   \
+	  "Requests refused as their organisation was over its quota")      \
+	X(QUOTA_WAITED, "quota_waited",                                     \
+	  "Requests that waited until their organisation's quota had room") \
 	X(STREAMS_FORGOTTEN, "streams_forgotten",                           \
 	  "Streams not recorded as too many are known; none can go on")     \
 	X(STREAMS_ENDED_MIDWAY, "streams_ended_midway",                     \
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -9,6 +9,7 @@
 
 #include "http1.h"
 #include "manifest.h"
+#include "org_quota.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -52,6 +53,7 @@
 	double retry_ratio;
 	double retry_slack;
 	int64_t retry_window_us;
+	quota_tolerance_t quota_tolerance;
 	/* Loads begun within load_window_s are bounded by load_factor. */
 	double load_window_s;
 	double load_factor;
@@ -112,6 +114,7 @@
 typedef struct request_info {
 	str_t id;
 	str_t host;
+	str_t key; /* of an organisation; empty: none */
 	uint64_t
 		caller; /* digest of what tells who asks; alike where nothing does */
 	str_t model;	    /* empty: the request is for no model */
@@ -131,6 +134,8 @@
 void dialect_read_request_head(const http1_head_t *h, request_info_t *out);
 /* Whether a header field of a caller's request is not sent to the target. */
 bool dialect_drops_field(str_t name);
+/* The same where the manifest has organisations: no key is sent to a target. */
+bool dialect_drops_field_of_org(str_t name);
 
 /* Header fields that this daemon adds to a request to a target. */
 typedef struct target_fields {
@@ -139,6 +144,7 @@
 	uint64_t adapter_version; /* 0: any */
 	bool resumes;
 	uint64_t resume_after;
+	str_t org; /* name of the caller's organisation; may be empty */
 } target_fields_t;
 
 void dialect_write_target_fields(buf_t *out, const target_fields_t *f);
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "counter.h"
 #include "log.h"
 
 /* Interval between checks for expired grants and hung runners. */
@@ -20,6 +21,8 @@
  * stream wait until then.
  */
 #define STREAMS_SETTLE_US (1 * USEC_PER_SEC)
+/* Part of its latency objective that a request may wait for its quota. */
+#define QUOTA_WAIT_DIV 3
 /* Delay that a refused caller is told to wait before it comes back. */
 #define REFUSAL_RETRY_US (1 * USEC_PER_SEC)
 
@@ -70,6 +73,7 @@
 	d->quarantine = quarantine_new();
 	d->paths = paths_new();
 	pacing_init(d);
+	d->quotas = org_quotas_new(&cfg->quota_tolerance);
 	d->decided_builds = build_set_new();
 	d->seen_builds = build_set_new();
 	retry_budgets_init(&d->budgets, cfg->retry_ratio, cfg->retry_slack,
@@ -153,6 +157,7 @@
 static void pending_free(dispatch_t *d, pending_request_t *req)
 {
 	leave_queue(req);
+	org_quota_return(&req->charge);
 	if (req->awaited_copy)
 		req->awaited_copy->waiting_requests--;
 	g_hash_table_remove(d->pending_by_key, &req->key);
@@ -166,6 +171,7 @@
 {
 	log_event(LOG_INFO, "grant_refused",
 		  kv_s("id", pb_str(req->msg->ask->request)),
+		  kv_s("org", pb_str(req->msg->ask->org)),
 		  KV_C("reason", reason_info(reason)->name),
 		  kv_i("retry_ms", retry_us / USEC_PER_MSEC));
 	send_refusal(d, &req->key, reason, retry_us);
@@ -277,6 +283,8 @@
 	}
 	if (!d->list_known || !d->manifest)
 		return; /* decided again once both are known */
+	if (now_us < req->quota_due_us)
+		return; /* decided again at decide_due_us */
 	if (!resolve_stream(d, req, now_us))
 		return;
 	leave_queue(req);
@@ -302,8 +310,8 @@
 			queue_at_runner(req, choice.runner);
 			return;
 		}
-		grants_issue(d, &req->key, a, choice.runner,
-			     choice.first_event_us, now_us);
+		grants_issue(d, req, choice.runner, choice.first_event_us,
+			     now_us);
 		pending_free(d, req);
 		return;
 	}
@@ -365,12 +373,14 @@
 
 /*
  * Whether a goes before b: requests that take up a stream before others, then those
- * of higher priority.
+ * of an organisation of higher priority, then those of a route of higher priority.
  */
 static bool is_more_urgent(const Dispatch__Ask *a, const Dispatch__Ask *b)
 {
 	if (!a->takes_up != !b->takes_up)
 		return a->takes_up;
+	if (a->org_priority != b->org_priority)
+		return a->org_priority < b->org_priority;
 	return a->priority < b->priority;
 }
 
@@ -400,6 +410,32 @@
 		pending_decide(d, req, now_us);
 }
 
+/* Takes the request's part of its organisation's quota, or refuses it. */
+static bool take_quota(dispatch_t *d, pending_request_t *req, int64_t now_us)
+{
+	const Dispatch__Ask *a = req->msg->ask;
+	const quota_request_t q = {
+		.id = a->id,
+		.org = pb_str(a->org),
+		.tokens = a->tokens_in + a->tokens_out,
+		.wait_max_us = a->target_us / QUOTA_WAIT_DIV,
+		.may_have_run = a->repeat,
+	};
+	int64_t retry_us = 0;
+	int64_t wait_us =
+		org_quota_take(d->quotas, &q, now_us, &req->charge, &retry_us);
+
+	if (wait_us < 0) {
+		counter_add(CTR_QUOTA_REFUSED, 1);
+		pending_refuse(d, req, REASON_RATE_LIMIT, retry_us);
+		return false;
+	}
+	if (wait_us > 0)
+		counter_add(CTR_QUOTA_WAITED, 1);
+	req->quota_due_us = now_us + wait_us;
+	return true;
+}
+
 /* Takes ownership of msg. */
 static void on_ask(dispatch_t *d, const request_key_t *key, Dispatch__Msg *msg,
 		   int64_t now_us)
@@ -427,6 +463,8 @@
 	if (!a->takes_up)
 		decide_first_taken_up(d, now_us);
 	pending_insert(d, req);
+	if (!take_quota(d, req, now_us))
+		return;
 	pending_decide(d, req, now_us);
 	if (!pending_find(d, key))
 		return;
@@ -573,12 +611,19 @@
 	}
 }
 
+void dispatch_set_live_hosts(dispatch_t *d, size_t n, int64_t now_us)
+{
+	if (d->active)
+		org_quotas_set_live_hosts(d->quotas, n, now_us);
+}
+
 void dispatch_set_tables(dispatch_t *d, manifest_t *m, const decided_t *tables)
 {
 	manifest_unref(d->manifest);
 	d->manifest = manifest_ref(m);
 	decided_unref(d->tables);
 	d->tables = decided_ref(tables);
+	org_quotas_set_manifest(d->quotas, m);
 	builds_apply_tables(d);
 	quarantine_apply_tables(d);
 	index_adapter_versions(d);
@@ -657,6 +702,7 @@
 	d->orders_from_us =
 		orders_settled ? now_us : now_us + d->cfg.takeover_wait_us;
 	d->order_lost_us = INT64_MIN / 2;
+	org_quotas_begin(d->quotas, 1, true, term);
 	builds_begin(d, now_us);
 	quarantine_begin(d, now_us);
 	log_event(LOG_INFO, "dispatch_started", kv_u("term", term),
@@ -673,6 +719,8 @@
 	d->term = 0;
 	d->began_us = now_us;
 	d->orders_from_us = INT64_MAX;
+	org_quotas_begin(d->quotas, d->runner_share, false,
+			 d->cfg.self ^ (uint64_t)now_us);
 	d->orders_due_us = now_us;
 	d->decide_due_us = now_us;
 	d->sweep_due_us = now_us;
@@ -736,6 +784,7 @@
 	pacing_free(d);
 	build_set_free(d->decided_builds);
 	build_set_free(d->seen_builds);
+	org_quotas_free(d->quotas);
 	g_hash_table_destroy(d->adapter_versions);
 	manifest_unref(d->manifest);
 	decided_unref(d->tables);
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -15,6 +15,7 @@
 #include "decided.h"
 #include "dialect.h"
 #include "manifest.h"
+#include "org_quota.h"
 #include "reason.h"
 #include "stream_build.h"
 #include "dispatch.pb-c.h"
@@ -87,6 +88,7 @@
 	double retry_ratio;
 	double retry_slack;
 	int64_t retry_window_us;
+	quota_tolerance_t quota_tolerance;
 } dispatch_cfg_t;
 
 typedef enum dispatch_mode {
@@ -129,6 +131,8 @@
 
 /* Sets the manifest and the decided tables; takes its own references. */
 void dispatch_set_tables(dispatch_t *d, manifest_t *m, const decided_t *tables);
+/* The number of live hosts, which the leader's share of quotas follows. */
+void dispatch_set_live_hosts(dispatch_t *d, size_t n, int64_t now_us);
 /* Takes in the complete runner list: runners that it omits are forgotten. */
 void dispatch_set_runners(dispatch_t *d, const runner_list_t *l,
 			  int64_t now_us);
--- a/src/dispatch_int.h
+++ b/src/dispatch_int.h
@@ -214,6 +214,7 @@
 	struct cds_list_head suspect; /* in those of quarantine_t, or empty */
 	host_id_t via;		      /* as told to its host */
 	bool for_stream;	      /* of a request that takes up a stream */
+	quota_charge_t charge;
 } grant_t;
 
 /* A request without a grant: it waits for a copy, or for a place. */
@@ -228,7 +229,9 @@
 	int64_t load_waited_us;	    /* time spent waiting for earlier copies */
 	int64_t deadline_us;	    /* refused then */
 	uint32_t load_attempts;
-	bool is_trial; /* of what it has of the quarantine */
+	quota_charge_t charge;
+	int64_t quota_due_us; /* not granted before: its quota is used up */
+	bool is_trial;	      /* of what it has of the quarantine */
 } pending_request_t;
 
 /*
@@ -297,6 +300,7 @@
 	int64_t orders_due_us;
 	int64_t sweep_due_us;
 	retry_budgets_t budgets;
+	org_quotas_t *quotas;
 	stream_builds_t *streams; /* of all entries, as far as they told */
 	quarantine_t *quarantine;
 	paths_t *paths;
@@ -538,10 +542,12 @@
 			   const runner_t *r, int64_t now_us);
 
 /* grants.c */
-/* Grants the request a place at the runner, and tells its entry. */
-void grants_issue(dispatch_t *d, const request_key_t *key,
-		  const Dispatch__Ask *ask, runner_t *r, int64_t first_event_us,
-		  int64_t now_us);
+/*
+ * Grants the request a place at the runner, and tells its entry. Takes over the
+ * request's charge.
+ */
+void grants_issue(dispatch_t *d, pending_request_t *req, runner_t *r,
+		  int64_t first_event_us, int64_t now_us);
 void grants_send(dispatch_t *d, const grant_t *g);
 void grants_on_started(dispatch_t *d, const request_key_t *key,
 		       const Dispatch__Started *m, int64_t now_us);
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -153,6 +153,10 @@
 	pb.tokens_in = r->info.tokens_in;
 	pb.tokens_out = r->info.tokens_out;
 	pb.priority = r->route->priority;
+	if (r->org) {
+		pb.org = pb_bytes(r->org->name);
+		pb.org_priority = r->org->priority;
+	}
 	pb.target_us = r->arrived_us + r->route->target_us - now;
 	pb.left_us = r->deadline_us - now;
 	pb.repeat = r->n_asks > 1;
@@ -689,7 +693,8 @@
 }
 
 static request_t *request_new(caller_t *c, const http1_head_t *h,
-			      const request_info_t *info, const route_t *route)
+			      const request_info_t *info, const route_t *route,
+			      const organisation_t *org)
 {
 	gateway_t *g = c->gw;
 	request_t *r = xcalloc(1, sizeof(*r));
@@ -699,10 +704,15 @@
 	r->caller = c;
 	r->manifest = manifest_ref(g->manifest);
 	r->route = route;
+	r->org = org;
 	r->service = pick_service(g, route, info);
 	r->info = *info;
+	r->info.key =
+		str_n(NULL, 0); /* not kept, so that nothing can show it */
 	copy_head_texts(r, h);
-	relay_copy_fields(&r->forwarded_fields, h, dialect_drops_field);
+	relay_copy_fields(&r->forwarded_fields, h,
+			  g->manifest->n_orgs ? dialect_drops_field_of_org
+					      : dialect_drops_field);
 	request_note_stream(r);
 	r->has_body = h->body_length > 0 || h->chunked ||
 		      http1_field(h, STR("Content-Length")).n;
@@ -718,9 +728,13 @@
 	return r;
 }
 
-/* REASON_NONE and *route, or why the request is refused. */
+/*
+ * REASON_NONE, *route and *org (NULL: none is needed), or why the request is
+ * refused.
+ */
 static reason_t admit(const gateway_t *g, const http1_head_t *h,
-		      const request_info_t *info, const route_t **route)
+		      const request_info_t *info, const route_t **route,
+		      const organisation_t **org)
 {
 	reason_t reason = g->ops.refusal_reason(g->ctx);
 	str_t path, query;
@@ -735,6 +749,11 @@
 	*route = manifest_find_route(g->manifest, info->host, path);
 	if (!*route)
 		return REASON_NO_ROUTE;
+	if (g->manifest->n_orgs && !(*route)->is_public) {
+		*org = manifest_find_org(g->manifest, info->key);
+		if (!*org)
+			return REASON_UNAUTHENTICATED;
+	}
 	if (h->body_length > (int64_t)g->manifest->limits.body_max)
 		return REASON_BODY_TOO_LARGE;
 	return REASON_NONE;
@@ -744,13 +763,14 @@
 {
 	caller_t *c = ctx;
 	const route_t *route = NULL;
+	const organisation_t *org = NULL;
 	request_info_t info;
 	reason_t reason;
 
 	c->refused = false;
 	c->may_reuse = h->keep_alive;
 	dialect_read_request_head(h, &info);
-	reason = admit(c->gw, h, &info, &route);
+	reason = admit(c->gw, h, &info, &route, &org);
 	if (reason != REASON_NONE) {
 		bool close =
 			h->body_length != 0 || h->chunked || !h->keep_alive;
@@ -765,7 +785,7 @@
 		c->refused = true;
 		return;
 	}
-	request_arm_timer(request_new(c, h, &info, route));
+	request_arm_timer(request_new(c, h, &info, route, org));
 	if (http1_name_eq(http1_field(h, STR("Expect")), STR("100-continue")))
 		http1_send(c->conn, "HTTP/1.1 100 Continue\r\n\r\n", 25);
 }
@@ -799,6 +819,8 @@
 	digest_put(&d, r->target);
 	digest_put(&d, str_n((const char *)&r->info.caller,
 			     sizeof(r->info.caller)));
+	if (r->org)
+		digest_put(&d, r->org->name);
 	digest_put(&d, buf_str(&r->body));
 	return digest_end(&d);
 }
--- a/src/gateway_int.h
+++ b/src/gateway_int.h
@@ -52,6 +52,7 @@
 	request_state_t state;
 	manifest_t *manifest; /* in force when the request arrived */
 	const route_t *route;
+	const organisation_t *org; /* of the caller; NULL: none is needed */
 	const service_t *service;
 	buf_t head_text; /* holds the bytes that info, method, target view */
 	request_info_t info;
--- a/src/grants.c
+++ b/src/grants.c
@@ -124,10 +124,11 @@
 	g->n_shared_parts = (uint32_t)n;
 }
 
-void grants_issue(dispatch_t *d, const request_key_t *key,
-		  const Dispatch__Ask *ask, runner_t *r, int64_t first_event_us,
-		  int64_t now_us)
+void grants_issue(dispatch_t *d, pending_request_t *req, runner_t *r,
+		  int64_t first_event_us, int64_t now_us)
 {
+	const request_key_t *key = &req->key;
+	const Dispatch__Ask *ask = req->msg->ask;
 	copy_t *c = ask->adapter.len ? runner_find_copy(r, pb_str(ask->model),
 							pb_str(ask->adapter))
 				     : NULL;
@@ -141,6 +142,8 @@
 	g->expected_first_event_us = first_event_us;
 	g->deadline_us = now_us + ask->left_us;
 	g->for_stream = ask->takes_up;
+	g->charge = req->charge;
+	memset(&req->charge, 0, sizeof(req->charge));
 	grant_set_parts(g, ask);
 	g->digest = ask->digest;
 	g->via = paths_choose_via(d, key->host, key->id, r, now_us);
@@ -247,6 +250,14 @@
 	       o == PLACE_NO_ADAPTER || o == PLACE_OTHER_RUNNER;
 }
 
+/* Whether the request that had the place certainly did not run there. */
+static bool is_not_run(place_outcome_t o)
+{
+	return o == PLACE_NOT_RUN || o == PLACE_NO_ADAPTER ||
+	       o == PLACE_OTHER_RUNNER || o == PLACE_UNREACHABLE ||
+	       o == PLACE_UNUSED;
+}
+
 /* Charges a failure to the runner, or to the path of the host that tells it. */
 static void record_outcome(dispatch_t *d, host_id_t host, runner_t *r,
 			   place_outcome_t o, bool by_peer, bool started,
@@ -287,6 +298,8 @@
 	c = g->copy;
 	granted_us = g->granted_us;
 	started = g->started_us != 0;
+	if (is_not_run(o))
+		org_quota_return(&g->charge);
 	if (o == PLACE_NO_ADAPTER && c)
 		log_event(LOG_DEBUG, "adapter_not_loaded",
 			  kv_s("runner", r->id), kv_s("adapter", c->adapter),
--- a/src/manifest.c
+++ b/src/manifest.c
@@ -5,6 +5,8 @@
 #include <string.h>
 #include <strings.h>
 
+#include <sodium.h>
+
 #define DEFAULT_HEAD_MAX 16384u
 #define DEFAULT_BODY_MAX (4u << 20)
 #define DEFAULT_HEAD_TIMEOUT_US (3 * USEC_PER_SEC)
@@ -67,8 +69,12 @@
 		route_free(&m->routes[i]);
 	for (size_t i = 0; i < m->n_services; i++)
 		service_free(&m->services[i]);
+	for (size_t i = 0; i < m->n_orgs; i++)
+		str_free(&m->orgs[i].name);
 	free(m->routes);
 	free(m->services);
+	free(m->orgs);
+	free(m->keys);
 	free(m);
 }
 
@@ -107,6 +113,32 @@
 	return add_row((void **)&s->models, &s->n_models, sizeof(model_spec_t));
 }
 
+organisation_t *manifest_add_org(manifest_t *m)
+{
+	return add_row((void **)&m->orgs, &m->n_orgs, sizeof(organisation_t));
+}
+
+static void key_digest(uint8_t *out, str_t key)
+{
+	crypto_generichash(out, KEY_DIGEST_BYTES, (const uint8_t *)key.p, key.n,
+			   NULL, 0);
+}
+
+void manifest_add_key(manifest_t *m, str_t key)
+{
+	org_key_t *k =
+		add_row((void **)&m->keys, &m->n_keys, sizeof(org_key_t));
+
+	key_digest(k->digest, key);
+	k->org = (uint32_t)(m->n_orgs - 1);
+}
+
+static int compare_keys(const void *a, const void *b)
+{
+	return memcmp(((const org_key_t *)a)->digest,
+		      ((const org_key_t *)b)->digest, KEY_DIGEST_BYTES);
+}
+
 static int compare_hosts(str_t a, str_t b)
 {
 	size_t n = a.n < b.n ? a.n : b.n;
@@ -154,8 +186,28 @@
 	return 0;
 }
 
+static int compile_orgs(manifest_t *m, buf_t *error)
+{
+	if (m->n_keys)
+		qsort(m->keys, m->n_keys, sizeof(*m->keys), compare_keys);
+	for (size_t i = 1; i < m->n_keys; i++) {
+		const org_key_t *a = &m->keys[i - 1];
+		const org_key_t *b = &m->keys[i];
+
+		if (a->org == b->org || compare_keys(a, b))
+			continue;
+		buf_printf(error, "organisations %.*s and %.*s share a key",
+			   STR_ARG(m->orgs[a->org].name),
+			   STR_ARG(m->orgs[b->org].name));
+		return -1;
+	}
+	return 0;
+}
+
 int manifest_compile(manifest_t *m, buf_t *error)
 {
+	if (compile_orgs(m, error) < 0)
+		return -1;
 	for (size_t i = 0; i < m->n_routes; i++)
 		if (compile_route(m, &m->routes[i], error) < 0)
 			return -1;
@@ -217,6 +269,27 @@
 	return NULL;
 }
 
+const organisation_t *manifest_find_org(const manifest_t *m, str_t key)
+{
+	org_key_t wanted;
+	const org_key_t *k;
+
+	if (!key.n || !m->n_keys)
+		return NULL;
+	key_digest(wanted.digest, key);
+	k = bsearch(&wanted, m->keys, m->n_keys, sizeof(*m->keys),
+		    compare_keys);
+	return k ? &m->orgs[k->org] : NULL;
+}
+
+const organisation_t *manifest_find_org_by_name(const manifest_t *m, str_t name)
+{
+	for (size_t i = 0; i < m->n_orgs; i++)
+		if (str_eq(m->orgs[i].name, name))
+			return &m->orgs[i];
+	return NULL;
+}
+
 const service_t *manifest_find_service(const manifest_t *m, str_t name)
 {
 	for (size_t i = 0; i < m->n_services; i++)
--- a/src/manifest.h
+++ b/src/manifest.h
@@ -49,6 +49,7 @@
 	uint32_t priority; /* 0 is the most urgent */
 	uint32_t attempts; /* most targets that may run one request */
 	bool resumable;	   /* another target may continue a stream */
+	bool is_public;	   /* no organisation's key is needed */
 	route_share_t *shares;
 	size_t n_shares;
 	uint64_t total_weight; /* set by manifest_compile() */
@@ -79,6 +80,30 @@
 	size_t n_models;
 } service_t;
 
+/* In which unit the quota of an organisation counts a request. */
+typedef enum quota_unit {
+	QUOTA_REQUESTS,
+	QUOTA_TOKENS, /* of the prompt and, at most, of the output */
+} quota_unit_t;
+
+/* An organisation whose callers prove themselves by a key. */
+typedef struct organisation {
+	str_t name;	   /* owned */
+	uint32_t priority; /* goes before that of the route; 0: most urgent */
+	quota_unit_t quota_unit;
+	uint32_t plain_tokens; /* of a request that names no tokens */
+	double quota_per_s;    /* over all daemons; 0: no quota */
+	double quota_burst;    /* in addition, at once */
+} organisation_t;
+
+#define KEY_DIGEST_BYTES 16u
+
+/* A key of an organisation. The key itself is not kept. */
+typedef struct org_key {
+	uint8_t digest[KEY_DIGEST_BYTES];
+	uint32_t org; /* index in manifest_t.orgs */
+} org_key_t;
+
 typedef struct manifest_limits {
 	size_t head_max; /* largest request head, in bytes */
 	size_t body_max; /* largest request body, in bytes */
@@ -94,6 +119,11 @@
 	service_t *services;
 	size_t n_services;
 	manifest_limits_t limits;
+	/* None: requests need no key. */
+	organisation_t *orgs;
+	size_t n_orgs;
+	org_key_t *keys; /* sorted on compilation */
+	size_t n_keys;
 } manifest_t;
 
 manifest_t *manifest_new(void);
@@ -105,6 +135,9 @@
 service_t *manifest_add_service(manifest_t *m);
 route_share_t *route_add_share(route_t *r);
 model_spec_t *service_add_model(service_t *s);
+organisation_t *manifest_add_org(manifest_t *m);
+/* Adds a key of the organisation that was added last. */
+void manifest_add_key(manifest_t *m, str_t key);
 
 /*
  * Checks the manifest and sorts its routes for manifest_find_route(). 0; or -1
@@ -114,6 +147,10 @@
 
 /* The route of a request, or NULL; host may include a port. */
 const route_t *manifest_find_route(const manifest_t *m, str_t host, str_t path);
+/* The organisation that holds the key, or NULL. */
+const organisation_t *manifest_find_org(const manifest_t *m, str_t key);
+const organisation_t *manifest_find_org_by_name(const manifest_t *m,
+						str_t name);
 const service_t *manifest_find_service(const manifest_t *m, str_t name);
 const model_spec_t *service_find_model(const service_t *s, str_t name);
 /*
--- a/src/reason.h
+++ b/src/reason.h
@@ -41,7 +41,7 @@
 	X(BODY_TIMEOUT, "body_timeout", 408, RUN_NO, RETRY_SOON,               \
 	  "The caller did not finish its body in time; check its link.")       \
 	X(UNAUTHENTICATED, "unauthenticated", 401, RUN_NO, RETRY_NEVER,        \
-	  "No organisation has this token; check the token.")                  \
+	  "No organisation has this token or key; check it.")                  \
 	X(FORBIDDEN, "forbidden", 403, RUN_NO, RETRY_NEVER,                    \
 	  "The adapter or service belongs to another organisation.")           \
 	X(UNKNOWN_ADAPTER, "unknown_adapter", 404, RUN_NO, RETRY_NEVER,        \
--- a/src/site.c
+++ b/src/site.c
@@ -253,6 +253,7 @@
 		dispatch_end(s->dispatch);
 	}
 	dispatch_set_lease(s->dispatch, lease_until_us);
+	dispatch_set_live_hosts(s->dispatch, status->n_live, site_now(s));
 	for (size_t i = 0; i < old->n_live; i++)
 		report_if_lost(s, old->live[i]);
 	if (status->leader &&
@@ -670,6 +671,7 @@
 		.retry_ratio = s->settings.retry_ratio,
 		.retry_slack = s->settings.retry_slack,
 		.retry_window_us = s->settings.retry_window_us,
+		.quota_tolerance = s->settings.quota_tolerance,
 	};
 
 	const gateway_cfg_t gateway_cfg = {
--- a/tests/dialect_test.cc
+++ b/tests/dialect_test.cc
@@ -111,6 +111,10 @@
 		{replaced(MANIFEST, "\"timeout_ms\":800", "\"timeout_ms\":0"),
 		 "timeout is 0"},
 		{replaced(MANIFEST, "\"timeout_ms\":800,", ""), "timeout is 0"},
+		{replaced(MANIFEST, "\"new\":",
+			  R"("tenants":[{"name":"a","api_keys":["k","l"]},)"
+			  R"({"name":"b","api_keys":["l"]}],"new":)"),
+		 "share a key"},
 	};
 
 	for (auto &b : invalid) {
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -848,6 +848,38 @@
 	EXPECT_EQ(503, status(fixture.ask("/nowhere/x")));
 }
 
+// Guards against callers who pass for another organisation, or whose key reaches a
+// target, which could then act in their name.
+TEST(Gateway, OnlyTheKeyOfAnOrganisationAdmitsAndNoTargetGetsIt)
+{
+	Target t({ok_response(), ok_response()});
+	GatewayFixture fixture({&t, &t});
+
+	fixture.l.call([&] {
+		organisation_t *org = manifest_add_org(fixture.manifest);
+
+		org->name = str_copy(STR("estate"));
+		manifest_add_key(fixture.manifest, STR("k-1"));
+		for (size_t i = 0; i < fixture.manifest->n_routes; i++)
+			fixture.manifest->routes[i].is_public =
+				str_eq(fixture.manifest->routes[i].prefix,
+				       STR("/once/"));
+	});
+	EXPECT_EQ(401, status(fixture.ask("/twice/x")));
+	EXPECT_EQ(401, status(fixture.ask("/twice/x", "Api-Key: k-2\r\n")));
+	EXPECT_EQ(401, status(fixture.ask("/twice/x", "Api-Key:\r\n")));
+	EXPECT_EQ(0u, t.received().size());
+	EXPECT_EQ(200, status(fixture.ask("/twice/x",
+					  "Api-Key: k-1\r\nTenant: y\r\n")));
+	EXPECT_TRUE(has(t.received().at(0), "Tenant: estate\r\n"));
+	EXPECT_FALSE(has(t.received().at(0), "Tenant: y"));
+	EXPECT_FALSE(has(t.received().at(0), "k-1"));
+	EXPECT_EQ(200, status(fixture.ask("/once/x",
+					  "Api-Key: k-2\r\nTenant: y\r\n")));
+	EXPECT_FALSE(has(t.received().at(1), "Tenant"));
+	EXPECT_FALSE(has(t.received().at(1), "k-2"));
+}
+
 // A host that has just started soon learns the decided state.
 TEST(Gateway, RequestsWaitWhileTheHostStarts)
 {
