Initialize the key that is searched

The linter reports the digest that is passed to the search as uninitialized: it does not see that key_digest() fills it. No change of behaviour.

--- a/src/manifest.c
+++ b/src/manifest.c
@@ -271,7 +271,7 @@
 
 const organisation_t *manifest_find_org(const manifest_t *m, str_t key)
 {
-	org_key_t wanted;
+	org_key_t wanted = {0};
 	const org_key_t *k;
 
 	if (!key.n || !m->n_keys)
