Quotas: waits only while a bucket fills after a takeover

Cause: a request waited up to a third of its objective for its share, so replies (2 s) took the quota of drafts (1 s) and payments (0.3 s).

Change: once the bucket has had the time to fill, a request that finds too little is refused. Test: NoKindTakesTheQuotaByWaitingLonger.

--- a/src/org_quota.c
+++ b/src/org_quota.c
@@ -9,6 +9,8 @@
 /* Bounds of the time after which a caller over its quota may come back. */
 #define QUOTA_RETRY_MIN_US (100 * USEC_PER_MSEC)
 #define QUOTA_RETRY_MAX_US (5 * USEC_PER_SEC)
+/* Longest wait for a share of the quota, whatever the request accepts. */
+#define QUOTA_WAIT_MAX_US (250 * USEC_PER_MSEC)
 /*
  * Isolated daemons use their part of each quota for about so long. Until then the
  * leader leaves it to hosts that it has lost.
@@ -26,6 +28,7 @@
 	double size;
 	double level; /* below 0: requests wait for what they have taken */
 	int64_t filled_us;
+	int64_t begun_us; /* it starts nearly empty */
 	/*
 	 * Callers over the quota were told to come back until then; the next one
 	 * is told a later time, so that they do not all return at once.
@@ -154,6 +157,7 @@
 		b = xcalloc(1, sizeof(*b));
 		b->name = str_copy(org->name);
 		b->filled_us = now_us;
+		b->begun_us = now_us;
 		b->level = initial_level(q, org);
 		b->size = b->level;
 		g_hash_table_insert(q->buckets, &b->name, b);
@@ -228,6 +232,20 @@
 	charge->amount = cost;
 }
 
+/*
+ * How long a request may wait for its share: only while the bucket would not have
+ * filled yet, so that requests within the quota are not refused after a takeover.
+ * Later on an organisation over its quota would make all its requests wait, and those
+ * that accept the longest wait would take what the others need.
+ */
+static int64_t wait_limit(const org_bucket_t *b, const quota_request_t *req,
+			  int64_t now_us)
+{
+	if (now_us - b->begun_us >= fill_time_us(b, b->size))
+		return 0;
+	return MIN(req->wait_max_us, QUOTA_WAIT_MAX_US);
+}
+
 int64_t org_quota_take(org_quotas_t *q, const quota_request_t *req,
 		       int64_t now_us, quota_charge_t *charge,
 		       int64_t *retry_us)
@@ -249,7 +267,7 @@
 		return 0;
 	if (cost > b->level)
 		wait_us = fill_time_us(b, cost - b->level);
-	if (!req->may_have_run && wait_us > req->wait_max_us) {
+	if (!req->may_have_run && wait_us > wait_limit(b, req, now_us)) {
 		*retry_us = promise_return(q, b, cost, req->id, now_us);
 		return -1;
 	}
