Brittle runners are given no more than they take

Change: entries tell the dispatcher what an answer named; such a runner gets no more requests at a time than it has slots, and after a rejection no more than it had then, one more after the time of two allowed rejections.

--- a/proto/dispatch.pb-c.c
+++ b/proto/dispatch.pb-c.c
@@ -1296,7 +1296,7 @@
   (ProtobufCMessageInit) dispatch__refusal__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dispatch__started__field_descriptors[7] =
+static const ProtobufCFieldDescriptor dispatch__started__field_descriptors[8] =
 {
   {
     "id",
@@ -1382,6 +1382,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rejections_max",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dispatch__Started, rejections_max),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dispatch__started__field_indices_by_name[] = {
   4,   /* field[4] = build */
@@ -1389,13 +1401,14 @@
   0,   /* field[0] = id */
   5,   /* field[5] = keep_us */
   2,   /* field[2] = leaving */
+  7,   /* field[7] = rejections_max */
   3,   /* field[3] = stream */
   1,   /* field[1] = waited_us */
 };
 static const ProtobufCIntRange dispatch__started__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor dispatch__started__descriptor =
 {
@@ -1405,7 +1418,7 @@
   "Dispatch__Started",
   "dispatch",
   sizeof(Dispatch__Started),
-  7,
+  8,
   dispatch__started__field_descriptors,
   dispatch__started__field_indices_by_name,
   1,  dispatch__started__number_ranges,
@@ -1489,7 +1502,7 @@
   (ProtobufCMessageInit) dispatch__streams__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dispatch__done__field_descriptors[5] =
+static const ProtobufCFieldDescriptor dispatch__done__field_descriptors[6] =
 {
   {
     "id",
@@ -1551,6 +1564,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rejections_max",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dispatch__Done, rejections_max),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dispatch__done__field_indices_by_name[] = {
   4,   /* field[4] = by_peer */
@@ -1558,11 +1583,12 @@
   3,   /* field[3] = leaving */
   1,   /* field[1] = outcome */
   2,   /* field[2] = pause_permille */
+  5,   /* field[5] = rejections_max */
 };
 static const ProtobufCIntRange dispatch__done__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor dispatch__done__descriptor =
 {
@@ -1572,7 +1598,7 @@
   "Dispatch__Done",
   "dispatch",
   sizeof(Dispatch__Done),
-  5,
+  6,
   dispatch__done__field_descriptors,
   dispatch__done__field_indices_by_name,
   1,  dispatch__done__number_ranges,
--- a/proto/dispatch.pb-c.h
+++ b/proto/dispatch.pb-c.h
@@ -213,10 +213,14 @@
    * by way of another host: the entry's own path is lost
    */
   protobuf_c_boolean by_peer;
+  /*
+   * Rejections a second beyond which the runner ends; 0: it named none.
+   */
+  uint32_t rejections_max;
 };
 #define DISPATCH__STARTED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dispatch__started__descriptor) \
-    , 0, 0, 0, 0, {0,NULL}, 0, 0 }
+    , 0, 0, 0, 0, {0,NULL}, 0, 0, 0 }
 
 
 /*
@@ -267,10 +271,14 @@
    * as in Started
    */
   protobuf_c_boolean by_peer;
+  /*
+   * as in Started
+   */
+  uint32_t rejections_max;
 };
 #define DISPATCH__DONE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dispatch__done__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/attempt.c
+++ b/src/attempt.c
@@ -149,6 +149,8 @@
 	str_t runner = info->runner.n ? info->runner : r->runner;
 
 	r->leaving = info->leaving && str_eq(runner, r->runner);
+	r->rejections_max =
+		str_eq(runner, r->runner) ? info->rejections_max : 0;
 	if (!for_us)
 		return;
 	holdoff_add(r->gw->holdoff, runner, for_us, gateway_now(r->gw));
@@ -399,6 +401,7 @@
 	r->stray_bytes = 0;
 	r->named = false;
 	r->leaving = false;
+	r->rejections_max = 0;
 	r->body_started = false;
 	r->longest_pause_us = 0;
 	r->sent_us = 0;
--- a/src/choice.c
+++ b/src/choice.c
@@ -241,11 +241,12 @@
 
 /* Expected time until a place is free, behind the requests queued there. */
 static int64_t place_wait_us(const dispatch_t *d, const service_t *s,
-			     const runner_t *r)
+			     const runner_t *r, int64_t now_us)
 {
-	double places = (double)request_slots(r, s) * d->runner_share + 1;
+	double slots = (double)request_slots(r, s) * d->runner_share;
 
-	if ((double)r->n_grants < places)
+	if ((double)r->n_grants < slots + 1 &&
+	    brittle_has_room(&r->brittle, r->n_grants, slots, now_us))
 		return 0;
 	return r->mean_hold_us * (r->n_queued + 1) / r->n_grants;
 }
@@ -292,7 +293,8 @@
 		return false;
 	prefill_tokens = (double)runner_prefill_tokens(r, ask, &q->prefixes);
 	ahead = tokens_ahead(r, now_us);
-	place_us = MAX(place_wait_us(d, s, r), limit_wait_us(d, r, now_us));
+	place_us = MAX(place_wait_us(d, s, r, now_us),
+		       limit_wait_us(d, r, now_us));
 	backlog_us = prefill_wait_us(d, r, MAX(ahead, paced_backlog(r, now_us)),
 				     prefill_tokens);
 	offer->grant_in_us = MAX(place_us, backlog_us);
@@ -324,7 +326,9 @@
 	int64_t wait_us = limit_wait_us(d, r, now_us);
 
 	if ((double)r->n_grants >=
-	    slots * PLAIN_GRANTS_PER_SLOT * d->runner_share)
+		    slots * PLAIN_GRANTS_PER_SLOT * d->runner_share ||
+	    !brittle_has_room(&r->brittle, r->n_grants, slots * d->runner_share,
+			      now_us))
 		return false;
 	offer->needs_load = false;
 	offer->grant_in_us = wait_us;
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -166,6 +166,11 @@
 	 * long as its answers say so; LIMIT_NONE: this one does not.
 	 */
 	double limit_per_s;
+	/*
+	 * Rejections a second for want of room, beyond which the runner ends; 0: it
+	 * named none.
+	 */
+	uint32_t rejections_max;
 	str_t runner; /* the runner that answered; may be empty */
 } response_info_t;
 
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -223,6 +223,7 @@
 	done.outcome = outcome;
 	done.pause_permille = pause_permille(r);
 	done.leaving = r->leaving;
+	done.rejections_max = r->rejections_max;
 	done.by_peer = r->by_peer;
 	r->ask_id = 0;
 	send_done(r->gw, &done);
@@ -239,6 +240,7 @@
 	pb.id = r->ask_id;
 	pb.waited_us = gateway_now(r->gw) - r->sent_us;
 	pb.leaving = r->leaving;
+	pb.rejections_max = r->rejections_max;
 	pb.by_peer = r->by_peer;
 	if (keep_us) {
 		pb.stream = r->stream_key;
--- a/src/gateway_int.h
+++ b/src/gateway_int.h
@@ -115,6 +115,7 @@
 	size_t stray_bytes;	 /* of their bodies */
 	bool named;		 /* the response names this request */
 	bool leaving;		 /* the target said that it shuts down */
+	uint32_t rejections_max; /* as in response_info_t */
 	bool body_started;	 /* a byte of the response body has come */
 	int64_t body_started_us; /* when */
 	/* A target has ended as it was about to answer this request. */
