Gateway: Ask tells the allowed pause and the output estimate, Done the gaps

The dispatcher knew of the pauses of streams only how near the longest one came to its limit, after the stream's end. It could not learn from that how fast a runner is, nor which pauses the streams of a runner allow.

Ask carries event_gap_us of the route (37) and the caller's Length-Hint (38). Done carries the median gap between events (30), the longest pause (31) and when it ended (32). event_gaps.c records the gaps of the attempt under way; a gap in which the caller was slow does not count. Older daemons ignore the fields, and daemons that do not get them behave as before.

--- a/proto/dispatch.pb-c.c
+++ b/proto/dispatch.pb-c.c
@@ -778,7 +778,7 @@
   (ProtobufCMessageInit) dispatch__prompt_part__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dispatch__ask__field_descriptors[20] =
+static const ProtobufCFieldDescriptor dispatch__ask__field_descriptors[22] =
 {
   {
     "id",
@@ -1020,6 +1020,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "event_gap_us",
+    37,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Dispatch__Ask, event_gap_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens_out_hint",
+    38,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dispatch__Ask, tokens_out_hint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dispatch__ask__field_indices_by_name[] = {
   3,   /* field[3] = adapter */
@@ -1027,6 +1051,7 @@
   17,   /* field[17] = begins_stream */
   15,   /* field[15] = build */
   19,   /* field[19] = digest */
+  20,   /* field[20] = event_gap_us */
   0,   /* field[0] = id */
   8,   /* field[8] = left_us */
   2,   /* field[2] = model */
@@ -1041,12 +1066,14 @@
   7,   /* field[7] = target_us */
   4,   /* field[4] = tokens_in */
   5,   /* field[5] = tokens_out */
+  21,   /* field[21] = tokens_out_hint */
   12,   /* field[12] = zone */
 };
-static const ProtobufCIntRange dispatch__ask__number_ranges[1 + 1] =
+static const ProtobufCIntRange dispatch__ask__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 20 }
+  { 37, 20 },
+  { 0, 22 }
 };
 const ProtobufCMessageDescriptor dispatch__ask__descriptor =
 {
@@ -1056,10 +1083,10 @@
   "Dispatch__Ask",
   "dispatch",
   sizeof(Dispatch__Ask),
-  20,
+  22,
   dispatch__ask__field_descriptors,
   dispatch__ask__field_indices_by_name,
-  1,  dispatch__ask__number_ranges,
+  2,  dispatch__ask__number_ranges,
   (ProtobufCMessageInit) dispatch__ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -1462,7 +1489,7 @@
   (ProtobufCMessageInit) dispatch__streams__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dispatch__done__field_descriptors[5] =
+static const ProtobufCFieldDescriptor dispatch__done__field_descriptors[8] =
 {
   {
     "id",
@@ -1524,18 +1551,58 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "event_gap_us",
+    30,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Dispatch__Done, event_gap_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "longest_pause_us",
+    31,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Dispatch__Done, longest_pause_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pause_ago_us",
+    32,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Dispatch__Done, pause_ago_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dispatch__done__field_indices_by_name[] = {
   4,   /* field[4] = by_peer */
+  5,   /* field[5] = event_gap_us */
   0,   /* field[0] = id */
   3,   /* field[3] = leaving */
+  6,   /* field[6] = longest_pause_us */
   1,   /* field[1] = outcome */
+  7,   /* field[7] = pause_ago_us */
   2,   /* field[2] = pause_permille */
 };
-static const ProtobufCIntRange dispatch__done__number_ranges[1 + 1] =
+static const ProtobufCIntRange dispatch__done__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 30, 5 },
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor dispatch__done__descriptor =
 {
@@ -1545,10 +1612,10 @@
   "Dispatch__Done",
   "dispatch",
   sizeof(Dispatch__Done),
-  5,
+  8,
   dispatch__done__field_descriptors,
   dispatch__done__field_indices_by_name,
-  1,  dispatch__done__number_ranges,
+  2,  dispatch__done__number_ranges,
   (ProtobufCMessageInit) dispatch__done__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/proto/dispatch.pb-c.h
+++ b/proto/dispatch.pb-c.h
@@ -117,10 +117,18 @@
    * alike for all requests that are alike; 0: not given
    */
   uint64_t digest;
+  /*
+   * Longest pause between two events that its route allows; 0: any, or not known.
+   */
+  int64_t event_gap_us;
+  /*
+   * the caller's estimate of the output; 0: none
+   */
+  uint32_t tokens_out_hint;
 };
 #define DISPATCH__ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dispatch__ask__descriptor) \
-    , 0, {0,NULL}, {0,NULL}, {0,NULL}, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, {0,NULL}, {0,NULL}, 0, {0,NULL}, 0, 0, 0, 0 }
+    , 0, {0,NULL}, {0,NULL}, {0,NULL}, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, {0,NULL}, {0,NULL}, 0, {0,NULL}, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Dispatch__Grant
@@ -259,10 +267,22 @@
    * as in Started
    */
   protobuf_c_boolean by_peer;
+  /*
+   * median between the events of a stream; 0: not known
+   */
+  int64_t event_gap_us;
+  /*
+   * between two events of a stream; 0: not known
+   */
+  int64_t longest_pause_us;
+  /*
+   * when that pause ended
+   */
+  int64_t pause_ago_us;
 };
 #define DISPATCH__DONE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dispatch__done__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/attempt.c
+++ b/src/attempt.c
@@ -400,6 +400,7 @@
 	r->leaving = false;
 	r->body_started = false;
 	r->longest_pause_us = 0;
+	memset(&r->event_gaps, 0, sizeof(r->event_gaps));
 	r->sent_us = 0;
 	r->target_close = NULL;
 	r->unfinished_bytes = 0;
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -118,7 +118,8 @@
 	str_t adapter;	    /* empty: the model itself */
 	int64_t left_us;    /* how long the caller still waits; -1: not given */
 	uint32_t tokens_in; /* most in the prompt */
-	uint32_t tokens_out; /* most that may be generated */
+	uint32_t tokens_out;	  /* most that may be generated */
+	uint32_t tokens_out_hint; /* caller's estimate of these; 0: none */
 	/* In the order of the prompt. */
 	prompt_part_t parts[PROMPT_PARTS_MAX];
 	size_t n_parts;
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -152,6 +152,8 @@
 	pb.adapter = pb_bytes(r->info.adapter);
 	pb.tokens_in = r->info.tokens_in;
 	pb.tokens_out = r->info.tokens_out;
+	pb.tokens_out_hint = r->info.tokens_out_hint;
+	pb.event_gap_us = r->route->event_gap_us;
 	pb.priority = r->route->priority;
 	pb.target_us = r->arrived_us + r->route->target_us - now;
 	pb.left_us = r->deadline_us - now;
@@ -218,6 +220,11 @@
 	done.id = r->ask_id;
 	done.outcome = outcome;
 	done.pause_permille = pause_permille(r);
+	done.event_gap_us = event_gaps_median(&r->event_gaps);
+	done.longest_pause_us = r->event_gaps.longest_us;
+	if (done.longest_pause_us)
+		done.pause_ago_us =
+			gateway_now(r->gw) - r->event_gaps.longest_end_us;
 	done.leaving = r->leaving;
 	done.by_peer = r->by_peer;
 	r->ask_id = 0;
--- a/src/gateway_int.h
+++ b/src/gateway_int.h
@@ -7,6 +7,7 @@
 #ifndef DK_GATEWAY_INT_H
 #define DK_GATEWAY_INT_H
 
+#include "event_gaps.h"
 #include "gateway.h"
 #include "holdoff.h"
 
@@ -133,6 +134,7 @@
 	int64_t first_byte_after_us; /* from arrival to the first body byte */
 	int64_t last_byte_us;	     /* when bytes of the response last came */
 	int64_t longest_pause_us;    /* between two pieces of a stream */
+	event_gaps_t event_gaps;     /* of the attempt's stream */
 
 	/* Over all attempts of a stream. */
 
--- a/src/relay.c
+++ b/src/relay.c
@@ -161,8 +161,10 @@
 	}
 	append_body(r, &out, piece);
 	http1_send(to, out.p, out.n);
-	if (r->conn && http1_unsent_bytes(to) > CALLER_UNSENT_MAX)
+	if (r->conn && http1_unsent_bytes(to) > CALLER_UNSENT_MAX) {
 		http1_pause_reading(r->conn, true);
+		event_gaps_skip(&r->event_gaps);
+	}
 }
 
 /* Bytes up to the end of the last complete event; 0: there is none. */
@@ -219,6 +221,7 @@
 	} else if (n) {
 		record_last_event_id(r, str_n(r->body_out.p, n));
 		r->event_relayed = true;
+		event_gaps_record(&r->event_gaps, r->last_byte_us);
 		r->event_open = false;
 	}
 	if (!n)
