Dispatch: prompts are granted so that no stream pauses longer than its route allows

A prompt was paced by one constant rate for all runners and a learnt share of it, so that a prompt of 3,800 tokens made all streams of a slow runner pause for over 300 ms, and two prompts shortly after each other those of an ordinary one.

Where entries tell allowed pauses, the offer of a model runner now depends on its learnt speed: the prompt waits there until it fits between the prompts granted before, as long as its objective allows, and each stream that would still pause too long costs as much as a late request. Pauses decide among the runners that need no load, and among those that need one. Between the two kinds they count a tenth, except where a runner gets more prompts than its streams can bear, which caused loads before too.

speeds.c takes in what Started and Done tell. Without the new fields the pacing is the former one.

--- a/src/choice.c
+++ b/src/choice.c
@@ -8,6 +8,10 @@
  * the pauses (runner_t.prefill_share). Each adapter is held by few runners;
  * loading it takes a fixed time and has a cost.
  *
+ * Where entries tell which pauses the routes of streams allow, the runner's learnt
+ * speed is used instead (runner_speed.h): a prompt is granted where, and when, no
+ * stream pauses longer.
+ *
  * Each runner that is considered makes an offer, and the offer of the lowest cost
  * is taken. The unit of costs is a thousandth of the value of an ordinary
  * request.
@@ -16,6 +20,8 @@
 
 #include "counter.h"
 
+#include <math.h>
+
 /* Prompt tokens that a runner of the usual speed (slowdown 1) prefills in a
  * millisecond while it decodes its streams. */
 #define PREFILL_TOKENS_PER_MS 20.0
@@ -55,6 +61,25 @@
 #define EVICT_COST_HALF_US (1 * USEC_PER_SEC)
 /* Cost of each stream running there, as it shares the batch with one more. */
 #define COST_PER_STREAM 1.0
+/* Cost of a stream there that pauses longer than its route allows: it is late. */
+#define COST_PAUSE_PER_STREAM COST_LATE
+/* Output tokens of an event, about. */
+#define TOKENS_PER_EVENT 4.0
+/*
+ * Weight of the cost of pauses where a load elsewhere would avoid them. Pauses by one
+ * large prompt hardly ever justify a load, which costs far more than the request that
+ * it is for. They count in full once the request has no time left to wait for a gap
+ * between other prompts: the runner gets more prompts than its streams can bear.
+ */
+#define PAUSE_LOAD_WEIGHT 0.1
+/* Cost of each second for which a stream is expected to run there. */
+#define COST_PER_STREAM_SECOND 1.0
+/*
+ * A prompt that waits to spare the streams of a runner is granted in any case when
+ * only this is left of the time until it has to be prefilled, and more at a runner
+ * whose delays deviate.
+ */
+#define PAUSE_WAIT_RESERVE_US (60 * USEC_PER_MSEC)
 
 /* Grants of a plain service for each of its slots. */
 #define PLAIN_GRANTS_PER_SLOT 3u
@@ -110,6 +135,14 @@
 	int64_t prefill_us;	/* the part of it until the prefill ends */
 	int64_t grant_in_us;	/* until a place may be granted; 0: now */
 	bool needs_load;	/* the adapter has to be loaded there first */
+	/*
+	 * What it costs besides to make streams pause, or to wait until they do
+	 * not. It decides among runners that need no load, and among those that
+	 * need one; between the two kinds only what cost contains of it counts.
+	 */
+	double pause_cost;
+	double late_chance; /* that streams there pause too long if granted now */
+	int64_t spare_us;   /* wait for the sake of those streams */
 } offer_t;
 
 static bool is_avoided(const Dispatch__Ask *ask, const runner_t *r)
@@ -275,9 +308,68 @@
 			 prefill_rate(r));
 }
 
+/* How long, from now, a request may still take. */
+typedef struct margin {
+	int64_t prefill_us;	/* until its prompt is prefilled */
+	int64_t objective_us;	/* until its first event is late */
+	int64_t first_event_us; /* until its caller gives up */
+} margin_t;
+
+/* Whether pauses of streams are limited by a route, so far as entries tell. */
+static bool limits_pauses(const runner_t *r, const Dispatch__Ask *ask)
+{
+	return ask->event_gap_us > 0 || r->n_pause_limited > 0;
+}
+
+/*
+ * Of a runner whose streams have limited pauses: when the prompt may be granted, and
+ * what that costs. Sets the parts of the offer that depend on the runner's speed.
+ */
+static void paced_offer(const dispatch_t *d, const runner_t *r,
+			const query_t *q, double prefill_tokens,
+			int64_t start_us, int64_t place_us,
+			const margin_t *margin, int64_t now_us, offer_t *offer)
+{
+	const runner_speed_t *s = runner_speed_find(r, q->model_key);
+	double n_streams = r->n_spared;
+	double pause_cost, wait_ms, load_weight;
+	int64_t left_us, own_us;
+	runner_speed_t unknown;
+	prefill_plan_t plan;
+
+	if (!s) {
+		runner_speed_init(&unknown, q->model_key, now_us);
+		s = &unknown;
+	}
+	prefill_plan(&r->prefills, s, prefill_tokens, r->pause_allowed_us,
+		     d->runner_share, now_us, &plan);
+	own_us = (int64_t)(runner_speed_term(s, SPEED_FIRST, now_us) +
+			   prefill_tokens *
+				   runner_speed_term(s, SPEED_TOKEN, now_us));
+	offer->prefill_us = plan.ahead_us + own_us;
+	offer->first_event_us = MAX(offer->prefill_us, start_us + own_us);
+	left_us = margin->prefill_us - offer->prefill_us -
+		  (int64_t)(PAUSE_WAIT_RESERVE_US * (1 + sqrt(s->first_noise)));
+	offer->late_chance = plan.late_chance_now;
+	offer->spare_us = plan.wait_us;
+	if (plan.wait_us > left_us || place_us > left_us) {
+		offer->spare_us = MAX(left_us, 0);
+		plan.late_chance = plan.late_chance_now;
+	}
+	wait_ms = (double)MAX(offer->spare_us - place_us, 0) / USEC_PER_MSEC;
+	pause_cost = plan.late_chance * n_streams * COST_PAUSE_PER_STREAM;
+	load_weight = plan.wait_us > left_us ? 1 : PAUSE_LOAD_WEIGHT;
+	offer->cost = pause_cost * load_weight;
+	offer->pause_cost = pause_cost * (1 - load_weight) +
+			    wait_ms * COST_FIRST_EVENT_PER_MS +
+			    q->ask->tokens_out_hint / TOKENS_PER_EVENT *
+				    runner_speed_term(s, SPEED_GAP, now_us) /
+				    USEC_PER_SEC * COST_PER_STREAM_SECOND;
+}
+
 static bool engine_offer(const dispatch_t *d, const service_t *s,
-			 const runner_t *r, const query_t *q, int64_t now_us,
-			 offer_t *offer)
+			 const runner_t *r, const query_t *q,
+			 const margin_t *margin, int64_t now_us, offer_t *offer)
 {
 	const Dispatch__Ask *ask = q->ask;
 	double kv_tokens_max = (double)s->kv_tokens * KV_CACHE_SHARE;
@@ -306,10 +398,19 @@
 	start_us = MAX(wait_us, place_us);
 	offer->first_event_us =
 		MAX(offer->prefill_us, start_us + own_prefill_us);
-	offer->cost = (double)offer->first_event_us / USEC_PER_MSEC *
-			      COST_FIRST_EVENT_PER_MS +
-		      (double)place_us / USEC_PER_MSEC * COST_QUEUE_PER_MS +
-		      r->n_grants * COST_PER_STREAM;
+	if (limits_pauses(r, ask)) {
+		paced_offer(d, r, q, prefill_tokens, start_us, place_us, margin,
+			    now_us, offer);
+		/* Streams without a known limit are paced as everywhere. */
+		if (r->n_grants <= r->n_pause_limited)
+			backlog_us = 0;
+		offer->grant_in_us =
+			MAX(place_us, MAX(backlog_us, offer->spare_us));
+	}
+	offer->cost += (double)offer->first_event_us / USEC_PER_MSEC *
+			       COST_FIRST_EVENT_PER_MS +
+		       (double)place_us / USEC_PER_MSEC * COST_QUEUE_PER_MS +
+		       r->n_grants * COST_PER_STREAM;
 	if (offer->needs_load)
 		offer->cost += load_cost(r, q, &offer->load_room);
 	if (offer->needs_load && r->limit.active)
@@ -366,13 +467,6 @@
 	return (int64_t)((double)ask->target_us * share);
 }
 
-/* How long, from now, a request may still take. */
-typedef struct margin {
-	int64_t prefill_us;	/* until its prompt is prefilled */
-	int64_t objective_us;	/* until its first event is late */
-	int64_t first_event_us; /* until its caller gives up */
-} margin_t;
-
 static margin_t margin_of(const Dispatch__Ask *ask, int64_t waited_us,
 			  int64_t load_waited_us)
 {
@@ -415,7 +509,7 @@
 {
 	const Dispatch__Ask *ask = q->ask;
 
-	if (!(s->engine ? engine_offer(d, s, r, q, now_us, offer)
+	if (!(s->engine ? engine_offer(d, s, r, q, margin, now_us, offer)
 			: plain_offer(d, s, r, now_us, offer)))
 		return false;
 	if (!str_eq(r->zone, pb_str(ask->zone)))
@@ -478,8 +572,34 @@
 	/* Some runner has the needed software version, and is full for now. */
 	bool any_full;
 	uint64_t n_offers; /* computed so far */
+	/* Least cost without pause_cost of the offers that need no load. */
+	double least_held_cost;
 } search_t;
 
+/*
+ * Whether the offer is better than the best one so far. Between one that needs a
+ * load and one that does not, pauses make no difference.
+ */
+static bool is_better(const search_t *best, const offer_t *o)
+{
+	if (!best->runner)
+		return true;
+	if (o->needs_load == best->offer.needs_load)
+		return o->cost + o->pause_cost <
+		       best->offer.cost + best->offer.pause_cost;
+	if (o->needs_load)
+		return o->cost < best->least_held_cost;
+	return MIN(o->cost, best->least_held_cost) < best->offer.cost;
+}
+
+/* Cost from which on a runner that needs a load cannot be better. */
+static double load_cost_limit(const search_t *best)
+{
+	return best->offer.needs_load
+		       ? best->offer.cost + best->offer.pause_cost
+		       : best->least_held_cost;
+}
+
 /* Takes the runner's offer if it is better. holds: it has a copy, or loads it. */
 static void consider(dispatch_t *d, search_t *best, runner_t *r, bool holds,
 		     int64_t now_us)
@@ -499,12 +619,15 @@
 		return;
 	}
 	best->any_candidate = true;
-	if (best->runner && !holds && least_load_cost(r, q) >= best->offer.cost)
+	if (best->runner && !holds &&
+	    least_load_cost(r, q) >= load_cost_limit(best))
 		return;
 	best->n_offers++;
 	if (!get_offer(d, best->s, r, q, best->margin, now_us, &offer))
 		return;
-	if (best->runner && offer.cost >= best->offer.cost)
+	if (!offer.needs_load)
+		best->least_held_cost = MIN(best->least_held_cost, offer.cost);
+	if (!is_better(best, &offer))
 		return;
 	best->runner = r;
 	best->offer = offer;
@@ -583,7 +706,8 @@
 	choice_t choice = {.reason = REASON_NO_TARGET,
 			   .retry_us = RETRY_MIN_US};
 	margin_t margin = margin_of(ask, waited_us, load_waited_us);
-	search_t best = {.s = s, .margin = &margin};
+	search_t best = {
+		.s = s, .margin = &margin, .least_held_cost = INFINITY};
 	int64_t late_us;
 	query_t q;
 
@@ -608,6 +732,7 @@
 	choice.reason = REASON_NONE;
 	choice.first_event_us = best.offer.first_event_us;
 	choice.grant_in_us = best.offer.grant_in_us;
+	counter_add(CTR_PROMPTS_HELD, best.offer.spare_us > 0);
 	choice.needs_load = best.offer.needs_load;
 	choice.prefill_us = best.offer.prefill_us;
 	if (best.offer.cost >= COST_TOO_LATE) {
--- a/src/counter.h
+++ b/src/counter.h
@@ -72,17 +72,23 @@
 	X(LINK_BYTES_IN, "link_bytes_in", "Bytes received from peers")         \
 	X(LINK_BYTES_OUT, "link_bytes_out", "Bytes sent to peers")
 
-#define COUNTERS_DISPATCH(X)                                            \
-	X(DISPATCH_DECISIONS, "dispatch_decisions",                     \
-	  "Choices of a runner for a request, also for one that waits") \
-	X(DISPATCH_OFFERS, "dispatch_offers",                           \
-	  "Runners whose cost was computed for such a choice")          \
-	X(PATHS_BLAMED, "paths_blamed",                                 \
-	  "Attempts that failed by their host's path to the runner")    \
-	X(PARTS_QUARANTINED, "parts_quarantined",                       \
-	  "Parts of prompts found to crash runners")                    \
-	X(REQUESTS_QUARANTINED, "requests_quarantined",                 \
-	  "Requests, sent again alike, found to crash runners")
+#define COUNTERS_DISPATCH(X)                                                 \
+	X(DISPATCH_DECISIONS, "dispatch_decisions",                          \
+	  "Choices of a runner for a request, also for one that waits")      \
+	X(DISPATCH_OFFERS, "dispatch_offers",                                \
+	  "Runners whose cost was computed for such a choice")               \
+	X(PATHS_BLAMED, "paths_blamed",                                      \
+	  "Attempts that failed by their host's path to the runner")         \
+	X(PARTS_QUARANTINED, "parts_quarantined",                            \
+	  "Parts of prompts found to crash runners")                         \
+	X(REQUESTS_QUARANTINED, "requests_quarantined",                      \
+	  "Requests, sent again alike, found to crash runners")              \
+	X(PROMPTS_HELD, "prompts_held_for_streams",                          \
+	  "Decisions that a prompt waits as a runner's streams would pause") \
+	X(PAUSES_EXPECTED, "pauses_expected",                                \
+	  "Streams expected to pause too long for a prompt granted there")   \
+	X(STREAMS_PAUSED, "streams_paused",                                  \
+	  "Streams that paused longer than their route allows")
 
 #define COUNTERS(X)       \
 	COUNTERS_HTTP(X)  \
--- a/src/dispatch_int.h
+++ b/src/dispatch_int.h
@@ -14,6 +14,7 @@
 #include "pb.h"
 #include "retry_budget.h"
 #include "runner_limit.h"
+#include "runner_speed.h"
 
 #include <glib.h>
 #include <urcu/list.h>
@@ -33,6 +34,8 @@
 #define REPORT_LAG_US (150 * USEC_PER_MSEC)
 /* Prompt prefixes remembered for each runner, in a direct-mapped table. */
 #define PREFIX_CACHE_SIZE 512u
+/* Models of one runner whose speed is remembered. */
+#define RUNNER_SPEEDS_MAX 4u
 /* Adapters that a runner is assumed to have cached after unloading them. */
 #define RECENT_ADAPTERS_SIZE 128u
 
@@ -158,6 +161,13 @@
 	/* The same, had it prefilled only prefill_share of what it can. */
 	double paced_backlog_tokens;
 	int64_t prefill_backlog_us;
+	/* Learnt of the models that it ran lately; see runner_speed_of(). */
+	runner_speed_t speeds[RUNNER_SPEEDS_MAX];
+	prefills_t prefills;
+	uint32_t n_pause_limited; /* grants of streams with an allowed pause */
+	uint32_t
+		n_spared; /* of these, not expected to pause too long already */
+	int64_t pause_allowed_us; /* smallest that is allowed to these; 0: none */
 	uint64_t prefix_cache[PREFIX_CACHE_SIZE]; /* keys of prefix_keys_t */
 	/* Direct-mapped; see runner_held_recently(). */
 	uint64_t recent_adapters[RECENT_ADAPTERS_SIZE];
@@ -214,6 +224,12 @@
 	struct cds_list_head suspect; /* in those of quarantine_t, or empty */
 	host_id_t via;		      /* as told to its host */
 	bool for_stream;	      /* of a request that takes up a stream */
+	uint64_t model_key;   /* copy_key() of the model; 0: not known */
+	uint64_t prefill_seq; /* in runner->prefills, if model_key is set */
+	double prefill_ahead_tokens; /* open there at granted_us */
+	int64_t event_gap_us; /* pause allowed to it; 0: any, or not known */
+	/* A pause that is expected to be too long already. */
+	bool pause_expected;
 } grant_t;
 
 /* A request without a grant: it waits for a copy, or for a place. */
@@ -415,6 +431,21 @@
 /* Does what is due; returns when it has to be called again. */
 int64_t orders_tick(dispatch_t *d, int64_t now_us);
 
+/* speeds.c */
+
+/* What is known of the runner's speed with a model; NULL: nothing yet. */
+const runner_speed_t *runner_speed_find(const runner_t *r, uint64_t model_key);
+/* The same; begins with the assumptions for an unknown runner. */
+runner_speed_t *runner_speed_of(runner_t *r, uint64_t model_key,
+				int64_t now_us);
+/* The grant's prompt is about to be prefilled there. */
+void speeds_on_grant(grant_t *g, const Dispatch__Ask *ask, double share,
+		     int64_t now_us);
+void speeds_on_started(grant_t *g, int64_t waited_us, int64_t now_us);
+void speeds_on_done(grant_t *g, const Dispatch__Done *m, int64_t now_us);
+/* The grant's place is free; g is freed next. */
+void speeds_on_grant_freed(grant_t *g, int64_t now_us);
+
 /* choice.c */
 typedef struct choice {
 	runner_t *runner;	/* NULL: refuse the request, for reason */
--- a/src/event.h
+++ b/src/event.h
@@ -61,6 +61,13 @@
 	  "Dispatcher: a request was granted a place at the runner. grants "   \
 	  "and pending_prefill_tokens are the runner's, this request's "       \
 	  "included; first_ms is the expected time to the first event.")       \
+	X("runner_speed", 10, "runner gap_us token_ns first_us observed",      \
+	  "Dispatcher: what was learnt of a model runner has changed: time "   \
+	  "between two events of a stream, to prefill a prompt token, and to " \
+	  "the first event of an empty prompt, after so many observations.")   \
+	X("pauses_expected", 20, "runner prefill_tokens pause_ms streams",     \
+	  "Dispatcher: a prompt was granted although so many streams there "   \
+	  "are expected to pause longer than their routes allow.")             \
 	X("load_pending", 100, "id runner adapter load_attempts",              \
 	  "Dispatcher: a request waits for its adapter on the runner.")        \
 	X("grant_refused", 100, "id reason retry_ms",                          \
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -320,6 +320,8 @@
 	r->suspended_until_us = 0;
 	r->half_open = false;
 	r->said_leaving = false;
+	memset(r->speeds, 0, sizeof(r->speeds));
+	memset(&r->prefills, 0, sizeof(r->prefills));
 	runner_limit_reset(&r->limit);
 }
 
--- a/src/grants.c
+++ b/src/grants.c
@@ -70,6 +70,7 @@
 {
 	grant_mark_started(g);
 	g->runner->n_grants--;
+	speeds_on_grant_freed(g, now_us);
 	g->runner->reserved_tokens -= g->tokens;
 	if (g->copy) {
 		g->copy->active_grants--;
@@ -148,6 +149,7 @@
 	r->pending_prefill_tokens += g->prefill_tokens;
 	r->reserved_tokens += g->tokens;
 	choice_record_grant(r, g->prefill_tokens, now_us);
+	speeds_on_grant(g, ask, d->runner_share, now_us);
 	runner_limit_take(&r->limit, d->runner_share, now_us);
 	runner_cache_prefixes(r, &keys);
 	if (c)
@@ -219,6 +221,7 @@
 	if (g->copy)
 		orders_learn_load_time(d, g->copy, false, now_us);
 	learn_slowdown(g, m->waited_us);
+	speeds_on_started(g, m->waited_us, now_us);
 	g->runner->last_started_us = now_us;
 	grant_mark_started(g);
 }
@@ -304,6 +307,7 @@
 		quarantine_on_answered(d, g, now_us);
 	}
 	learn_prefill_share(r, m->pause_permille);
+	speeds_on_done(g, m, now_us);
 	r->said_leaving |= m->leaving;
 	grant_free(d, g, now_us);
 	if (c && c->state == COPY_READY &&
