--- a/src/choice.c
+++ b/src/choice.c
@@ -321,6 +321,19 @@
 	return ask->event_gap_us > 0 || r->n_pause_limited > 0;
 }
 
+/*
+ * Smallest pause allowed to the streams that run there. Streams of older entries,
+ * which do not tell it, are taken to be of the request's own route.
+ */
+static int64_t pause_allowed_us(const runner_t *r, const Dispatch__Ask *ask)
+{
+	int64_t us = r->pause_allowed_us;
+
+	if (r->n_grants == r->n_pause_limited || ask->event_gap_us <= 0)
+		return us;
+	return us ? MIN(us, ask->event_gap_us) : ask->event_gap_us;
+}
+
 /*
  * Of a runner whose streams have limited pauses: when the prompt may be granted, and
  * what that costs. Sets the parts of the offer that depend on the runner's speed.
@@ -341,8 +354,9 @@
 		runner_speed_init(&unknown, q->model_key, now_us);
 		s = &unknown;
 	}
-	prefill_plan(&r->prefills, s, prefill_tokens, r->pause_allowed_us,
-		     d->runner_share, now_us, &plan);
+	prefill_plan(&r->prefills, s, prefill_tokens,
+		     pause_allowed_us(r, q->ask), d->runner_share, now_us,
+		     &plan);
 	own_us = (int64_t)(runner_speed_term(s, SPEED_FIRST, now_us) +
 			   prefill_tokens *
 				   runner_speed_term(s, SPEED_TOKEN, now_us));
@@ -401,11 +415,7 @@
 	if (limits_pauses(r, ask)) {
 		paced_offer(d, r, q, prefill_tokens, start_us, place_us, margin,
 			    now_us, offer);
-		/* Streams without a known limit are paced as everywhere. */
-		if (r->n_grants <= r->n_pause_limited)
-			backlog_us = 0;
-		offer->grant_in_us =
-			MAX(place_us, MAX(backlog_us, offer->spare_us));
+		offer->grant_in_us = MAX(place_us, offer->spare_us);
 	}
 	offer->cost += (double)offer->first_event_us / USEC_PER_MSEC *
 			       COST_FIRST_EVENT_PER_MS +
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -203,14 +203,6 @@
 	g->ops.send(g->ctx, &msg);
 }
 
-/* The stream's longest pause as a part of the one that its route allows. */
-static uint32_t pause_permille(const request_t *r)
-{
-	if (!r->route->event_gap_us)
-		return 0;
-	return (uint32_t)(r->longest_pause_us * 1000 / r->route->event_gap_us);
-}
-
 void request_release_place(request_t *r, place_outcome_t outcome)
 {
 	Dispatch__Done done = DISPATCH__DONE__INIT;
@@ -219,12 +211,7 @@
 		return;
 	done.id = r->ask_id;
 	done.outcome = outcome;
-	done.pause_permille = pause_permille(r);
-	done.event_gap_us = event_gaps_median(&r->event_gaps);
-	done.longest_pause_us = r->event_gaps.longest_us;
-	if (done.longest_pause_us)
-		done.pause_ago_us =
-			gateway_now(r->gw) - r->event_gaps.longest_end_us;
+	relay_tell_pauses(r, &done);
 	done.leaving = r->leaving;
 	done.by_peer = r->by_peer;
 	r->ask_id = 0;
--- a/src/gateway_int.h
+++ b/src/gateway_int.h
@@ -367,6 +367,8 @@
  * and counters.
  */
 void relay_note_end(request_t *r);
+/* Sets what the dispatcher is told of the gaps between the events of a stream. */
+void relay_tell_pauses(const request_t *r, Dispatch__Done *done);
 /* The target's response is complete. */
 void relay_end(request_t *r);
 /* Drops what the attempt under way has buffered of its response. */
--- a/src/relay.c
+++ b/src/relay.c
@@ -341,6 +341,25 @@
 		counter_add(CTR_STREAMS_ENDED_MIDWAY, 1);
 }
 
+/* The stream's longest pause as a part of the one that its route allows. */
+static uint32_t pause_permille(const request_t *r)
+{
+	if (!r->route->event_gap_us)
+		return 0;
+	return (uint32_t)(r->longest_pause_us * 1000 / r->route->event_gap_us);
+}
+
+void relay_tell_pauses(const request_t *r, Dispatch__Done *done)
+{
+	const event_gaps_t *g = &r->event_gaps;
+
+	done->pause_permille = pause_permille(r);
+	done->event_gap_us = event_gaps_median(g);
+	done->longest_pause_us = g->longest_us;
+	if (g->longest_us)
+		done->pause_ago_us = gateway_now(r->gw) - g->longest_end_us;
+}
+
 void relay_end(request_t *r)
 {
 	relay_note_end(r);
