Tests: half of the entries are older ones; Done tells the gaps of a stream

An entry that stops to report the gaps, or measures the caller's pauses, would leave the dispatcher with its assumptions, which shows nowhere else.

--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -39,6 +39,8 @@
 	std::string stray = "";
 	// Sent after it all, again and again until the other side closes.
 	std::string repeated = "";
+	// Sent after bytes, each after so many milliseconds.
+	std::vector<std::pair<int, std::string>> later = {};
 };
 
 Action response(int status, const std::string &fields, const std::string &body)
@@ -157,6 +159,11 @@
 				   MSG_NOSIGNAL);
 
 		(void)n;
+		for (auto &piece : action.later) {
+			usleep((useconds_t)piece.first * 1000);
+			n = ::send(c, piece.second.data(), piece.second.size(),
+				   MSG_NOSIGNAL);
+		}
 		if (!action.repeated.empty()) {
 			send_until_closed(c, action.repeated);
 			return false;
@@ -277,6 +284,8 @@
 	host_id_t peer = 0; // that daemon's; 0: it is not known
 	std::atomic<int> no_paths{0};
 	size_t n_by_peer = 0; // Done messages that say so
+	Dispatch__Ask last_ask = DISPATCH__ASK__INIT;	 // its numbers
+	Dispatch__Done last_done = DISPATCH__DONE__INIT; // the same
 	gateway_t *gateway;
 	manifest_t *manifest;
 	uint16_t port;
@@ -348,6 +357,8 @@
 			r->attempts = row.attempts;
 			r->timeout_us = 1500 * USEC_PER_MSEC;
 			r->target_us = 150 * USEC_PER_MSEC;
+			if (row.kind == ROUTE_STREAMING)
+				r->event_gap_us = 300 * USEC_PER_MSEC;
 			add_share(r, "app");
 		}
 		s = manifest_add_service(m);
@@ -408,6 +419,10 @@
 			fixture->asked_us = timer_svc_now(fixture->l.timers);
 
 		fixture->note_streams(msg);
+		if (msg->body_case == DISPATCH__MSG__BODY_ASK)
+			fixture->last_ask = *msg->ask;
+		if (msg->body_case == DISPATCH__MSG__BODY_DONE)
+			fixture->last_done = *msg->done;
 		if (msg->body_case == DISPATCH__MSG__BODY_LIMIT)
 			fixture->limits.push_back(msg->limit->named
 							  ? msg->limit->per_s
@@ -1173,6 +1188,35 @@
 	EXPECT_TRUE(has(b.received().at(0), "Last-Event-Id: 2\r\n"));
 }
 
+// The dispatcher learns from these numbers how fast the target is, and when a pause
+// of its streams came from a prompt.
+TEST(Gateway, DoneTellsTheGapsBetweenTheEventsOfAStream)
+{
+	std::string event = chunk("data: a\n\n");
+	Action action = {std::string(STREAM_HEAD) + event};
+
+	action.later = {{30, event}, {30, event},      {200, event},
+			{30, event}, {30, event},      {30, event},
+			{30, event}, {30, "0\r\n\r\n"}};
+	Target a({action});
+	GatewayFixture fixture({&a});
+	fixture.ask("/stream/x", "Length-Hint: 77\r\n");
+	Dispatch__Ask ask = DISPATCH__ASK__INIT;
+	Dispatch__Done done = DISPATCH__DONE__INIT;
+
+	fixture.l.call([&] {
+		ask = fixture.last_ask;
+		done = fixture.last_done;
+	});
+	EXPECT_EQ(77u, ask.tokens_out_hint);
+	EXPECT_EQ(300 * USEC_PER_MSEC, ask.event_gap_us);
+	EXPECT_GE(done.event_gap_us, 25 * USEC_PER_MSEC);
+	EXPECT_LE(done.event_gap_us, 100 * USEC_PER_MSEC);
+	EXPECT_GE(done.longest_pause_us, 195 * USEC_PER_MSEC);
+	EXPECT_GE(done.pause_ago_us, 140 * USEC_PER_MSEC);
+	EXPECT_LE(done.pause_ago_us, 1000 * USEC_PER_MSEC);
+}
+
 // The dispatcher that grants the second target may be of an older version.
 TEST(Gateway, StreamGoesOnOnlyAtTheSoftwareVersionThatBeganIt)
 {
--- a/tests/runner_speed_test.cc
+++ b/tests/runner_speed_test.cc
@@ -41,6 +41,7 @@
 	uint32_t produced = 0;
 	event_gaps_t gaps = {};
 	bool refused = false, done = false, queued = false;
+	bool new_entry = false; // its entry sends the new fields
 	size_t runner = 0;
 };
 
@@ -63,9 +64,10 @@
 class World
 {
       public:
-	World(const std::vector<double> &speeds, bool new_entry,
+	// new_share: of the requests, those that come from newer entries.
+	World(const std::vector<double> &speeds, double new_share,
 	      uint64_t seed = 1, double noise = 0.08)
-	    : new_entry(new_entry), noise(noise), rng(seed), step_rng(seed)
+	    : new_share(new_share), noise(noise), rng(seed), step_rng(seed)
 	{
 		static const dispatch_ops_t ops = {on_send, on_order, on_report,
 						   [](void *, str_t, str_t) {}};
@@ -174,7 +176,9 @@
 		part.tokens = 350;
 		a.parts = parts;
 		a.n_parts = prefix != 0;
-		if (new_entry) {
+		streams[id].new_entry =
+			(double)(id * 7919 % 100) < new_share * 100;
+		if (streams[id].new_entry) {
 			a.event_gap_us = PAUSE_MAX;
 			a.tokens_out_hint = output;
 		}
@@ -227,7 +231,7 @@
 	size_t loads = 0;
 
       private:
-	bool new_entry;
+	double new_share;
 	double noise;
 	std::mt19937_64 rng;	  // of the callers
 	std::mt19937_64 step_rng; // of the runners
@@ -462,7 +466,7 @@
 		m.id = id;
 		m.outcome = PLACE_ANSWERED;
 		m.pause_permille = (uint32_t)(g.longest_us * 1000 / PAUSE_MAX);
-		if (new_entry) {
+		if (streams[id].new_entry) {
 			m.event_gap_us = event_gaps_median(&g);
 			m.longest_pause_us = g.longest_us;
 			m.pause_ago_us = now - g.longest_end_us;
@@ -592,12 +596,12 @@
 	size_t loads = 0;
 };
 
-Played play(bool new_entry, double per_s)
+Played play(double new_share, double per_s)
 {
 	Played sum;
 
 	for (uint64_t seed = 1; seed <= 4; seed++) {
-		World w(MIXED, new_entry, seed);
+		World w(MIXED, new_share, seed);
 
 		w.run(3000, per_s);
 		int64_t from = w.now;
@@ -615,12 +619,12 @@
 		sum.r.on_time += r.on_time;
 		sum.r.first_median_ms += r.first_median_ms / 4;
 	}
-	printf("%s entries, %2.0f/s: %5.0f streams, %.1f %% paused, %.1f %% "
-	       "late, %.1f %% on time, first event %lld ms, %zu loads\n",
-	       new_entry ? "new" : "old", per_s, sum.r.n,
-	       sum.r.paused * 100 / sum.r.n, sum.r.late * 100 / sum.r.n,
-	       sum.r.on_time * 100 / sum.r.n, (long long)sum.r.first_median_ms,
-	       sum.loads);
+	printf("%3.0f %% new entries, %2.0f/s: %5.0f streams, %.1f %% paused, "
+	       "%.1f %% late, %.1f %% on time, first event %lld ms, %zu "
+	       "loads\n",
+	       new_share * 100, per_s, sum.r.n, sum.r.paused * 100 / sum.r.n,
+	       sum.r.late * 100 / sum.r.n, sum.r.on_time * 100 / sum.r.n,
+	       (long long)sum.r.first_median_ms, sum.loads);
 	return sum;
 }
 
@@ -631,8 +635,8 @@
 TEST(RunnerSpeed, FewerStreamsPauseThanWithEntriesThatTellLess)
 {
 	for (double per_s : {10.0, 20.0, 30.0, 40.0}) {
-		Played before = play(false, per_s);
-		Played after = play(true, per_s);
+		Played before = play(0, per_s);
+		Played after = play(1, per_s);
 
 		if (per_s <= 20) {
 			EXPECT_LE(after.r.paused, 0.75 * before.r.paused)
@@ -650,6 +654,17 @@
 	}
 }
 
+// During an update of the daemons, entries of both versions use the same runners.
+TEST(RunnerSpeed, EntriesOfBothVersionsAreServed)
+{
+	for (double per_s : {10.0, 30.0}) {
+		Played p = play(0.5, per_s);
+
+		EXPECT_GE(p.r.on_time, 0.95 * p.r.n) << per_s;
+		EXPECT_LE(p.r.refused, 0.002 * p.r.n) << per_s;
+	}
+}
+
 // A prompt that would make a slow runner's streams pause too long goes to a fast
 // runner, or to one where no stream runs, while both kinds have places.
 TEST(RunnerSpeed, LargePromptsGoWhereNoStreamPauses)
@@ -660,7 +675,7 @@
 			w.run(70, 0);
 		}
 	};
-	World w({0.6, 0.6, 1.6}, true);
+	World w({0.6, 0.6, 1.6}, 1);
 
 	asks(w, 40);
 	int64_t from = w.now;
@@ -682,7 +697,7 @@
 TEST(RunnerSpeed, ARunnerThatRecoversGetsWorkAgain)
 {
 	for (double per_s : {2.0, 12.0}) {
-		World w({1, 1, 1}, true);
+		World w({1, 1, 1}, 1);
 		auto asks = [&](int64_t ms) {
 			for (int64_t t = 0; t < ms;
 			     t += (int64_t)(1000 / per_s)) {
@@ -718,7 +733,7 @@
 // the beginning, and their streams do not pause for that.
 TEST(RunnerSpeed, UnknownRunnersGetWork)
 {
-	World w({1, 1}, true);
+	World w({1, 1}, 1);
 
 	for (int i = 0; i < 100; i++) {
 		w.ask(1100, 120);
