runner_speed: a prompt whose first event is never told is forgotten

It counted as being prefilled until its grant ended, which is as long as the stream runs, and for 32 more grants if the grant was replaced. It now ends after ten times its expected time.

--- a/src/runner_speed.c
+++ b/src/runner_speed.c
@@ -48,6 +48,12 @@
 #define FIT_DEVS 2.5
 /* Prompts are prefilled a little earlier or later than expected. */
 #define EVENT_MARGIN 1.3
+/*
+ * A prompt that takes this many times as long as expected counts as not begun, and
+ * one that takes LOST_TIMES as long as ended: the message on it was lost.
+ */
+#define OVERDUE_TIMES 2
+#define LOST_TIMES 10
 /* Change of an estimate that is worth a log line. */
 #define LOG_FACTOR 1.25
 
@@ -345,17 +351,26 @@
 			schedule(p, s, i, now_us);
 }
 
-/*
- * When the prompt is, or was, prefilled. One whose first event is overdue for as
- * long again as it should have taken may not even have been begun.
- */
-static int64_t end_of(const prefill_t *e, const runner_speed_t *s,
-		      int64_t now_us)
+/* Whether the prompt may still be being prefilled. overdue may be NULL. */
+static bool is_open(const prefill_t *e, const runner_speed_t *s, int64_t now_us,
+		    bool *overdue)
 {
 	int64_t first_us = (int64_t)runner_speed_term(s, SPEED_FIRST, now_us);
 	int64_t usual_us = e->end_us - e->granted_us + first_us;
+	int64_t us = now_us - e->granted_us;
+
+	if (overdue)
+		*overdue = us >= OVERDUE_TIMES * usual_us;
+	return !e->ended && us < LOST_TIMES * usual_us;
+}
+
+/* When the prompt is, or was, prefilled at the earliest. */
+static int64_t end_of(const prefill_t *e, const runner_speed_t *s,
+		      int64_t now_us)
+{
+	bool overdue;
 
-	if (e->ended || now_us - e->granted_us < 2 * usual_us)
+	if (!is_open(e, s, now_us, &overdue) || !overdue)
 		return e->end_us;
 	return now_us +
 	       (int64_t)(e->tokens * runner_speed_term(s, SPEED_TOKEN, now_us));
@@ -447,7 +462,7 @@
 		int64_t end_us = end_of(e, s, now_us);
 
 		/* It may take longer than expected until its first event. */
-		if (!e->ended)
+		if (is_open(e, s, now_us, NULL))
 			end_us = MAX(end_us, now_us);
 		end_us = MIN(end_us, busy_us);
 		quiet_us += MAX(next_us - end_us, 0);
--- a/tests/runner_speed_test.cc
+++ b/tests/runner_speed_test.cc
@@ -574,6 +574,25 @@
 	EXPECT_EQ(4000, prefills_between(&p, 0, now));
 }
 
+// A runner that is behind gets no more prompts; but a message that was lost must not
+// keep it from work for as long as its stream runs.
+TEST(RunnerSpeed, APromptThatIsNotAnsweredIsForgottenInTime)
+{
+	int64_t now = USEC_PER_SEC;
+	prefill_plan_t plan;
+	prefills_t p = {};
+	runner_speed_t s;
+
+	runner_speed_init(&s, 1, now);
+	prefills_add(&p, &s, 3000, now);
+	prefill_plan(&p, &s, 3000, PAUSE_MAX, 1, now + 500 * MS, &plan);
+	EXPECT_GT(plan.ahead_us, 100 * MS);
+	EXPECT_GT(plan.wait_us, 100 * MS);
+	prefill_plan(&p, &s, 1000, PAUSE_MAX, 1, now + 2500 * MS, &plan);
+	EXPECT_EQ(0, plan.ahead_us);
+	EXPECT_EQ(0, plan.wait_us);
+}
+
 TEST(RunnerSpeed, MedianGapIgnoresPausesAndSlowCallers)
 {
 	event_gaps_t g = {};
