--- a/src/gateway.c
+++ b/src/gateway.c
@@ -152,6 +152,8 @@
 	pb.adapter = pb_bytes(r->info.adapter);
 	pb.tokens_in = r->info.tokens_in;
 	pb.tokens_out = r->info.tokens_out;
+	pb.tokens_out_hint = r->info.tokens_out_hint;
+	pb.event_gap_us = r->route->event_gap_us;
 	pb.priority = r->route->priority;
 	if (r->org) {
 		pb.org = pb_bytes(r->org->name);
@@ -205,14 +207,6 @@
 	g->ops.send(g->ctx, &msg);
 }
 
-/* The stream's longest pause as a part of the one that its route allows. */
-static uint32_t pause_permille(const request_t *r)
-{
-	if (!r->route->event_gap_us)
-		return 0;
-	return (uint32_t)(r->longest_pause_us * 1000 / r->route->event_gap_us);
-}
-
 void request_release_place(request_t *r, place_outcome_t outcome)
 {
 	Dispatch__Done done = DISPATCH__DONE__INIT;
@@ -221,7 +215,7 @@
 		return;
 	done.id = r->ask_id;
 	done.outcome = outcome;
-	done.pause_permille = pause_permille(r);
+	relay_tell_pauses(r, &done);
 	done.leaving = r->leaving;
 	done.rejections_max = r->rejections_max;
 	done.by_peer = r->by_peer;
--- a/src/gateway_int.h
+++ b/src/gateway_int.h
@@ -7,6 +7,7 @@
 #ifndef DK_GATEWAY_INT_H
 #define DK_GATEWAY_INT_H
 
+#include "event_gaps.h"
 #include "gateway.h"
 #include "holdoff.h"
 
@@ -135,6 +136,7 @@
 	int64_t first_byte_after_us; /* from arrival to the first body byte */
 	int64_t last_byte_us;	     /* when bytes of the response last came */
 	int64_t longest_pause_us;    /* between two pieces of a stream */
+	event_gaps_t event_gaps;     /* of the attempt's stream */
 
 	/* Over all attempts of a stream. */
 
@@ -367,6 +369,8 @@
  * and counters.
  */
 void relay_note_end(request_t *r);
+/* Sets what the dispatcher is told of the gaps between the events of a stream. */
+void relay_tell_pauses(const request_t *r, Dispatch__Done *done);
 /* The target's response is complete. */
 void relay_end(request_t *r);
 /* Drops what the attempt under way has buffered of its response. */
--- a/src/relay.c
+++ b/src/relay.c
@@ -161,8 +161,10 @@
 	}
 	append_body(r, &out, piece);
 	http1_send(to, out.p, out.n);
-	if (r->conn && http1_unsent_bytes(to) > CALLER_UNSENT_MAX)
+	if (r->conn && http1_unsent_bytes(to) > CALLER_UNSENT_MAX) {
 		http1_pause_reading(r->conn, true);
+		event_gaps_skip(&r->event_gaps);
+	}
 }
 
 /* Bytes up to the end of the last complete event; 0: there is none. */
@@ -219,6 +221,7 @@
 	} else if (n) {
 		record_last_event_id(r, str_n(r->body_out.p, n));
 		r->event_relayed = true;
+		event_gaps_record(&r->event_gaps, r->last_byte_us);
 		r->event_open = false;
 	}
 	if (!n)
@@ -338,6 +341,25 @@
 		counter_add(CTR_STREAMS_ENDED_MIDWAY, 1);
 }
 
+/* The stream's longest pause as a part of the one that its route allows. */
+static uint32_t pause_permille(const request_t *r)
+{
+	if (!r->route->event_gap_us)
+		return 0;
+	return (uint32_t)(r->longest_pause_us * 1000 / r->route->event_gap_us);
+}
+
+void relay_tell_pauses(const request_t *r, Dispatch__Done *done)
+{
+	const event_gaps_t *g = &r->event_gaps;
+
+	done->pause_permille = pause_permille(r);
+	done->event_gap_us = event_gaps_median(g);
+	done->longest_pause_us = g->longest_us;
+	if (g->longest_us)
+		done->pause_ago_us = gateway_now(r->gw) - g->longest_end_us;
+}
+
 void relay_end(request_t *r)
 {
 	relay_note_end(r);
