Spill: which share of a domain's requests may leave it

Crossing to another failure domain had a constant cost of 8, whatever the load of the domains and the size of the request. spill.c keeps, for each service and pair of domains, the share of requests that may leave, from the smoothed wait of both domains, the learnt time there and back and a price of the bytes; it opens and closes with hysteresis. choice.c adds the costs: a request that is not of the share stays unless home is full or late, a loaded domain keeps the last places of its runners, and leaving is always cheaper than loading an adapter.

dispatch_test, crash_test, path_test and runner_limit_test pass unchanged.

--- a/src/choice.c
+++ b/src/choice.c
@@ -37,10 +37,28 @@
  */
 #define COST_QUEUE_PER_MS 5.0
 /*
- * Cost of a runner in another failure domain than the entry: the bytes cross
- * from one to the other.
+ * Most that crossing to another failure domain may cost where the alternative is to
+ * load the adapter: where adapters are loaded does not depend on the domains.
  */
-#define COST_OTHER_ZONE 8.0
+#define COST_CROSSING_LOAD_MAX 8.0
+/*
+ * Cost of leaving the domain for a request that is not of the share that may leave:
+ * less than a late first event, and less than a load from the store.
+ */
+#define COST_CROSSING_CLOSED 200.0
+/*
+ * Cost of a place that a loaded domain keeps for its own callers: more than a late
+ * first event, so that others get it only if they would be refused at home.
+ */
+#define COST_KEPT_PLACE 800.0
+/* A loaded domain keeps the last places of each runner, from this share on. */
+#define KEPT_PLACES_FROM 0.75
+/* Of the least cost of a load, what leaving the domain may cost at most. */
+#define CROSSING_SHARE_OF_LOAD 0.75
+/* Cost of a request for each slot of a plain runner, taken by all its requests. */
+#define COST_PLAIN_SLOTS 16.0
+/* Largest cost that jitter_cost() returns. */
+#define COST_JITTER 8.0
 /* Cost of loading the adapter from the weight store. */
 #define COST_LOAD_FROM_STORE 330.0
 /* Cost of loading an adapter that the runner held recently. */
@@ -183,6 +201,8 @@
 	uint64_t adapter_key;
 	uint64_t version; /* decided version of the adapter; 0: none */
 	prefix_keys_t prefixes;
+	spill_plan_t plan;
+	bool adapter_elsewhere; /* it is ready in other domains, at most */
 } query_t;
 
 /*
@@ -330,7 +350,7 @@
 	offer->grant_in_us = wait_us;
 	offer->first_event_us = wait_us;
 	offer->prefill_us = 0;
-	offer->cost = (double)r->n_grants / slots * COST_OTHER_ZONE * 2 +
+	offer->cost = (double)r->n_grants / slots * COST_PLAIN_SLOTS +
 		      (double)wait_us / USEC_PER_MSEC * COST_QUEUE_PER_MS;
 	return true;
 }
@@ -342,7 +362,7 @@
 	uint64_t seed = ask->id ^ (uint64_t)d->began_us;
 
 	return (double)(hash_bytes(r->id.p, r->id.n, seed) % JITTER_STEPS) *
-	       COST_OTHER_ZONE / JITTER_STEPS;
+	       COST_JITTER / JITTER_STEPS;
 }
 
 /* How long a caller waits for a first event before it gives up. */
@@ -408,18 +428,55 @@
 	return share > 0 ? share * COST_FAILURE : 0;
 }
 
+/* Least cost of loading the adapter, which must stay dearer than leaving the domain. */
+static double least_load_alternative(const dispatch_t *d)
+{
+	return COST_LOAD_RECENT + (double)d->adapter_load_us / USEC_PER_MSEC *
+					  COST_FIRST_EVENT_PER_MS;
+}
+
+/* Cost of a runner in another domain than the entry; path_us: time there and back. */
+static double crossing_cost(const dispatch_t *d, const service_t *s,
+			    const runner_t *r, const query_t *q,
+			    const offer_t *offer, int64_t *path_us)
+{
+	spill_crossing_t c = spill_crossing(&q->plan, r->zone);
+	double ms = (double)(c.path_us + c.price_us) / USEC_PER_MSEC;
+	double hold_ms = (double)r->mean_hold_us / USEC_PER_MSEC;
+	double places = (double)request_slots(r, s) * d->runner_share;
+	double cost;
+
+	*path_us = c.path_us;
+	if (!s->engine)
+		return COST_PLAIN_SLOTS *
+		       (MIN(ms / MAX(hold_ms, 1), 1) + (c.closed ? 1 : 0) +
+			(c.loaded ? 1 : 0));
+	cost = ms * COST_FIRST_EVENT_PER_MS;
+	if (offer->needs_load || q->adapter_elsewhere)
+		return MIN(cost, COST_CROSSING_LOAD_MAX);
+	if (c.closed)
+		cost += COST_CROSSING_CLOSED;
+	if (c.loaded && (double)r->n_grants >= places * KEPT_PLACES_FROM)
+		cost += COST_KEPT_PLACE;
+	if (q->ask->adapter.len)
+		cost = MIN(cost,
+			   least_load_alternative(d) * CROSSING_SHARE_OF_LOAD);
+	return cost;
+}
+
 /* Computes the runner's offer with all costs; false: it cannot take more. */
 static bool get_offer(const dispatch_t *d, const service_t *s,
 		      const runner_t *r, const query_t *q,
 		      const margin_t *margin, int64_t now_us, offer_t *offer)
 {
 	const Dispatch__Ask *ask = q->ask;
+	int64_t path_us = 0;
 
 	if (!(s->engine ? engine_offer(d, s, r, q, now_us, offer)
 			: plain_offer(d, s, r, now_us, offer)))
 		return false;
 	if (!str_eq(r->zone, pb_str(ask->zone)))
-		offer->cost += COST_OTHER_ZONE;
+		offer->cost += crossing_cost(d, s, r, q, offer, &path_us);
 	offer->cost += failure_cost(r, now_us);
 	if (r->limit.active)
 		offer->cost += COST_LIMITED;
@@ -427,7 +484,7 @@
 	 * same runner. */
 	if (d->mode == DISPATCH_ISOLATED)
 		offer->cost += jitter_cost(d, r, ask);
-	if (s->engine && offer->first_event_us > margin->objective_us)
+	if (s->engine && offer->first_event_us + path_us > margin->objective_us)
 		offer->cost += COST_LATE;
 	if (s->engine && offer->prefill_us > margin->prefill_us)
 		offer->cost += COST_TOO_LATE;
@@ -436,7 +493,24 @@
 	return true;
 }
 
-static query_t make_query(const dispatch_t *d, const Dispatch__Ask *ask)
+/* Whether a runner of the domain that may get requests has the adapter. */
+static bool is_ready_in(const dispatch_t *d, uint64_t adapter_key, str_t zone,
+			int64_t now_us)
+{
+	const copy_set_t *set = fleet_copies(d, adapter_key);
+	const copy_t *c;
+
+	if (!set)
+		return false;
+	cds_list_for_each_entry (c, &set->copies, same_key)
+		if (c->state == COPY_READY && str_eq(c->runner->zone, zone) &&
+		    runner_usable(c->runner, now_us))
+			return true;
+	return false;
+}
+
+static query_t make_query(const dispatch_t *d, const Dispatch__Ask *ask,
+			  int64_t now_us)
 {
 	str_t model = pb_str(ask->model);
 	query_t q = {
@@ -447,6 +521,11 @@
 
 	q.version = decided_version(d, q.adapter_key);
 	prefix_keys(ask, &q.prefixes);
+	q.plan = spill_plan(d->spill, pb_str(ask->service), pb_str(ask->zone),
+			    ask->tokens_in + ask->tokens_out, ask->id);
+	q.adapter_elsewhere =
+		ask->adapter.len &&
+		!is_ready_in(d, q.adapter_key, pb_str(ask->zone), now_us);
 	return q;
 }
 
@@ -475,6 +554,8 @@
 	bool any_of_build;
 	/* Some runner may be used once its software version is decided. */
 	bool any_undecided;
+	/* Some candidate is in the failure domain of the entry. */
+	bool any_at_home;
 	/* Some runner has the needed software version, and is full for now. */
 	bool any_full;
 	uint64_t n_offers; /* computed so far */
@@ -499,6 +580,7 @@
 		return;
 	}
 	best->any_candidate = true;
+	best->any_at_home |= str_eq(r->zone, pb_str(q->ask->zone));
 	if (best->runner && !holds && least_load_cost(r, q) >= best->offer.cost)
 		return;
 	best->n_offers++;
@@ -572,6 +654,21 @@
 	       best->margin->first_event_us > 0;
 }
 
+static spill_reason_t why_it_leaves(const search_t *best)
+{
+	const query_t *q = best->q;
+	str_t zone = best->runner->zone;
+
+	if (str_eq(zone, pb_str(q->ask->zone)))
+		return SPILL_STAYS;
+	if (!best->any_at_home)
+		return SPILL_NO_RUNNER;
+	if (q->adapter_elsewhere)
+		return SPILL_ADAPTER;
+	return spill_crossing(&q->plan, zone).closed ? SPILL_HOME_FULL
+						     : SPILL_SHARE;
+}
+
 choice_t choose_runner(dispatch_t *d, const Dispatch__Ask *ask,
 		       int64_t waited_us, int64_t load_waited_us,
 		       int64_t now_us)
@@ -589,7 +686,7 @@
 
 	if (!s)
 		return choice;
-	q = make_query(d, ask);
+	q = make_query(d, ask, now_us);
 	best.q = &q;
 	search_runners(d, &best, now_us);
 	counter_add(CTR_DISPATCH_DECISIONS, 1);
@@ -609,6 +706,7 @@
 	choice.first_event_us = best.offer.first_event_us;
 	choice.grant_in_us = best.offer.grant_in_us;
 	choice.needs_load = best.offer.needs_load;
+	choice.leaves = why_it_leaves(&best);
 	choice.prefill_us = best.offer.prefill_us;
 	if (best.offer.cost >= COST_TOO_LATE) {
 		late_us =
@@ -620,3 +718,49 @@
 	}
 	return choice;
 }
+
+/* Time until a new request can begin at the runner. */
+static int64_t begin_wait_us(const dispatch_t *d, const service_t *s,
+			     const runner_t *r, int64_t now_us)
+{
+	double places = (double)request_slots(r, s) * d->runner_share;
+	int64_t limit_us = limit_wait_us(d, r, now_us);
+	double queued_us;
+
+	if (s->engine)
+		queued_us = MAX((double)place_wait_us(d, s, r),
+				tokens_ahead(r, now_us) / prefill_rate(r));
+	else
+		queued_us = (double)r->mean_hold_us *
+			    MAX(r->n_grants + 1 - places, 0) / places;
+	return MAX(limit_us, (int64_t)queued_us);
+}
+
+void choice_decide_spill(dispatch_t *d, int64_t now_us)
+{
+	runner_t *r;
+
+	if (!spill_is_due(d->spill, now_us))
+		return;
+	spill_begin_samples(d->spill);
+	cds_list_for_each_entry (r, &d->runners, node) {
+		const service_t *s =
+			d->manifest
+				? manifest_find_service(d->manifest, r->service)
+				: NULL;
+		spill_runner_t sample = {
+			.service = r->service,
+			.zone = r->zone,
+			.used = r->n_grants + r->n_queued,
+			.hold_us = r->mean_hold_us,
+		};
+
+		if (!s || !runner_usable(r, now_us) ||
+		    (s->engine && !r->models_known))
+			continue;
+		sample.places = request_slots(r, s) * d->runner_share;
+		sample.wait_us = begin_wait_us(d, s, r, now_us);
+		spill_add_runner(d->spill, &sample);
+	}
+	spill_decide(d->spill, now_us);
+}
--- a/src/counter.h
+++ b/src/counter.h
@@ -84,12 +84,33 @@
 	X(REQUESTS_QUARANTINED, "requests_quarantined",                 \
 	  "Requests, sent again alike, found to crash runners")
 
-#define COUNTERS(X)       \
-	COUNTERS_HTTP(X)  \
-	COUNTERS_SERVE(X) \
-	COUNTERS_STATE(X) \
-	COUNTERS_LINK(X)  \
-	COUNTERS_DISPATCH(X)
+#define COUNTERS_SPILL(X)                                                      \
+	X(SPILL_LEFT_ADAPTER, "spill_left_adapter",                            \
+	  "Requests that left their failure domain: their adapter was ready "  \
+	  "elsewhere only")                                                    \
+	X(SPILL_LEFT_NO_RUNNER, "spill_left_no_runner",                        \
+	  "Requests that left their failure domain: no runner there could "    \
+	  "serve them")                                                        \
+	X(SPILL_LEFT_SHARE, "spill_left_share",                                \
+	  "Requests that left their failure domain: they were of the share "   \
+	  "that may")                                                          \
+	X(SPILL_LEFT_HOME_FULL, "spill_left_home_full",                        \
+	  "Requests that left their failure domain: it was full, or they "     \
+	  "would have been late there")                                        \
+	X(SPILL_TOKENS, "spill_tokens",                                        \
+	  "Tokens, at most, of all requests that left their failure domain")   \
+	X(SPILL_OPENED, "spill_opened",                                        \
+	  "Times that a share of a domain's requests was first let leave for " \
+	  "another")                                                           \
+	X(SPILL_CLOSED, "spill_closed", "Times that this share fell to zero")
+
+#define COUNTERS(X)          \
+	COUNTERS_HTTP(X)     \
+	COUNTERS_SERVE(X)    \
+	COUNTERS_STATE(X)    \
+	COUNTERS_LINK(X)     \
+	COUNTERS_DISPATCH(X) \
+	COUNTERS_SPILL(X)
 
 /*
  * X(NAME, "status") - groups of statuses that callers get. 408, 421, 429 and 503
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -69,6 +69,7 @@
 	d->streams = stream_builds_new();
 	d->quarantine = quarantine_new();
 	d->paths = paths_new();
+	d->spill = spill_new();
 	pacing_init(d);
 	d->decided_builds = build_set_new();
 	d->seen_builds = build_set_new();
@@ -302,6 +303,10 @@
 			queue_at_runner(req, choice.runner);
 			return;
 		}
+		spill_record_left(choice.leaves, pb_str(a->request),
+				  choice.runner->service, pb_str(a->zone),
+				  choice.runner->zone,
+				  a->tokens_in + a->tokens_out);
 		grants_issue(d, &req->key, a, choice.runner,
 			     choice.first_event_us, now_us);
 		pending_free(d, req);
@@ -413,6 +418,8 @@
 	}
 	quarantine_on_ask(d, a);
 	paths_on_ask(d, key->host, pb_str(a->zone));
+	spill_on_request(d->spill, pb_str(a->service), pb_str(a->zone),
+			 a->tokens_in + a->tokens_out, now_us);
 	if (!retry_budget_spend(&d->budgets, pb_str(a->service), a->repeat,
 				retry_slack_share(d, now_us), now_us)) {
 		send_refusal(d, key, REASON_RETRY_BUDGET, REFUSAL_RETRY_US);
@@ -692,6 +699,7 @@
 	grants_clear(d);
 	pacing_clear(d);
 	paths_clear(d->paths);
+	spill_clear(d->spill);
 	fleet_clear(d);
 	retry_budgets_clear(&d->budgets);
 	stream_builds_clear(d->streams);
@@ -733,6 +741,7 @@
 	stream_builds_free(d->streams);
 	quarantine_free(d->quarantine);
 	paths_free(d->paths);
+	spill_free(d->spill);
 	pacing_free(d);
 	build_set_free(d->decided_builds);
 	build_set_free(d->seen_builds);
@@ -778,6 +787,7 @@
 	if (now_us >= d->sweep_due_us) {
 		d->sweep_due_us = now_us + SWEEP_INTERVAL_US;
 		grants_sweep(d, now_us);
+		choice_decide_spill(d, now_us);
 	}
 	quarantine_due_us = quarantine_tick(d, now_us);
 	return MIN(quarantine_due_us,
--- a/src/dispatch_int.h
+++ b/src/dispatch_int.h
@@ -14,6 +14,7 @@
 #include "pb.h"
 #include "retry_budget.h"
 #include "runner_limit.h"
+#include "spill.h"
 
 #include <glib.h>
 #include <urcu/list.h>
@@ -210,6 +211,7 @@
 	/* Owned: ids of the prompt's parts that other prompts may share. */
 	uint64_t *shared_parts;
 	uint32_t n_shared_parts;
+	str_t zone;	 /* owned: of the entry; empty: not known */
 	uint64_t digest; /* of the request; 0: not known, or answered */
 	struct cds_list_head suspect; /* in those of quarantine_t, or empty */
 	host_id_t via;		      /* as told to its host */
@@ -300,6 +302,7 @@
 	stream_builds_t *streams; /* of all entries, as far as they told */
 	quarantine_t *quarantine;
 	paths_t *paths;
+	spill_t *spill;
 	build_set_t *decided_builds;
 	/* Seen in the list, or decided, within BUILD_FORGET_US. */
 	build_set_t *seen_builds;
@@ -424,6 +427,7 @@
 	int64_t prefill_us;	/* the part of it until the prefill ends */
 	int64_t grant_in_us;	/* until a place may be granted; 0: now */
 	bool needs_load;	/* the adapter has to be loaded there first */
+	spill_reason_t leaves;	/* why it is in another domain than the entry */
 	/*
 	 * No runner, but there may be one soon: the request waits. The software
 	 * version of one is not decided yet, or one that could go on with the
@@ -439,6 +443,8 @@
 choice_t choose_runner(dispatch_t *d, const Dispatch__Ask *ask,
 		       int64_t waited_us, int64_t load_waited_us,
 		       int64_t now_us);
+/* Passes the state of all runners to d->spill, and has it decide. */
+void choice_decide_spill(dispatch_t *d, int64_t now_us);
 /* Adds the prompt of a request that is granted now to the prefill backlog. */
 void choice_record_grant(runner_t *r, uint32_t prefill_tokens, int64_t now_us);
 
--- a/src/event.h
+++ b/src/event.h
@@ -105,6 +105,23 @@
 	  "or this daemon's.")                                                 \
 	X("cancelled", 100, "id route state after_ms",                         \
 	  "The caller's connection ended before the response.")                \
+	X("spill_opened", 20,                                                  \
+	  "service zone to wait_ms wait_there_ms crossing_ms keep_ms",         \
+	  "Dispatcher: waiting in this failure domain takes longer than in "   \
+	  "another one and the way there; a share of its requests may leave. " \
+	  "crossing_ms is the time there and back and the price of the "       \
+	  "bytes, keep_ms how long the share stays open at least.")            \
+	X("spill_closed", 20,                                                  \
+	  "service zone to why after_ms wait_ms wait_there_ms",                \
+	  "Dispatcher: no share of the domain's requests leaves any more. "    \
+	  "why: no_gain, loaded_there (the other domain needs its runners "    \
+	  "itself), no_runner_there, no_runner (at home: all may leave) or "   \
+	  "paused (the dispatcher was).")                                      \
+	X("request_left_domain", 100, "id service zone to why tokens",         \
+	  "Dispatcher: a request was granted a place in another failure "      \
+	  "domain. why: adapter (it is ready there only), no_runner (none at " \
+	  "home may serve it), share (of those that may leave, spill_opened) " \
+	  "or home_full (it is full, or the request would be late there).")    \
 	X("quarantine_begun", 10, "cause crashes",                             \
 	  "Dispatcher: so many runners have ended as they were about to "      \
 	  "answer what the cause names, and nothing else explains it; it is "  \
--- a/src/grants.c
+++ b/src/grants.c
@@ -79,6 +79,7 @@
 	cds_list_del(&g->suspect);
 	g_hash_table_remove(d->grants, &g->key);
 	free(g->shared_parts);
+	str_free(&g->zone);
 	free(g);
 }
 
@@ -141,6 +142,7 @@
 	g->expected_first_event_us = first_event_us;
 	g->deadline_us = now_us + ask->left_us;
 	g->for_stream = ask->takes_up;
+	g->zone = str_copy(pb_str(ask->zone));
 	grant_set_parts(g, ask);
 	g->digest = ask->digest;
 	g->via = paths_choose_via(d, key->host, key->id, r, now_us);
@@ -218,6 +220,11 @@
 	g->runner->said_leaving |= m->leaving;
 	if (g->copy)
 		orders_learn_load_time(d, g->copy, false, now_us);
+	if (!m->by_peer && m->waited_us > 0)
+		spill_on_started(d->spill, g->runner->service, g->zone,
+				 g->runner->zone,
+				 m->waited_us - g->expected_first_event_us,
+				 now_us);
 	learn_slowdown(g, m->waited_us);
 	g->runner->last_started_us = now_us;
 	grant_mark_started(g);
