--- a/src/choice.c
+++ b/src/choice.c
@@ -42,21 +42,25 @@
  */
 #define COST_CROSSING_LOAD_MAX 8.0
 /*
- * Cost of leaving the domain for a request that is not of the share that may leave:
- * less than a late first event, and less than a load from the store.
+ * Cost of leaving the domain for a request that is not of the share that may leave. It
+ * has to be less than that of a late first event, of a load from the store, and of a
+ * runner at home that has named a limit.
  */
-#define COST_CROSSING_CLOSED 200.0
+#define COST_CROSSING_CLOSED 40.0
 /*
- * Cost of a place that a loaded domain keeps for its own callers: more than a late
- * first event, so that others get it only if they would be refused at home.
+ * Cost of a place that a loaded domain keeps for its own callers: others are refused,
+ * with the time after which there is one at home.
  */
-#define COST_KEPT_PLACE 800.0
+#define COST_KEPT_PLACE (4 * COST_TOO_LATE)
 /* A loaded domain keeps the last places of each runner, from this share on. */
 #define KEPT_PLACES_FROM 0.75
 /* Of the least cost of a load, what leaving the domain may cost at most. */
 #define CROSSING_SHARE_OF_LOAD 0.75
 /* Cost of a request for each slot of a plain runner, taken by all its requests. */
 #define COST_PLAIN_SLOTS 16.0
+/* As COST_CROSSING_CLOSED and COST_KEPT_PLACE, for plain services. */
+#define COST_PLAIN_CLOSED (0.75 * COST_PLAIN_SLOTS)
+#define COST_PLAIN_KEPT (0.5 * COST_PLAIN_SLOTS)
 /* Largest cost that jitter_cost() returns. */
 #define COST_JITTER 8.0
 /* Cost of loading the adapter from the weight store. */
@@ -435,28 +439,41 @@
 					  COST_FIRST_EVENT_PER_MS;
 }
 
+/* Whether a runner of a loaded domain has a place for its own callers only. */
+static bool keeps_place(const dispatch_t *d, const service_t *s,
+			const runner_t *r, int64_t now_us)
+{
+	double places = (double)request_slots(r, s) * d->runner_share;
+
+	if ((double)r->n_grants >= places * KEPT_PLACES_FROM)
+		return true;
+	return s->engine &&
+	       tokens_ahead(r, now_us) > PREFILL_LOW_TOKENS * d->runner_share;
+}
+
 /* Cost of a runner in another domain than the entry; path_us: time there and back. */
 static double crossing_cost(const dispatch_t *d, const service_t *s,
 			    const runner_t *r, const query_t *q,
-			    const offer_t *offer, int64_t *path_us)
+			    const offer_t *offer, int64_t now_us,
+			    int64_t *path_us)
 {
 	spill_crossing_t c = spill_crossing(&q->plan, r->zone);
 	double ms = (double)(c.path_us + c.price_us) / USEC_PER_MSEC;
 	double hold_ms = (double)r->mean_hold_us / USEC_PER_MSEC;
-	double places = (double)request_slots(r, s) * d->runner_share;
+	bool kept = c.loaded && keeps_place(d, s, r, now_us);
 	double cost;
 
 	*path_us = c.path_us;
 	if (!s->engine)
-		return COST_PLAIN_SLOTS *
-		       (MIN(ms / MAX(hold_ms, 1), 1) + (c.closed ? 1 : 0) +
-			(c.loaded ? 1 : 0));
+		return COST_PLAIN_SLOTS * MIN(ms / MAX(hold_ms, 1), 1) +
+		       (c.closed ? COST_PLAIN_CLOSED : 0) +
+		       (kept ? COST_PLAIN_KEPT : 0);
 	cost = ms * COST_FIRST_EVENT_PER_MS;
 	if (offer->needs_load || q->adapter_elsewhere)
 		return MIN(cost, COST_CROSSING_LOAD_MAX);
 	if (c.closed)
 		cost += COST_CROSSING_CLOSED;
-	if (c.loaded && (double)r->n_grants >= places * KEPT_PLACES_FROM)
+	if (kept)
 		cost += COST_KEPT_PLACE;
 	if (q->ask->adapter.len)
 		cost = MIN(cost,
@@ -476,7 +493,8 @@
 			: plain_offer(d, s, r, now_us, offer)))
 		return false;
 	if (!str_eq(r->zone, pb_str(ask->zone)))
-		offer->cost += crossing_cost(d, s, r, q, offer, &path_us);
+		offer->cost +=
+			crossing_cost(d, s, r, q, offer, now_us, &path_us);
 	offer->cost += failure_cost(r, now_us);
 	if (r->limit.active)
 		offer->cost += COST_LIMITED;
@@ -731,8 +749,10 @@
 		queued_us = MAX((double)place_wait_us(d, s, r),
 				tokens_ahead(r, now_us) / prefill_rate(r));
 	else
-		queued_us = (double)r->mean_hold_us *
-			    MAX(r->n_grants + 1 - places, 0) / places;
+		queued_us =
+			(double)r->mean_hold_us *
+			(r->n_grants >= places + 1 ? r->n_grants - places : 0) /
+			places;
 	return MAX(limit_us, (int64_t)queued_us);
 }
 
--- a/src/grants.c
+++ b/src/grants.c
@@ -166,6 +166,24 @@
 
 /* Messages from entries. */
 
+/*
+ * Learns how long requests take to other failure domains and back; returns that time
+ * for this one, which says nothing of the runner.
+ */
+static int64_t learn_path(dispatch_t *d, const grant_t *g,
+			  const Dispatch__Started *m, int64_t now_us)
+{
+	const runner_t *r = g->runner;
+
+	if (!m->by_peer && m->waited_us > 0)
+		spill_on_started(d->spill, r->service, g->zone, r->zone,
+				 m->waited_us - g->expected_first_event_us,
+				 now_us);
+	if (str_eq(g->zone, r->zone))
+		return 0;
+	return spill_path_us(d->spill, r->service, g->zone, r->zone);
+}
+
 static void learn_slowdown(grant_t *g, int64_t waited_us)
 {
 	runner_t *r = g->runner;
@@ -220,12 +238,7 @@
 	g->runner->said_leaving |= m->leaving;
 	if (g->copy)
 		orders_learn_load_time(d, g->copy, false, now_us);
-	if (!m->by_peer && m->waited_us > 0)
-		spill_on_started(d->spill, g->runner->service, g->zone,
-				 g->runner->zone,
-				 m->waited_us - g->expected_first_event_us,
-				 now_us);
-	learn_slowdown(g, m->waited_us);
+	learn_slowdown(g, m->waited_us - learn_path(d, g, m, now_us));
 	g->runner->last_started_us = now_us;
 	grant_mark_started(g);
 }
--- a/src/spill.c
+++ b/src/spill.c
@@ -12,14 +12,16 @@
 /* After a longer interval the process was paused, and all shares begin anew. */
 #define DECIDE_STALE_US (2 * USEC_PER_SEC)
 /* The demand of a domain is counted over a sliding window of so many steps. */
-#define DEMAND_STEPS 8u
+#define DEMAND_STEPS 16u
 #define DEMAND_STEP_US (250 * USEC_PER_MSEC)
 /* A new value counts 1/2 in the smoothed wait of a domain. */
 #define WAIT_SMOOTH_DIV 2
+/* And 1/4 in the places used: few runners have few places. */
+#define USED_SMOOTH_DIV 4
 /* A runner's longer wait says no more of its domain than this one. */
 #define WAIT_MAX_US (2 * USEC_PER_SEC)
-/* A new request counts 1/64 in the mean size of a domain's requests. */
-#define TOKENS_SMOOTH_DIV 64.0
+/* Weight of a new request in their mean size: 1/64, or 1/n of the first n. */
+#define TOKENS_SMOOTH_MAX 64u
 
 /*
  * A share begins to grow where the wait saved exceeds the cost of crossing by a
@@ -38,15 +40,21 @@
 #define SHARE_STEP_DOWN 0.05
 /* Most requests of a domain that may leave it, for all others together. */
 #define SHARE_MAX 0.75
-/* A share that was opened does not fall below this for pair_t.keep_us. */
+/* The least step, and the least share. */
 #define SHARE_MIN 0.05
 /*
- * A pair that opens again within REOPEN_US of its closing is at the threshold: each
- * time it is kept open for twice as long.
+ * What a share has achieved does not close it: it shrinks once the demand of the
+ * domain's callers has fallen below this part of what it was when the share last grew.
  */
-#define KEEP_MIN_US (1 * USEC_PER_SEC)
-#define KEEP_MAX_US (32 * USEC_PER_SEC)
-#define REOPEN_US (5 * USEC_PER_SEC)
+#define DEMAND_FALLEN 0.7
+/*
+ * It also shrinks where it has not paid for spill_domain_t.keep_us, as the runners may
+ * have become faster. A share that opens again within REOPEN_US of a closing is at the
+ * threshold: each time the domain keeps its shares for twice as long.
+ */
+#define KEEP_MIN_US (10 * USEC_PER_SEC)
+#define KEEP_MAX_US (80 * USEC_PER_SEC)
+#define REOPEN_US (6 * USEC_PER_SEC)
 
 /*
  * A domain is loaded if it uses this share of its places, or if requests wait there
@@ -55,13 +63,8 @@
  */
 #define LOADED_PLACES 0.8
 #define LOADED_PLACES_END 0.65
-#define LOADED_WAIT 0.25
-#define LOADED_WAIT_END 0.125
-/*
- * With fewer places in use than this, a domain takes its requests back even if its
- * demand by the mean time that a place is held is high: that time may be outdated.
- */
-#define RETURN_PLACES 0.5
+#define LOADED_WAIT 0.2
+#define LOADED_WAIT_END 0.1
 
 /* Time there and back until it is learnt. */
 #define PATH_ASSUMED_US (2 * USEC_PER_MSEC)
@@ -90,8 +93,6 @@
 	double share;	   /* of the domain's requests that may go there */
 	bool open;	   /* share > 0 */
 	int64_t opened_us;
-	int64_t closed_us;
-	int64_t keep_us; /* how long it stays open at least */
 } pair_t;
 
 /* A failure domain, as one service uses it. */
@@ -106,12 +107,20 @@
 	double hold_us;
 	double wait_us;
 	double smooth_wait_us;
+	double smooth_used;
 	double spare; /* places that other domains may use */
 	bool loaded;
 	/* Requests of its own callers in step n are at n % DEMAND_STEPS. */
 	uint32_t requests[DEMAND_STEPS];
 	int64_t demand_step;
 	double mean_tokens;
+	uint32_t
+		n_tokens; /* requests in mean_tokens, TOKENS_SMOOTH_MAX at most */
+	/* Of the shares of its requests that may leave. */
+	double grown_demand; /* requests in the window when one last grew */
+	int64_t paid_us;     /* when one last paid */
+	int64_t closed_us;   /* when one was last closed */
+	int64_t keep_us;
 } spill_domain_t;
 
 typedef struct service_spill {
@@ -204,6 +213,7 @@
 	}
 	z = xcalloc(1, sizeof(*z));
 	z->name = str_copy(zone);
+	z->closed_us = INT64_MIN / 2;
 	z->pairs = g_ptr_array_new_with_free_func(free);
 	g_ptr_array_add(v->domains, z);
 	return z;
@@ -228,7 +238,6 @@
 		return p;
 	p = xcalloc(1, sizeof(*p));
 	p->to = to;
-	p->closed_us = INT64_MIN / 2;
 	g_ptr_array_add(z->pairs, p);
 	return p;
 }
@@ -257,18 +266,20 @@
 		return;
 	advance_demand(z, now_us);
 	z->requests[z->demand_step % DEMAND_STEPS]++;
-	z->mean_tokens += ((double)tokens - z->mean_tokens) / TOKENS_SMOOTH_DIV;
+	if (z->n_tokens < TOKENS_SMOOTH_MAX)
+		z->n_tokens++;
+	z->mean_tokens += ((double)tokens - z->mean_tokens) / z->n_tokens;
 }
 
-/* Places that the requests of the domain's own callers take. */
-static double demand_places(spill_domain_t *z, double hold_us, int64_t now_us)
+/* Requests of the domain's own callers in the window. */
+static double demand(spill_domain_t *z, int64_t now_us)
 {
 	uint32_t n = 0;
 
 	advance_demand(z, now_us);
 	for (size_t i = 0; i < DEMAND_STEPS; i++)
 		n += z->requests[i];
-	return n * hold_us / (double)(DEMAND_STEPS * DEMAND_STEP_US);
+	return n;
 }
 
 /* Time there and back. */
@@ -385,6 +396,7 @@
 
 	if (!z->n_runners) {
 		z->smooth_wait_us = 0;
+		z->smooth_used = 0;
 		z->spare = 0;
 		z->loaded = false;
 		return;
@@ -392,23 +404,24 @@
 	z->hold_us = MAX(z->hold_us / z->n_runners, 1);
 	z->wait_us /= z->n_runners;
 	z->smooth_wait_us += (z->wait_us - z->smooth_wait_us) / WAIT_SMOOTH_DIV;
-	used = z->used / MAX(z->places, 1);
+	z->smooth_used += (z->used - z->smooth_used) / USED_SMOOTH_DIV;
+	used = z->smooth_used / MAX(z->places, 1);
 	wait = z->smooth_wait_us / z->hold_us;
 	if (used >= LOADED_PLACES || wait >= LOADED_WAIT)
 		z->loaded = true;
 	else if (used < LOADED_PLACES_END && wait < LOADED_WAIT_END)
 		z->loaded = false;
-	z->spare = MAX(z->places * LOADED_PLACES - z->used, 0);
+	z->spare = MAX(z->places * LOADED_PLACES - z->smooth_used, 0);
 }
 
-static void close_pair(const service_spill_t *v, const spill_domain_t *z,
-		       pair_t *p, const char *why, int64_t now_us)
+static void close_pair(const service_spill_t *v, spill_domain_t *z, pair_t *p,
+		       const char *why, int64_t now_us)
 {
 	p->share = 0;
 	if (!p->open)
 		return;
 	p->open = false;
-	p->closed_us = now_us;
+	z->closed_us = now_us;
 	counter_add(CTR_SPILL_CLOSED, 1);
 	log_event(LOG_INFO, "spill_closed", kv_s("service", v->service),
 		  kv_s("zone", z->name), kv_s("to", p->to->name),
@@ -419,14 +432,25 @@
 		       (int64_t)p->to->smooth_wait_us / USEC_PER_MSEC));
 }
 
-static void open_pair(const service_spill_t *v, const spill_domain_t *z,
-		      pair_t *p, int64_t crossing_us, int64_t now_us)
+/* Whether a share of the domain's requests may leave. */
+static bool is_open(const spill_domain_t *z)
 {
-	bool again = now_us - p->closed_us < REOPEN_US;
+	for (guint i = 0; i < z->pairs->len; i++)
+		if (((const pair_t *)g_ptr_array_index(z->pairs, i))->open)
+			return true;
+	return false;
+}
 
+static void open_pair(const service_spill_t *v, spill_domain_t *z, pair_t *p,
+		      int64_t crossing_us, int64_t now_us)
+{
+	if (now_us - z->closed_us < REOPEN_US)
+		z->keep_us = MIN(z->keep_us * 2, KEEP_MAX_US);
+	else if (!is_open(z))
+		z->keep_us = KEEP_MIN_US;
+	z->closed_us = INT64_MIN / 2;
 	p->open = true;
 	p->opened_us = now_us;
-	p->keep_us = again ? MIN(p->keep_us * 2, KEEP_MAX_US) : KEEP_MIN_US;
 	counter_add(CTR_SPILL_OPENED, 1);
 	log_event(LOG_INFO, "spill_opened", kv_s("service", v->service),
 		  kv_s("zone", z->name), kv_s("to", p->to->name),
@@ -434,7 +458,7 @@
 		  kv_i("wait_there_ms",
 		       (int64_t)p->to->smooth_wait_us / USEC_PER_MSEC),
 		  kv_i("crossing_ms", crossing_us / USEC_PER_MSEC),
-		  kv_i("keep_ms", p->keep_us / USEC_PER_MSEC));
+		  kv_i("keep_ms", z->keep_us / USEC_PER_MSEC));
 }
 
 /* Wait that a request saves by going there, and what it costs, in us. */
@@ -459,12 +483,11 @@
 	return g->saved > g->crossing * OPEN_FACTOR + OPEN_MIN_GAIN_US;
 }
 
-/* Whether the domain could hardly serve its own callers alone. */
-static bool needs_others(spill_domain_t *z, int64_t now_us)
+/* Whether the domain is likely to need its shares, although they do not pay now. */
+static bool keeps_shares(spill_domain_t *z, int64_t now_us)
 {
-	return demand_places(z, z->hold_us, now_us) >=
-		       z->places * LOADED_PLACES_END &&
-	       z->used >= z->places * RETURN_PLACES;
+	return now_us - z->paid_us < z->keep_us &&
+	       demand(z, now_us) > z->grown_demand * DEMAND_FALLEN;
 }
 
 /* Lowers the share where it does not pay any more; closes the pair at 0. */
@@ -472,7 +495,6 @@
 			 int64_t now_us)
 {
 	gain_t g = gain_of(z, p);
-	double least = now_us - p->opened_us < p->keep_us ? SHARE_MIN : 0;
 
 	if (!p->to->n_runners || !z->n_runners) {
 		close_pair(v, z, p,
@@ -480,13 +502,13 @@
 			   now_us);
 		return;
 	}
-	if (p->to->loaded) {
+	if (gain_pays(&g))
+		z->paid_us = now_us;
+	if (p->to->loaded)
 		p->share -= SHARE_STEP_UP;
-		least = 0;
-	} else if (g.saved < g.crossing * CLOSE_FACTOR &&
-		   !needs_others(z, now_us)) {
-		p->share = MAX(p->share - SHARE_STEP_DOWN, least);
-	}
+	else if (g.saved < g.crossing * CLOSE_FACTOR &&
+		 !keeps_shares(z, now_us))
+		p->share -= SHARE_STEP_DOWN;
 	/* Rounding must not leave a share that selects nothing. */
 	if (p->share < SHARE_MIN / 2)
 		close_pair(v, z, p, p->to->loaded ? "loaded_there" : "no_gain",
@@ -499,7 +521,7 @@
 {
 	gain_t best_gain = {0};
 	pair_t *best = NULL;
-	double demand, step;
+	double places, step;
 
 	for (guint i = 0; i < z->pairs->len; i++) {
 		pair_t *p = g_ptr_array_index(z->pairs, i);
@@ -508,21 +530,29 @@
 		if (p->to == z || !p->to->n_runners || p->to->loaded ||
 		    p->to->spare <= 0 || !gain_pays(&g))
 			continue;
-		if (best && g.saved - g.crossing <=
-				    best_gain.saved - best_gain.crossing)
+		/* Another domain only where those in use have no places. */
+		if (best && best->open && !p->open)
+			continue;
+		if (best && best->open == p->open &&
+		    g.saved - g.crossing <=
+			    best_gain.saved - best_gain.crossing)
 			continue;
 		best = p;
 		best_gain = g;
 	}
 	if (!best)
 		return;
-	demand = MAX(demand_places(z, best->to->hold_us, now_us), 1);
+	z->paid_us = now_us;
+	/* Places there that all requests of the domain would take. */
+	places = MAX(demand(z, now_us), 1) * best->to->hold_us /
+		 (double)(DEMAND_STEPS * DEMAND_STEP_US);
 	step = MIN(SHARE_STEP_UP, SHARE_MAX - total);
-	step = MIN(step, best->to->spare / demand);
+	step = MIN(step, best->to->spare / places);
 	if (step < SHARE_MIN)
 		return;
 	best->share += step;
-	best->to->spare -= step * demand;
+	best->to->spare -= step * places;
+	z->grown_demand = demand(z, now_us);
 	if (!best->open)
 		open_pair(v, z, best, (int64_t)best_gain.crossing, now_us);
 }
@@ -542,7 +572,7 @@
 			shrink_share(v, z, p, now_us);
 		total += p->share;
 	}
-	if (z->n_runners)
+	if (z->n_runners && demand(z, now_us) > 0)
 		grow_share(v, z, total, now_us);
 }
 
