--- a/src/choice.c
+++ b/src/choice.c
@@ -37,25 +37,21 @@
  */
 #define COST_QUEUE_PER_MS 5.0
 /*
- * Most that crossing to another failure domain may cost where the alternative is to
- * load the adapter: where adapters are loaded does not depend on the domains.
+ * Cost of a runner in another failure domain than the entry, where it is decided
+ * whether and where an adapter is loaded: that does not depend on the load of domains.
  */
-#define COST_CROSSING_LOAD_MAX 8.0
+#define COST_OTHER_ZONE 8.0
 /*
  * Cost of leaving the domain for a request that is not of the share that may leave. It
- * has to be less than that of a late first event, of a load from the store, and of a
- * runner at home that has named a limit.
+ * has to be less than that of a late first event, and than that of a runner at home
+ * that has named a limit.
  */
 #define COST_CROSSING_CLOSED 40.0
 /*
- * Cost of a place that a loaded domain keeps for its own callers: others are refused,
- * with the time after which there is one at home.
+ * The same where the adapter is ready in several domains. A copy that is little used is
+ * evicted and has to be loaded again, so that requests have to be spread over copies.
  */
-#define COST_KEPT_PLACE (4 * COST_TOO_LATE)
-/* A loaded domain keeps the last places of each runner, from this share on. */
-#define KEPT_PLACES_FROM 0.75
-/* Of the least cost of a load, what leaving the domain may cost at most. */
-#define CROSSING_SHARE_OF_LOAD 0.75
+#define COST_COPY_CLOSED 10.0
 /* Cost of a request for each slot of a plain runner, taken by all its requests. */
 #define COST_PLAIN_SLOTS 16.0
 /* As COST_CROSSING_CLOSED and COST_KEPT_PLACE, for plain services. */
@@ -124,9 +120,16 @@
 
 /* Added to offers that come too late: the request is refused instead. */
 #define COST_TOO_LATE 1e9
+/*
+ * Cost of a place that a loaded domain keeps for its own callers: others are refused,
+ * with the time after which there is one at home.
+ */
+#define COST_KEPT_PLACE (4 * COST_TOO_LATE)
 
 typedef struct offer {
 	double cost;
+	/* The same with what leaving the domain costs now, and not in general. */
+	double spill_cost;
 	load_room_t load_room;	/* set where needs_load is */
 	int64_t first_event_us; /* delay to the first event */
 	int64_t prefill_us;	/* the part of it until the prefill ends */
@@ -432,29 +435,24 @@
 	return share > 0 ? share * COST_FAILURE : 0;
 }
 
-/* Least cost of loading the adapter, which must stay dearer than leaving the domain. */
-static double least_load_alternative(const dispatch_t *d)
-{
-	return COST_LOAD_RECENT + (double)d->adapter_load_us / USEC_PER_MSEC *
-					  COST_FIRST_EVENT_PER_MS;
-}
-
-/* Whether a runner of a loaded domain has a place for its own callers only. */
+/*
+ * Whether what a runner of a loaded domain has left is for its own callers: others do
+ * not queue there, neither for a place nor behind prompts.
+ */
 static bool keeps_place(const dispatch_t *d, const service_t *s,
 			const runner_t *r, int64_t now_us)
 {
 	double places = (double)request_slots(r, s) * d->runner_share;
 
-	if ((double)r->n_grants >= places * KEPT_PLACES_FROM)
+	if ((double)r->n_grants >= places)
 		return true;
 	return s->engine &&
 	       tokens_ahead(r, now_us) > PREFILL_LOW_TOKENS * d->runner_share;
 }
 
-/* Cost of a runner in another domain than the entry; path_us: time there and back. */
+/* Cost of leaving the domain for this runner; path_us: time there and back. */
 static double crossing_cost(const dispatch_t *d, const service_t *s,
-			    const runner_t *r, const query_t *q,
-			    const offer_t *offer, int64_t now_us,
+			    const runner_t *r, const query_t *q, int64_t now_us,
 			    int64_t *path_us)
 {
 	spill_crossing_t c = spill_crossing(&q->plan, r->zone);
@@ -464,21 +462,17 @@
 	double cost;
 
 	*path_us = c.path_us;
+	if (q->adapter_elsewhere)
+		return COST_OTHER_ZONE;
 	if (!s->engine)
 		return COST_PLAIN_SLOTS * MIN(ms / MAX(hold_ms, 1), 1) +
 		       (c.closed ? COST_PLAIN_CLOSED : 0) +
 		       (kept ? COST_PLAIN_KEPT : 0);
 	cost = ms * COST_FIRST_EVENT_PER_MS;
-	if (offer->needs_load || q->adapter_elsewhere)
-		return MIN(cost, COST_CROSSING_LOAD_MAX);
-	if (c.closed)
-		cost += COST_CROSSING_CLOSED;
-	if (kept)
-		cost += COST_KEPT_PLACE;
 	if (q->ask->adapter.len)
-		cost = MIN(cost,
-			   least_load_alternative(d) * CROSSING_SHARE_OF_LOAD);
-	return cost;
+		return cost + (c.closed ? COST_COPY_CLOSED : 0);
+	return cost + (c.closed ? COST_CROSSING_CLOSED : 0) +
+	       (kept ? COST_KEPT_PLACE : 0);
 }
 
 /* Computes the runner's offer with all costs; false: it cannot take more. */
@@ -487,14 +481,17 @@
 		      const margin_t *margin, int64_t now_us, offer_t *offer)
 {
 	const Dispatch__Ask *ask = q->ask;
+	double crossing = 0;
 	int64_t path_us = 0;
 
 	if (!(s->engine ? engine_offer(d, s, r, q, now_us, offer)
 			: plain_offer(d, s, r, now_us, offer)))
 		return false;
-	if (!str_eq(r->zone, pb_str(ask->zone)))
-		offer->cost +=
-			crossing_cost(d, s, r, q, offer, now_us, &path_us);
+	if (!str_eq(r->zone, pb_str(ask->zone))) {
+		offer->cost += COST_OTHER_ZONE;
+		crossing = crossing_cost(d, s, r, q, now_us, &path_us) -
+			   COST_OTHER_ZONE;
+	}
 	offer->cost += failure_cost(r, now_us);
 	if (r->limit.active)
 		offer->cost += COST_LIMITED;
@@ -508,6 +505,7 @@
 		offer->cost += COST_TOO_LATE;
 	if (offer->first_event_us > MAX(margin->first_event_us, 0))
 		offer->cost += COST_TOO_LATE;
+	offer->spill_cost = offer->cost + crossing;
 	return true;
 }
 
@@ -565,8 +563,11 @@
 	const service_t *s;
 	const query_t *q;
 	const margin_t *margin;
-	runner_t *runner;   /* NULL: none yet */
-	offer_t offer;	    /* of that runner */
+	runner_t *runner; /* NULL: none yet */
+	offer_t offer;	  /* of that runner */
+	/* The same of those that need no load, by spill_cost. */
+	runner_t *ready_runner;
+	offer_t ready_offer;
 	bool any_candidate; /* some runner of the service may be used */
 	/* Some runner has the needed software version, and does not leave. */
 	bool any_of_build;
@@ -604,6 +605,12 @@
 	best->n_offers++;
 	if (!get_offer(d, best->s, r, q, best->margin, now_us, &offer))
 		return;
+	if (!offer.needs_load &&
+	    (!best->ready_runner ||
+	     offer.spill_cost < best->ready_offer.spill_cost)) {
+		best->ready_runner = r;
+		best->ready_offer = offer;
+	}
 	if (best->runner && offer.cost >= best->offer.cost)
 		return;
 	best->runner = r;
@@ -672,6 +679,19 @@
 	       best->margin->first_event_us > 0;
 }
 
+/*
+ * Where no load is best, the domains decide between the runners that need none: so they
+ * cause no load.
+ */
+static void apply_spill(search_t *best)
+{
+	if (!best->runner || best->offer.needs_load)
+		return;
+	best->runner = best->ready_runner;
+	best->offer = best->ready_offer;
+	best->offer.cost = best->offer.spill_cost;
+}
+
 static spill_reason_t why_it_leaves(const search_t *best)
 {
 	const query_t *q = best->q;
@@ -707,6 +727,7 @@
 	q = make_query(d, ask, now_us);
 	best.q = &q;
 	search_runners(d, &best, now_us);
+	apply_spill(&best);
 	counter_add(CTR_DISPATCH_DECISIONS, 1);
 	counter_add(CTR_DISPATCH_OFFERS, best.n_offers);
 	if (best.any_candidate) {
--- a/src/dispatch_int.h
+++ b/src/dispatch_int.h
@@ -4,7 +4,7 @@
  * (loading and unloading adapters and models), choice.c (choosing a runner),
  * builds.c (their software versions), quarantine.c (what crashes them), paths.c (who
  * reaches them) and
- * pacing.c (their limits).
+ * pacing.c (their limits). spill.c decides which requests may leave their failure domain.
  */
 #ifndef DK_DISPATCH_INT_H
 #define DK_DISPATCH_INT_H
--- a/src/event.h
+++ b/src/event.h
@@ -117,7 +117,7 @@
 	  "why: no_gain, loaded_there (the other domain needs its runners "    \
 	  "itself), no_runner_there, no_runner (at home: all may leave) or "   \
 	  "paused (the dispatcher was).")                                      \
-	X("request_left_domain", 100, "id service zone to why tokens",         \
+	X("request_left_domain", 50, "id service zone to why tokens",          \
 	  "Dispatcher: a request was granted a place in another failure "      \
 	  "domain. why: adapter (it is ready there only), no_runner (none at " \
 	  "home may serve it), share (of those that may leave, spill_opened) " \
--- a/src/spill.c
+++ b/src/spill.c
@@ -55,7 +55,6 @@
 #define KEEP_MIN_US (10 * USEC_PER_SEC)
 #define KEEP_MAX_US (80 * USEC_PER_SEC)
 #define REOPEN_US (6 * USEC_PER_SEC)
-
 /*
  * A domain is loaded if it uses this share of its places, or if requests wait there
  * for this share of the time that a place is held; and until both are below the
@@ -76,7 +75,7 @@
 /* A sample further from the mean than this many mean deviations counts as so far. */
 #define PATH_OUTLIER 3.0
 /* Samples are forgotten if none came for this time. */
-#define PATH_FORGET_US (30 * USEC_PER_SEC)
+#define PATH_FORGET_US (120 * USEC_PER_SEC)
 
 /* Mean of samples of which some are far off. */
 typedef struct estimate {
@@ -99,13 +98,12 @@
 typedef struct spill_domain {
 	str_t name;	  /* owned */
 	GPtrArray *pairs; /* pair_t, owned, in no order */
-	/* By the runners that may get requests now: their sums while they are passed
-	 * in, and then their means. */
+	/* Of the runners that may get requests now. */
 	uint32_t n_runners;
 	double places;
 	double used;
-	double hold_us;
-	double wait_us;
+	double hold_us; /* mean; the sum while the runners are passed in */
+	double wait_us; /* as hold_us */
 	double smooth_wait_us;
 	double smooth_used;
 	double spare; /* places that other domains may use */
@@ -288,8 +286,6 @@
 {
 	double weight, off;
 
-	if (e->n && now_us - e->last_us > PATH_FORGET_US)
-		e->n = 0;
 	e->last_us = now_us;
 	if (!e->n) {
 		e->n = 1;
@@ -566,6 +562,8 @@
 		spill_domain_t *to = g_ptr_array_index(v->domains, i);
 		pair_t *p = get_pair(z, to);
 
+		if (now_us - p->excess.last_us > PATH_FORGET_US)
+			p->excess.n = 0;
 		if (to == z)
 			continue;
 		if (p->open)
@@ -659,8 +657,9 @@
 	if (!to)
 		return c;
 	c.path_us = path_us(p->home, to);
+	/* Requests without a runner at home have no other choice. */
 	c.closed = p->home->n_runners > 0 && to != p->free;
-	c.loaded = to->loaded;
+	c.loaded = p->home->n_runners > 0 && to->loaded;
 	return c;
 }
 
--- a/tests/spill_test.cc
+++ b/tests/spill_test.cc
@@ -417,9 +417,8 @@
 
 		w.weight = {{0, 4}};
 		w.run(10000 * MS, {l});
-		for (auto &o : w.of_domain) {
+		for (auto &o : w.of_domain)
 			o = {};
-		}
 		w.run(20000 * MS, {l});
 		for (size_t z = 0; z < DOMAINS; z++) {
 		}
@@ -440,6 +439,10 @@
 	for (auto &r : w.runners)
 		r.gone = r.zone == "zone-0";
 	w.run(1000 * MS, loads);
+	w.run(10000 * MS, {model(30), plain(80)});
+	EXPECT_GE((double)w.of_domain[0].on_time,
+		  0.9 * (double)w.of_domain[0].asked);
+	w.run(3000 * MS, loads);
 	w.of_domain[0] = {};
 	Result r = w.run(10000 * MS, loads);
 	EXPECT_EQ(r.refused, 0u);
