Spill: places are not kept from requests that home cannot serve

A loaded domain refused the last places of its runners also to requests whose model, adapter or software version no runner at home can serve, and to those that take up a stream.

--- a/src/choice.c
+++ b/src/choice.c
@@ -458,7 +458,8 @@
 	spill_crossing_t c = spill_crossing(&q->plan, r->zone);
 	double ms = (double)(c.path_us + c.price_us) / USEC_PER_MSEC;
 	double hold_ms = (double)r->mean_hold_us / USEC_PER_MSEC;
-	bool kept = c.loaded && keeps_place(d, s, r, now_us);
+	bool kept =
+		c.loaded && !q->ask->takes_up && keeps_place(d, s, r, now_us);
 	double cost;
 
 	*path_us = c.path_us;
@@ -575,6 +576,8 @@
 	bool any_undecided;
 	/* Some candidate is in the failure domain of the entry. */
 	bool any_at_home;
+	/* Some of these makes an offer, be it late. */
+	bool home_offers;
 	/* Some runner has the needed software version, and is full for now. */
 	bool any_full;
 	uint64_t n_offers; /* computed so far */
@@ -605,6 +608,7 @@
 	best->n_offers++;
 	if (!get_offer(d, best->s, r, q, best->margin, now_us, &offer))
 		return;
+	best->home_offers |= str_eq(r->zone, pb_str(q->ask->zone));
 	if (!offer.needs_load &&
 	    (!best->ready_runner ||
 	     offer.spill_cost < best->ready_offer.spill_cost)) {
@@ -687,6 +691,9 @@
 {
 	if (!best->runner || best->offer.needs_load)
 		return;
+	/* Places are not kept from a request that has no other ones. */
+	if (!best->home_offers && best->ready_offer.spill_cost >= COST_TOO_LATE)
+		return;
 	best->runner = best->ready_runner;
 	best->offer = best->ready_offer;
 	best->offer.cost = best->offer.spill_cost;
--- a/tests/spill_test.cc
+++ b/tests/spill_test.cc
@@ -33,6 +33,7 @@
 	std::string id, zone, service;
 	uint32_t slots;
 	bool gone = false;
+	bool has_model = true;
 	int64_t prefilled_us = 0;	// when the last prompt is prefilled
 	std::multiset<int64_t> ends_us; // plain: of requests that run
 };
@@ -204,6 +205,8 @@
 		if (r.service != "llm")
 			return;
 		info->models_known = true;
+		if (!r.has_model)
+			return;
 		info->models =
 			(runner_model_t *)xcalloc(1, sizeof(runner_model_t));
 		info->models[0].name = str_copy(STR("base"));
@@ -457,6 +460,25 @@
 	EXPECT_LE(w.of_domain[0].left, w.of_domain[0].asked / 50);
 }
 
+// Loaded domains keep places from requests that can be served at home, and not from
+// those whose model no runner there has: these would be refused for as long as it lasts.
+TEST(Spill, RequestsThatHomeCannotServeAreNotKeptAway)
+{
+	Domains w(4, 0);
+
+	for (auto &r : w.runners)
+		r.has_model = r.zone != "zone-0";
+	w.run(1000 * MS, {});
+	w.take_over();
+	w.run(10000 * MS, {model(40)});
+	for (auto &o : w.of_domain)
+		o = {};
+	w.run(20000 * MS, {model(40)});
+	EXPECT_GE((double)w.of_domain[0].on_time / (double)w.of_domain[0].asked,
+		  0.9 * (double)w.of_domain[1].on_time /
+			  (double)w.of_domain[1].asked);
+}
+
 // A new dispatcher, and one that was paused, know nothing of the waits: old shares
 // would send requests into domains that are loaded by now.
 TEST(Spill, ATakeoverAndAPauseBeginAtHome)
