--- a/src/choice.c
+++ b/src/choice.c
@@ -43,10 +43,28 @@
  */
 #define COST_QUEUE_PER_MS 5.0
 /*
- * Cost of a runner in another failure domain than the entry: the bytes cross
- * from one to the other.
+ * Cost of a runner in another failure domain than the entry, where it is decided
+ * whether and where an adapter is loaded: that does not depend on the load of domains.
  */
 #define COST_OTHER_ZONE 8.0
+/*
+ * Cost of leaving the domain for a request that is not of the share that may leave. It
+ * has to be less than that of a late first event, and than that of a runner at home
+ * that has named a limit.
+ */
+#define COST_CROSSING_CLOSED 40.0
+/*
+ * The same where the adapter is ready in several domains. A copy that is little used is
+ * evicted and has to be loaded again, so that requests have to be spread over copies.
+ */
+#define COST_COPY_CLOSED 10.0
+/* Cost of a request for each slot of a plain runner, taken by all its requests. */
+#define COST_PLAIN_SLOTS 16.0
+/* As COST_CROSSING_CLOSED and COST_KEPT_PLACE, for plain services. */
+#define COST_PLAIN_CLOSED (0.75 * COST_PLAIN_SLOTS)
+#define COST_PLAIN_KEPT (0.5 * COST_PLAIN_SLOTS)
+/* Largest cost that jitter_cost() returns. */
+#define COST_JITTER 8.0
 /* Cost of loading the adapter from the weight store. */
 #define COST_LOAD_FROM_STORE 330.0
 /* Cost of loading an adapter that the runner held recently. */
@@ -127,9 +145,16 @@
 
 /* Added to offers that come too late: the request is refused instead. */
 #define COST_TOO_LATE 1e9
+/*
+ * Cost of a place that a loaded domain keeps for its own callers: others are refused,
+ * with the time after which there is one at home.
+ */
+#define COST_KEPT_PLACE (4 * COST_TOO_LATE)
 
 typedef struct offer {
 	double cost;
+	/* The same with what leaving the domain costs now, and not in general. */
+	double spill_cost;
 	load_room_t load_room;	/* set where needs_load is */
 	int64_t first_event_us; /* delay to the first event */
 	int64_t prefill_us;	/* the part of it until the prefill ends */
@@ -216,6 +241,8 @@
 	uint64_t adapter_key;
 	uint64_t version; /* decided version of the adapter; 0: none */
 	prefix_keys_t prefixes;
+	spill_plan_t plan;
+	bool adapter_elsewhere; /* it is ready in other domains, at most */
 } query_t;
 
 /*
@@ -445,7 +472,7 @@
 	offer->grant_in_us = wait_us;
 	offer->first_event_us = wait_us;
 	offer->prefill_us = 0;
-	offer->cost = (double)r->n_grants / slots * COST_OTHER_ZONE * 2 +
+	offer->cost = (double)r->n_grants / slots * COST_PLAIN_SLOTS +
 		      (double)wait_us / USEC_PER_MSEC * COST_QUEUE_PER_MS;
 	return true;
 }
@@ -457,7 +484,7 @@
 	uint64_t seed = ask->id ^ (uint64_t)d->began_us;
 
 	return (double)(hash_bytes(r->id.p, r->id.n, seed) % JITTER_STEPS) *
-	       COST_OTHER_ZONE / JITTER_STEPS;
+	       COST_JITTER / JITTER_STEPS;
 }
 
 /* How long a caller waits for a first event before it gives up. */
@@ -516,18 +543,64 @@
 	return share > 0 ? share * COST_FAILURE : 0;
 }
 
+/*
+ * Whether what a runner of a loaded domain has left is for its own callers: others do
+ * not queue there, neither for a place nor behind prompts.
+ */
+static bool keeps_place(const dispatch_t *d, const service_t *s,
+			const runner_t *r, int64_t now_us)
+{
+	double places = (double)request_slots(r, s) * d->runner_share;
+
+	if ((double)r->n_grants >= places)
+		return true;
+	return s->engine &&
+	       tokens_ahead(r, now_us) > PREFILL_LOW_TOKENS * d->runner_share;
+}
+
+/* Cost of leaving the domain for this runner; path_us: time there and back. */
+static double crossing_cost(const dispatch_t *d, const service_t *s,
+			    const runner_t *r, const query_t *q, int64_t now_us,
+			    int64_t *path_us)
+{
+	spill_crossing_t c = spill_crossing(&q->plan, r->zone);
+	double ms = (double)(c.path_us + c.price_us) / USEC_PER_MSEC;
+	double hold_ms = (double)r->mean_hold_us / USEC_PER_MSEC;
+	bool kept =
+		c.loaded && !q->ask->takes_up && keeps_place(d, s, r, now_us);
+	double cost;
+
+	*path_us = c.path_us;
+	if (q->adapter_elsewhere)
+		return COST_OTHER_ZONE;
+	if (!s->engine)
+		return COST_PLAIN_SLOTS * MIN(ms / MAX(hold_ms, 1), 1) +
+		       (c.closed ? COST_PLAIN_CLOSED : 0) +
+		       (kept ? COST_PLAIN_KEPT : 0);
+	cost = ms * COST_FIRST_EVENT_PER_MS;
+	if (q->ask->adapter.len)
+		return cost + (c.closed ? COST_COPY_CLOSED : 0);
+	return cost + (c.closed ? COST_CROSSING_CLOSED : 0) +
+	       (kept ? COST_KEPT_PLACE : 0);
+}
+
 /* Computes the runner's offer with all costs; false: it cannot take more. */
 static bool get_offer(const dispatch_t *d, const service_t *s,
 		      const runner_t *r, const query_t *q,
 		      const margin_t *margin, int64_t now_us, offer_t *offer)
 {
 	const Dispatch__Ask *ask = q->ask;
+	double crossing = 0;
+	int64_t path_us = 0;
 
 	if (!(s->engine ? engine_offer(d, s, r, q, margin, now_us, offer)
 			: plain_offer(d, s, r, now_us, offer)))
 		return false;
-	if (!str_eq(r->zone, pb_str(ask->zone)))
+	if (!str_eq(r->zone, pb_str(ask->zone))) {
 		offer->cost += COST_OTHER_ZONE;
+		crossing = crossing_cost(d, s, r, q, now_us, &path_us) -
+			   COST_OTHER_ZONE;
+	}
 	offer->cost += failure_cost(r, now_us);
 	if (r->limit.active)
 		offer->cost += COST_LIMITED;
@@ -535,16 +608,34 @@
 	 * same runner. */
 	if (d->mode == DISPATCH_ISOLATED)
 		offer->cost += jitter_cost(d, r, ask);
-	if (s->engine && offer->first_event_us > margin->objective_us)
+	if (s->engine && offer->first_event_us + path_us > margin->objective_us)
 		offer->cost += COST_LATE;
 	if (s->engine && offer->prefill_us > margin->prefill_us)
 		offer->cost += COST_TOO_LATE;
 	if (offer->first_event_us > MAX(margin->first_event_us, 0))
 		offer->cost += COST_TOO_LATE;
+	offer->spill_cost = offer->cost + crossing;
 	return true;
 }
 
-static query_t make_query(const dispatch_t *d, const Dispatch__Ask *ask)
+/* Whether a runner of the domain that may get requests has the adapter. */
+static bool is_ready_in(const dispatch_t *d, uint64_t adapter_key, str_t zone,
+			int64_t now_us)
+{
+	const copy_set_t *set = fleet_copies(d, adapter_key);
+	const copy_t *c;
+
+	if (!set)
+		return false;
+	cds_list_for_each_entry (c, &set->copies, same_key)
+		if (c->state == COPY_READY && str_eq(c->runner->zone, zone) &&
+		    runner_usable(c->runner, now_us))
+			return true;
+	return false;
+}
+
+static query_t make_query(const dispatch_t *d, const Dispatch__Ask *ask,
+			  int64_t now_us)
 {
 	str_t model = pb_str(ask->model);
 	query_t q = {
@@ -555,6 +646,11 @@
 
 	q.version = decided_version(d, q.adapter_key);
 	prefix_keys(ask, &q.prefixes);
+	q.plan = spill_plan(d->spill, pb_str(ask->service), pb_str(ask->zone),
+			    ask->tokens_in + ask->tokens_out, ask->id);
+	q.adapter_elsewhere =
+		ask->adapter.len &&
+		!is_ready_in(d, q.adapter_key, pb_str(ask->zone), now_us);
 	return q;
 }
 
@@ -576,13 +672,20 @@
 	const service_t *s;
 	const query_t *q;
 	const margin_t *margin;
-	runner_t *runner;   /* NULL: none yet */
-	offer_t offer;	    /* of that runner */
+	runner_t *runner; /* NULL: none yet */
+	offer_t offer;	  /* of that runner */
+	/* The same of those that need no load, by spill_cost. */
+	runner_t *ready_runner;
+	offer_t ready_offer;
 	bool any_candidate; /* some runner of the service may be used */
 	/* Some runner has the needed software version, and does not leave. */
 	bool any_of_build;
 	/* Some runner may be used once its software version is decided. */
 	bool any_undecided;
+	/* Some candidate is in the failure domain of the entry. */
+	bool any_at_home;
+	/* Some of these makes an offer, be it late. */
+	bool home_offers;
 	/* Some runner has the needed software version, and is full for now. */
 	bool any_full;
 	uint64_t n_offers; /* computed so far */
@@ -633,14 +736,24 @@
 		return;
 	}
 	best->any_candidate = true;
+	best->any_at_home |= str_eq(r->zone, pb_str(q->ask->zone));
 	if (best->runner && !holds &&
 	    least_load_cost(r, q) >= load_cost_limit(best))
 		return;
 	best->n_offers++;
 	if (!get_offer(d, best->s, r, q, best->margin, now_us, &offer))
 		return;
+	best->home_offers |= str_eq(r->zone, pb_str(q->ask->zone));
 	if (!offer.needs_load)
 		best->least_held_cost = MIN(best->least_held_cost, offer.cost);
+	if (!offer.needs_load &&
+	    (!best->ready_runner ||
+	     offer.spill_cost + offer.pause_cost <
+		     best->ready_offer.spill_cost +
+			     best->ready_offer.pause_cost)) {
+		best->ready_runner = r;
+		best->ready_offer = offer;
+	}
 	if (!is_better(best, &offer))
 		return;
 	best->runner = r;
@@ -709,6 +822,37 @@
 	       best->margin->first_event_us > 0;
 }
 
+/*
+ * Where no load is best, the domains decide between the runners that need none: so they
+ * cause no load.
+ */
+static void apply_spill(search_t *best)
+{
+	if (!best->runner || best->offer.needs_load)
+		return;
+	/* Places are not kept from a request that has no other ones. */
+	if (!best->home_offers && best->ready_offer.spill_cost >= COST_TOO_LATE)
+		return;
+	best->runner = best->ready_runner;
+	best->offer = best->ready_offer;
+	best->offer.cost = best->offer.spill_cost;
+}
+
+static spill_reason_t why_it_leaves(const search_t *best)
+{
+	const query_t *q = best->q;
+	str_t zone = best->runner->zone;
+
+	if (str_eq(zone, pb_str(q->ask->zone)))
+		return SPILL_STAYS;
+	if (!best->any_at_home)
+		return SPILL_NO_RUNNER;
+	if (q->adapter_elsewhere)
+		return SPILL_ADAPTER;
+	return spill_crossing(&q->plan, zone).closed ? SPILL_HOME_FULL
+						     : SPILL_SHARE;
+}
+
 choice_t choose_runner(dispatch_t *d, const Dispatch__Ask *ask,
 		       int64_t waited_us, int64_t load_waited_us,
 		       int64_t now_us)
@@ -727,9 +871,10 @@
 
 	if (!s)
 		return choice;
-	q = make_query(d, ask);
+	q = make_query(d, ask, now_us);
 	best.q = &q;
 	search_runners(d, &best, now_us);
+	apply_spill(&best);
 	counter_add(CTR_DISPATCH_DECISIONS, 1);
 	counter_add(CTR_DISPATCH_OFFERS, best.n_offers);
 	if (best.any_candidate) {
@@ -748,6 +893,7 @@
 	choice.grant_in_us = best.offer.grant_in_us;
 	counter_add(CTR_PROMPTS_HELD, best.offer.spare_us > 0);
 	choice.needs_load = best.offer.needs_load;
+	choice.leaves = why_it_leaves(&best);
 	choice.prefill_us = best.offer.prefill_us;
 	if (best.offer.cost >= COST_TOO_LATE) {
 		late_us =
@@ -759,3 +905,51 @@
 	}
 	return choice;
 }
+
+/* Time until a new request can begin at the runner. */
+static int64_t begin_wait_us(const dispatch_t *d, const service_t *s,
+			     const runner_t *r, int64_t now_us)
+{
+	double places = (double)request_slots(r, s) * d->runner_share;
+	int64_t limit_us = limit_wait_us(d, r, now_us);
+	double queued_us;
+
+	if (s->engine)
+		queued_us = MAX((double)place_wait_us(d, s, r, now_us),
+				tokens_ahead(r, now_us) / prefill_rate(r));
+	else
+		queued_us =
+			(double)r->mean_hold_us *
+			(r->n_grants >= places + 1 ? r->n_grants - places : 0) /
+			places;
+	return MAX(limit_us, (int64_t)queued_us);
+}
+
+void choice_decide_spill(dispatch_t *d, int64_t now_us)
+{
+	runner_t *r;
+
+	if (!spill_is_due(d->spill, now_us))
+		return;
+	spill_begin_samples(d->spill);
+	cds_list_for_each_entry (r, &d->runners, node) {
+		const service_t *s =
+			d->manifest
+				? manifest_find_service(d->manifest, r->service)
+				: NULL;
+		spill_runner_t sample = {
+			.service = r->service,
+			.zone = r->zone,
+			.used = r->n_grants + r->n_queued,
+			.hold_us = r->mean_hold_us,
+		};
+
+		if (!s || !runner_usable(r, now_us) ||
+		    (s->engine && !r->models_known))
+			continue;
+		sample.places = request_slots(r, s) * d->runner_share;
+		sample.wait_us = begin_wait_us(d, s, r, now_us);
+		spill_add_runner(d->spill, &sample);
+	}
+	spill_decide(d->spill, now_us);
+}
--- a/src/grants.c
+++ b/src/grants.c
@@ -80,6 +80,7 @@
 	cds_list_del(&g->suspect);
 	g_hash_table_remove(d->grants, &g->key);
 	free(g->shared_parts);
+	str_free(&g->zone);
 	free(g);
 }
 
@@ -145,6 +146,7 @@
 	g->for_stream = ask->takes_up;
 	g->charge = req->charge;
 	memset(&req->charge, 0, sizeof(req->charge));
+	g->zone = str_copy(pb_str(ask->zone));
 	grant_set_parts(g, ask);
 	g->digest = ask->digest;
 	g->via = paths_choose_via(d, key->host, key->id, r, now_us);
@@ -169,6 +171,24 @@
 
 /* Messages from entries. */
 
+/*
+ * Learns how long requests take to other failure domains and back; returns that time
+ * for this one, which says nothing of the runner.
+ */
+static int64_t learn_path(dispatch_t *d, const grant_t *g,
+			  const Dispatch__Started *m, int64_t now_us)
+{
+	const runner_t *r = g->runner;
+
+	if (!m->by_peer && m->waited_us > 0)
+		spill_on_started(d->spill, r->service, g->zone, r->zone,
+				 m->waited_us - g->expected_first_event_us,
+				 now_us);
+	if (str_eq(g->zone, r->zone))
+		return 0;
+	return spill_path_us(d->spill, r->service, g->zone, r->zone);
+}
+
 static void learn_slowdown(grant_t *g, int64_t waited_us)
 {
 	runner_t *r = g->runner;
@@ -208,6 +228,7 @@
 		       const Dispatch__Started *m, int64_t now_us)
 {
 	grant_t *g = g_hash_table_lookup(d->grants, key);
+	int64_t waited_us;
 
 	if (m->stream)
 		stream_builds_put(d->streams, m->stream, pb_str(m->build),
@@ -224,8 +245,9 @@
 	brittle_name(&g->runner->brittle, m->rejections_max, now_us);
 	if (g->copy)
 		orders_learn_load_time(d, g->copy, false, now_us);
-	learn_slowdown(g, m->waited_us);
-	speeds_on_started(g, m->waited_us, now_us);
+	waited_us = m->waited_us - learn_path(d, g, m, now_us);
+	learn_slowdown(g, waited_us);
+	speeds_on_started(g, waited_us, now_us);
 	g->runner->last_started_us = now_us;
 	grant_mark_started(g);
 }
