--- a/proto/dispatch.pb-c.c
+++ b/proto/dispatch.pb-c.c
@@ -682,6 +682,51 @@
   assert(message->base.descriptor == &dispatch__limit__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   dispatch__journal__init
+                     (Dispatch__Journal         *message)
+{
+  static const Dispatch__Journal init_value = DISPATCH__JOURNAL__INIT;
+  *message = init_value;
+}
+size_t dispatch__journal__get_packed_size
+                     (const Dispatch__Journal *message)
+{
+  assert(message->base.descriptor == &dispatch__journal__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dispatch__journal__pack
+                     (const Dispatch__Journal *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dispatch__journal__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dispatch__journal__pack_to_buffer
+                     (const Dispatch__Journal *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dispatch__journal__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dispatch__Journal *
+       dispatch__journal__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dispatch__Journal *)
+     protobuf_c_message_unpack (&dispatch__journal__descriptor,
+                                allocator, len, data);
+}
+void   dispatch__journal__free_unpacked
+                     (Dispatch__Journal *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dispatch__journal__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   dispatch__msg__init
                      (Dispatch__Msg         *message)
 {
@@ -1385,7 +1430,7 @@
   (ProtobufCMessageInit) dispatch__started__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dispatch__streams__field_descriptors[4] =
+static const ProtobufCFieldDescriptor dispatch__streams__field_descriptors[5] =
 {
   {
     "build",
@@ -1435,17 +1480,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "journal",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dispatch__Streams, journal),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dispatch__streams__field_indices_by_name[] = {
   3,   /* field[3] = backup */
   0,   /* field[0] = build */
+  4,   /* field[4] = journal */
   2,   /* field[2] = keep_us */
   1,   /* field[1] = streams */
 };
 static const ProtobufCIntRange dispatch__streams__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor dispatch__streams__descriptor =
 {
@@ -1455,7 +1513,7 @@
   "Dispatch__Streams",
   "dispatch",
   sizeof(Dispatch__Streams),
-  4,
+  5,
   dispatch__streams__field_descriptors,
   dispatch__streams__field_indices_by_name,
   1,  dispatch__streams__number_ranges,
@@ -2064,7 +2122,45 @@
   (ProtobufCMessageInit) dispatch__limit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dispatch__msg__field_descriptors[14] =
+static const ProtobufCFieldDescriptor dispatch__journal__field_descriptors[1] =
+{
+  {
+    "told",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dispatch__Journal, told),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dispatch__journal__field_indices_by_name[] = {
+  0,   /* field[0] = told */
+};
+static const ProtobufCIntRange dispatch__journal__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor dispatch__journal__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dispatch.Journal",
+  "Journal",
+  "Dispatch__Journal",
+  "dispatch",
+  sizeof(Dispatch__Journal),
+  1,
+  dispatch__journal__field_descriptors,
+  dispatch__journal__field_indices_by_name,
+  1,  dispatch__journal__number_ranges,
+  (ProtobufCMessageInit) dispatch__journal__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dispatch__msg__field_descriptors[15] =
 {
   {
     "ask",
@@ -2234,6 +2330,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "journal",
+    30,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dispatch__Msg, body_case),
+    offsetof(Dispatch__Msg, journal),
+    &dispatch__journal__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dispatch__msg__field_indices_by_name[] = {
   13,   /* field[13] = answered */
@@ -2242,6 +2350,7 @@
   4,   /* field[4] = done */
   1,   /* field[1] = grant */
   5,   /* field[5] = held */
+  14,   /* field[14] = journal */
   12,   /* field[12] = limit */
   7,   /* field[7] = ping */
   8,   /* field[8] = pong */
@@ -2251,10 +2360,11 @@
   9,   /* field[9] = uses */
   6,   /* field[6] = waiting */
 };
-static const ProtobufCIntRange dispatch__msg__number_ranges[1 + 1] =
+static const ProtobufCIntRange dispatch__msg__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 30, 14 },
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor dispatch__msg__descriptor =
 {
@@ -2264,10 +2374,10 @@
   "Dispatch__Msg",
   "dispatch",
   sizeof(Dispatch__Msg),
-  14,
+  15,
   dispatch__msg__field_descriptors,
   dispatch__msg__field_indices_by_name,
-  1,  dispatch__msg__number_ranges,
+  2,  dispatch__msg__number_ranges,
   (ProtobufCMessageInit) dispatch__msg__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/proto/dispatch.pb-c.h
+++ b/proto/dispatch.pb-c.h
@@ -30,6 +30,7 @@
 typedef struct Dispatch__Crash Dispatch__Crash;
 typedef struct Dispatch__Answered Dispatch__Answered;
 typedef struct Dispatch__Limit Dispatch__Limit;
+typedef struct Dispatch__Journal Dispatch__Journal;
 typedef struct Dispatch__Msg Dispatch__Msg;
 
 
@@ -229,10 +230,14 @@
    * To another entry, which tells them to the next dispatcher too.
    */
   protobuf_c_boolean backup;
+  /*
+   * With backup: the entry is also to keep them on its disk.
+   */
+  protobuf_c_boolean journal;
 };
 #define DISPATCH__STREAMS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dispatch__streams__descriptor) \
-    , {0,NULL}, 0,NULL, 0,NULL, 0 }
+    , {0,NULL}, 0,NULL, 0,NULL, 0, 0 }
 
 
 /*
@@ -415,6 +420,23 @@
     , 0, {0,NULL}, 0, 0, 0 }
 
 
+/*
+ * Between a host with a disk and the dispatcher, on the streams that its journal held
+ * at its start.
+ */
+struct  Dispatch__Journal
+{
+  ProtobufCMessage base;
+  /*
+   * From the host: it has told them all. From the dispatcher: it is to tell them.
+   */
+  protobuf_c_boolean told;
+};
+#define DISPATCH__JOURNAL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dispatch__journal__descriptor) \
+    , 0 }
+
+
 typedef enum {
   DISPATCH__MSG__BODY__NOT_SET = 0,
   DISPATCH__MSG__BODY_ASK = 1,
@@ -430,7 +452,8 @@
   DISPATCH__MSG__BODY_STREAMS = 11,
   DISPATCH__MSG__BODY_CRASH = 12,
   DISPATCH__MSG__BODY_LIMIT = 13,
-  DISPATCH__MSG__BODY_ANSWERED = 14
+  DISPATCH__MSG__BODY_ANSWERED = 14,
+  DISPATCH__MSG__BODY_JOURNAL = 30
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(DISPATCH__MSG__BODY__CASE)
 } Dispatch__Msg__BodyCase;
 
@@ -453,6 +476,7 @@
     Dispatch__Crash *crash;
     Dispatch__Limit *limit;
     Dispatch__Answered *answered;
+    Dispatch__Journal *journal;
   };
 };
 #define DISPATCH__MSG__INIT \
@@ -745,6 +769,25 @@
 void   dispatch__limit__free_unpacked
                      (Dispatch__Limit *message,
                       ProtobufCAllocator *allocator);
+/* Dispatch__Journal methods */
+void   dispatch__journal__init
+                     (Dispatch__Journal         *message);
+size_t dispatch__journal__get_packed_size
+                     (const Dispatch__Journal   *message);
+size_t dispatch__journal__pack
+                     (const Dispatch__Journal   *message,
+                      uint8_t             *out);
+size_t dispatch__journal__pack_to_buffer
+                     (const Dispatch__Journal   *message,
+                      ProtobufCBuffer     *buffer);
+Dispatch__Journal *
+       dispatch__journal__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dispatch__journal__free_unpacked
+                     (Dispatch__Journal *message,
+                      ProtobufCAllocator *allocator);
 /* Dispatch__Msg methods */
 void   dispatch__msg__init
                      (Dispatch__Msg         *message);
@@ -811,6 +854,9 @@
 typedef void (*Dispatch__Limit_Closure)
                  (const Dispatch__Limit *message,
                   void *closure_data);
+typedef void (*Dispatch__Journal_Closure)
+                 (const Dispatch__Journal *message,
+                  void *closure_data);
 typedef void (*Dispatch__Msg_Closure)
                  (const Dispatch__Msg *message,
                   void *closure_data);
@@ -835,6 +881,7 @@
 extern const ProtobufCMessageDescriptor dispatch__crash__descriptor;
 extern const ProtobufCMessageDescriptor dispatch__answered__descriptor;
 extern const ProtobufCMessageDescriptor dispatch__limit__descriptor;
+extern const ProtobufCMessageDescriptor dispatch__journal__descriptor;
 extern const ProtobufCMessageDescriptor dispatch__msg__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/build_set.c
+++ b/src/build_set.c
@@ -127,6 +127,62 @@
 	return n == 1 ? only : str_n(NULL, 0);
 }
 
+/* Whether no entry before number i has the same service. */
+static bool is_first_of_service(const build_set_t *b, guint i)
+{
+	const entry_t *e = g_ptr_array_index(b->entries, i);
+
+	for (guint k = 0; k < i; k++) {
+		const entry_t *other = g_ptr_array_index(b->entries, k);
+
+		if (str_eq(other->service, e->service))
+			return false;
+	}
+	return true;
+}
+
+static size_t count_versions(const build_set_t *b, str_t service)
+{
+	size_t n = 0;
+
+	for (guint i = 0; i < b->entries->len; i++) {
+		const entry_t *e = g_ptr_array_index(b->entries, i);
+
+		n += str_eq(e->service, service);
+	}
+	return n;
+}
+
+bool build_set_several(const build_set_t *b, str_t service)
+{
+	return count_versions(b, service) > 1;
+}
+
+size_t build_set_count_several(const build_set_t *b)
+{
+	size_t n = 0;
+
+	for (guint i = 0; i < b->entries->len; i++) {
+		const entry_t *e = g_ptr_array_index(b->entries, i);
+
+		n += is_first_of_service(b, i) &&
+		     build_set_several(b, e->service);
+	}
+	return n;
+}
+
+bool build_set_adds_several(const build_set_t *a, const build_set_t *b)
+{
+	for (guint i = 0; i < a->entries->len; i++) {
+		const entry_t *e = g_ptr_array_index(a->entries, i);
+
+		if (build_set_several(a, e->service) &&
+		    !build_set_several(b, e->service))
+			return true;
+	}
+	return false;
+}
+
 bool build_set_equal(const build_set_t *a, const build_set_t *b)
 {
 	if (a->entries->len != b->entries->len)
--- a/src/build_set.h
+++ b/src/build_set.h
@@ -28,6 +28,12 @@
 bool build_set_has(const build_set_t *b, str_t service, str_t build);
 /* The only version of the service, a view; empty: there are several, or none. */
 str_t build_set_only(const build_set_t *b, str_t service);
+/* Whether the set holds several versions of the service. */
+bool build_set_several(const build_set_t *b, str_t service);
+/* Number of services of which the set holds several versions. */
+size_t build_set_count_several(const build_set_t *b);
+/* Whether a holds several versions of a service of which b does not. */
+bool build_set_adds_several(const build_set_t *a, const build_set_t *b);
 bool build_set_equal(const build_set_t *a, const build_set_t *b);
 
 #ifdef __cplusplus
--- a/src/counter.h
+++ b/src/counter.h
@@ -23,7 +23,23 @@
 	X(STREAMS_FORGOTTEN, "streams_forgotten",                           \
 	  "Streams not recorded as too many are known; none can go on")     \
 	X(STREAMS_ENDED_MIDWAY, "streams_ended_midway",                     \
-	  "Streams that their target ended inside an event")
+	  "Streams that their target ended inside an event")                \
+	X(STREAMS_AMBIGUOUS, "streams_ambiguous",                           \
+	  "Streams told as begun by two software versions; none goes on")   \
+	X(STREAMS_SENT_TO_JOURNALS, "streams_sent_to_journals",             \
+	  "Records of streams sent to a host with a disk")                  \
+	X(STREAM_JOURNAL_RECORDS, "stream_journal_records",                 \
+	  "Records of streams written to this host's journal and synced")   \
+	X(STREAM_JOURNAL_BYTES, "stream_journal_bytes",                     \
+	  "Bytes written to this host's journal of streams")                \
+	X(STREAM_JOURNAL_SYNCS, "stream_journal_syncs",                     \
+	  "Syncs of this host's journal of streams")                        \
+	X(STREAM_JOURNAL_DROPPED, "stream_journal_dropped",                 \
+	  "Records not written: the disk is full, slow or failing")         \
+	X(STREAM_JOURNAL_CUT, "stream_journal_cut",                         \
+	  "Segments of the journal removed early, as it was at its bound")  \
+	X(STREAM_JOURNAL_READ, "stream_journal_read",                       \
+	  "Streams that the journal held at the start")
 
 #define COUNTERS_SERVE(X)                                                      \
 	X(ACCEPTED, "accepted", "Requests accepted")                           \
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -72,6 +72,7 @@
 	pacing_init(d);
 	d->decided_builds = build_set_new();
 	d->seen_builds = build_set_new();
+	builds_init(d);
 	retry_budgets_init(&d->budgets, cfg->retry_ratio, cfg->retry_slack,
 			   cfg->retry_window_us);
 	return d;
@@ -236,10 +237,22 @@
 		a->build.len = build.n;
 		return true;
 	}
-	if (now_us - d->began_us >= STREAMS_SETTLE_US ||
-	    (is_leader && !a->stream))
+	if (is_leader && !a->stream) {
+		pending_refuse(d, req, REASON_STREAM_UNKNOWN, 0);
+		return false;
+	}
+	if (builds_await_journals(d, a, now_us)) {
+		if (now_us - req->received_us >= STREAMS_SETTLE_US)
+			pending_refuse(d, req, REASON_STREAM_UNKNOWN,
+				       REFUSAL_RETRY_US);
+		return false;
+	}
+	/* Without a lease, the only decided version will do once it is back. */
+	if (now_us - d->began_us >= STREAMS_SETTLE_US)
 		pending_refuse(d, req, REASON_STREAM_UNKNOWN,
-			       is_leader ? 0 : REFUSAL_RETRY_US);
+			       is_leader && now_us < d->lease_until_us
+				       ? 0
+				       : REFUSAL_RETRY_US);
 	return false;
 }
 
@@ -440,8 +453,8 @@
 			    int64_t now_us)
 {
 	for (size_t i = 0; i < m->n_streams && i < m->n_keep_us; i++)
-		stream_builds_put(to, m->streams[i], pb_str(m->build), now_us,
-				  now_us + m->keep_us[i]);
+		stream_builds_tell(to, m->streams[i], pb_str(m->build), now_us,
+				   now_us + m->keep_us[i]);
 }
 
 static void on_done(dispatch_t *d, const request_key_t *key,
@@ -517,6 +530,9 @@
 	case DISPATCH__MSG__BODY_STREAMS:
 		dispatch_store_streams(d->streams, msg->streams, now_us);
 		break;
+	case DISPATCH__MSG__BODY_JOURNAL:
+		builds_on_journal(d, from, msg->journal);
+		break;
 	case DISPATCH__MSG__BODY_HELD:
 		key.id = msg->held->id;
 		grants_on_held(d, &key, msg);
@@ -695,6 +711,7 @@
 	fleet_clear(d);
 	retry_budgets_clear(&d->budgets);
 	stream_builds_clear(d->streams);
+	builds_clear(d);
 	d->active = false;
 	d->lease_until_us = INT64_MIN;
 }
@@ -736,6 +753,7 @@
 	pacing_free(d);
 	build_set_free(d->decided_builds);
 	build_set_free(d->seen_builds);
+	builds_free(d);
 	g_hash_table_destroy(d->adapter_versions);
 	manifest_unref(d->manifest);
 	decided_unref(d->tables);
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -60,6 +60,13 @@
 /* What no runner gets, as it crashes it. */
 #define DOC_QUARANTINE "quarantine"
 
+/*
+ * The name of the document of a host that keeps a journal of streams has the host's IP
+ * address after the prefix; the body is the host's id, or empty if it keeps none any
+ * more.
+ */
+#define DOC_JOURNAL_PREFIX "journal:"
+
 typedef struct dispatch_ops {
 	/* Sends a message to an entry. */
 	void (*send)(void *ctx, host_id_t to, const Dispatch__Msg *msg);
@@ -151,6 +158,9 @@
  */
 bool dispatch_release_cause(str_t body, str_t cause, buf_t *out);
 
+/* The host that keeps a journal, as the document says; 0: it says no such thing. */
+host_id_t dispatch_journal_host(const doc_t *doc);
+
 /* Records the streams that an entry tells of. */
 void dispatch_store_streams(stream_builds_t *to, const Dispatch__Streams *m,
 			    int64_t now_us);
--- a/src/dispatch_int.h
+++ b/src/dispatch_int.h
@@ -304,6 +304,9 @@
 	/* Seen in the list, or decided, within BUILD_FORGET_US. */
 	build_set_t *seen_builds;
 	int64_t builds_proposed_us;   /* when seen_builds was last proposed */
+	GHashTable *journal_hosts;    /* decided; set of host_id_t */
+	GHashTable *journals_told;    /* hosts that told theirs in this term */
+	int64_t journals_asked_us;    /* when the others were last asked */
 	GHashTable *pending_by_key;   /* request_key_t -> pending_request_t */
 	GHashTable *grants;	      /* request_key_t -> grant_t */
 	GHashTable *adapter_versions; /* copy_key() -> decided version */
@@ -456,6 +459,18 @@
 void builds_propose(dispatch_t *d, const runner_list_t *l, int64_t now_us);
 /* Takes in the versions that are decided now. */
 void builds_apply_tables(dispatch_t *d);
+/* A host with a disk has told all streams of its journal. */
+void builds_on_journal(dispatch_t *d, host_id_t from,
+		       const Dispatch__Journal *m);
+/*
+ * Whether the version that began an unknown stream may still be told by a host with a
+ * disk; asks those that have not told theirs.
+ */
+bool builds_await_journals(dispatch_t *d, const Dispatch__Ask *a,
+			   int64_t now_us);
+void builds_init(dispatch_t *d);
+void builds_clear(dispatch_t *d);
+void builds_free(dispatch_t *d);
 /* The dispatcher begins a term. */
 void builds_begin(dispatch_t *d, int64_t now_us);
 
--- a/src/event.h
+++ b/src/event.h
@@ -177,6 +177,22 @@
 	X("peer_up", 20, "peer", "The link to a daemon is up.")                \
 	X("peer_down", 20, "peer", "The link to a daemon is lost.")            \
 	X("log_reopened", 10, "host", "The disk that failed is used again.")   \
+	X("stream_journal_read", 10,                                           \
+	  "streams segments unreadable torn_bytes after_ms",                   \
+	  "The journal of streams was read after the start; streams may "      \
+	  "still "                                                             \
+	  "be taken up.")                                                      \
+	X("stream_journal_failed", 2, "error streams",                         \
+	  "The journal of streams could not be read or written; so many "      \
+	  "records are lost on this host. Other work goes on.")                \
+	X("streams_journaled", 10, "services hosts",                           \
+	  "Several software versions of so many services are decided: "        \
+	  "records "                                                           \
+	  "of their new streams go to hosts with a disk, of which so many "    \
+	  "are known. 0 services: no more.")                                   \
+	X("stream_journals_missing", 5, "told hosts after_ms",                 \
+	  "Dispatcher: a stream is not known, and not all hosts with a disk "  \
+	  "have told what their journals hold.")                               \
 	X("disk_still_unusable", 5, "error", "The disk still fails.")          \
 	X("data_folder_unusable", 5, "error detail",                           \
 	  "The data folder cannot be used; see docs/OPERATIONS.md.")           \
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -22,7 +22,10 @@
 typedef struct gateway_ops {
 	/* Sends to the dispatcher; the message is lost where there is none. */
 	void (*send)(void *ctx, const Dispatch__Msg *msg);
-	/* Sends to the daemon that keeps copies for this one, if there is any. */
+	/*
+	 * Sends to the daemons that keep copies for this one, if there are any:
+	 * hosts with a disk, if the message is for their journals.
+	 */
 	void (*send_backup)(void *ctx, const Dispatch__Msg *msg);
 	/* The dispatcher did not reply in time. */
 	void (*dispatcher_unresponsive)(void *ctx);
@@ -42,6 +45,11 @@
 	host_id_t (*pick_peer)(void *ctx);
 	/* Called again and again while this host reaches no target itself. */
 	void (*no_path)(void *ctx);
+	/*
+	 * How soon new streams of the service are to be sent to hosts that keep
+	 * them on disk, in microseconds; 0: they are not kept. May be NULL.
+	 */
+	int64_t (*journal_delay_us)(void *ctx, str_t service);
 } gateway_ops_t;
 
 typedef struct gateway_cfg {
@@ -67,6 +75,18 @@
 void gateway_recv(gateway_t *g, const Dispatch__Msg *msg);
 /* Keeps copies of streams that another daemon has relayed. */
 void gateway_keep_streams(gateway_t *g, const Dispatch__Streams *m);
+/*
+ * Takes in the streams that this host's journal held at the start, and has the
+ * dispatcher told; their times count from 0.
+ */
+void gateway_journal_read(gateway_t *g, const stream_builds_t *found);
+/*
+ * Sends all streams that are known here to the hosts with a disk: another software
+ * version was decided, so that it matters which one began them.
+ */
+void gateway_journal_streams(gateway_t *g);
+/* Tells the dispatcher of all streams that are known here. */
+void gateway_tell_streams(gateway_t *g);
 /* Tells a dispatcher that begins what this daemon has learnt of the targets. */
 void gateway_brief_dispatcher(gateway_t *g);
 /*
--- a/src/gateway_int.h
+++ b/src/gateway_int.h
@@ -222,6 +222,10 @@
 	/* Relayed since the last message to the daemon that keeps copies. */
 	stream_builds_t *new_streams;
 	timer_sub_t backup_timer;
+	/* As new_streams, for hosts that keep them on disk. */
+	stream_builds_t *journal_streams;
+	timer_sub_t journal_timer;
+	bool journal_read; /* streams holds what this host's journal held */
 	/* The last ones, to be told to another dispatcher. */
 	crash_report_t crashes[CRASH_REPORTS_MAX];
 	uint32_t n_crashes; /* so far, also those overwritten */
@@ -273,8 +277,6 @@
 /* Creates and frees what the gateway remembers of streams. */
 void gateway_streams_init(gateway_t *g);
 void gateway_streams_free(gateway_t *g);
-/* Tells the dispatcher of all streams that are known here. */
-void gateway_tell_streams(gateway_t *g);
 /* Whether the request goes on with the stream of an earlier one. */
 bool request_takes_up_stream(const request_t *r);
 /* Id of the request that brings, or brought, the first event of its stream. */
--- a/src/site.c
+++ b/src/site.c
@@ -113,6 +113,7 @@
 	decided_unref(s->tables);
 	s->tables = decided_ref(((tables_mail_t *)m)->tables);
 	apply_manifest(s);
+	site_streams_tables_changed(s);
 	dispatch_set_tables(s->dispatch, s->manifest, s->tables);
 	dispatch_set_tables(s->isolated_dispatch, s->manifest, s->tables);
 	site_run_dispatch(s);
@@ -187,8 +188,6 @@
 	gateway_resync_dispatcher(s->gateway);
 }
 
-static void send_message(site_t *s, host_id_t to, const Dispatch__Msg *msg);
-
 static void on_ping_timer(void *ctx, int64_t now)
 {
 	site_t *s = ctx;
@@ -199,7 +198,7 @@
 	msg.body_case = DISPATCH__MSG__BODY_PING;
 	msg.ping = &pb;
 	if (s->lease_status.leader)
-		send_message(s, s->lease_status.leader, &msg);
+		site_send_message(s, s->lease_status.leader, &msg);
 	timer_svc_arm(s->timers, &s->ping_timer, now + PING_PERIOD_US);
 }
 
@@ -279,6 +278,7 @@
 	apply_lease_status(s, &old);
 	free((void *)(uintptr_t)old.live);
 	propose_host_doc(s);
+	site_streams_lease_status_changed(s);
 	site_ports_lease_status_changed(s);
 	site_run_dispatch(s);
 	free(m);
@@ -327,7 +327,10 @@
 			end_isolated(s);
 	} else if (msg->body_case == DISPATCH__MSG__BODY_STREAMS &&
 		   msg->streams->backup) {
-		gateway_keep_streams(s->gateway, msg->streams);
+		site_keep_streams(s, msg->streams);
+	} else if (msg->body_case == DISPATCH__MSG__BODY_JOURNAL &&
+		   !msg->journal->told) {
+		gateway_tell_streams(s->gateway);
 	} else if (is_for_gateway(msg)) {
 		gateway_recv(s->gateway, msg);
 	} else if (from == s->self && dispatch_active(s->isolated_dispatch)) {
@@ -364,7 +367,7 @@
 	}
 }
 
-static void send_message(site_t *s, host_id_t to, const Dispatch__Msg *msg)
+void site_send_message(site_t *s, host_id_t to, const Dispatch__Msg *msg)
 {
 	size_t n = dispatch__msg__get_packed_size(msg);
 	AUTO_FREE uint8_t *bytes = xmalloc(n + 1);
@@ -389,42 +392,11 @@
 			   msg->body_case == DISPATCH__MSG__BODY_LIMIT;
 
 	if (dispatch_active(s->isolated_dispatch))
-		send_message(s, s->self, msg);
+		site_send_message(s, s->self, msg);
 	/* While isolated, the leader still learns of places that it granted. */
 	if (s->lease_status.leader &&
 	    (about_place || !dispatch_active(s->isolated_dispatch)))
-		send_message(s, s->lease_status.leader, msg);
-}
-
-/*
- * The live host, other than this one and the dispatcher, that comes first in an
- * order of this host's own; 0: there is none.
- */
-static host_id_t backup_host(const site_t *s)
-{
-	const lease_status_t *st = &s->lease_status;
-	uint64_t highest = 0;
-	host_id_t best = 0;
-
-	for (size_t i = 0; i < st->n_live; i++) {
-		host_id_t host = st->live[i];
-		uint64_t rank = hash_bytes(&host, sizeof(host), s->self);
-
-		if (host == s->self || host == st->leader || rank < highest)
-			continue;
-		highest = rank;
-		best = host;
-	}
-	return best;
-}
-
-static void send_to_backup(void *ctx, const Dispatch__Msg *msg)
-{
-	site_t *s = ctx;
-	host_id_t to = backup_host(s);
-
-	if (to)
-		send_message(s, to, msg);
+		site_send_message(s, s->lease_status.leader, msg);
 }
 
 static void propose_doc(void *ctx, str_t name, str_t body)
@@ -437,7 +409,7 @@
 
 static void send_to_entry(void *ctx, host_id_t to, const Dispatch__Msg *msg)
 {
-	send_message(ctx, to, msg);
+	site_send_message(ctx, to, msg);
 }
 
 static void on_dispatch_timer(void *ctx, int64_t now)
@@ -654,9 +626,9 @@
 static int create_serving(site_t *s)
 {
 	static const gateway_ops_t gateway_ops = {
-		send_to_dispatcher, send_to_backup, begin_isolated,
-		refusal_reason,	    is_starting,    is_draining,
-		pick_peer,	    site_on_no_path};
+		send_to_dispatcher, site_send_to_backup, begin_isolated,
+		refusal_reason,	    is_starting,	 is_draining,
+		pick_peer,	    site_on_no_path,	 site_journal_delay_us};
 	static const dispatch_ops_t dispatch_ops = {send_to_entry,
 						    site_send_order,
 						    site_request_report,
@@ -850,9 +822,9 @@
 static int site_start(site_t *s)
 {
 	static int (*const steps[])(site_t *) = {
-		create_loop,	     site_open_disk, create_links,
-		create_serving,	     create_state,   start_io,
-		start_signal_thread,
+		create_loop,	site_open_disk,	     create_links,
+		create_serving, create_state,	     site_streams_start,
+		start_io,	start_signal_thread,
 	};
 
 	for (size_t i = 0; i < ARRAY_SIZE(steps); i++)
--- a/src/site_int.h
+++ b/src/site_int.h
@@ -34,6 +34,9 @@
 /* Shared by all daemons of a system, as the platform provides no secret. */
 #define SITE_SECRET "damasklug site, one system"
 
+/* See site_streams.c. */
+typedef struct site_streams site_streams_t;
+
 typedef struct site {
 	char *settings_path;
 	site_settings_t settings;
@@ -68,6 +71,8 @@
 	struct cds_list_head local_mail;
 	loop_task_t local_mail_task;
 
+	site_streams_t *streams;
+
 	/* Ports, see site_ports.c. */
 	http1_listener_t *ready;
 	http1_listener_t *control;
@@ -119,6 +124,21 @@
 /* The dispatcher that is active on this daemon now, or NULL. */
 dispatch_t *site_active_dispatch(site_t *s);
 
+/* Sends to the gateway or dispatcher of another host, or of this one. */
+void site_send_message(site_t *s, host_id_t to, const Dispatch__Msg *msg);
+
+/* site_streams.c */
+
+/* After site_open_disk(); reads the journal of streams on a thread. Returns 0. */
+int site_streams_start(site_t *s);
+void site_streams_tables_changed(site_t *s);
+void site_streams_lease_status_changed(site_t *s);
+/* Callbacks of the gateway; ctx is the site_t. */
+int64_t site_journal_delay_us(void *ctx, str_t service);
+void site_send_to_backup(void *ctx, const Dispatch__Msg *msg);
+/* Keeps copies of streams that another daemon has relayed. */
+void site_keep_streams(site_t *s, const Dispatch__Streams *m);
+
 /* site_leave.c */
 
 /* Begins the shutdown; the loop stops once it is complete. */
--- a/src/stream_build.c
+++ b/src/stream_build.c
@@ -60,6 +60,11 @@
 	return hash_bytes(request_id.p, request_id.n, seed) | 1;
 }
 
+static str_t build_of(const stream_t *s)
+{
+	return str_n(s->build, g_ref_string_length(s->build));
+}
+
 static gboolean is_expired(gpointer key, gpointer value, gpointer now_us)
 {
 	const stream_t *s = value;
@@ -87,15 +92,13 @@
 	return s;
 }
 
-void stream_builds_put(stream_builds_t *b, uint64_t key, str_t build,
-		       int64_t now_us, int64_t until_us)
+static void store(stream_builds_t *b, uint64_t key, str_t build,
+		  int64_t until_us)
 {
 	stream_t *s;
 
-	sweep(b, now_us);
-	if (!build.n || until_us <= now_us)
-		return;
-	if (g_hash_table_size(b->streams) >= STREAMS_MAX) {
+	if (g_hash_table_size(b->streams) >= STREAMS_MAX &&
+	    !g_hash_table_contains(b->streams, &key)) {
 		counter_add(CTR_STREAMS_FORGOTTEN, 1);
 		return;
 	}
@@ -103,13 +106,47 @@
 	g_hash_table_replace(b->streams, &s->key, s);
 }
 
+void stream_builds_put(stream_builds_t *b, uint64_t key, str_t build,
+		       int64_t now_us, int64_t until_us)
+{
+	sweep(b, now_us);
+	if (build.n && until_us > now_us)
+		store(b, key, build, until_us);
+}
+
+void stream_builds_tell(stream_builds_t *b, uint64_t key, str_t build,
+			int64_t now_us, int64_t until_us)
+{
+	const stream_t *s;
+
+	sweep(b, now_us);
+	if (until_us <= now_us)
+		return;
+	s = g_hash_table_lookup(b->streams, &key);
+	if (s && s->until_us > now_us) {
+		until_us = MAX(until_us, s->until_us);
+		if (!str_eq(build_of(s), build) && build_of(s).n) {
+			counter_add(CTR_STREAMS_AMBIGUOUS, 1);
+			build = str_n(NULL, 0);
+		} else {
+			build = build_of(s);
+		}
+	}
+	store(b, key, build, until_us);
+}
+
+size_t stream_builds_count(const stream_builds_t *b)
+{
+	return g_hash_table_size(b->streams);
+}
+
 str_t stream_builds_find(const stream_builds_t *b, uint64_t key, int64_t now_us)
 {
 	const stream_t *s = g_hash_table_lookup(b->streams, &key);
 
 	if (!s || s->until_us <= now_us)
 		return str_n(NULL, 0);
-	return str_n(s->build, g_ref_string_length(s->build));
+	return build_of(s);
 }
 
 void stream_builds_each(const stream_builds_t *b, int64_t now_us,
@@ -125,8 +162,6 @@
 		const stream_t *s = value;
 
 		if (s->until_us > now_us)
-			fn(ctx, s->key,
-			   str_n(s->build, g_ref_string_length(s->build)),
-			   s->until_us - now_us);
+			fn(ctx, s->key, build_of(s), s->until_us - now_us);
 	}
 }
--- a/src/stream_build.h
+++ b/src/stream_build.h
@@ -34,10 +34,21 @@
  */
 void stream_builds_put(stream_builds_t *b, uint64_t key, str_t build,
 		       int64_t now_us, int64_t until_us);
-/* A view, valid until the next put or clear; empty: not known. */
+/*
+ * As stream_builds_put(), for what another daemon or a journal tells. Where another
+ * version is known for the key, or build is empty, the stream is ambiguous from then
+ * on: it is known, but no version is found for it.
+ */
+void stream_builds_tell(stream_builds_t *b, uint64_t key, str_t build,
+			int64_t now_us, int64_t until_us);
+size_t stream_builds_count(const stream_builds_t *b);
+/* A view, valid until the next put, tell or clear; empty: not known. */
 str_t stream_builds_find(const stream_builds_t *b, uint64_t key,
 			 int64_t now_us);
-/* Calls fn for each stream that is known, in no order; left_us: for how long. */
+/*
+ * Calls fn for each stream that is known, in no order; left_us: for how long. build is
+ * empty for an ambiguous one.
+ */
 void stream_builds_each(const stream_builds_t *b, int64_t now_us,
 			void (*fn)(void *ctx, uint64_t key, str_t build,
 				   int64_t left_us),
--- a/src/streams.c
+++ b/src/streams.c
@@ -54,11 +54,25 @@
 	return MIN(keep_us, STREAM_KEEP_MAX_US);
 }
 
-/* Has the stream copied to another daemon, together with others of that time. */
+/*
+ * Has the stream copied to another daemon, together with others of that time, or to
+ * two hosts with a disk.
+ */
 static void back_up_stream(request_t *r, int64_t now, int64_t keep_us)
 {
 	gateway_t *g = r->gw;
+	int64_t journal_us =
+		g->ops.journal_delay_us
+			? g->ops.journal_delay_us(g->ctx, r->service->name)
+			: 0;
 
+	if (journal_us > 0) {
+		stream_builds_put(g->journal_streams, r->stream_key,
+				  r->stream_build, now, now + keep_us);
+		timer_svc_arm_earlier(loop_timers(g->loop), &g->journal_timer,
+				      now + journal_us);
+		return;
+	}
 	stream_builds_put(g->new_streams, r->stream_key, r->stream_build, now,
 			  now + keep_us);
 	timer_svc_arm_earlier(loop_timers(g->loop), &g->backup_timer,
@@ -112,9 +126,16 @@
 	g_array_append_val((GArray *)ctx, t);
 }
 
+/* To whom streams are sent. */
+typedef enum streams_to {
+	TO_DISPATCHER,
+	TO_BACKUP,   /* the daemon that keeps copies */
+	TO_JOURNALS, /* the hosts with a disk that keep copies */
+} streams_to_t;
+
 /* Sends n streams of one software version. */
 static void send_streams_of_build(gateway_t *g, const told_stream_t *t,
-				  size_t n, bool backup)
+				  size_t n, streams_to_t to)
 {
 	AUTO_FREE uint64_t *keys = xcalloc(n, sizeof(*keys));
 	AUTO_FREE int64_t *keep_us = xcalloc(n, sizeof(*keep_us));
@@ -130,21 +151,19 @@
 	pb.n_streams = n;
 	pb.keep_us = keep_us;
 	pb.n_keep_us = n;
-	pb.backup = backup;
+	pb.backup = to != TO_DISPATCHER;
+	pb.journal = to == TO_JOURNALS;
 	msg.body_case = DISPATCH__MSG__BODY_STREAMS;
 	msg.streams = &pb;
-	if (backup)
+	if (pb.backup)
 		g->ops.send_backup(g->ctx, &msg);
 	else
 		g->ops.send(g->ctx, &msg);
 }
 
-/*
- * Tells at which software versions streams began: the daemon that keeps copies, if
- * backup, else the dispatcher.
- */
+/* Tells at which software versions streams began. */
 static void send_streams(gateway_t *g, const stream_builds_t *streams,
-			 bool backup)
+			 streams_to_t to)
 {
 	GArray *all = g_array_new(FALSE, FALSE, sizeof(told_stream_t));
 	guint from = 0;
@@ -160,7 +179,7 @@
 			continue;
 		send_streams_of_build(g,
 				      &g_array_index(all, told_stream_t, from),
-				      i + 1 - from, backup);
+				      i + 1 - from, to);
 		from = i + 1;
 	}
 	g_array_free(all, TRUE);
@@ -171,10 +190,24 @@
 	gateway_t *g = ctx;
 
 	(void)now;
-	send_streams(g, g->new_streams, true);
+	send_streams(g, g->new_streams, TO_BACKUP);
 	stream_builds_clear(g->new_streams);
 }
 
+static void on_journal_timer(void *ctx, int64_t now)
+{
+	gateway_t *g = ctx;
+
+	(void)now;
+	send_streams(g, g->journal_streams, TO_JOURNALS);
+	stream_builds_clear(g->journal_streams);
+}
+
+void gateway_journal_streams(gateway_t *g)
+{
+	send_streams(g, g->streams, TO_JOURNALS);
+}
+
 void gateway_keep_streams(gateway_t *g, const Dispatch__Streams *m)
 {
 	dispatch_store_streams(g->streams, m, gateway_now(g));
@@ -182,19 +215,48 @@
 
 void gateway_tell_streams(gateway_t *g)
 {
-	send_streams(g, g->streams, false);
+	Dispatch__Journal pb = DISPATCH__JOURNAL__INIT;
+	Dispatch__Msg msg = DISPATCH__MSG__INIT;
+
+	send_streams(g, g->streams, TO_DISPATCHER);
+	if (!g->journal_read)
+		return;
+	pb.told = true;
+	msg.body_case = DISPATCH__MSG__BODY_JOURNAL;
+	msg.journal = &pb;
+	g->ops.send(g->ctx, &msg);
+}
+
+static void keep_found_stream(void *ctx, uint64_t key, str_t build,
+			      int64_t left_us)
+{
+	gateway_t *g = ctx;
+	int64_t now = gateway_now(g);
+
+	stream_builds_tell(g->streams, key, build, now, now + left_us);
+}
+
+void gateway_journal_read(gateway_t *g, const stream_builds_t *found)
+{
+	stream_builds_each(found, 0, keep_found_stream, g);
+	g->journal_read = true;
+	gateway_tell_streams(g);
 }
 
 void gateway_streams_init(gateway_t *g)
 {
 	g->streams = stream_builds_new();
 	g->new_streams = stream_builds_new();
+	g->journal_streams = stream_builds_new();
 	timer_sub_init(&g->backup_timer, on_backup_timer, g);
+	timer_sub_init(&g->journal_timer, on_journal_timer, g);
 }
 
 void gateway_streams_free(gateway_t *g)
 {
 	timer_svc_cancel(loop_timers(g->loop), &g->backup_timer);
+	timer_svc_cancel(loop_timers(g->loop), &g->journal_timer);
 	stream_builds_free(g->streams);
 	stream_builds_free(g->new_streams);
+	stream_builds_free(g->journal_streams);
 }
