--- a/src/stream_journal.c
+++ b/src/stream_journal.c
@@ -12,6 +12,8 @@
 #define BATCH_MAGIC 0x534a4b44u /* "DKJS" */
 /* Records in one batch; more are written as several. */
 #define BATCH_RECORDS_MAX 4096u
+/* A segment that could not be read is kept for so long: the next start may read it. */
+#define UNREADABLE_KEEP_US (600 * USEC_PER_SEC)
 /* Longest name of a software version that is recorded. */
 #define BUILD_MAX 1024u
 
@@ -148,8 +150,10 @@
 	size_t n;
 
 	rd->found->segments++;
-	if (j->disk.read(j->disk.ctx, s->seq, &file) < 0)
+	if (j->disk.read(j->disk.ctx, s->seq, &file) < 0) {
 		rd->found->unreadable++;
+		s->until_us = rd->now_us + UNREADABLE_KEEP_US;
+	}
 	s->bytes = file.n;
 	rest = buf_str(&file);
 	while ((n = parse_batch(rest, &h))) {
--- a/tests/dispatch_world.h
+++ b/tests/dispatch_world.h
@@ -113,8 +113,9 @@
 	int grants = 0;
 	int refusals = 0;
 	uint32_t refusal = REASON_NONE; // the last one
-	uint64_t version = 0;		// of the adapter, as granted
-	uint32_t tokens = 0;		// of the prompt
+	int64_t refusal_retry_us = 0;
+	uint64_t version = 0; // of the adapter, as granted
+	uint32_t tokens = 0;  // of the prompt
 	uint32_t pause_permille = 0;
 	std::string runner; // of the last grant
 	bool ended = false;
@@ -330,16 +331,38 @@
 		schedule(CRASHED_FOR_US, [=]() { runners.push_back(next); });
 	}
 
-	// The decided software versions: lines of service, tab, version.
-	void decide_builds(const std::string &body)
+	void decide_doc(const std::string &name, uint64_t version,
+			const std::string &body)
 	{
-		doc_t doc = {0, STR(DOC_BUILDS), ++builds_version,
+		doc_t doc = {0, str_n(name.data(), name.size()), version,
 			     str_n(body.data(), body.size())};
 
 		tables = decided_unshare(tables);
 		decided_put_doc(tables, &doc);
 		dispatch_set_tables(d, manifest, tables);
 	}
+	// The decided software versions: lines of service, tab, version.
+	void decide_builds(const std::string &body)
+	{
+		decide_doc(DOC_BUILDS, ++builds_version, body);
+	}
+	// Decides that the host keeps a journal of streams.
+	void decide_journal(host_id_t host)
+	{
+		decide_doc(DOC_JOURNAL_PREFIX + std::to_string(host), 1,
+			   std::to_string(host));
+	}
+	// The host has told all streams of its journal.
+	void tell_journal(host_id_t host)
+	{
+		Dispatch__Journal m = DISPATCH__JOURNAL__INIT;
+		Dispatch__Msg msg = DISPATCH__MSG__INIT;
+
+		m.told = true;
+		msg.body_case = DISPATCH__MSG__BODY_JOURNAL;
+		msg.journal = &m;
+		dispatch_recv(d, host, &msg, now);
+	}
 	// A runner ended, at ago_us, as it was about to answer a request with
 	// this digest, whose prompt has these parts; the last one is its own.
 	void tell_crash_of(const std::string &runner,
@@ -561,6 +584,7 @@
 	std::map<std::string, std::pair<double, int64_t>> named_limits;
 	// By when they ended, the requests whose runner ended first.
 	std::vector<std::pair<int64_t, Request>> crash_reports;
+	std::set<host_id_t> journals_asked; // by the dispatcher
 	bool lists_arrive = true;
 	bool lease_renewed = true;
 
@@ -929,15 +953,19 @@
 
 	// The entry.
 
-	static void on_send(void *ctx, host_id_t, const Dispatch__Msg *msg)
+	static void on_send(void *ctx, host_id_t to, const Dispatch__Msg *msg)
 	{
 		World *w = (World *)ctx;
 
+		if (msg->body_case == DISPATCH__MSG__BODY_JOURNAL)
+			w->journals_asked.insert(to);
 		if (msg->body_case == DISPATCH__MSG__BODY_REFUSAL) {
 			uint64_t id = msg->refusal->id;
 
 			w->requests[id].refusals++;
 			w->requests[id].refusal = msg->refusal->reason;
+			w->requests[id].refusal_retry_us =
+				msg->refusal->retry_us;
 			w->requests[id].ended = true;
 			w->refused++;
 		}
