--- a/tests/soak/caller.c
+++ b/tests/soak/caller.c
@@ -13,6 +13,8 @@
 #define RESOLVE_PERIOD_US (300 * USEC_PER_MSEC)
 #define RESOLVE_TIMEOUT_US (1 * USEC_PER_SEC)
 #define RETRIES_MAX 2u
+/* Without power at the hosts, until another try to connect, which is not counted. */
+#define POWER_RETRY_US (100 * USEC_PER_MSEC)
 /* An answer may come so long after the deadline. */
 #define ANSWER_MARGIN_US (1 * USEC_PER_SEC)
 #define THINK_MAX_MS 120
@@ -125,6 +127,8 @@
 {
 	int64_t now = soak_now(soak_of(c));
 	int64_t wait = RETRY_PAUSE_MS * USEC_PER_MSEC;
+	/* After a loss of power, nobody listens for a while. */
+	bool not_sent = soak_of(c)->cfg.power_losses && !c->attempt;
 	answer_t ans = {.status = c->status,
 			.complete = complete,
 			.signature = buf_str(&c->signature),
@@ -143,8 +147,8 @@
 	    c->retry_after_us < (c->deadline_us - now) / 3)
 		wait = c->retry_after_us;
 	if (may_repeat(c, complete) && now + wait < c->deadline_us) {
-		c->retries++;
-		think(c, wait);
+		c->retries += !not_sent;
+		think(c, not_sent ? POWER_RETRY_US : wait);
 		return;
 	}
 	c->cls = NULL;
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -229,6 +229,7 @@
 	gint hosts = 9, callers = 0, seconds = 20;
 	gint64 seed = 1;
 	gboolean strict = FALSE;
+	gboolean power_losses = FALSE;
 	g_autofree char *daemon = NULL;
 	g_autofree char *dir = NULL;
 	const GOptionEntry options[] = {
@@ -244,6 +245,8 @@
 		 "length of the plan", "N"},
 		{"strict", 0, 0, G_OPTION_ARG_NONE, &strict,
 		 "also judge what depends on time", NULL},
+		{"power-losses", 0, 0, G_OPTION_ARG_NONE, &power_losses,
+		 "the only faults: all daemons are killed at once", NULL},
 		G_OPTION_ENTRY_NULL};
 	g_autoptr(GOptionContext) context = g_option_context_new(NULL);
 	g_autoptr(GError) error = NULL;
@@ -266,6 +269,7 @@
 		.n_voters = hosts < 3 ? 1 : 3,
 		.n_callers = (unsigned int)(callers ? callers : 4 * hosts),
 		.duration_us = seconds * USEC_PER_SEC,
+		.power_losses = power_losses,
 	};
 	choose_ports(&m.s.cfg);
 	return run(&m, strict);
--- a/tests/soak/plan.c
+++ b/tests/soak/plan.c
@@ -18,6 +18,9 @@
 #define ZONE_DOWN_US (700 * USEC_PER_MSEC)
 /* Longest that one fault lasts. */
 #define FAULT_MAX_MS 5000
+/* In a plan of losses of power: between two of them, and until hosts come back. */
+#define POWER_PERIOD_US (5 * USEC_PER_SEC)
+#define POWER_BACK_MAX_MS 1000
 /* Share of the seeds whose faults leave the voters alone. */
 #define SPARE_VOTERS_SHARE 0.4
 
@@ -61,6 +64,7 @@
 	double share;
 	int64_t for_us;
 	bool signal;
+	bool staggered; /* hosts come back one after the other, until for_us */
 } fault_t;
 
 struct plan {
@@ -115,6 +119,22 @@
 		f->kind = PLAN_KILL;
 }
 
+/* All daemons are killed; each comes back by itself within POWER_BACK_MAX_MS. */
+static void add_power_losses(plan_t *p)
+{
+	int64_t at_us = POWER_PERIOD_US;
+
+	while (at_us < p->s->cfg.duration_us - CALM_END_US) {
+		const fault_t f = {.at_us = at_us,
+				   .kind = PLAN_KILL_ALL,
+				   .for_us = POWER_BACK_MAX_MS * USEC_PER_MSEC,
+				   .staggered = true};
+
+		g_array_append_val(p->faults, f);
+		at_us += POWER_PERIOD_US;
+	}
+}
+
 static gint compare_faults(gconstpointer a, gconstpointer b)
 {
 	int64_t x = ((const fault_t *)a)->at_us;
@@ -146,7 +166,10 @@
 
 	p->s = s;
 	p->faults = g_array_new(FALSE, FALSE, sizeof(fault_t));
-	while (at_us < s->cfg.duration_us - CALM_END_US) {
+	if (s->cfg.power_losses)
+		add_power_losses(p);
+	while (!s->cfg.power_losses &&
+	       at_us < s->cfg.duration_us - CALM_END_US) {
 		fault_t f = draw_fault(s, rng, at_us);
 
 		if (spares)
@@ -201,8 +224,11 @@
 
 static void kill_all(plan_t *p, const fault_t *f)
 {
-	for (unsigned int i = 0; i < p->s->cfg.n_hosts; i++)
-		host_kill(p->s->hosts, i, f->for_us);
+	unsigned int n = p->s->cfg.n_hosts;
+
+	for (unsigned int i = 0; i < n; i++)
+		host_kill(p->s->hosts, i,
+			  f->staggered ? f->for_us * (i + 1) / n : f->for_us);
 }
 
 /* Ends all hosts of the failure domain of this one. */
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -36,6 +36,7 @@
 	unsigned int n_voters; /* hosts with a disk */
 	unsigned int n_callers;
 	int64_t duration_us;
+	bool power_losses; /* the only faults: all daemons end at once */
 	/* Ports of the daemons, which have an address each, and of the rest. */
 	uint16_t front, ready, control, directory, peer, list, runner;
 } soak_cfg_t;
