--- a/src/choice.c
+++ b/src/choice.c
@@ -383,6 +383,12 @@
 		.first_event_us = patience_us(ask) - waited_us,
 	};
 
+	/*
+	 * The first event of a stream that is taken up has come already: it is
+	 * of use until its caller gives up.
+	 */
+	if (ask->takes_up)
+		m.prefill_us = m.first_event_us;
 	return m;
 }
 
--- a/src/site_streams.c
+++ b/src/site_streams.c
@@ -19,7 +19,7 @@
 /* Hosts with a disk that get each record. */
 #define JOURNAL_COPIES 2u
 /* New streams are collected for at least so long before they are sent. */
-#define JOURNAL_DELAY_US (30 * USEC_PER_MSEC)
+#define JOURNAL_DELAY_US (5 * USEC_PER_MSEC)
 /*
  * Messages with new streams that a host with a disk should get in a second from all
  * others together; where there are many daemons, each collects for longer.
--- a/tests/stream_journal_test.cc
+++ b/tests/stream_journal_test.cc
@@ -281,6 +281,25 @@
 	EXPECT_EQ(0, w.requests[unknown].refusal_retry_us);
 }
 
+// Guards against a take-up that waits for its version and is then refused as late: its
+// objective was that of the first event, which has come long ago.
+TEST(StreamJournal, ATakeUpThatHasWaitedForItsVersionIsNotTooLate)
+{
+	World w(1, {});
+
+	w.runners[1].build = w.runners[2].build = "v2";
+	w.run(5000 * MS, 0);
+	w.decide_builds("llm\tv1\nllm\tv2\n");
+	w.decide_journal(21);
+	w.begin(false);
+	uint64_t id = w.take_up(11);
+
+	w.run(900 * MS, 0);
+	w.tell_stream(11, "v1");
+	w.run(50 * MS, 0);
+	EXPECT_EQ("i-0", w.requests[id].runner);
+}
+
 // All daemons lose power during a rollout, each stream recorded at two of three hosts
 // with a disk, one of which may not come back. Those whose record was synced at a host
 // that did go on at their own version; the others are refused; none is joined.
