--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -788,6 +788,8 @@
 	uint64_t id = w.take_up(11);
 
 	EXPECT_EQ(REASON_STREAM_UNKNOWN, w.requests[id].refusal);
+	// With the lease, the only decided version will be known again.
+	EXPECT_GT(w.requests[id].refusal_retry_us, 0);
 }
 
 TEST(Dispatch, StreamBeginsNowhereBeforeARestartedRunnersVersionIsKnown)
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -217,7 +217,14 @@
 			[](void *ctx) -> host_id_t {
 				return ((GatewayFixture *)ctx)->peer;
 			},
-			[](void *ctx) { ((GatewayFixture *)ctx)->no_paths++; }};
+			[](void *ctx) { ((GatewayFixture *)ctx)->no_paths++; },
+			[](void *ctx, str_t service) -> int64_t {
+				GatewayFixture *f = (GatewayFixture *)ctx;
+
+				return str_eq(service, STR("app"))
+					       ? f->journal_delay_us.load()
+					       : 0;
+			}};
 		struct sockaddr_in a = loopback_addr();
 
 		port = free_port();
@@ -291,7 +298,10 @@
 	// Streams that the dispatcher was told of, and their software versions.
 	std::map<uint64_t, std::string> told_streams;
 	std::set<uint64_t> backed_up; // streams copied to another daemon
-	bool reset = false;	      // the last ask() ended by a TCP reset
+	std::set<uint64_t> journaled; // streams for hosts with a disk
+	std::atomic<int64_t> journal_delay_us{0}; // of the service "app"
+	size_t n_journal_told = 0; // messages that the journal is told
+	bool reset = false;	   // the last ask() ended by a TCP reset
 	std::atomic<int> n_replied_asks{0};
 	std::vector<std::string> avoided; // of each Ask; its first runner
 	size_t leaving_runners = 0;	  // Done messages that tell of one
@@ -396,7 +406,9 @@
 
 		EXPECT_TRUE(msg->streams->backup);
 		for (size_t i = 0; i < msg->streams->n_streams; i++)
-			fixture->backed_up.insert(msg->streams->streams[i]);
+			(msg->streams->journal ? fixture->journaled
+					       : fixture->backed_up)
+				.insert(msg->streams->streams[i]);
 	}
 	// The dispatcher replies in a later turn of the loop.
 	static void on_send(void *ctx, const Dispatch__Msg *msg)
@@ -408,6 +420,9 @@
 			fixture->asked_us = timer_svc_now(fixture->l.timers);
 
 		fixture->note_streams(msg);
+		fixture->n_journal_told +=
+			msg->body_case == DISPATCH__MSG__BODY_JOURNAL &&
+			msg->journal->told;
 		if (msg->body_case == DISPATCH__MSG__BODY_LIMIT)
 			fixture->limits.push_back(msg->limit->named
 							  ? msg->limit->per_s
@@ -1481,6 +1496,50 @@
 		  fixture.told_streams);
 }
 
+// While several software versions of a service are decided, its streams go to hosts with
+// a disk; once another version is decided, so do those that began before.
+TEST(Gateway, StreamsAreSentToJournalsWhileSeveralVersionsAreDecided)
+{
+	Target a({{std::string(STREAM_HEAD) + chunk("id: 1\ndata: a\n\n"),
+		   false, true, false}});
+	GatewayFixture fixture({&a}, {"v7"});
+	std::set<uint64_t> first = {stream_key(STR("app"), STR("r1"))};
+
+	fixture.journal_delay_us = 5 * USEC_PER_MSEC;
+	fixture.ask("/resume/x");
+	usleep(60000);
+	fixture.l.call([&] {
+		EXPECT_EQ(first, fixture.journaled);
+		EXPECT_TRUE(fixture.backed_up.empty());
+		fixture.journaled.clear();
+		gateway_journal_streams(fixture.gateway);
+		EXPECT_EQ(first, fixture.journaled);
+	});
+}
+
+// What a host's journal held is told to each dispatcher, and then that it is all.
+TEST(Gateway, ADispatcherIsToldWhatTheJournalHeld)
+{
+	GatewayFixture fixture({});
+	stream_builds_t *found = stream_builds_new();
+
+	stream_builds_tell(found, 11, STR("v1"), 0, USEC_PER_SEC);
+	stream_builds_tell(found, 12, STR("v1"), 0, USEC_PER_SEC);
+	stream_builds_tell(found, 12, STR("v2"), 0, USEC_PER_SEC);
+	fixture.l.call([&] {
+		gateway_resync_dispatcher(fixture.gateway);
+		EXPECT_EQ(0u, fixture.n_journal_told);
+		gateway_journal_read(fixture.gateway, found);
+		EXPECT_EQ(1u, fixture.n_journal_told);
+		gateway_resync_dispatcher(fixture.gateway);
+		EXPECT_EQ(2u, fixture.n_journal_told);
+	});
+	stream_builds_free(found);
+	// The one of two versions is told as known to be ambiguous.
+	EXPECT_EQ((std::map<uint64_t, std::string>{{11, "v1"}, {12, ""}}),
+		  fixture.told_streams);
+}
+
 TEST(Gateway, ErrorOfTheNextTargetIsNoPartOfTheResumedStream)
 {
 	Target a({{std::string(STREAM_HEAD) + chunk("id: 1\ndata: a\n\n"),
