Dispatcher: take-ups that wait for their version hold up nobody behind them

Requests that take up a stream come first in the queue, and 64 pending requests are decided in a tick: after a loss of power, that many take-ups of unknown streams kept all others from being decided until their versions were told. They no longer count among the 64. The new test fails without the change.

--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -229,6 +229,7 @@
 	bool is_leader = d->mode == DISPATCH_LEADER;
 	str_t build;
 
+	req->awaits_version = false;
 	if (!a->takes_up || a->build.len)
 		return true;
 	build = builds_of_stream(d, a, now_us);
@@ -237,6 +238,7 @@
 		a->build.len = build.n;
 		return true;
 	}
+	req->awaits_version = true;
 	if (is_leader && !a->stream) {
 		pending_refuse(d, req, REASON_STREAM_UNKNOWN, 0);
 		return false;
@@ -776,7 +778,9 @@
 		if (now_us >= req->deadline_us)
 			pending_refuse(d, req, REASON_LOAD_FAILED,
 				       REFUSAL_RETRY_US);
-		else if (!req->awaited_copy && n++ < DECIDE_MAX)
+		/* Those whose version is not known don't use up the number. */
+		else if (!req->awaited_copy &&
+			 (req->awaits_version || n++ < DECIDE_MAX))
 			pending_decide(d, req, now_us);
 	}
 	return cds_list_empty(&d->pending) ? INT64_MAX
--- a/src/dispatch_int.h
+++ b/src/dispatch_int.h
@@ -228,7 +228,8 @@
 	int64_t load_waited_us;	    /* time spent waiting for earlier copies */
 	int64_t deadline_us;	    /* refused then */
 	uint32_t load_attempts;
-	bool is_trial; /* of what it has of the quarantine */
+	bool is_trial;	     /* of what it has of the quarantine */
+	bool awaits_version; /* its stream's, which nobody has told yet */
 } pending_request_t;
 
 /*
--- a/tests/stream_journal_test.cc
+++ b/tests/stream_journal_test.cc
@@ -281,6 +281,33 @@
 	EXPECT_EQ(0, w.requests[unknown].refusal_retry_us);
 }
 
+// Guards against new requests that wait behind all take-ups of unknown streams, as these
+// come first in the queue and only so many are decided in one tick.
+TEST(StreamJournal, TakeUpsOfUnknownStreamsDelayNoOtherRequest)
+{
+	size_t n_granted[2] = {};
+
+	for (size_t n_unknown : {0, 200}) {
+		World w(1, {});
+
+		w.runners[1].build = w.runners[2].build = "v2";
+		w.run(5000 * MS, 0);
+		w.decide_builds("llm\tv1\nllm\tv2\n");
+		w.decide_journal(21);
+		w.begin(false);
+		for (uint64_t key = 1; key <= n_unknown; key++)
+			w.take_up(key);
+		std::vector<uint64_t> fresh;
+		for (int i = 0; i < 20; i++)
+			fresh.push_back(w.ask("", 800 * MS, 8000 * MS, 2000));
+		w.run(600 * MS, 0);
+		for (uint64_t id : fresh)
+			n_granted[n_unknown > 0] += w.requests[id].grants;
+	}
+	EXPECT_GT(n_granted[0], 10u);
+	EXPECT_EQ(n_granted[0], n_granted[1]);
+}
+
 // Guards against a take-up that waits for its version and is then refused as late: its
 // objective was that of the first event, which has come long ago.
 TEST(StreamJournal, ATakeUpThatHasWaitedForItsVersionIsNotTooLate)
