Addresses: hosts are listed by capacity and load

Answers to address requests listed all live hosts of a failure domain alike, so that a host with 0.09 cores got as many callers as one with 0.3. Each host now publishes its limits in a decided document of its own (capacity:IP), judges its load and tells the leader changes of class, and the leader tells all hosts. host_share.c selects from these. Where capacity and load are equal, the answer is as before.

--- a/proto/dispatch.pb-c.c
+++ b/proto/dispatch.pb-c.c
@@ -682,6 +682,51 @@
   assert(message->base.descriptor == &dispatch__limit__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   dispatch__host_loads__init
+                     (Dispatch__HostLoads         *message)
+{
+  static const Dispatch__HostLoads init_value = DISPATCH__HOST_LOADS__INIT;
+  *message = init_value;
+}
+size_t dispatch__host_loads__get_packed_size
+                     (const Dispatch__HostLoads *message)
+{
+  assert(message->base.descriptor == &dispatch__host_loads__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dispatch__host_loads__pack
+                     (const Dispatch__HostLoads *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dispatch__host_loads__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dispatch__host_loads__pack_to_buffer
+                     (const Dispatch__HostLoads *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dispatch__host_loads__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dispatch__HostLoads *
+       dispatch__host_loads__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dispatch__HostLoads *)
+     protobuf_c_message_unpack (&dispatch__host_loads__descriptor,
+                                allocator, len, data);
+}
+void   dispatch__host_loads__free_unpacked
+                     (Dispatch__HostLoads *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dispatch__host_loads__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   dispatch__msg__init
                      (Dispatch__Msg         *message)
 {
@@ -2064,7 +2109,84 @@
   (ProtobufCMessageInit) dispatch__limit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dispatch__msg__field_descriptors[14] =
+static const ProtobufCFieldDescriptor dispatch__host_loads__field_descriptors[4] =
+{
+  {
+    "own",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dispatch__HostLoads, own),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "of_all",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dispatch__HostLoads, of_all),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "strained",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Dispatch__HostLoads, n_strained),
+    offsetof(Dispatch__HostLoads, strained),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "full",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Dispatch__HostLoads, n_full),
+    offsetof(Dispatch__HostLoads, full),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dispatch__host_loads__field_indices_by_name[] = {
+  3,   /* field[3] = full */
+  1,   /* field[1] = of_all */
+  0,   /* field[0] = own */
+  2,   /* field[2] = strained */
+};
+static const ProtobufCIntRange dispatch__host_loads__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor dispatch__host_loads__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dispatch.HostLoads",
+  "HostLoads",
+  "Dispatch__HostLoads",
+  "dispatch",
+  sizeof(Dispatch__HostLoads),
+  4,
+  dispatch__host_loads__field_descriptors,
+  dispatch__host_loads__field_indices_by_name,
+  1,  dispatch__host_loads__number_ranges,
+  (ProtobufCMessageInit) dispatch__host_loads__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dispatch__msg__field_descriptors[15] =
 {
   {
     "ask",
@@ -2234,6 +2356,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "host_loads",
+    31,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dispatch__Msg, body_case),
+    offsetof(Dispatch__Msg, host_loads),
+    &dispatch__host_loads__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dispatch__msg__field_indices_by_name[] = {
   13,   /* field[13] = answered */
@@ -2242,6 +2376,7 @@
   4,   /* field[4] = done */
   1,   /* field[1] = grant */
   5,   /* field[5] = held */
+  14,   /* field[14] = host_loads */
   12,   /* field[12] = limit */
   7,   /* field[7] = ping */
   8,   /* field[8] = pong */
@@ -2251,10 +2386,11 @@
   9,   /* field[9] = uses */
   6,   /* field[6] = waiting */
 };
-static const ProtobufCIntRange dispatch__msg__number_ranges[1 + 1] =
+static const ProtobufCIntRange dispatch__msg__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 31, 14 },
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor dispatch__msg__descriptor =
 {
@@ -2264,10 +2400,10 @@
   "Dispatch__Msg",
   "dispatch",
   sizeof(Dispatch__Msg),
-  14,
+  15,
   dispatch__msg__field_descriptors,
   dispatch__msg__field_indices_by_name,
-  1,  dispatch__msg__number_ranges,
+  2,  dispatch__msg__number_ranges,
   (ProtobufCMessageInit) dispatch__msg__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/proto/dispatch.pb-c.h
+++ b/proto/dispatch.pb-c.h
@@ -30,6 +30,7 @@
 typedef struct Dispatch__Crash Dispatch__Crash;
 typedef struct Dispatch__Answered Dispatch__Answered;
 typedef struct Dispatch__Limit Dispatch__Limit;
+typedef struct Dispatch__HostLoads Dispatch__HostLoads;
 typedef struct Dispatch__Msg Dispatch__Msg;
 
 
@@ -415,6 +416,31 @@
     , 0, {0,NULL}, 0, 0, 0 }
 
 
+/*
+ * Load of hosts. From a host to the leader: its own. From the leader to a host: of
+ * all hosts; those that are not named are normal.
+ */
+struct  Dispatch__HostLoads
+{
+  ProtobufCMessage base;
+  /*
+   * host_load_t of the sender
+   */
+  uint32_t own;
+  /*
+   * the lists count, own does not
+   */
+  protobuf_c_boolean of_all;
+  size_t n_strained;
+  uint32_t *strained;
+  size_t n_full;
+  uint32_t *full;
+};
+#define DISPATCH__HOST_LOADS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dispatch__host_loads__descriptor) \
+    , 0, 0, 0,NULL, 0,NULL }
+
+
 typedef enum {
   DISPATCH__MSG__BODY__NOT_SET = 0,
   DISPATCH__MSG__BODY_ASK = 1,
@@ -430,7 +456,8 @@
   DISPATCH__MSG__BODY_STREAMS = 11,
   DISPATCH__MSG__BODY_CRASH = 12,
   DISPATCH__MSG__BODY_LIMIT = 13,
-  DISPATCH__MSG__BODY_ANSWERED = 14
+  DISPATCH__MSG__BODY_ANSWERED = 14,
+  DISPATCH__MSG__BODY_HOST_LOADS = 31
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(DISPATCH__MSG__BODY__CASE)
 } Dispatch__Msg__BodyCase;
 
@@ -453,6 +480,7 @@
     Dispatch__Crash *crash;
     Dispatch__Limit *limit;
     Dispatch__Answered *answered;
+    Dispatch__HostLoads *host_loads;
   };
 };
 #define DISPATCH__MSG__INIT \
@@ -745,6 +773,25 @@
 void   dispatch__limit__free_unpacked
                      (Dispatch__Limit *message,
                       ProtobufCAllocator *allocator);
+/* Dispatch__HostLoads methods */
+void   dispatch__host_loads__init
+                     (Dispatch__HostLoads         *message);
+size_t dispatch__host_loads__get_packed_size
+                     (const Dispatch__HostLoads   *message);
+size_t dispatch__host_loads__pack
+                     (const Dispatch__HostLoads   *message,
+                      uint8_t             *out);
+size_t dispatch__host_loads__pack_to_buffer
+                     (const Dispatch__HostLoads   *message,
+                      ProtobufCBuffer     *buffer);
+Dispatch__HostLoads *
+       dispatch__host_loads__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dispatch__host_loads__free_unpacked
+                     (Dispatch__HostLoads *message,
+                      ProtobufCAllocator *allocator);
 /* Dispatch__Msg methods */
 void   dispatch__msg__init
                      (Dispatch__Msg         *message);
@@ -811,6 +858,9 @@
 typedef void (*Dispatch__Limit_Closure)
                  (const Dispatch__Limit *message,
                   void *closure_data);
+typedef void (*Dispatch__HostLoads_Closure)
+                 (const Dispatch__HostLoads *message,
+                  void *closure_data);
 typedef void (*Dispatch__Msg_Closure)
                  (const Dispatch__Msg *message,
                   void *closure_data);
@@ -835,6 +885,7 @@
 extern const ProtobufCMessageDescriptor dispatch__crash__descriptor;
 extern const ProtobufCMessageDescriptor dispatch__answered__descriptor;
 extern const ProtobufCMessageDescriptor dispatch__limit__descriptor;
+extern const ProtobufCMessageDescriptor dispatch__host_loads__descriptor;
 extern const ProtobufCMessageDescriptor dispatch__msg__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/counter.h
+++ b/src/counter.h
@@ -16,6 +16,8 @@
 #define COUNTERS_HTTP(X)                                                    \
 	X(HTTP_REQUESTS, "http_requests", "Requests received from callers") \
 	X(HTTP_ADDRESS_ANSWERS, "address_answers", "Address answers given") \
+	X(ADDRESS_ANSWERS_SHARED, "address_answers_shared",                 \
+	  "Address answers that list some hosts, by capacity and load")     \
 	X(STREAMS_RESUMED, "streams_resumed",                               \
 	  "Streams sent on to another target within one response")          \
 	X(STREAMS_TAKEN_UP, "streams_taken_up",                             \
@@ -50,6 +52,9 @@
 	X(CLAIMS, "claims", "Claims decided")
 
 #define COUNTERS_LINK(X)                                                       \
+	X(HOST_LOADS_SENT, "host_loads_sent",                                  \
+	  "Messages about the load of hosts sent to other daemons")            \
+	X(HOST_LOADS_BYTES, "host_loads_bytes", "Bytes of these messages")     \
 	X(TUNNELS_OPENED, "tunnels_opened",                                    \
 	  "Connections to targets made for other daemons")                     \
 	X(TUNNEL_BYTES, "tunnel_bytes", "Bytes moved on these, both ways")     \
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -7,6 +7,7 @@
 #ifndef DK_DIALECT_H
 #define DK_DIALECT_H
 
+#include "host_share.h"
 #include "http1.h"
 #include "manifest.h"
 
@@ -55,6 +56,7 @@
 	/* Loads begun within load_window_s are bounded by load_factor. */
 	double load_window_s;
 	double load_factor;
+	host_capacity_t capacity; /* of this host */
 } site_settings_t;
 
 /*
--- a/src/event.h
+++ b/src/event.h
@@ -174,6 +174,10 @@
 	X("loop_slow", 5, "turn_ms events",                                    \
 	  "One turn of the event loop took long: there is too much work, or "  \
 	  "too little processor time.")                                        \
+	X("host_load", 10,                                                     \
+	  "load short_of cpu_percent memory_mb unsent_kb fds requests",        \
+	  "This host judges its own load to have changed: callers are sent "   \
+	  "to it less often while load is strained or full.")                  \
 	X("peer_up", 20, "peer", "The link to a daemon is up.")                \
 	X("peer_down", 20, "peer", "The link to a daemon is lost.")            \
 	X("log_reopened", 10, "host", "The disk that failed is used again.")   \
--- a/src/site.c
+++ b/src/site.c
@@ -126,27 +126,6 @@
 	loop_post(s->loop, &tables_mail_new(tables_run, t)->mail);
 }
 
-/*
- * Proposes the document with this host's zone, once after the start, when the
- * tables are fresh; not if they hold it already.
- */
-static void propose_host_doc(site_t *s)
-{
-	AUTO_BUF buf_t name = {0};
-	const doc_t *doc;
-
-	if (s->host_doc_proposed ||
-	    s->lease_status.tables_fresh_until_us <= site_now(s))
-		return;
-	buf_printf(&name, "%s%.*s", DOC_HOST_PREFIX, STR_ARG(s->settings.ip));
-	doc = decided_doc_by_name(s->tables, buf_str(&name));
-	s->host_doc_proposed = true;
-	if (doc && str_eq(doc->body, s->settings.zone))
-		return;
-	site_propose_doc(s, buf_str(&name), doc ? doc->version + 1 : 1,
-			 s->settings.zone);
-}
-
 static bool is_live_host(const lease_status_t *st, host_id_t host)
 {
 	for (size_t i = 0; i < st->n_live; i++)
@@ -187,8 +166,6 @@
 	gateway_resync_dispatcher(s->gateway);
 }
 
-static void send_message(site_t *s, host_id_t to, const Dispatch__Msg *msg);
-
 static void on_ping_timer(void *ctx, int64_t now)
 {
 	site_t *s = ctx;
@@ -199,7 +176,7 @@
 	msg.body_case = DISPATCH__MSG__BODY_PING;
 	msg.ping = &pb;
 	if (s->lease_status.leader)
-		send_message(s, s->lease_status.leader, &msg);
+		site_send_message(s, s->lease_status.leader, &msg);
 	timer_svc_arm(s->timers, &s->ping_timer, now + PING_PERIOD_US);
 }
 
@@ -278,7 +255,7 @@
 	s->lease_status.live = live;
 	apply_lease_status(s, &old);
 	free((void *)(uintptr_t)old.live);
-	propose_host_doc(s);
+	site_hosts_propose(s);
 	site_ports_lease_status_changed(s);
 	site_run_dispatch(s);
 	free(m);
@@ -328,6 +305,8 @@
 	} else if (msg->body_case == DISPATCH__MSG__BODY_STREAMS &&
 		   msg->streams->backup) {
 		gateway_keep_streams(s->gateway, msg->streams);
+	} else if (msg->body_case == DISPATCH__MSG__BODY_HOST_LOADS) {
+		site_hosts_recv(s, from, msg->host_loads);
 	} else if (is_for_gateway(msg)) {
 		gateway_recv(s->gateway, msg);
 	} else if (from == s->self && dispatch_active(s->isolated_dispatch)) {
@@ -364,7 +343,7 @@
 	}
 }
 
-static void send_message(site_t *s, host_id_t to, const Dispatch__Msg *msg)
+void site_send_message(site_t *s, host_id_t to, const Dispatch__Msg *msg)
 {
 	size_t n = dispatch__msg__get_packed_size(msg);
 	AUTO_FREE uint8_t *bytes = xmalloc(n + 1);
@@ -389,11 +368,11 @@
 			   msg->body_case == DISPATCH__MSG__BODY_LIMIT;
 
 	if (dispatch_active(s->isolated_dispatch))
-		send_message(s, s->self, msg);
+		site_send_message(s, s->self, msg);
 	/* While isolated, the leader still learns of places that it granted. */
 	if (s->lease_status.leader &&
 	    (about_place || !dispatch_active(s->isolated_dispatch)))
-		send_message(s, s->lease_status.leader, msg);
+		site_send_message(s, s->lease_status.leader, msg);
 }
 
 /*
@@ -424,7 +403,7 @@
 	host_id_t to = backup_host(s);
 
 	if (to)
-		send_message(s, to, msg);
+		site_send_message(s, to, msg);
 }
 
 static void propose_doc(void *ctx, str_t name, str_t body)
@@ -437,7 +416,7 @@
 
 static void send_to_entry(void *ctx, host_id_t to, const Dispatch__Msg *msg)
 {
-	send_message(ctx, to, msg);
+	site_send_message(ctx, to, msg);
 }
 
 static void on_dispatch_timer(void *ctx, int64_t now)
@@ -721,6 +700,7 @@
 	struct sockaddr_in addr;
 
 	s->started_us = site_now(s);
+	site_hosts_start(s);
 	if (timer_svc_start(s->state_timers) ||
 	    mailbox_start(s->state_mailbox)) {
 		log_event(LOG_ERR, "thread_start_failed",
@@ -769,6 +749,7 @@
 	site_settings_free(&s->settings);
 	s->settings = loaded;
 	site_update_seeds(s);
+	site_hosts_settings_changed(s);
 }
 
 static void on_settings_timer(void *ctx, int64_t now)
--- a/src/site_int.h
+++ b/src/site_int.h
@@ -28,6 +28,11 @@
 /* Longest text of a manifest that an operator can submit. */
 #define MANIFEST_TEXT_MAX (8u << 20)
 #define DOC_HOST_PREFIX "host:"
+/*
+ * With the host's IP address behind it: the document of a host's capacity, in the
+ * form of host_capacity_write(). Earlier builds know none, and ignore it.
+ */
+#define DOC_CAPACITY_PREFIX "capacity:"
 
 /* Cluster name, for the links between daemons and for their data folders. */
 #define SITE_CLUSTER "site"
@@ -61,7 +66,7 @@
 	manifest_t *manifest;	     /* NULL: none decided yet */
 	lease_status_t lease_status; /* owns its array live */
 	GHashTable *links_up;	     /* set of host ids */
-	bool host_doc_proposed;	     /* this host's, since the start */
+	struct site_hosts *hosts;    /* see site_hosts.c */
 	uint64_t last_tag;	     /* of site_propose_doc() */
 
 	/* Messages to this daemon's own dispatcher or gateway. */
@@ -119,6 +124,30 @@
 /* The dispatcher that is active on this daemon now, or NULL. */
 dispatch_t *site_active_dispatch(site_t *s);
 
+/* Sends a message to a gateway or a dispatcher; it may be lost. */
+void site_send_message(site_t *s, host_id_t to, const Dispatch__Msg *msg);
+
+/* site_hosts.c */
+
+typedef struct site_hosts site_hosts_t;
+
+/* Creates what is known of the hosts; samples of this host's load begin. */
+void site_hosts_start(site_t *s);
+/* Proposes what is decided of this host, unless the tables hold it already. */
+void site_hosts_propose(site_t *s);
+/* The settings were reloaded. */
+void site_hosts_settings_changed(site_t *s);
+void site_hosts_recv(site_t *s, host_id_t from, const Dispatch__HostLoads *m);
+/* A turn of the loop took long. */
+void site_hosts_slow_turn(site_t *s, int64_t us);
+/*
+ * Fills out with the hosts that a caller of this zone is told, or of all zones if
+ * it is empty; returns their number.
+ */
+size_t site_hosts_select(site_t *s, str_t zone, host_id_t *out, size_t max);
+/* Appends a line for each live host: its capacity, load and share. */
+void site_hosts_write(site_t *s, buf_t *out);
+
 /* site_leave.c */
 
 /* Begins the shutdown; the loop stops once it is complete. */
--- a/src/site_leave.c
+++ b/src/site_leave.c
@@ -62,6 +62,7 @@
 
 	log_event(LOG_NOTICE, "loop_slow", kv_i("turn_ms", us / USEC_PER_MSEC),
 		  kv_i("events", events));
+	site_hosts_slow_turn(s, us);
 	if (overload_record_turn(&s->overload, now, us))
 		resign(s, "leader_overloaded", now);
 }
--- a/src/site_ports.c
+++ b/src/site_ports.c
@@ -33,6 +33,8 @@
  * slash and a cause behind it: releases that one.
  */
 #define QUARANTINE_PATH "/quarantine"
+/* On the same port, GET: a line for each live host, with its share of the callers. */
+#define HOSTS_PATH "/hosts"
 /* With fewer live hosts in its own zone, a caller gets the addresses of all. */
 #define ZONE_HOSTS_MIN 2u
 
@@ -274,37 +276,6 @@
 
 /* Addresses. */
 
-static str_t host_zone(const site_t *s, host_id_t id)
-{
-	AUTO_BUF buf_t name = {0};
-	const doc_t *doc;
-
-	buf_puts(&name, DOC_HOST_PREFIX);
-	site_write_host_ip(id, &name);
-	doc = find_doc(s, buf_str(&name));
-	return doc ? doc->body : str_n(NULL, 0);
-}
-
-/*
- * Fills out with the live hosts of a zone, or of all zones if it is empty;
- * returns their number.
- */
-static size_t select_hosts(const site_t *s, str_t zone, host_id_t *out)
-{
-	size_t n = 0;
-
-	for (size_t i = 0; i < s->lease_status.n_live && n < ADDRESSES_MAX;
-	     i++) {
-		host_id_t id = s->lease_status.live[i];
-
-		if (id == s->self && s->leaving)
-			continue;
-		if (!zone.n || str_eq(host_zone(s, id), zone))
-			out[n++] = id;
-	}
-	return n;
-}
-
 static void respond_addresses(port_call_t *c)
 {
 	site_t *s = c->site;
@@ -313,11 +284,12 @@
 	str_t addrs[ADDRESSES_MAX];
 	AUTO_BUF buf_t body = {0};
 	str_t ip, port;
-	size_t n = select_hosts(s, dialect_caller_zone(buf_str(&c->target)),
-				hosts);
+	size_t n =
+		site_hosts_select(s, dialect_caller_zone(buf_str(&c->target)),
+				  hosts, ADDRESSES_MAX);
 
 	if (n < ZONE_HOSTS_MIN)
-		n = select_hosts(s, str_n(NULL, 0), hosts);
+		n = site_hosts_select(s, str_n(NULL, 0), hosts, ADDRESSES_MAX);
 	if (!n) {
 		respond_error(c, 503, STR("no host is known to be live"));
 		return;
@@ -382,6 +354,14 @@
 				  buf_str(&body));
 }
 
+static void respond_hosts(port_call_t *c)
+{
+	AUTO_BUF buf_t body = {0};
+
+	site_hosts_write(c->site, &body);
+	respond_as(c, 200, "text/plain", buf_str(&body));
+}
+
 /* Calls on this daemon's own paths, which the platform does not know. */
 static void answer_own_call(port_call_t *c)
 {
@@ -390,6 +370,8 @@
 
 	if (str_eq(target, STR(METRICS_PATH)))
 		respond_metrics(c);
+	else if (str_eq(target, STR(HOSTS_PATH)))
+		respond_hosts(c);
 	else if (str_eq(target, STR(QUARANTINE_PATH)))
 		respond_as(c, 200, "text/plain", quarantined_causes(c->site));
 	else if (c->is_delete && target.n > prefix.n &&
