Gateway: memory of slow callers and runners is bounded

Cause, as tests/slow_reader_test.cc showed before the change: what a hundred slow readers made a daemon keep was bounded for each of them alone. The kernel held 268,703 KB for the sockets, the daemon 12,114 KB. A response that a caller with 'Connection: close' does not read was kept without an end; a steady reader on a connection to be kept was cut off as idle in the middle of a response; and the runner of a stream that waits for its caller was reported as silent (44 of 100), with pauses of 8.8 times what its route allows.

Change: where the settings name the memory, buffers for callers share an eighth of it, request bodies a sixteenth (refused beyond it as memory_short, not run), and sockets get buffers in proportion. A caller that takes nothing for the idle timeout is cut off, one that goes on is not. A time-out or a pause while a target is not read is not the target's.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -321,7 +321,8 @@
 	if (r->state == REQUEST_CONNECTING)
 		attempt_end(r, PLACE_UNREACHABLE, false, REASON_TARGET_LOST);
 	else
-		attempt_end(r, PLACE_BROKEN, true,
+		attempt_end(r, r->held_back ? PLACE_CANCELLED : PLACE_BROKEN,
+			    true,
 			    why == HTTP1_MALFORMED ? REASON_TARGET_ERROR
 						   : REASON_TARGET_LOST);
 }
@@ -380,6 +381,10 @@
 {
 	bool sent = r->state != REQUEST_CONNECTING;
 
+	if (r->was_held_back) {
+		attempt_end(r, PLACE_CANCELLED, true, REASON_SLOW_READER);
+		return;
+	}
 	note_lost(r);
 	attempt_end(r, sent ? PLACE_SILENT : PLACE_UNREACHABLE, sent,
 		    sent ? REASON_DEADLINE_EXCEEDED : REASON_NO_PLACE);
@@ -400,6 +405,8 @@
 	r->leaving = false;
 	r->body_started = false;
 	r->longest_pause_us = 0;
+	r->held_back = false;
+	r->was_held_back = false;
 	r->sent_us = 0;
 	r->target_close = NULL;
 	r->unfinished_bytes = 0;
--- a/src/counter.h
+++ b/src/counter.h
@@ -24,6 +24,8 @@
 	  "Streams that callers took up again, sent to a target")           \
 	X(STREAMS_FORGOTTEN, "streams_forgotten",                           \
 	  "Streams not recorded as too many are known; none can go on")     \
+	X(STREAMS_HELD_BACK, "streams_held_back",                           \
+	  "Times that a target was not read as its caller read slowly")     \
 	X(STREAMS_ENDED_MIDWAY, "streams_ended_midway",                     \
 	  "Streams that their target ended inside an event")
 
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -11,7 +11,6 @@
 #include <http_parser.h>
 
 #include "counter.h"
-#include "digest.h"
 #include "hist.h"
 #include "log.h"
 #include "pb.h"
@@ -89,7 +88,7 @@
 	str_free(&r->stream_build);
 	buf_free(&r->head_text);
 	buf_free(&r->forwarded_fields);
-	buf_free(&r->body);
+	request_body_free(r);
 	buf_free(&r->head_out);
 	buf_free(&r->body_out);
 	buf_free(&r->fallback_response);
@@ -737,6 +736,8 @@
 		return REASON_NO_ROUTE;
 	if (h->body_length > (int64_t)g->manifest->limits.body_max)
 		return REASON_BODY_TOO_LARGE;
+	if (!gateway_has_room(g, h->body_length))
+		return REASON_MEMORY_SHORT;
 	return REASON_NONE;
 }
 
@@ -774,33 +775,19 @@
 {
 	caller_t *c = ctx;
 	request_t *r = c->req;
+	reason_t reason;
 
 	if (!r)
 		return;
-	if (r->body.n + piece.n > r->manifest->limits.body_max) {
-		log_refused(r->info.id, r, REASON_BODY_TOO_LARGE);
-		answer_refusal(c, r->info.id, REASON_BODY_TOO_LARGE, 0, true);
+	reason = request_body_put(r, piece);
+	if (reason != REASON_NONE) {
+		log_refused(r->info.id, r, reason);
+		answer_refusal(c, r->info.id, reason, 0, true);
 		r->caller = NULL;
 		request_free(r);
 		http1_close_when_sent(c->conn);
 		caller_free(c);
-		return;
 	}
-	buf_put(&r->body, piece.p, piece.n);
-}
-
-static uint64_t request_digest(const request_t *r)
-{
-	digest_t d;
-
-	digest_init(&d);
-	digest_put(&d, r->method);
-	digest_put(&d, r->info.host);
-	digest_put(&d, r->target);
-	digest_put(&d, str_n((const char *)&r->info.caller,
-			     sizeof(r->info.caller)));
-	digest_put(&d, buf_str(&r->body));
-	return digest_end(&d);
 }
 
 static void on_request_end(void *ctx)
@@ -851,8 +838,8 @@
 {
 	caller_t *c = ctx;
 
-	if (c->req && c->req->conn)
-		http1_pause_reading(c->req->conn, false);
+	if (c->req)
+		relay_resume_reading(c->req);
 }
 
 static const http1_ops_t caller_ops = {
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -75,6 +75,20 @@
  * use.
  */
 void gateway_resync_dispatcher(gateway_t *g);
+/*
+ * Limits what is buffered for callers that read slowly: as it comes near this many
+ * bytes in all, the part of each caller shrinks. 0: each has its own limit alone.
+ */
+void gateway_limit_unsent(gateway_t *g, size_t bytes);
+/*
+ * Limits the bodies of all requests under way together; beyond it, requests are
+ * refused as not run. A request alone is always taken. 0: no limit.
+ */
+void gateway_limit_bodies(gateway_t *g, size_t bytes);
+/* Bytes of these bodies now. */
+size_t gateway_body_bytes(const gateway_t *g);
+/* Bytes buffered for callers now. */
+size_t gateway_unsent_bytes(const gateway_t *g);
 /* Number of requests under way. */
 size_t gateway_active_requests(const gateway_t *g);
 
--- a/src/gateway_int.h
+++ b/src/gateway_int.h
@@ -133,6 +133,9 @@
 	int64_t first_byte_after_us; /* from arrival to the first body byte */
 	int64_t last_byte_us;	     /* when bytes of the response last came */
 	int64_t longest_pause_us;    /* between two pieces of a stream */
+	/* The target is not read now, as the caller reads too slowly. */
+	bool held_back;
+	bool was_held_back; /* at some time of this attempt */
 
 	/* Over all attempts of a stream. */
 
@@ -214,6 +217,9 @@
 	void *ctx;
 	http1_listener_t *listener;
 	http1_limits_t limits;
+	size_t unsent_max;    /* see gateway_limit_unsent(); 0: no limit */
+	size_t bodies_max;    /* see gateway_limit_bodies(); 0: no limit */
+	size_t body_bytes;    /* of all requests under way */
 	manifest_t *manifest; /* in force; NULL: none yet */
 	/* Runners that asked this host for no requests. */
 	holdoff_t *holdoff;
@@ -268,6 +274,16 @@
 /* Whether a second target may run the request after a first one may have. */
 bool request_may_repeat(const request_t *r);
 
+/* request_body.c */
+
+/* Whether a request with a body of this length (-1: unknown) can be kept. */
+bool gateway_has_room(const gateway_t *g, int64_t length);
+/* Appends to the body of a request; else why it is refused. */
+reason_t request_body_put(request_t *r, str_t piece);
+void request_body_free(request_t *r);
+/* Alike for all requests with the same method, target, caller and body. */
+uint64_t request_digest(const request_t *r);
+
 /* streams.c */
 
 /* Creates and frees what the gateway remembers of streams. */
@@ -360,6 +376,8 @@
 int relay_head(request_t *r, const http1_head_t *h,
 	       const response_info_t *info);
 void relay_body(request_t *r, str_t piece);
+/* The caller has taken all that was sent: the target is read again. */
+void relay_resume_reading(request_t *r);
 /*
  * Records how much of an unfinished event the response holds at its end, for logs
  * and counters.
--- a/src/http1.c
+++ b/src/http1.c
@@ -45,6 +45,7 @@
 	timer_sub_t timer;
 	struct cds_list_head node;    /* of the listener; incoming only */
 	const http1_limits_t *limits; /* incoming only */
+	http1_listener_t *listener;   /* incoming only */
 	http1_ops_t ops;
 	void *ctx;  /* of the owner; not used once owned is false */
 	bool owned; /* the owner still gets callbacks */
@@ -57,7 +58,9 @@
 	bool no_body;		     /* see http1_expect_no_body() */
 	bool reading_paused;
 	bool closing; /* no more is read or queued; closes once all is written */
-	bool message_complete;	 /* the parser saw the end of the message */
+	bool message_complete; /* the parser saw the end of the message */
+	/* When queued bytes were last taken, or the first of them queued. */
+	int64_t progress_us;
 	int64_t head_started_us; /* first byte of a request's head; 0: none */
 	/* Empty lines and informational heads before the head under way. */
 	size_t preamble_bytes;
@@ -76,59 +79,24 @@
 	void *(*accepted)(void *ctx, http1_conn_t *c);
 	void *ctx;
 	struct cds_list_head conns;
+	size_t unsent; /* bytes queued on all of them */
 };
 
-const char *http1_close_reason_text(http1_close_reason_t reason)
-{
-	static const char *const texts[] = {
-#define X(name, text) text,
-		HTTP1_CLOSE_REASONS(X)
-#undef X
-	};
-
-	return texts[reason];
-}
-
-bool http1_name_eq(str_t a, str_t b)
-{
-	return a.n == b.n && (!a.n || strncasecmp(a.p, b.p, a.n) == 0);
-}
-
-str_t http1_field(const http1_head_t *h, str_t name)
+static int64_t now_us(const http1_conn_t *c)
 {
-	for (size_t i = 0; i < h->n_fields; i++)
-		if (http1_name_eq(h->fields[i].name, name))
-			return h->fields[i].value;
-	return str_n(NULL, 0);
+	return timer_svc_now(loop_timers(c->loop));
 }
 
-const char *http1_framing_name(const http1_head_t *h)
+/* The bytes queued have changed: there were so many. */
+static void count_unsent(http1_conn_t *c, size_t before)
 {
-	if (http1_ends_with_conn(h))
-		return "close";
-	return h->chunked ? "chunks" : "length";
+	if (c->listener)
+		c->listener->unsent += c->out.n - before;
 }
 
-int http1_parse_addr(str_t s, struct sockaddr_in *out)
+size_t http1_listener_unsent(const http1_listener_t *ls)
 {
-	char ip[INET_ADDRSTRLEN];
-	str_t head, tail;
-	uint64_t port;
-
-	memset(out, 0, sizeof(*out));
-	if (!str_split(s, ':', &head, &tail) || head.n >= sizeof(ip) ||
-	    str_to_u64(tail, &port) < 0 || !port || port > UINT16_MAX)
-		return -1;
-	memcpy(ip, head.p, head.n);
-	ip[head.n] = '\0';
-	out->sin_family = AF_INET;
-	out->sin_port = htons((uint16_t)port);
-	return inet_pton(AF_INET, ip, &out->sin_addr) == 1 ? 0 : -1;
-}
-
-static int64_t now_us(const http1_conn_t *c)
-{
-	return timer_svc_now(loop_timers(c->loop));
+	return ls ? ls->unsent : 0;
 }
 
 static void conn_free(loop_deferred_free_t *g)
@@ -153,8 +121,10 @@
 	loop_unwatch(c->loop, &c->watch);
 	loop_cancel_deferred(&c->flush);
 	timer_svc_cancel(loop_timers(c->loop), &c->timer);
-	if (c->incoming)
+	if (c->incoming) {
 		cds_list_del(&c->node);
+		c->listener->unsent -= c->out.n;
+	}
 	if (fd >= 0)
 		close(fd);
 	loop_defer_free(c->loop, &c->deferred_free);
@@ -235,6 +205,9 @@
 		done += (size_t)n;
 	}
 	buf_consume(&c->out, done);
+	count_unsent(c, c->out.n + done);
+	if (done)
+		c->progress_us = now_us(c);
 	if (!c->out.n && c->out.cap > KEEP_BYTES)
 		buf_free(&c->out);
 	if (!c->out.n && c->closing && c->state != CONN_LINGERING) {
@@ -246,6 +219,34 @@
 		c->ops.drained(c->ctx);
 }
 
+/*
+ * Closes once all is written. A caller that takes nothing for as long as it may be
+ * idle is cut off, as its bytes would be kept for ever.
+ */
+static void begin_closing(http1_conn_t *c)
+{
+	timer_svc_t *timers = loop_timers(c->loop);
+
+	c->closing = true;
+	if (c->incoming)
+		timer_svc_arm(timers, &c->timer,
+			      now_us(c) + c->limits->idle_timeout_us);
+	else
+		timer_svc_cancel(timers, &c->timer);
+	loop_defer(c->loop, &c->flush);
+}
+
+/* Of the responses before: whether the caller goes on taking bytes of them. */
+static bool takes_responses(http1_conn_t *c, int64_t now)
+{
+	int64_t until = c->progress_us + c->limits->idle_timeout_us;
+
+	if (!c->out.n || now >= until)
+		return false;
+	timer_svc_arm(loop_timers(c->loop), &c->timer, until);
+	return true;
+}
+
 static void on_flush(void *ctx)
 {
 	http1_conn_t *c = ctx;
@@ -325,14 +326,15 @@
 				 http1_close_reason_t why)
 {
 	bool owned = c->owned;
+	size_t before = c->out.n;
 
 	c->owned = false;
 	buf_printf(&c->out,
 		   "HTTP/1.1 %s\r\nContent-Length: 0\r\n"
 		   "Connection: close\r\n\r\n",
 		   status);
-	c->closing = true;
-	loop_defer(c->loop, &c->flush);
+	count_unsent(c, before);
+	begin_closing(c);
 	if (owned && c->ops.closed)
 		c->ops.closed(c->ctx, why);
 }
@@ -352,29 +354,6 @@
 	refuse_message(c, "400 Bad Request", HTTP1_MALFORMED);
 }
 
-/*
- * Refuses bare CR or LF, folded lines and fields without a name: other HTTP
- * implementations read these differently, which permits request smuggling.
- */
-static bool head_lines_are_strict(str_t head)
-{
-	for (size_t i = 0; i < head.n; i++) {
-		char ch = head.p[i];
-
-		if (ch == '\0')
-			return false;
-		if (ch == '\r' && (i + 1 == head.n || head.p[i + 1] != '\n'))
-			return false;
-		if (ch != '\n')
-			continue;
-		if (!i || head.p[i - 1] != '\r')
-			return false;
-		if (i + 1 < head.n && strchr(" \t:", head.p[i + 1]))
-			return false;
-	}
-	return true;
-}
-
 static bool fields_are_strict(const http1_conn_t *c)
 {
 	size_t lengths = 0;
@@ -402,23 +381,6 @@
 	return lengths + codings <= 1;
 }
 
-/* Value of "Keep-Alive: timeout=SECONDS"; -1 where there is none. */
-static int64_t keep_alive_timeout_us(const http1_head_t *h)
-{
-	str_t value = http1_field(h, STR("Keep-Alive"));
-	const char *end = value.p + value.n;
-	const char *at =
-		value.n ? memmem(value.p, value.n, "timeout=", 8) : NULL;
-	int64_t s = 0;
-
-	if (!at)
-		return -1;
-	for (at += 8; at < end && *at >= '0' && *at <= '9' && s < INT16_MAX;
-	     at++)
-		s = s * 10 + (*at - '0');
-	return s * USEC_PER_SEC;
-}
-
 static void fill_head(http1_conn_t *c)
 {
 	http1_head_t *h = &c->head;
@@ -438,7 +400,7 @@
 		h->body_length = 0;
 	}
 	h->keep_alive = http_should_keep_alive(&c->parser);
-	h->keep_alive_timeout_us = keep_alive_timeout_us(h);
+	h->keep_alive_timeout_us = http1_read_keep_alive_us(h);
 }
 
 /* Bytes of the head at the start of the input; 0: not complete yet. */
@@ -494,7 +456,7 @@
 			 c->incoming ? HTTP_REQUEST : HTTP_RESPONSE);
 	c->parser.data = c;
 	c->message_complete = false;
-	if (!head_lines_are_strict(buf_str(&c->head_bytes)) ||
+	if (!http1_lines_are_strict(buf_str(&c->head_bytes)) ||
 	    http_parser_execute(&c->parser, &parser_settings, c->head_bytes.p,
 				n) != n ||
 	    !fields_are_strict(c)) {
@@ -724,11 +686,14 @@
 {
 	http1_conn_t *c = ctx;
 
-	(void)now;
 	if (c->state == CONN_CONNECTING || c->state == CONN_OPENING)
 		conn_end(c, HTTP1_CONNECT_TIMEOUT);
 	else if (c->state == CONN_LINGERING)
 		conn_destroy(c);
+	else if ((c->closing || !c->in.n) && takes_responses(c, now))
+		return;
+	else if (c->closing)
+		http1_reset(c);
 	else if (c->state == CONN_AWAIT_HEAD && c->in.n)
 		send_error_and_close(c, "408 Request Timeout",
 				     HTTP1_HEAD_TIMEOUT);
@@ -804,7 +769,10 @@
 		return;
 	if (!c->incoming && c->state == CONN_IDLE)
 		c->state = CONN_AWAIT_HEAD;
+	if (!c->out.n)
+		c->progress_us = now_us(c);
 	buf_put(&c->out, p, n);
+	count_unsent(c, c->out.n - n);
 	loop_defer(c->loop, &c->flush);
 }
 
@@ -860,9 +828,7 @@
 	if (c->state == CONN_CLOSED)
 		return;
 	c->owned = false;
-	c->closing = true;
-	timer_svc_cancel(loop_timers(c->loop), &c->timer);
-	loop_defer(c->loop, &c->flush);
+	begin_closing(c);
 }
 
 /* Listeners. */
@@ -877,6 +843,7 @@
 	}
 	c->incoming = true;
 	c->limits = ls->limits;
+	c->listener = ls;
 	cds_list_add(&c->node, &ls->conns);
 	await_request(c);
 	c->ops = ls->ops;
--- a/src/http1.h
+++ b/src/http1.h
@@ -52,6 +52,14 @@
 /* Whether two field names are equal, in any case. */
 bool http1_name_eq(str_t a, str_t b);
 
+/*
+ * Refuses bare CR or LF, folded lines and fields without a name: other HTTP
+ * implementations read these differently, which permits request smuggling.
+ */
+bool http1_lines_are_strict(str_t head);
+/* Value of "Keep-Alive: timeout=SECONDS"; -1 where there is none. */
+int64_t http1_read_keep_alive_us(const http1_head_t *h);
+
 /* X(NAME, "text") - why a connection has ended. */
 #define HTTP1_CLOSE_REASONS(X)                                 \
 	X(PEER_CLOSED, "closed by the peer")                   \
@@ -110,6 +118,8 @@
 			       const http1_ops_t *ops,
 			       void *(*accepted)(void *ctx, http1_conn_t *c),
 			       void *ctx);
+/* Bytes queued on all its connections that the sockets have not taken; 0: NULL. */
+size_t http1_listener_unsent(const http1_listener_t *ls);
 /* Stops accepting, and closes connections that wait for a request. */
 void http1_drain(http1_listener_t *ls);
 /* Stops accepting, closes all connections and frees the listener. */
--- a/src/reason.h
+++ b/src/reason.h
@@ -126,7 +126,9 @@
 	X(REQUEST_QUARANTINED, "request_quarantined", 503, RUN_NO,             \
 	  RETRY_NEVER,                                                         \
 	  "The request crashes targets; do not send it again, or release it "  \
-	  "once the targets are mended.")
+	  "once the targets are mended.")                                      \
+	X(MEMORY_SHORT, "memory_short", 503, RUN_NO, RETRY_SOON,               \
+	  "This host keeps too many request bodies; use another address.")
 
 typedef enum reason {
 	REASON_NONE,
--- a/src/relay.c
+++ b/src/relay.c
@@ -24,6 +24,8 @@
 #define EVENT_END_MAX 4u
 /* The target is not read while a slow caller has more unsent bytes than this. */
 #define CALLER_UNSENT_MAX (256u << 10)
+/* The same where buffers for all callers together are at their limit. */
+#define CALLER_UNSENT_MIN (16u << 10)
 
 static bool is_stream(const request_t *r)
 {
@@ -141,6 +143,31 @@
 		buf_puts(out, "\r\n");
 }
 
+void gateway_limit_unsent(gateway_t *g, size_t bytes)
+{
+	g->unsent_max = bytes;
+}
+
+size_t gateway_unsent_bytes(const gateway_t *g)
+{
+	return http1_listener_unsent(g->listener);
+}
+
+/* Falls from the most to the least in the second half of the limit for all. */
+static size_t caller_unsent_max(const gateway_t *g)
+{
+	size_t used = gateway_unsent_bytes(g);
+	size_t half = g->unsent_max / 2;
+
+	if (!g->unsent_max || used <= half)
+		return CALLER_UNSENT_MAX;
+	if (used >= g->unsent_max)
+		return CALLER_UNSENT_MIN;
+	return CALLER_UNSENT_MIN + (CALLER_UNSENT_MAX - CALLER_UNSENT_MIN) *
+					   (uint64_t)(g->unsent_max - used) /
+					   (g->unsent_max - half);
+}
+
 /*
  * Sends a piece of the body, after the head where this is the first one.
  * length is that of the whole body, -1 where it is not known.
@@ -161,8 +188,23 @@
 	}
 	append_body(r, &out, piece);
 	http1_send(to, out.p, out.n);
-	if (r->conn && http1_unsent_bytes(to) > CALLER_UNSENT_MAX)
-		http1_pause_reading(r->conn, true);
+	if (!r->conn || http1_unsent_bytes(to) <= caller_unsent_max(r->gw))
+		return;
+	counter_add(CTR_STREAMS_HELD_BACK, !r->held_back);
+	r->held_back = true;
+	r->was_held_back = true;
+	http1_pause_reading(r->conn, true);
+}
+
+void relay_resume_reading(request_t *r)
+{
+	if (!r->conn)
+		return;
+	/* The pause is the caller's, not the target's. */
+	if (r->held_back)
+		r->last_byte_us = gateway_now(r->gw);
+	r->held_back = false;
+	http1_pause_reading(r->conn, false);
 }
 
 /* Bytes up to the end of the last complete event; 0: there is none. */
--- a/src/site_hosts.c
+++ b/src/site_hosts.c
@@ -15,6 +15,7 @@
 #include "counter.h"
 #include "log.h"
 #include "pb.h"
+#include "socket.h"
 
 /* Period in which this host samples its load, and reports it at most once. */
 #define SAMPLE_US (1 * USEC_PER_SEC)
@@ -35,6 +36,14 @@
 #define SPREAD_STEP_BYTES 12800u
 /* Hosts named in one message, those that are full first. */
 #define SPREAD_HOSTS_MAX 256u
+/*
+ * Parts of the host's memory. Buffers may take twice the bytes in them, and a body
+ * is kept for a retry while it is sent; so all together stay under half of it, with
+ * a hundred callers and runners that do not read.
+ */
+#define UNSENT_PART 8u
+#define BODIES_PART 16u
+#define SOCKET_PART 2048u
 /* The capacity is proposed again if it is not decided by then. */
 #define PROPOSE_AGAIN_US (10 * USEC_PER_SEC)
 
@@ -127,8 +136,22 @@
 	propose_host_doc(s, DOC_CAPACITY_PREFIX, buf_str(&body));
 }
 
+static uint64_t memory_bytes(const site_t *s)
+{
+	return (uint64_t)s->settings.capacity.memory_mb << 20;
+}
+
+/* Connections that are open keep the socket buffers they have. */
+static void limit_buffers(site_t *s)
+{
+	gateway_limit_unsent(s->gateway, memory_bytes(s) / UNSENT_PART);
+	gateway_limit_bodies(s->gateway, memory_bytes(s) / BODIES_PART);
+	socket_limit_buffers(memory_bytes(s) / SOCKET_PART);
+}
+
 void site_hosts_settings_changed(site_t *s)
 {
+	limit_buffers(s);
 	s->hosts->capacity_proposed_us = 0;
 }
 
@@ -187,6 +210,8 @@
 		.slow_us = h->slow_us,
 		.n_slow = h->n_slow,
 		.memory = resident_bytes(),
+		.unsent = gateway_unsent_bytes(s->gateway),
+		.unsent_max = memory_bytes(s) / UNSENT_PART,
 		.fds = used_fds(s),
 	};
 	host_load_t load =
@@ -463,6 +488,7 @@
 
 	s->hosts = h;
 	h->loads = host_loads_new();
+	limit_buffers(s);
 	timer_sub_init(&h->sample_timer, on_sample_timer, s);
 	timer_sub_init(&h->spread_timer, on_spread_timer, s);
 	/* Hosts that start together do not all report in the same moment. */
--- a/src/socket.c
+++ b/src/socket.c
@@ -6,12 +6,40 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "util.h"
+
 #define LISTEN_BACKLOG 512
 /* TCP_USER_TIMEOUT: a peer that acknowledges nothing for so long is gone. */
 #define USER_TIMEOUT_MS 4000
 #define KEEPALIVE_INTERVAL_S 1
 #define KEEPALIVE_PROBES 3
 
+/* Bounds of socket_limit_buffers(): a connection has to stay fast. */
+#define BUFFER_MIN (64u << 10)
+#define BUFFER_MAX (1u << 20)
+
+/* Of each socket; 0: the kernel chooses. Used on the loop's thread alone. */
+static int buffer_bytes;
+
+void socket_limit_buffers(uint64_t bytes)
+{
+	if (bytes && bytes < BUFFER_MIN)
+		bytes = BUFFER_MIN;
+	buffer_bytes = (int)(bytes < BUFFER_MAX ? bytes : BUFFER_MAX);
+}
+
+/*
+ * What is sent but not acknowledged is bounded by what the other end takes, so only
+ * bytes that cannot be sent yet have to be limited.
+ */
+static void limit_buffers(int fd)
+{
+	setsockopt(fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &buffer_bytes,
+		   sizeof(buffer_bytes));
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &buffer_bytes,
+		   sizeof(buffer_bytes));
+}
+
 void socket_set_options(int fd)
 {
 	const int one = 1;
@@ -26,6 +54,8 @@
 	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
 	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_ms,
 		   sizeof(user_ms));
+	if (buffer_bytes)
+		limit_buffers(fd);
 }
 
 /* The port is chosen when the socket connects: each peer has all ports. */
--- a/src/socket.h
+++ b/src/socket.h
@@ -8,6 +8,12 @@
 extern "C" {
 #endif
 
+/*
+ * Limits what the kernel buffers for each connection made from now on, in each
+ * direction; 0: no limit. The kernel's own limits are some megabytes, which count
+ * toward the memory of the host.
+ */
+void socket_limit_buffers(uint64_t bytes);
 /* No delay, and an end within seconds if the other end is gone. */
 void socket_set_options(int fd);
 /*
