--- a/src/relay.c
+++ b/src/relay.c
@@ -269,6 +269,16 @@
 	buf_consume(&r->body_out, n);
 }
 
+/* A success is sent in pieces earlier where buffers for all are near their limit. */
+static size_t response_buffer_max(const request_t *r)
+{
+	size_t max = caller_unsent_max(r->gw);
+
+	if (r->response_head.status / 100 != 2 || max > BUFFERED_RESPONSE_MAX)
+		return BUFFERED_RESPONSE_MAX;
+	return max;
+}
+
 void relay_body(request_t *r, str_t piece)
 {
 	if (!r->body_started) {
@@ -291,7 +301,7 @@
 		return;
 	}
 	buf_put(&r->body_out, piece.p, piece.n);
-	if (r->body_out.n <= BUFFERED_RESPONSE_MAX)
+	if (r->body_out.n <= response_buffer_max(r))
 		return;
 	if (r->response_head.status / 100 != 2) {
 		attempt_end(r, PLACE_FAILED, true, REASON_TARGET_ERROR);
--- a/tests/dialect_test.cc
+++ b/tests/dialect_test.cc
@@ -351,6 +351,47 @@
 	EXPECT_TRUE(info.leaving);
 }
 
+// Guards against a host that counts as large, or as nothing, by a limit misread.
+TEST(Dialect, CapacityOfTheHostIsReadFromItsLimits)
+{
+	static const struct {
+		const char *limits;
+		host_capacity_t expected;
+	} rows[] = {
+		{R"({"cpu_share":0.09,"cores":7,"memory_mb":120,"max_fds":3075,)"
+		 R"("link_mbps":7.5})",
+		 {0.09, 7.5, 120, 3075, true}},
+		{R"({"cores":2,"link_mbps":100})", {2, 100, 0, 0, true}},
+		{R"({"cpu_share":4,"cores":2})", {2, 0, 0, 0, true}},
+		{R"({"cpu_share":-1,"cores":"x","memory_mb":1e300,"max_fds":-4})",
+		 {0, 0, 0, 0, true}},
+		{"{}", {0, 0, 0, 0, true}},
+		{"7", {0, 0, 0, 0, true}},
+	};
+	char path[] = "/tmp/dialect_test.XXXXXX";
+
+	close(mkstemp(path));
+	for (auto &row : rows) {
+		site_settings_t s;
+		buf_t errors = {};
+
+		std::ofstream(path) << R"({"node":"n","ip":"10.1.0.3","zone":)"
+				    << R"("z","port_range":[1,2],"data_dir":)"
+				    << R"("/d","limits":)" << row.limits << "}";
+		ASSERT_EQ(0, dialect_load_settings(&s, path, &errors))
+			<< text(errors);
+		EXPECT_DOUBLE_EQ(row.expected.cores, s.capacity.cores)
+			<< row.limits;
+		EXPECT_DOUBLE_EQ(row.expected.link_mbit_per_s,
+				 s.capacity.link_mbit_per_s);
+		EXPECT_EQ(row.expected.memory_mb, s.capacity.memory_mb);
+		EXPECT_EQ(row.expected.fds, s.capacity.fds);
+		EXPECT_EQ(row.expected.has_disk, s.capacity.has_disk);
+		site_settings_free(&s);
+	}
+	unlink(path);
+}
+
 TEST(Dialect, InvalidSettingsNameEveryFault)
 {
 	char path[] = "/tmp/dialect_test.XXXXXX";
--- a/tests/site_platform.c
+++ b/tests/site_platform.c
@@ -6,7 +6,8 @@
  *   site_platform LIST_PORT FIRST_RUNNER_PORT
  *
  * The query of a request selects a fault: "?break" closes the connection after
- * the first event of a stream, "?slow=MS" delays the response.
+ * the first event of a stream, "?slow=MS" delays the response, "?big=KB" makes that
+ * of the plain service so large.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -174,6 +175,22 @@
 	}
 }
 
+static void respond_plain(conn_t *c)
+{
+	const char *big = strstr(c->target, "big=");
+	size_t n = big ? (size_t)atoi(big + 4) << 10 : 0;
+	AUTO_BUF buf_t body = {0};
+
+	if (n)
+		memset(buf_reserve(&body, n), 'x', n);
+	body.n = n;
+	if (!n)
+		buf_puts(&body, "done");
+	else
+		body.p[n] = '\0';
+	respond(c, 200, "Response-Signature: proof\r\n", body.p);
+}
+
 static void serve_request(conn_t *c)
 {
 	const char *slow = strstr(c->target, "slow=");
@@ -181,7 +198,7 @@
 	AUTO_BUF buf_t fields = {0};
 
 	if (!c->runner->engine) {
-		respond(c, 200, "Response-Signature: proof\r\n", "done");
+		respond_plain(c);
 	} else if (!is_loaded(c->runner, c->adapter)) {
 		buf_printf(&fields, "Instance-Id: %s\r\n", c->runner->id);
 		respond(c, 421, fields.p, "");
