--- a/src/host_share.c
+++ b/src/host_share.c
@@ -532,3 +532,31 @@
 			out[n++] = GPOINTER_TO_UINT(key);
 	return n;
 }
+
+/* Spreading. */
+
+bool host_spread_begin(host_spread_t *s, bool all_normal, int64_t now_us)
+{
+	if (s->in_round ||
+	    (!s->changed &&
+	     (all_normal || now_us - s->began_us < HOST_SPREAD_AGAIN_US)))
+		return false;
+	s->changed = false;
+	s->in_round = true;
+	s->at = 0;
+	s->began_us = now_us;
+	return true;
+}
+
+size_t host_spread_step(host_spread_t *s, size_t n_hosts, size_t bytes,
+			size_t *first)
+{
+	size_t n = HOST_SPREAD_STEP_BYTES / MAX(bytes, 1);
+
+	n = CLAMP(n, 1, HOST_SPREAD_STEP_MESSAGES);
+	*first = MIN(s->at, n_hosts);
+	n = MIN(n, n_hosts - *first);
+	s->at = *first + n;
+	s->in_round = s->at < n_hosts;
+	return n;
+}
--- a/src/host_share.h
+++ b/src/host_share.h
@@ -142,6 +142,37 @@
 size_t host_loads_list(const host_loads_t *l, host_load_t load, host_id_t *out,
 		       size_t max);
 
+/*
+ * How the leader tells all hosts the loads of those that are not normal: one host after
+ * the other in rounds, so many and so many bytes in each step. So it sends at most 400
+ * messages and 128,000 bytes a second, and nothing while all hosts are normal. A round
+ * to 2,300 hosts takes some 6 s, or 20 s with the longest list.
+ */
+#define HOST_SPREAD_STEP_US (100 * USEC_PER_MSEC)
+#define HOST_SPREAD_STEP_MESSAGES 40u
+#define HOST_SPREAD_STEP_BYTES 12800u
+/* Hosts named in one message, those that are full first. */
+#define HOST_SPREAD_HOSTS_MAX 256u
+/* While any load is not normal, a message may have been lost: tells all again. */
+#define HOST_SPREAD_AGAIN_US (10 * USEC_PER_SEC)
+
+/* Zero-initialize. */
+typedef struct host_spread {
+	bool changed; /* the loads, since the last round began */
+	bool in_round;
+	size_t at; /* index of the next host to tell */
+	int64_t began_us;
+} host_spread_t;
+
+/* Whether a round begins now. all_normal: no load is to be told. */
+bool host_spread_begin(host_spread_t *s, bool all_normal, int64_t now_us);
+/*
+ * The next hosts to tell, of n_hosts, by messages of this size: sets the index of the
+ * first and returns their number. Ends the round with the last host.
+ */
+size_t host_spread_step(host_spread_t *s, size_t n_hosts, size_t bytes,
+			size_t *first);
+
 #ifdef __cplusplus
 }
 #endif
--- a/src/site_hosts.c
+++ b/src/site_hosts.c
@@ -23,19 +23,8 @@
 #define REPORT_AGAIN_US (5 * USEC_PER_SEC)
 /* The leader takes a host for normal that has not reported for so long. */
 #define REPORT_EXPIRES_US (15 * USEC_PER_SEC)
-/* The leader tells all hosts again while any load is not normal. */
-#define SPREAD_AGAIN_US (10 * USEC_PER_SEC)
 /* Other hosts take all for normal once they have heard nothing for so long. */
 #define SPREAD_EXPIRES_US (30 * USEC_PER_SEC)
-/*
- * The leader tells one host after the other, so many and so many bytes in each step.
- * A round to 2,300 hosts takes some 6 s, or 20 s with the longest list.
- */
-#define SPREAD_STEP_US (100 * USEC_PER_MSEC)
-#define SPREAD_STEP_MESSAGES 40u
-#define SPREAD_STEP_BYTES 12800u
-/* Hosts named in one message, those that are full first. */
-#define SPREAD_HOSTS_MAX 256u
 /*
  * Parts of the host's memory. Buffers may take twice the bytes in them, and a body
  * is kept for a retry while it is sent; so all together stay under half of it, with
@@ -68,10 +57,7 @@
 	 * as the leader last told.
 	 */
 	host_loads_t *loads;
-	bool loads_changed; /* at the leader: since the last round began */
-	bool in_round;
-	size_t round_at; /* index into the live hosts */
-	int64_t round_began_us;
+	host_spread_t spread; /* at the leader */
 
 	/* Rows of all live hosts, as of the tables that they view. */
 	decided_t *tables;
@@ -266,7 +252,7 @@
 		load = HOST_LOAD_FULL;
 	if (host_loads_set(s->hosts->loads, host, (host_load_t)load,
 			   now + REPORT_EXPIRES_US, now))
-		s->hosts->loads_changed = true;
+		s->hosts->spread.changed = true;
 }
 
 static void report_load(site_t *s, int64_t now)
@@ -295,37 +281,35 @@
 	site_hosts_t *h = s->hosts;
 	const lease_status_t *st = &s->lease_status;
 	Dispatch__HostLoads pb = DISPATCH__HOST_LOADS__INIT;
-	host_id_t hosts[SPREAD_HOSTS_MAX];
-	size_t bytes, n;
+	host_id_t hosts[HOST_SPREAD_HOSTS_MAX];
+	size_t first, n;
 
 	pb.of_all = true;
 	pb.full = hosts;
 	pb.n_full = host_loads_list(h->loads, HOST_LOAD_FULL, hosts,
-				    SPREAD_HOSTS_MAX);
+				    HOST_SPREAD_HOSTS_MAX);
 	pb.strained = hosts + pb.n_full;
 	pb.n_strained =
 		host_loads_list(h->loads, HOST_LOAD_STRAINED, pb.strained,
-				SPREAD_HOSTS_MAX - pb.n_full);
-	bytes = dispatch__host_loads__get_packed_size(&pb);
-	n = CLAMP(SPREAD_STEP_BYTES / bytes, 1, SPREAD_STEP_MESSAGES);
-	for (; n && h->round_at < st->n_live; h->round_at++) {
-		if (st->live[h->round_at] == s->self)
-			continue;
-		send_host_loads(s, st->live[h->round_at], &pb);
-		n--;
-	}
-	return h->round_at < st->n_live;
+				HOST_SPREAD_HOSTS_MAX - pb.n_full);
+	n = host_spread_step(&h->spread, st->n_live,
+			     dispatch__host_loads__get_packed_size(&pb),
+			     &first);
+	for (size_t i = first; i < first + n; i++)
+		if (st->live[i] != s->self)
+			send_host_loads(s, st->live[i], &pb);
+	return h->spread.in_round;
 }
 
 static void on_spread_timer(void *ctx, int64_t now)
 {
 	site_t *s = ctx;
-	site_hosts_t *h = s->hosts;
 
-	h->in_round = s->lease_status.is_leader && spread_step(s);
-	if (h->in_round)
-		timer_svc_arm(s->timers, &h->spread_timer,
-			      now + SPREAD_STEP_US);
+	if (!s->lease_status.is_leader)
+		s->hosts->spread.in_round = false;
+	else if (spread_step(s))
+		timer_svc_arm(s->timers, &s->hosts->spread_timer,
+			      now + HOST_SPREAD_STEP_US);
 }
 
 static void begin_round_if_due(site_t *s, int64_t now)
@@ -333,17 +317,10 @@
 	site_hosts_t *h = s->hosts;
 
 	if (host_loads_expire(h->loads, now))
-		h->loads_changed = true;
-	if (!s->lease_status.is_leader || h->in_round)
-		return;
-	if (!h->loads_changed && (host_loads_empty(h->loads) ||
-				  now - h->round_began_us < SPREAD_AGAIN_US))
-		return;
-	h->loads_changed = false;
-	h->round_at = 0;
-	h->round_began_us = now;
-	h->in_round = true;
-	on_spread_timer(s, now);
+		h->spread.changed = true;
+	if (s->lease_status.is_leader &&
+	    host_spread_begin(&h->spread, host_loads_empty(h->loads), now))
+		on_spread_timer(s, now);
 }
 
 static void take_loads_of_all(site_t *s, const Dispatch__HostLoads *m)
--- a/tests/host_share_test.cc
+++ b/tests/host_share_test.cc
@@ -403,4 +403,55 @@
 	host_loads_free(l);
 }
 
+// Guards against a leader of 2,300 hosts that sends more than its link and its loop
+// bear, however often loads change and however many hosts are loaded.
+TEST(HostSpread, RateIsBoundedAndAllAreTold)
+{
+	const size_t hosts = 2300;
+
+	for (size_t bytes : {6u, 50u, 1040u}) {
+		host_spread_t spread = {};
+		std::vector<int> told(hosts);
+		size_t sent = 0;
+		int64_t now = 0;
+
+		for (; now < 60 * SEC; now += HOST_SPREAD_STEP_US) {
+			size_t first;
+
+			spread.changed = true;
+			if (now % SEC == 0)
+				host_spread_begin(&spread, false, now);
+			if (!spread.in_round)
+				continue;
+			for (size_t n = host_spread_step(&spread, hosts, bytes,
+							 &first);
+			     n; n--, sent++)
+				told[first++]++;
+		}
+		EXPECT_LE(sent, 400 * 60u) << bytes;
+		EXPECT_LE(sent * bytes, 128000 * 60u) << bytes;
+		for (int n : told)
+			EXPECT_GE(n, 2) << bytes;
+	}
+}
+
+TEST(HostSpread, NothingIsSentWhileAllAreNormal)
+{
+	host_spread_t spread = {};
+	size_t first;
+
+	EXPECT_FALSE(host_spread_begin(&spread, true, 100 * SEC));
+	spread.changed = true; // the last one became normal: that is told once
+	EXPECT_TRUE(host_spread_begin(&spread, true, 101 * SEC));
+	EXPECT_FALSE(host_spread_begin(&spread, true, 101 * SEC));
+	EXPECT_EQ(3u, host_spread_step(&spread, 3, 6, &first));
+	EXPECT_FALSE(spread.in_round);
+	EXPECT_FALSE(host_spread_begin(&spread, true, 200 * SEC));
+	EXPECT_TRUE(host_spread_begin(&spread, false, 200 * SEC));
+	// The set of hosts shrinks during a round.
+	spread.at = 9;
+	EXPECT_EQ(0u, host_spread_step(&spread, 5, 6, &first));
+	EXPECT_FALSE(spread.in_round);
+}
+
 } // namespace
