--- a/src/site_hosts.c
+++ b/src/site_hosts.c
@@ -5,6 +5,7 @@
  */
 #include "site_int.h"
 
+#include <errno.h>
 #include <fcntl.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -168,7 +169,7 @@
 	int fd = fcntl(STDOUT_FILENO, F_DUPFD_CLOEXEC, 0);
 
 	if (fd < 0)
-		return s->settings.capacity.fds;
+		return errno == EMFILE ? s->settings.capacity.fds : 0;
 	close(fd);
 	return (uint64_t)fd;
 }
--- a/tests/slow_reader_test.cc
+++ b/tests/slow_reader_test.cc
@@ -511,6 +511,7 @@
 	EXPECT_EQ(0u, g.ended_as(PLACE_SILENT));
 	EXPECT_EQ(0u, g.ended_as(PLACE_BROKEN));
 	EXPECT_LT(g.longest_pause_permille, 1000u);
+	EXPECT_GE(counter_get_refused(REASON_SLOW_READER), 1u);
 }
 
 // Guards against bodies of requests that fill the memory while runners do not read
