Http1: a whole response waits for a caller that is paused

Cause: the kernel ends a connection whose peer has no room for 4 s (TCP_USER_TIMEOUT), also where the response is queued whole and no target waits. Now such a response is kept for the idle timeout; a request under way is ended as before.

--- a/src/http1.c
+++ b/src/http1.c
@@ -58,6 +58,7 @@
 	bool no_body;		     /* see http1_expect_no_body() */
 	bool reading_paused;
 	bool closing; /* no more is read or queued; closes once all is written */
+	bool patient;	       /* see set_patience() */
 	bool message_complete; /* the parser saw the end of the message */
 	/* When queued bytes were last taken, or the first of them queued. */
 	int64_t progress_us;
@@ -186,6 +187,21 @@
 	update_events(c);
 }
 
+/*
+ * A caller that has no room for the rest of a response that is queued whole gets as long
+ * as it may be idle: no target waits for it. Else the kernel's end comes sooner.
+ */
+static void set_patience(http1_conn_t *c)
+{
+	bool whole = c->closing || c->state == CONN_AWAIT_HEAD;
+
+	if (!c->incoming || c->patient == whole || !(c->out.n || c->patient))
+		return;
+	c->patient = whole;
+	socket_set_user_timeout(c->watch.fd,
+				whole ? c->limits->idle_timeout_us : 0);
+}
+
 static void flush_output(http1_conn_t *c)
 {
 	size_t done = 0;
@@ -208,6 +224,7 @@
 	count_unsent(c, c->out.n + done);
 	if (done)
 		c->progress_us = now_us(c);
+	set_patience(c);
 	if (!c->out.n && c->out.cap > KEEP_BYTES)
 		buf_free(&c->out);
 	if (!c->out.n && c->closing && c->state != CONN_LINGERING) {
--- a/src/socket.c
+++ b/src/socket.c
@@ -9,7 +9,10 @@
 #include "util.h"
 
 #define LISTEN_BACKLOG 512
-/* TCP_USER_TIMEOUT: a peer that acknowledges nothing for so long is gone. */
+/*
+ * TCP_USER_TIMEOUT: a peer that acknowledges nothing for so long is gone. The kernel
+ * also ends the connection of a peer that is there but has no room for so long.
+ */
 #define USER_TIMEOUT_MS 4000
 #define KEEPALIVE_INTERVAL_S 1
 #define KEEPALIVE_PROBES 3
@@ -40,20 +43,26 @@
 		   sizeof(buffer_bytes));
 }
 
+void socket_set_user_timeout(int fd, int64_t us)
+{
+	const unsigned int ms =
+		us ? (unsigned int)(us / USEC_PER_MSEC) : USER_TIMEOUT_MS;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+}
+
 void socket_set_options(int fd)
 {
 	const int one = 1;
 	const int idle = KEEPALIVE_INTERVAL_S;
 	const int probes = KEEPALIVE_PROBES;
-	const unsigned int user_ms = USER_TIMEOUT_MS;
 
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
 	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &one, sizeof(one));
 	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
 	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &idle, sizeof(idle));
 	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
-	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_ms,
-		   sizeof(user_ms));
+	socket_set_user_timeout(fd, 0);
 	if (buffer_bytes)
 		limit_buffers(fd);
 }
--- a/src/socket.h
+++ b/src/socket.h
@@ -14,6 +14,8 @@
  * toward the memory of the host.
  */
 void socket_limit_buffers(uint64_t bytes);
+/* How long a peer may acknowledge nothing, or have no room; 0: as at first. */
+void socket_set_user_timeout(int fd, int64_t us);
 /* No delay, and an end within seconds if the other end is gone. */
 void socket_set_options(int fd);
 /*
--- a/tests/slow_reader_test.cc
+++ b/tests/slow_reader_test.cc
@@ -576,6 +576,26 @@
 	}
 }
 
+// Guards against an answer that is lost, as its caller cannot read for some seconds:
+// the kernel ends the connection of a peer without room after 4 s.
+TEST_F(SlowReaders, WholeResponseWaitsForACallerThatIsPaused)
+{
+	StreamTarget target;
+	Gateway g(target.port);
+	Reader closing(g.port, 250, false, 4096);
+	Reader kept(g.port, 250, true, 4096);
+
+	g.set_idle_timeout(20 * USEC_PER_SEC);
+	usleep(500000);
+	EXPECT_EQ(0u, g.requests());
+	sleep(7);
+	for (Reader *r : {&closing, &kept}) {
+		r->read_all();
+		EXPECT_TRUE(r->complete());
+		EXPECT_EQ(250, r->whole_events());
+	}
+}
+
 // Guards against a slow but steady reader being cut off as idle.
 TEST_F(SlowReaders, SteadyReaderGetsAllAlthoughItTakesLongerThanTheIdleTimeout)
 {
