--- a/tests/slow_reader_test.cc
+++ b/tests/slow_reader_test.cc
@@ -470,20 +470,26 @@
 	int whole = 0;
 	int broken = 0;
 
-	// A third read nothing at first, a third some, a third read well.
+	// A third read nothing at first, a third some, a third read well; one in ten reads
+	// only after the end.
 	for (int i = 0; i < READERS; i++)
 		readers.push_back(std::make_unique<Reader>(
 			g.port, LONG_STREAM, i % 2, i % 3 == 2 ? 65536 : 4096));
 	for (int64_t until = now_us() + 2 * USEC_PER_SEC; now_us() < until;) {
 		for (int i = 0; i < READERS; i++)
-			if (i % 3)
+			if (i % 3 && i % 10)
 				readers[i]->read(i % 3 == 1 ? 2000 : 400000);
 		most_unsent = std::max(most_unsent, g.unsent());
 		most_kernel = std::max(most_kernel, kernel_bytes(g));
 		quick.push_back(quick_us(g.port));
 	}
+	for (int i = 0; i < READERS; i++)
+		if (i % 10)
+			readers[i]->read_all();
+	// The time of all requests is over.
+	usleep(TIMEOUT_US);
 	for (auto &r : readers)
-		r->read_all(r->ended ? 0 : 15 * USEC_PER_SEC);
+		r->read_all();
 	for (auto &r : readers) {
 		int n = r->whole_events();
 
@@ -495,7 +501,7 @@
 		(r->complete() ? whole : broken)++;
 	}
 	EXPECT_GE(whole, READERS / 3);
-	EXPECT_GE(broken, 1);
+	EXPECT_GE(broken, READERS / 10);
 	EXPECT_GE(most_unsent, limit / 2);
 	// Each reader may have its least part, and a piece, beyond the limit.
 	EXPECT_LE(most_unsent, limit + READERS * 33 * KB);
@@ -515,7 +521,7 @@
 	EXPECT_EQ(0u, g.ended_as(PLACE_BROKEN));
 	// A busy machine makes pauses of its own; those of callers took over 6,000.
 	EXPECT_LT(g.longest_pause_permille, 4000u);
-	EXPECT_GE(counter_get_refused(REASON_SLOW_READER), 1u);
+	EXPECT_GE(counter_get_refused(REASON_SLOW_READER), READERS / 20u);
 }
 
 // Guards against bodies of requests that fill the memory while runners do not read
