--- a/src/counter.h
+++ b/src/counter.h
@@ -16,6 +16,8 @@
 #define COUNTERS_HTTP(X)                                                    \
 	X(HTTP_REQUESTS, "http_requests", "Requests received from callers") \
 	X(HTTP_ADDRESS_ANSWERS, "address_answers", "Address answers given") \
+	X(ADDRESS_ANSWERS_SHARED, "address_answers_shared",                 \
+	  "Address answers that list some hosts, by capacity and load")     \
 	X(STREAMS_RESUMED, "streams_resumed",                               \
 	  "Streams sent on to another target within one response")          \
 	X(STREAMS_TAKEN_UP, "streams_taken_up",                             \
@@ -26,6 +28,8 @@
 	  "Requests that waited until their organisation's quota had room") \
 	X(STREAMS_FORGOTTEN, "streams_forgotten",                           \
 	  "Streams not recorded as too many are known; none can go on")     \
+	X(STREAMS_HELD_BACK, "streams_held_back",                           \
+	  "Times that a target was not read as its caller read slowly")     \
 	X(STREAMS_ENDED_MIDWAY, "streams_ended_midway",                     \
 	  "Streams that their target ended inside an event")                \
 	X(STREAMS_AMBIGUOUS, "streams_ambiguous",                           \
@@ -70,6 +74,9 @@
 	X(CLAIMS, "claims", "Claims decided")
 
 #define COUNTERS_LINK(X)                                                       \
+	X(HOST_LOADS_SENT, "host_loads_sent",                                  \
+	  "Messages about the load of hosts sent to other daemons")            \
+	X(HOST_LOADS_BYTES, "host_loads_bytes", "Bytes of these messages")     \
 	X(TUNNELS_OPENED, "tunnels_opened",                                    \
 	  "Connections to targets made for other daemons")                     \
 	X(TUNNEL_BYTES, "tunnel_bytes", "Bytes moved on these, both ways")     \
--- a/src/site.c
+++ b/src/site.c
@@ -127,27 +127,6 @@
 	loop_post(s->loop, &tables_mail_new(tables_run, t)->mail);
 }
 
-/*
- * Proposes the document with this host's zone, once after the start, when the
- * tables are fresh; not if they hold it already.
- */
-static void propose_host_doc(site_t *s)
-{
-	AUTO_BUF buf_t name = {0};
-	const doc_t *doc;
-
-	if (s->host_doc_proposed ||
-	    s->lease_status.tables_fresh_until_us <= site_now(s))
-		return;
-	buf_printf(&name, "%s%.*s", DOC_HOST_PREFIX, STR_ARG(s->settings.ip));
-	doc = decided_doc_by_name(s->tables, buf_str(&name));
-	s->host_doc_proposed = true;
-	if (doc && str_eq(doc->body, s->settings.zone))
-		return;
-	site_propose_doc(s, buf_str(&name), doc ? doc->version + 1 : 1,
-			 s->settings.zone);
-}
-
 static bool is_live_host(const lease_status_t *st, host_id_t host)
 {
 	for (size_t i = 0; i < st->n_live; i++)
@@ -278,7 +257,7 @@
 	s->lease_status.live = live;
 	apply_lease_status(s, &old);
 	free((void *)(uintptr_t)old.live);
-	propose_host_doc(s);
+	site_hosts_propose(s);
 	site_streams_lease_status_changed(s);
 	site_ports_lease_status_changed(s);
 	site_run_dispatch(s);
@@ -332,6 +311,8 @@
 	} else if (msg->body_case == DISPATCH__MSG__BODY_JOURNAL &&
 		   !msg->journal->told) {
 		gateway_tell_streams(s->gateway);
+	} else if (msg->body_case == DISPATCH__MSG__BODY_HOST_LOADS) {
+		site_hosts_recv(s, from, msg->host_loads);
 	} else if (is_for_gateway(msg)) {
 		gateway_recv(s->gateway, msg);
 	} else if (from == s->self && dispatch_active(s->isolated_dispatch)) {
@@ -695,6 +676,7 @@
 	struct sockaddr_in addr;
 
 	s->started_us = site_now(s);
+	site_hosts_start(s);
 	if (timer_svc_start(s->state_timers) ||
 	    mailbox_start(s->state_mailbox)) {
 		log_event(LOG_ERR, "thread_start_failed",
@@ -743,6 +725,7 @@
 	site_settings_free(&s->settings);
 	s->settings = loaded;
 	site_update_seeds(s);
+	site_hosts_settings_changed(s);
 }
 
 static void on_settings_timer(void *ctx, int64_t now)
