--- a/src/attempt.c
+++ b/src/attempt.c
@@ -11,6 +11,11 @@
 
 /* Longest wait for a connection to a reachable target. */
 #define CONNECT_TIMEOUT_US (700 * USEC_PER_MSEC)
+/*
+ * A grant is used within the time of two connections, one after the other. A daemon
+ * that was paused for longer may have lost the place to another request.
+ */
+#define GRANT_USE_MAX_US (2 * CONNECT_TIMEOUT_US + 100 * USEC_PER_MSEC)
 /* Responses that name another request are skipped up to these bounds. */
 #define STRAYS_MAX 8u
 #define STRAY_BYTES_MAX (64u << 10)
@@ -112,6 +117,10 @@
 		attempt_end(r, PLACE_UNUSED, false, REASON_NO_PLACE);
 		return;
 	}
+	if (gateway_now(r->gw) - r->granted_us > GRANT_USE_MAX_US) {
+		attempt_end(r, PLACE_UNUSED, false, REASON_NO_PLACE);
+		return;
+	}
 	if (r->deadline_us - gateway_now(r->gw) < USEC_PER_MSEC) {
 		attempt_end(r, PLACE_UNUSED, false, REASON_NO_PLACE);
 		return;
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -541,6 +541,7 @@
 	r->grant_limited = m->limited;
 	r->via = m->via ? m->via : g->ops.pick_peer(g->ctx);
 	hist_add(HIST_GRANT, gateway_now(g) - r->asked_us);
+	r->granted_us = gateway_now(g);
 	r->state = REQUEST_CONNECTING;
 	r->connect_again_us = gateway_now(g) + CONNECT_AGAIN_US;
 	request_arm_timer(r);
@@ -952,10 +953,9 @@
 	return g->listener ? 0 : -1;
 }
 
-void gateway_drain(gateway_t *g)
+bool gateway_drain(gateway_t *g)
 {
-	if (g->listener)
-		http1_drain(g->listener);
+	return !g->listener || http1_drain(g->listener);
 }
 
 void gateway_free(gateway_t *g)
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -67,8 +67,8 @@
 void gateway_free(gateway_t *g);
 /* 0, or -1 with errno set. */
 int gateway_listen(gateway_t *g, const struct sockaddr_in *addr);
-/* Stops listening and closes idle connections; requests go on. */
-void gateway_drain(gateway_t *g);
+/* As http1_drain(); requests go on. */
+bool gateway_drain(gateway_t *g);
 /* Sets the manifest for new requests; those under way keep theirs. */
 void gateway_set_manifest(gateway_t *g, manifest_t *m);
 /* Handles a message of the dispatcher. */
--- a/src/gateway_int.h
+++ b/src/gateway_int.h
@@ -75,6 +75,7 @@
 	uint64_t ask_id;
 	int64_t first_asked_us; /* when the Ask was sent first */
 	int64_t asked_us;	/* when it was sent last */
+	int64_t granted_us;	/* when the last Grant was read */
 	bool ask_acked; /* the dispatcher replied that the request waits */
 	int64_t ask_deadline_us; /* refused if there is no grant by then */
 	uint32_t n_asks; /* places asked for, including that of ask_id */
--- a/src/http1.c
+++ b/src/http1.c
@@ -919,15 +919,27 @@
 		close(fd);
 }
 
-void http1_drain(http1_listener_t *ls)
+/* Bytes of a request may have come that have not been read yet. */
+static bool has_unread_bytes(const http1_conn_t *c)
+{
+	char byte;
+
+	return recv(c->watch.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+bool http1_drain(http1_listener_t *ls)
 {
 	http1_conn_t *c, *tmp;
 
+	if (ls->watch.fd >= 0)
+		on_acceptable(ls, EPOLLIN);
 	stop_accepting(ls);
 	cds_list_for_each_entry_safe (c, tmp, &ls->conns, node) {
-		if (c->state == CONN_AWAIT_HEAD && !c->in.n && !c->out.n)
+		if (c->state == CONN_AWAIT_HEAD && !c->in.n && !c->out.n &&
+		    !has_unread_bytes(c))
 			conn_end(c, HTTP1_CLOSED_LOCALLY);
 	}
+	return cds_list_empty(&ls->conns);
 }
 
 void http1_unlisten(http1_listener_t *ls)
--- a/src/http1.h
+++ b/src/http1.h
@@ -120,8 +120,11 @@
 			       void *ctx);
 /* Bytes queued on all its connections that the sockets have not taken; 0: NULL. */
 size_t http1_listener_unsent(const http1_listener_t *ls);
-/* Stops accepting, and closes connections that wait for a request. */
-void http1_drain(http1_listener_t *ls);
+/*
+ * Stops accepting, and closes connections that wait for a request of which nothing
+ * has come; true: no connection is left.
+ */
+bool http1_drain(http1_listener_t *ls);
 /* Stops accepting, closes all connections and frees the listener. */
 void http1_unlisten(http1_listener_t *ls);
 
--- a/src/site_leave.c
+++ b/src/site_leave.c
@@ -117,12 +117,13 @@
 {
 	site_t *s = ctx;
 	int64_t elapsed_us = now - s->leave_began_us;
+	bool drained = false;
 
 	end_session(s, now);
 	if (elapsed_us >= LEAVE_LISTEN_US)
-		gateway_drain(s->gateway);
-	if ((elapsed_us >= LEAVE_LISTEN_US &&
-	     !gateway_active_requests(s->gateway) &&
+		drained = gateway_drain(s->gateway);
+	/* A connection that is left has a request to read, or an answer to send. */
+	if ((drained && !gateway_active_requests(s->gateway) &&
 	     !tunnels_count(s->tunnels)) ||
 	    elapsed_us >= s->settings.grace_us - LEAVE_MARGIN_US) {
 		log_event(LOG_NOTICE, "stopped",
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -37,6 +37,7 @@
 	/* Reports from the loop that connecting failed in upstream_call(). */
 	loop_task_t connect_failed_task;
 	bool sent;
+	bool own_conn; /* the connection carries this call only */
 	call_done_t done;
 	void *ctx;
 } call_t;
@@ -215,7 +216,10 @@
 {
 	call_t *c = ctx;
 
-	release(c->upstream, c->addr, c->conn, &c->response_head);
+	if (c->own_conn)
+		http1_close(c->conn);
+	else
+		release(c->upstream, c->addr, c->conn, &c->response_head);
 	call_finish(c, c->response_head.status, HTTP1_CLOSED_LOCALLY);
 }
 
@@ -285,7 +289,13 @@
 	c->connect_failed_task.fn = call_connect_failed;
 	c->connect_failed_task.ctx = c;
 	write_request(c, req);
-	c->conn = acquire(u, req->addr);
+	/*
+	 * A peer may send a response again, late. On a kept connection the copy
+	 * would be taken for the answer of the next call, such as an order that
+	 * was not accepted.
+	 */
+	c->own_conn = req->body != NULL;
+	c->conn = c->own_conn ? NULL : acquire(u, req->addr);
 	if (c->conn) {
 		http1_set_owner(c->conn, &call_ops, c);
 		call_send_request(c);
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -323,6 +323,8 @@
 	std::set<uint64_t> answered; // parts that a new dispatcher is told of
 	std::vector<double> limits;  // told; LIMIT_NONE: its end
 	bool grants_limited = false; // as Grants say
+	// Pause of the daemon directly after the first Grant.
+	std::atomic<unsigned> pause_ms{0};
 	// When the dispatcher was first asked, and when it was first reported
 	// as unresponsive; 0: not yet.
 	std::atomic<int64_t> asked_us{0};
@@ -346,6 +348,7 @@
 			uint32_t attempts;
 		} routes[] = {
 			{"/once/", ROUTE_NON_IDEMPOTENT, false, 1},
+			{"/long/", ROUTE_NON_IDEMPOTENT, false, 1},
 			{"/twice/", ROUTE_NON_IDEMPOTENT, false, 2},
 			{"/again/", ROUTE_IDEMPOTENT, false, 2},
 			{"/stream/", ROUTE_STREAMING, false, 1},
@@ -366,6 +369,8 @@
 			r->resumable = row.resumable;
 			r->attempts = row.attempts;
 			r->timeout_us = 1500 * USEC_PER_MSEC;
+			if (std::string(row.prefix) == "/long/")
+				r->timeout_us = 8 * USEC_PER_SEC;
 			r->target_us = 150 * USEC_PER_MSEC;
 			if (row.kind == ROUTE_STREAMING)
 				r->event_gap_us = 300 * USEC_PER_MSEC;
@@ -512,6 +517,7 @@
 		msg.body_case = DISPATCH__MSG__BODY_GRANT;
 		msg.grant = &g;
 		gateway_recv(gateway, &msg);
+		usleep(pause_ms.exchange(0) * 1000);
 	}
 	void refuse(uint64_t id)
 	{
@@ -936,6 +942,81 @@
 	EXPECT_EQ(503, status(fixture.ask("/once/x")));
 }
 
+// A daemon that is paused between a Grant and the connection to its target must
+// not use the place, which another request may have by then.
+TEST(Gateway, GrantFromBeforeAPauseIsNotUsed)
+{
+	Target a({ok_response("late")});
+	Target b({ok_response("asked again")});
+	GatewayFixture fixture({&a, &b});
+
+	fixture.pause_ms = 2500;
+	EXPECT_TRUE(has(fixture.ask("/long/x"), "asked again"));
+	EXPECT_EQ(0u, a.received().size());
+}
+
+// A planned stop closes idle connections only: a request whose head has been read,
+// and one that waits for its grant, are answered.
+TEST(Gateway, DrainAnswersRequestsThatHaveBegun)
+{
+	Target a({{"", false, false, false, "", "",
+		   {{200, ok_response("whole").bytes}}},
+		  ok_response("whole")});
+	GatewayFixture fixture({&a, &a});
+	Client partial(fixture.port);
+	Client whole(fixture.port);
+	const std::string head = "POST /once/x HTTP/1.1\r\nHost: x\r\n"
+				 "Request-Id: r1\r\nConnection: close\r\n"
+				 "Content-Length: 4\r\n\r\n";
+
+	partial.send(head + "ab");
+	whole.send(head + "abcd");
+	usleep(50000);
+	fixture.l.call([&] { gateway_drain(fixture.gateway); });
+	partial.send("cd");
+	EXPECT_TRUE(has(whole.read_all(), "whole"));
+	EXPECT_TRUE(has(partial.read_all(), "whole"));
+}
+
+// Bytes that are no event must not prolong a stream: it ends with its deadline,
+// whether it sends comments, or one event byte by byte.
+TEST(Gateway, StreamThatSendsAByteNowAndThenEndsAtItsDeadline)
+{
+	for (const char *bytes : {":\n", "a", "\n"}) {
+		Action action = {STREAM_HEAD + chunk("id: 1\ndata: a\n\n")};
+
+		for (int i = 0; i < 30; i++)
+			action.later.push_back({100, chunk(bytes)});
+		Target t({action});
+		GatewayFixture fixture({&t});
+		int64_t from_us = timer_svc_now(fixture.l.timers);
+		std::string got = fixture.ask("/stream/x");
+		int64_t us = timer_svc_now(fixture.l.timers) - from_us;
+
+		EXPECT_TRUE(has(got, "id: 1")) << bytes;
+		EXPECT_FALSE(has(got, "0\r\n\r\n")) << bytes;
+		EXPECT_GE(us, 1400 * USEC_PER_MSEC) << bytes;
+		EXPECT_LE(us, 2000 * USEC_PER_MSEC) << bytes;
+	}
+}
+
+// The pause that a route allows between events is for placing; a sound stream
+// that pauses for longer is not cut off before its deadline.
+TEST(Gateway, SlowStreamIsNotCutOffBeforeItsDeadline)
+{
+	Action action = {STREAM_HEAD + chunk("id: 1\ndata: a\n\n")};
+
+	action.later = {{600, chunk("id: 2\ndata: b\n\n")},
+			{500, chunk("id: 3\ndata: c\n\n") + "0\r\n\r\n"}};
+	Target t({action});
+	GatewayFixture fixture({&t});
+	std::string got = fixture.ask("/stream/x");
+
+	EXPECT_TRUE(has(got, "id: 3\ndata: c\n\n"));
+	EXPECT_TRUE(has(got, "0\r\n\r\n"));
+	EXPECT_EQ(std::vector<int>{PLACE_ANSWERED}, fixture.outcomes());
+}
+
 TEST(Gateway, TimeoutAfterSendingIsNotReportedAsNotRun)
 {
 	Target t({{"", false, false, true}});
--- a/tests/http1_test.cc
+++ b/tests/http1_test.cc
@@ -1,8 +1,11 @@
 // HTTP/1.1 connections: framing, strictness, limits and closing.
 #include <gtest/gtest.h>
 
+#include <poll.h>
+
 #include <atomic>
 #include <map>
+#include <memory>
 
 #include "loop_util.h"
 #include "upstream.h"
@@ -218,6 +221,29 @@
 	EXPECT_FALSE(late.connected);
 }
 
+// Guards against cutting off a request that the kernel has, but the loop has not
+// read when it drains: on a kept connection, and on one not accepted yet.
+TEST(Http1, DrainCutsOffNoRequestThatIsNotReadYet)
+{
+	Server s;
+	Client kept(s.port);
+	bool left = true;
+	std::unique_ptr<Client> fresh;
+
+	kept.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+	kept.read_until("/1|");
+	s.l.call([&] {
+		kept.send("GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+		fresh = std::make_unique<Client>(s.port);
+		fresh->send("GET /3 HTTP/1.1\r\nHost: h\r\n\r\n");
+		usleep(20000);
+		left = !http1_drain(s.listener);
+	});
+	EXPECT_TRUE(left);
+	EXPECT_NE(std::string::npos, kept.read_until("/2|").find("/2|"));
+	EXPECT_NE(std::string::npos, fresh->read_until("/3|").find("/3|"));
+}
+
 // Accepts one connection, reads a request, sends the given bytes and closes.
 class Target
 {
@@ -448,3 +474,80 @@
 }
 
 } // namespace
+
+// A peer that sends its response twice: the copy with the next request, or on a
+// connection that it has kept. Guards against an order that is taken as accepted
+// by the copy of another order's answer.
+TEST(Upstream, SecondCopyOfAnAnswerAnswersNoOrder)
+{
+	struct sockaddr_in a = loopback_addr();
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	uint16_t port = free_port();
+
+	a.sin_port = htons(port);
+	ASSERT_EQ(0, bind(fd, (struct sockaddr *)&a, sizeof(a)));
+	listen(fd, 4);
+	std::thread server([&] {
+		std::vector<int> conns;
+
+		for (int i = 0; i < 2; i++) {
+			const char *ok = "HTTP/1.1 202 X\r\n"
+					 "Content-Length: 0\r\n\r\n";
+			const char *no = "HTTP/1.1 409 X\r\n"
+					 "Content-Length: 0\r\n\r\n";
+			const char *text = i ? no : ok;
+			struct pollfd p = {fd, POLLIN, 0};
+			char buf[4096];
+			int c = poll(&p, 1, 1000) > 0
+					? accept(fd, nullptr, nullptr)
+					: -1;
+
+			if (c < 0) { // the first connection was used again
+				if (!conns.empty() &&
+				    recv(conns[0], buf, sizeof(buf), 0) > 0)
+					::send(conns[0], ok, strlen(ok),
+					       MSG_NOSIGNAL);
+				break;
+			}
+			conns.push_back(c);
+			if (recv(c, buf, sizeof(buf), 0) > 0)
+				::send(c, text, strlen(text), MSG_NOSIGNAL);
+		}
+		usleep(100000);
+		for (int c : conns)
+			close(c);
+	});
+	Loop l;
+	upstream_t *u = upstream_new(l.loop, {});
+	std::string addr = "127.0.0.1:" + std::to_string(port);
+	buf_t body = {};
+	upstream_request_t req = {};
+	std::atomic<int> status{-1};
+
+	buf_puts(&body, "{}");
+	req.addr = str_c(addr.c_str());
+	req.target = STR("/x");
+	req.body = &body;
+	req.response_max = 1024;
+	req.timeout_us = 3 * USEC_PER_SEC;
+	l.start();
+	for (int expected : {202, 409}) {
+		status = -1;
+		l.call([&] {
+			upstream_call(
+				u, &req,
+				[](void *ctx, const call_result_t *res) {
+					*(std::atomic<int> *)ctx = res->status;
+				},
+				&status);
+		});
+		for (int i = 0; i < 800 && status < 0; i++)
+			usleep(5000);
+		EXPECT_EQ(expected, status);
+	}
+	l.call([&] { upstream_free(u); });
+	l.stop();
+	buf_free(&body);
+	server.join();
+	close(fd);
+}
