--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -959,7 +959,12 @@
 // and one that waits for its grant, are answered.
 TEST(Gateway, DrainAnswersRequestsThatHaveBegun)
 {
-	Target a({{"", false, false, false, "", "",
+	Target a({{"",
+		   false,
+		   false,
+		   false,
+		   "",
+		   "",
 		   {{200, ok_response("whole").bytes}}},
 		  ok_response("whole")});
 	GatewayFixture fixture({&a, &a});
