--- a/src/choice.c
+++ b/src/choice.c
@@ -166,8 +166,7 @@
 	 * need one; between the two kinds only what cost contains of it counts.
 	 */
 	double pause_cost;
-	double late_chance; /* that streams there pause too long if granted now */
-	int64_t spare_us;   /* wait for the sake of those streams */
+	int64_t spare_us; /* wait for the sake of those streams */
 } offer_t;
 
 static bool is_avoided(const Dispatch__Ask *ask, const runner_t *r)
@@ -306,7 +305,7 @@
 	double slots = (double)request_slots(r, s) * d->runner_share;
 
 	if ((double)r->n_grants < slots + 1 &&
-	    brittle_has_room(&r->brittle, r->n_grants, slots, now_us))
+	    reject_limit_has_room(&r->reject_limit, r->n_grants, slots, now_us))
 		return 0;
 	return r->mean_hold_us * (r->n_queued + 1) / r->n_grants;
 }
@@ -392,7 +391,6 @@
 	offer->first_event_us = MAX(offer->prefill_us, start_us + own_us);
 	left_us = margin->prefill_us - offer->prefill_us -
 		  (int64_t)(PAUSE_WAIT_RESERVE_US * (1 + sqrt(s->first_noise)));
-	offer->late_chance = plan.late_chance_now;
 	offer->spare_us = plan.wait_us;
 	if (plan.wait_us > left_us || place_us > left_us) {
 		offer->spare_us = MAX(left_us, 0);
@@ -465,8 +463,8 @@
 
 	if ((double)r->n_grants >=
 		    slots * PLAIN_GRANTS_PER_SLOT * d->runner_share ||
-	    !brittle_has_room(&r->brittle, r->n_grants, slots * d->runner_share,
-			      now_us))
+	    !reject_limit_has_room(&r->reject_limit, r->n_grants,
+				   slots * d->runner_share, now_us))
 		return false;
 	offer->needs_load = false;
 	offer->grant_in_us = wait_us;
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -256,7 +256,7 @@
 				       REFUSAL_RETRY_US);
 		return false;
 	}
-	/* Without a lease, the only decided version will do once it is back. */
+	/* Without a lease the decided versions may be out of date: it may come back. */
 	if (now_us - d->began_us >= STREAMS_SETTLE_US)
 		pending_refuse(d, req, REASON_STREAM_UNKNOWN,
 			       is_leader && now_us < d->lease_until_us
@@ -836,8 +836,8 @@
 		if (now_us >= req->deadline_us)
 			pending_refuse(d, req, REASON_LOAD_FAILED,
 				       REFUSAL_RETRY_US);
-		/* Those whose version is not known don't use up the number. */
-		else if (!req->awaited_copy &&
+		/* Those that cannot be decided yet do not count towards the bound. */
+		else if (!req->awaited_copy && now_us >= req->quota_due_us &&
 			 (req->awaits_version || n++ < DECIDE_MAX))
 			pending_decide(d, req, now_us);
 	}
--- a/src/dispatch_int.h
+++ b/src/dispatch_int.h
@@ -9,7 +9,7 @@
 #ifndef DK_DISPATCH_INT_H
 #define DK_DISPATCH_INT_H
 
-#include "brittle.h"
+#include "reject_limit.h"
 #include "build_set.h"
 #include "dispatch.h"
 #include "pb.h"
@@ -186,7 +186,7 @@
 	/* It rejected a request that had a place, and gets none until then. */
 	int64_t full_until_us;
 	runner_limit_t limit;
-	brittle_t brittle;
+	reject_limit_t reject_limit;
 } runner_t;
 
 /* The runners of one service. */
--- a/src/event_gaps.c
+++ b/src/event_gaps.c
@@ -1,3 +1,4 @@
+/* event_gaps.c - gaps between the events of a stream. */
 #include "event_gaps.h"
 
 #include <glib.h>
--- a/src/grants.c
+++ b/src/grants.c
@@ -242,7 +242,7 @@
 		paths_on_heard(d, key->host, g->runner, now_us);
 	quarantine_on_sign_of_life(d, g->runner, now_us);
 	g->runner->said_leaving |= m->leaving;
-	brittle_name(&g->runner->brittle, m->rejections_max, now_us);
+	reject_limit_set(&g->runner->reject_limit, m->rejections_max, now_us);
 	if (g->copy)
 		orders_learn_load_time(d, g->copy, false, now_us);
 	waited_us = m->waited_us - learn_path(d, g, m, now_us);
@@ -345,7 +345,7 @@
 	learn_prefill_share(r, m->pause_permille);
 	speeds_on_done(g, m, now_us);
 	r->said_leaving |= m->leaving;
-	brittle_name(&r->brittle, m->rejections_max, now_us);
+	reject_limit_set(&r->reject_limit, m->rejections_max, now_us);
 	grant_free(d, g, now_us);
 	if (c && c->state == COPY_READY &&
 	    (o == PLACE_NOT_RUN || o == PLACE_NO_ADAPTER)) {
@@ -356,9 +356,10 @@
 		}
 	}
 	if (o == PLACE_NOT_RUN)
-		r->full_until_us = MAX(
-			now_us + FULL_BACKOFF_US,
-			brittle_on_rejected(&r->brittle, r->n_grants, now_us));
+		r->full_until_us =
+			MAX(now_us + FULL_BACKOFF_US,
+			    reject_limit_on_rejected(&r->reject_limit,
+						     r->n_grants, now_us));
 	record_outcome(d, key->host, r, o, m->by_peer, started, granted_us,
 		       now_us);
 	if (o == PLACE_NO_ADAPTER || o == PLACE_OTHER_RUNNER)
--- a/src/host_share.c
+++ b/src/host_share.c
@@ -264,8 +264,9 @@
 }
 
 /*
- * Systematic sampling: the probabilities lie end to end on a line, and a comb with
- * teeth at distance 1 and a random offset picks length different ones.
+ * Systematic sampling: the probabilities are added up, and a row is selected where the
+ * sum passes offset, offset + 1, offset + 2 and so on. No row comes twice, as no
+ * probability exceeds 1.
  */
 static size_t sample(const double *p, const uint32_t *order, size_t n,
 		     double offset, uint32_t *out, size_t length)
--- a/src/journal_disk.c
+++ b/src/journal_disk.c
@@ -39,13 +39,14 @@
 	size_t prefix_n = strlen(NAME_PREFIX);
 	struct dirent *e;
 	uint64_t seq;
+	int error;
 
 	if (!dir) {
 		if (fd >= 0)
 			close(fd);
 		return -1;
 	}
-	while ((e = readdir(dir))) {
+	while (errno = 0, (e = readdir(dir))) {
 		str_t name = str_c(e->d_name);
 
 		if (name.n > prefix_n &&
@@ -54,8 +55,10 @@
 				&seq))
 			visit(arg, seq);
 	}
+	error = errno;
 	closedir(dir);
-	return 0;
+	errno = error;
+	return error ? -1 : 0;
 }
 
 static int folder_read(void *ctx, uint64_t seq, buf_t *out)
@@ -85,6 +88,7 @@
 	folder_t *f = ctx;
 	struct statvfs st;
 	char name[NAME_MAX_BYTES];
+	int error;
 
 	if (f->fd >= 0)
 		close(f->fd);
@@ -99,7 +103,17 @@
 		       O_WRONLY | O_CREAT | O_EXCL | O_APPEND | O_CLOEXEC,
 		       0600);
 	f->seq = seq;
-	return f->fd < 0 ? -1 : 0;
+	if (f->fd < 0)
+		return -1;
+	/* Else a loss of power may take the file's name. */
+	if (!fsync(f->dir_fd))
+		return 0;
+	error = errno;
+	unlinkat(f->dir_fd, name, 0);
+	close(f->fd);
+	f->fd = -1;
+	errno = error;
+	return -1;
 }
 
 static int folder_append(void *ctx, str_t bytes)
--- a/src/org_quota.c
+++ b/src/org_quota.c
@@ -9,6 +9,8 @@
 /* Bounds of the time after which a caller over its quota may come back. */
 #define QUOTA_RETRY_MIN_US (100 * USEC_PER_MSEC)
 #define QUOTA_RETRY_MAX_US (5 * USEC_PER_SEC)
+/* A bucket that takes longer to fill counts as one that takes this long. */
+#define FILL_TIME_MAX_US (86400 * USEC_PER_SEC)
 /* Longest wait for a share of the quota, whatever the request accepts. */
 #define QUOTA_WAIT_MAX_US (250 * USEC_PER_MSEC)
 /*
@@ -24,16 +26,17 @@
 
 struct org_bucket {
 	str_t name;   /* owned */
-	double per_s; /* this dispatcher's share; 0: no quota */
+	double per_s; /* this dispatcher's share of the quota, a second */
 	double size;
 	double level; /* below 0: requests wait for what they have taken */
 	int64_t filled_us;
 	int64_t begun_us; /* it starts nearly empty */
 	/*
-	 * Callers over the quota were told to come back until then; the next one
-	 * is told a later time, so that they do not all return at once.
+	 * Latest time at which a refused caller was told to retry, with the room
+	 * that it needs; the next one is told a later time, so that they do not
+	 * all return at once.
 	 */
-	int64_t promised_until_us;
+	int64_t retries_until_us;
 	uint64_t epoch; /* of the quotas when per_s and size were set */
 };
 
@@ -183,7 +186,10 @@
 /* Time until a bucket of this rate has so much more. */
 static int64_t fill_time_us(const org_bucket_t *b, double amount)
 {
-	return (int64_t)(amount / b->per_s * (double)USEC_PER_SEC);
+	double us = amount / b->per_s * (double)USEC_PER_SEC;
+
+	/* Also where the share is 0, or the quota next to nothing. */
+	return us < (double)FILL_TIME_MAX_US ? (int64_t)us : FILL_TIME_MAX_US;
 }
 
 /* From 0 up to 1, alike for one request. */
@@ -198,16 +204,16 @@
  * behind those told before it; or, if that is too far off, at a random time, as many
  * that come back at once are refused again.
  */
-static int64_t promise_return(const org_quotas_t *q, org_bucket_t *b,
-			      double cost, uint64_t id, int64_t now_us)
+static int64_t assign_retry_time(const org_quotas_t *q, org_bucket_t *b,
+				 double cost, uint64_t id, int64_t now_us)
 {
 	int64_t room_us = now_us + fill_time_us(b, MAX(cost - b->level, 0));
-	int64_t at_us = MAX(room_us, b->promised_until_us);
+	int64_t at_us = MAX(room_us, b->retries_until_us);
 
 	if (at_us - now_us > QUOTA_RETRY_MAX_US)
 		return (int64_t)((1 + random_draw(q, id)) / 2 *
 				 QUOTA_RETRY_MAX_US);
-	b->promised_until_us = at_us + fill_time_us(b, cost);
+	b->retries_until_us = at_us + fill_time_us(b, cost);
 	return MAX(at_us - now_us, QUOTA_RETRY_MIN_US);
 }
 
@@ -243,7 +249,7 @@
 {
 	if (now_us - b->begun_us >= fill_time_us(b, b->size))
 		return 0;
-	return MIN(req->wait_max_us, QUOTA_WAIT_MAX_US);
+	return CLAMP(req->wait_max_us, 0, QUOTA_WAIT_MAX_US);
 }
 
 int64_t org_quota_take(org_quotas_t *q, const quota_request_t *req,
@@ -268,7 +274,7 @@
 	if (cost > b->level)
 		wait_us = fill_time_us(b, cost - b->level);
 	if (!req->may_have_run && wait_us > wait_limit(b, req, now_us)) {
-		*retry_us = promise_return(q, b, cost, req->id, now_us);
+		*retry_us = assign_retry_time(q, b, cost, req->id, now_us);
 		return -1;
 	}
 	take(b, cost, charge);
--- a/src/org_quota.h
+++ b/src/org_quota.h
@@ -25,9 +25,9 @@
 
 typedef struct quota_request {
 	uint64_t id;
-	str_t org;	 /* empty: none */
-	uint32_t tokens; /* of the prompt and, at most, the output */
-	int64_t wait_max_us;
+	str_t org;	     /* empty: none */
+	uint32_t tokens;     /* of the prompt and, at most, the output */
+	int64_t wait_max_us; /* longest wait that it accepts; 0 or less: none */
 	/*
 	 * An earlier attempt may have run. Such a request is not refused, as its
 	 * caller could not be told that it has not run.
--- a/src/runner_speed.c
+++ b/src/runner_speed.c
@@ -1,3 +1,4 @@
+/* runner_speed.c - Kalman filter of a runner's speed, and the schedule of its prompts. */
 #include "runner_speed.h"
 
 #include <glib.h>
--- a/src/speeds.c
+++ b/src/speeds.c
@@ -7,9 +7,9 @@
 #include "counter.h"
 #include "log.h"
 
-/* A longest pause with fewer prompt tokens in it may have another cause. */
+/* A pause with fewer prompt tokens in it may have another cause. */
 #define PAUSE_TOKENS_MIN 400.0
-/* Pauses that were told later may match other prompts. */
+/* The prompts of an older pause may have left the ring of prefills. */
 #define PAUSE_AGO_MAX_US (8 * USEC_PER_SEC)
 
 const runner_speed_t *runner_speed_find(const runner_t *r, uint64_t model_key)
--- a/src/stream_journal.c
+++ b/src/stream_journal.c
@@ -320,13 +320,17 @@
 	if (!out.n)
 		return 0;
 	stream_journal_sweep(j, now_us);
-	if (out.n > JOURNAL_BYTES_MAX || make_room(j, out.n) < 0 ||
-	    open_segment(j, now_us) < 0)
+	if (out.n > JOURNAL_BYTES_MAX) {
+		errno = EFBIG;
+		return -1;
+	}
+	if (make_room(j, out.n) < 0 || open_segment(j, now_us) < 0)
 		return -1;
 	s = segment_at(j, j->segments->len - 1);
+	/* A failed append may leave a part of them. */
+	s->bytes += out.n;
 	if (j->disk.append(j->disk.ctx, buf_str(&out)) < 0)
 		goto fail;
-	s->bytes += out.n;
 	/* Also without the sync below, a part of it may be read back. */
 	s->until_us = MAX(s->until_us, until_us);
 	if (j->disk.sync(j->disk.ctx) < 0)
--- a/tests/org_quota_test.cc
+++ b/tests/org_quota_test.cc
@@ -180,6 +180,13 @@
 	EXPECT_GT(last, 0);
 }
 
+// Guards against a request that is refused within its quota as its objective has
+// passed already, for example while its body was read.
+TEST_F(OrgQuota, RequestPastItsObjectiveIsAdmitted)
+{
+	EXPECT_EQ(0, ask(quotas, 0, -USEC_PER_SEC));
+}
+
 // Guards against kinds of request that accept a long wait and so take the quota of
 // those that do not.
 TEST_F(OrgQuota, NoKindTakesTheQuotaByWaitingLonger)
