--- a/src/host_share.c
+++ b/src/host_share.c
@@ -303,7 +303,7 @@
 	length = list_length(p, n, max);
 	fill_probabilities(p, n, length);
 	shuffle(order, n, &draw);
-	offset = (double)(next_draw(&draw) >> 11) / (double)(1ull << 53);
+	offset = hash_fraction(next_draw(&draw));
 	return sample(p, order, n, offset, out, length);
 }
 
--- a/src/org_quota.c
+++ b/src/org_quota.c
@@ -195,8 +195,7 @@
 /* From 0 up to 1, alike for one request. */
 static double random_draw(const org_quotas_t *q, uint64_t id)
 {
-	return (double)(hash_bytes(&id, sizeof(id), q->seed) >> 11) /
-	       (double)(1ull << 53);
+	return hash_fraction(hash_bytes(&id, sizeof(id), q->seed));
 }
 
 /*
--- a/src/site.c
+++ b/src/site.c
@@ -127,8 +127,10 @@
 	loop_post(s->loop, &tables_mail_new(tables_run, t)->mail);
 }
 
-static bool is_live_host(const lease_status_t *st, host_id_t host)
+bool site_is_live_host(const site_t *s, host_id_t host)
 {
+	const lease_status_t *st = &s->lease_status;
+
 	for (size_t i = 0; i < st->n_live; i++)
 		if (st->live[i] == host)
 			return true;
@@ -205,7 +207,7 @@
  */
 static void report_if_lost(site_t *s, host_id_t host)
 {
-	if (host == s->self || is_live_host(&s->lease_status, host) ||
+	if (host == s->self || site_is_live_host(s, host) ||
 	    g_hash_table_contains(s->links_up, GUINT_TO_POINTER(host)))
 		return;
 	dispatch_host_lost(s->dispatch, host, site_now(s));
@@ -519,7 +521,7 @@
 	/* Callers keep addresses for a while after this host has left. */
 	if (s->leaving)
 		return REASON_NONE;
-	if (s->lease_status.tables_fresh_until_us > site_now(s))
+	if (site_tables_are_fresh(s))
 		return REASON_NONE;
 	/* An outage of the replicated log must not end service at once. */
 	if (dispatch_active(s->isolated_dispatch) &&
--- a/src/site_hosts.c
+++ b/src/site_hosts.c
@@ -69,8 +69,8 @@
 
 /* Decided documents. */
 
-static const doc_t *find_host_doc(const decided_t *tables, const char *prefix,
-				  host_id_t id)
+const doc_t *site_find_host_doc(const decided_t *tables, const char *prefix,
+				host_id_t id)
 {
 	AUTO_BUF buf_t name = {0};
 
@@ -79,9 +79,9 @@
 	return decided_doc_by_name(tables, buf_str(&name));
 }
 
-static void propose_host_doc(site_t *s, const char *prefix, str_t body)
+void site_propose_host_doc(site_t *s, const char *prefix, str_t body)
 {
-	const doc_t *doc = find_host_doc(s->tables, prefix, s->self);
+	const doc_t *doc = site_find_host_doc(s->tables, prefix, s->self);
 	AUTO_BUF buf_t name = {0};
 
 	if (doc && str_eq(doc->body, body))
@@ -91,17 +91,12 @@
 	site_propose_doc(s, buf_str(&name), doc ? doc->version + 1 : 1, body);
 }
 
-static bool tables_are_fresh(const site_t *s)
-{
-	return s->lease_status.tables_fresh_until_us > site_now(s);
-}
-
 void site_hosts_propose(site_t *s)
 {
-	if (s->hosts->zone_proposed || !tables_are_fresh(s))
+	if (s->hosts->zone_proposed || !site_tables_are_fresh(s))
 		return;
 	s->hosts->zone_proposed = true;
-	propose_host_doc(s, DOC_HOST_PREFIX, s->settings.zone);
+	site_propose_host_doc(s, DOC_HOST_PREFIX, s->settings.zone);
 }
 
 /* Where the settings no longer name a capacity, the decided one ends, too. */
@@ -111,16 +106,16 @@
 	const host_capacity_t *c = &s->settings.capacity;
 	AUTO_BUF buf_t body = {0};
 
-	if (!tables_are_fresh(s) ||
+	if (!site_tables_are_fresh(s) ||
 	    (h->capacity_proposed_us &&
 	     now - h->capacity_proposed_us < PROPOSE_AGAIN_US))
 		return;
 	if (!host_capacity_is_known(c) &&
-	    !find_host_doc(s->tables, DOC_CAPACITY_PREFIX, s->self))
+	    !site_find_host_doc(s->tables, DOC_CAPACITY_PREFIX, s->self))
 		return;
 	h->capacity_proposed_us = now;
 	host_capacity_write(c, &body);
-	propose_host_doc(s, DOC_CAPACITY_PREFIX, buf_str(&body));
+	site_propose_host_doc(s, DOC_CAPACITY_PREFIX, buf_str(&body));
 }
 
 static uint64_t memory_bytes(const site_t *s)
@@ -363,8 +358,9 @@
 static void fill_row(const site_t *s, host_id_t id, host_row_t *row)
 {
 	const decided_t *tables = s->hosts->tables;
-	const doc_t *zone = find_host_doc(tables, DOC_HOST_PREFIX, id);
-	const doc_t *capacity = find_host_doc(tables, DOC_CAPACITY_PREFIX, id);
+	const doc_t *zone = site_find_host_doc(tables, DOC_HOST_PREFIX, id);
+	const doc_t *capacity =
+		site_find_host_doc(tables, DOC_CAPACITY_PREFIX, id);
 
 	row->id = id;
 	row->zone = zone ? zone->body : str_n(NULL, 0);
--- a/src/site_int.h
+++ b/src/site_int.h
@@ -115,8 +115,17 @@
 	return timer_svc_now(s->timers);
 }
 
+/* Whether the tables here were confirmed lately enough to serve by them. */
+static inline bool site_tables_are_fresh(const site_t *s)
+{
+	return s->lease_status.tables_fresh_until_us > site_now(s);
+}
+
 /* site.c */
 
+/* Whether the host has a session, so far as this one knows. */
+bool site_is_live_host(const site_t *s, host_id_t host);
+
 /* Appends the manifest's text as submitted; -1 if the stored one is corrupt. */
 int site_read_manifest(const doc_t *doc, buf_t *out);
 /* Whether new callers should be sent to this host. */
@@ -150,6 +159,11 @@
 
 /* Creates what is known of the hosts; samples of this host's load begin. */
 void site_hosts_start(site_t *s);
+/* The decided document of this prefix on a host; NULL: there is none. */
+const doc_t *site_find_host_doc(const decided_t *tables, const char *prefix,
+				host_id_t id);
+/* Proposes this host's document, unless the tables hold it already. */
+void site_propose_host_doc(site_t *s, const char *prefix, str_t body);
 /* Proposes what is decided of this host, unless the tables hold it already. */
 void site_hosts_propose(site_t *s);
 /* The settings were reloaded. */
--- a/src/site_streams.c
+++ b/src/site_streams.c
@@ -88,23 +88,16 @@
 /* Proposes that this host keeps a journal, or none any more, once after the start. */
 static void propose_journal_doc(site_t *s)
 {
-	AUTO_BUF buf_t name = {0};
 	AUTO_BUF buf_t body = {0};
-	const doc_t *doc;
 
-	if (s->streams->doc_proposed ||
-	    s->lease_status.tables_fresh_until_us <= site_now(s))
+	if (s->streams->doc_proposed || !site_tables_are_fresh(s))
 		return;
 	s->streams->doc_proposed = true;
-	buf_printf(&name, "%s%.*s", DOC_JOURNAL_PREFIX,
-		   STR_ARG(s->settings.ip));
 	if (s->streams->journal)
 		buf_printf(&body, "%u", s->self);
-	doc = decided_doc_by_name(s->tables, buf_str(&name));
-	if (str_eq(doc ? doc->body : str_n(NULL, 0), buf_str(&body)))
+	else if (!site_find_host_doc(s->tables, DOC_JOURNAL_PREFIX, s->self))
 		return;
-	site_propose_doc(s, buf_str(&name), doc ? doc->version + 1 : 1,
-			 buf_str(&body));
+	site_propose_host_doc(s, DOC_JOURNAL_PREFIX, buf_str(&body));
 }
 
 void site_streams_lease_status_changed(site_t *s)
@@ -140,16 +133,6 @@
 	build_set_free(before);
 }
 
-static bool is_live(const site_t *s, host_id_t host)
-{
-	const lease_status_t *st = &s->lease_status;
-
-	for (size_t i = 0; i < st->n_live; i++)
-		if (st->live[i] == host)
-			return true;
-	return false;
-}
-
 /* The order of hosts that keep copies for this one: the highest come first. */
 static uint64_t rank_of(const site_t *s, host_id_t host)
 {
@@ -172,7 +155,7 @@
 			rank_of(s, host) >> 1 | (knows ? 0 : UINT64_C(1) << 63);
 		size_t at = n;
 
-		if (host != s->self && !is_live(s, host))
+		if (host != s->self && !site_is_live_host(s, host))
 			continue;
 		while (at > 0 && ranks[at - 1] < rank)
 			at--;
--- a/src/spill.c
+++ b/src/spill.c
@@ -611,9 +611,7 @@
 static const spill_domain_t *select_domain(const spill_domain_t *z,
 					   uint64_t seed)
 {
-	/* A number in [0, 1) with the 53 bits that a double holds. */
-	double u = (double)(hash_bytes(&seed, sizeof(seed), 0) >> 11) /
-		   (double)(1ull << 53);
+	double u = hash_fraction(hash_bytes(&seed, sizeof(seed), 0));
 
 	for (guint i = 0; i < z->pairs->len; i++) {
 		const pair_t *p = g_ptr_array_index(z->pairs, i);
--- a/src/util.c
+++ b/src/util.c
@@ -206,6 +206,11 @@
 	return XXH3_64bits_withSeed(p ? p : "", n, seed);
 }
 
+double hash_fraction(uint64_t hash)
+{
+	return (double)(hash >> 11) / (double)(1ull << 53);
+}
+
 uint64_t rendezvous_score(uint64_t key_hash, uint32_t node)
 {
 	return XXH3_64bits_withSeed(&node, sizeof(node), key_hash);
--- a/src/util.h
+++ b/src/util.h
@@ -100,6 +100,8 @@
 
 /* 64-bit hash of bytes (xxHash XXH3). */
 uint64_t hash_bytes(const void *p, size_t n, uint64_t seed);
+/* A number from 0 up to 1 from a hash; a double holds 53 bits of it. */
+double hash_fraction(uint64_t hash);
 /*
  * Score of a node for a key in rendezvous (highest random weight) hashing;
  * Thaler and Ravishankar, "Using name-based mappings to increase hit rates",
