Logs tell which manifest was read, from which position, and where a closed log left this host

The three hypotheses on the older manifest could not be told apart: no line names the version that a read was answered with, the position of the tables, or the positions of machine, feed and tables as the log fails or is opened again. New: manifest_read, manifest_regressed, log_closed; and log_reopened has the positions.

--- a/src/event.h
+++ b/src/event.h
@@ -44,6 +44,12 @@
 	  "The log has another leader or another term.")                       \
 	X("manifest_in_force", 20, "version routes services",                  \
 	  "New requests are handled by this manifest.")                        \
+	X("manifest_regressed", 5, "version held",                             \
+	  "The tables have an older manifest than the one in force, which "    \
+	  "stays; this is a fault of the daemon.")                             \
+	X("manifest_read", 20, "version index waited_ms confirmed_ago_ms",     \
+	  "An operator read the manifest from tables at this index of the "    \
+	  "log, confirmed to hold all that was decided so long ago.")          \
 	X("manifest_refused", 20, "reason", "A manifest is not valid.")        \
 	X("manifest_proposed", 20, "version",                                  \
 	  "A manifest is proposed to the log.")                                \
@@ -204,7 +210,12 @@
 	  "to it less often while load is strained or full.")                  \
 	X("peer_up", 20, "peer", "The link to a daemon is up.")                \
 	X("peer_down", 20, "peer", "The link to a daemon is lost.")            \
-	X("log_reopened", 10, "host", "The disk that failed is used again.")   \
+	X("log_closed", 10, "host term machine feed tables",                   \
+	  "The log failed; the daemon goes on without a disk from these "      \
+	  "positions of the log: its state machine, its feed, its tables.")    \
+	X("log_reopened", 10, "host term machine feed tables",                 \
+	  "The disk that failed is used again; positions as in log_closed, "   \
+	  "before the log is replayed beyond its snapshot.")                   \
 	X("stream_journal_read", 10,                                           \
 	  "streams segments unreadable torn_bytes after_ms",                   \
 	  "The journal of streams was read after the start; streams may "      \
--- a/src/site.c
+++ b/src/site.c
@@ -87,6 +87,10 @@
 	AUTO_BUF buf_t error = {0};
 	manifest_t *m = NULL;
 
+	if (doc && s->manifest && s->manifest->version > doc->version)
+		log_event(LOG_ERR, "manifest_regressed",
+			  kv_u("version", doc->version),
+			  kv_u("held", s->manifest->version));
 	if (!doc || (s->manifest && s->manifest->version >= doc->version))
 		return;
 	if (site_read_manifest(doc, &text) < 0)
--- a/src/site_ports.c
+++ b/src/site_ports.c
@@ -225,6 +225,19 @@
 	site_request_confirmation(c->site);
 }
 
+static void log_manifest_read(const port_call_t *c, const doc_t *doc)
+{
+	const site_t *s = c->site;
+	int64_t now_us = site_now(s);
+	int64_t confirmed_us = s->lease_status.tables_confirmed_us;
+
+	log_event(LOG_INFO, "manifest_read", kv_u("version", doc->version),
+		  kv_u("index", decided_index(s->tables)),
+		  kv_i("waited_ms", (now_us - c->log_asked_us) / USEC_PER_MSEC),
+		  kv_i("confirmed_ago_ms",
+		       (now_us - confirmed_us) / USEC_PER_MSEC));
+}
+
 static void respond_manifest(port_call_t *c)
 {
 	const doc_t *doc = find_doc(c->site, STR(DOC_MANIFEST));
@@ -234,8 +247,10 @@
 		respond_error(c, 503, STR("no manifest is decided yet"));
 	else if (site_read_manifest(doc, &text) < 0)
 		respond_error(c, 503, STR("the stored manifest is corrupt"));
-	else
+	else {
+		log_manifest_read(c, doc);
 		respond(c, 200, buf_str(&text));
+	}
 }
 
 static void record_confirmed(const port_call_t *c)
--- a/src/state.c
+++ b/src/state.c
@@ -192,6 +192,16 @@
 		st->renew_due_us = st->last_renew_us + st->cfg.heartbeat_us;
 }
 
+/* Logs an event of the log with the positions that this host goes on from. */
+static void log_positions(const state_t *st, const char *event)
+{
+	log_event(LOG_NOTICE, event, kv_u("host", st->cfg.self),
+		  kv_u("term", rlog_term(st->rlog)),
+		  kv_u("machine", machine_index(st->machine)),
+		  kv_u("feed", feed_index(st->feed)),
+		  kv_u("tables", decided_index(st->tables)));
+}
+
 /* Adopts the role, term and leader of the log; gives up a log that failed. */
 static void follow_log(state_t *st, int64_t now_us)
 {
@@ -202,6 +212,7 @@
 	if (rlog_role(st->rlog) == RLOG_FAILED) {
 		/* From here on this host runs as one without a disk. */
 		st->log_error = *rlog_error(st->rlog);
+		log_positions(st, "log_closed");
 		rlog_free(st->rlog);
 		st->rlog = NULL;
 		if (st->ops.reopen)
@@ -389,7 +400,7 @@
 	}
 	st->reopen_due_us = INT64_MAX;
 	memset(&st->log_error, 0, sizeof(st->log_error));
-	log_event(LOG_NOTICE, "log_reopened", kv_u("host", st->cfg.self));
+	log_positions(st, "log_reopened");
 }
 
 /*
