Reproduced: a host whose reopened log fails again reads an older manifest

The simulated network gets a disk that is full, disks that are opened again as on the users' platform, and a reader: a register of one document that checks each confirmed read against the acknowledged puts and earlier reads (doc_register.h). state_fuzz plays it with two puts at once, older versions and other content under a version that is held.

--- a/tests/fuzz_disk.h
+++ b/tests/fuzz_disk.h
@@ -62,6 +62,16 @@
 		unsynced_.clear();
 	}
 
+	// Opens the folder again after a failure; a random number of the oldest
+	// writes that failed to be synced is found there. Null: it still fails.
+	wal_t *reopen(std::mt19937_64 &rng)
+	{
+		wal_err_t err = {};
+
+		crash(rng);
+		return sync(&err) ? open() : nullptr;
+	}
+
 	// Loses everything; the next open gives an empty folder with the given
 	// incarnation.
 	void wipe(uint64_t incarnation)
@@ -78,6 +88,7 @@
 
 	// Called before each sync or snapshot, which fails if it returns false.
 	std::function<bool()> on_sync;
+	bool full = false;	 // takes no more bytes; syncs succeed
 	bool skip_syncs = false; // deliberate fault: syncs do nothing
 	uint64_t syncs = 0;
 
@@ -89,10 +100,15 @@
 		return static_cast<FuzzDisk *>(ctx);
 	}
 
-	void write(Write op)
+	bool write(Write op, wal_err_t *err)
 	{
+		if (full) {
+			err->code = WAL_FULL;
+			return false;
+		}
 		op(current_);
 		unsynced_.push_back(op);
+		return true;
 	}
 
 	bool sync(wal_err_t *err)
@@ -111,34 +127,35 @@
 	}
 
 	static int append(void *ctx, const wal_rec_t *recs, size_t n,
-			  wal_err_t *)
+			  wal_err_t *err)
 	{
 		for (size_t i = 0; i < n; i++) {
 			Rec r = {recs[i].index, recs[i].term, recs[i].kind,
 				 text(recs[i].data)};
-			self(ctx)->write(
-				[r](Image &im) { im.recs.push_back(r); });
+			Write op = [r](Image &im) { im.recs.push_back(r); };
+			if (!self(ctx)->write(op, err))
+				return -1;
 		}
 		return 0;
 	}
 
-	static int truncate(void *ctx, uint64_t from, wal_err_t *)
+	static int truncate(void *ctx, uint64_t from, wal_err_t *err)
 	{
-		self(ctx)->write([from](Image &im) {
+		Write op = [from](Image &im) {
 			while (!im.recs.empty() && im.recs.back().index >= from)
 				im.recs.pop_back();
-		});
-		return 0;
+		};
+		return self(ctx)->write(op, err) ? 0 : -1;
 	}
 
 	static int set_vote(void *ctx, uint64_t term, uint32_t voted_for,
-			    wal_err_t *)
+			    wal_err_t *err)
 	{
-		self(ctx)->write([=](Image &im) {
+		Write op = [=](Image &im) {
 			im.term = term;
 			im.voted_for = voted_for;
-		});
-		return 0;
+		};
+		return self(ctx)->write(op, err) ? 0 : -1;
 	}
 
 	static int sync_op(void *ctx, wal_err_t *err)
@@ -150,7 +167,7 @@
 			    str_t data, wal_err_t *err)
 	{
 		std::string bytes = text(data);
-		self(ctx)->write([=](Image &im) {
+		Write op = [=](Image &im) {
 			im.snap_index = index;
 			im.snap_term = term;
 			im.snap = bytes;
@@ -158,7 +175,9 @@
 			while (n < im.recs.size() && im.recs[n].index <= index)
 				n++;
 			im.recs.erase(im.recs.begin(), im.recs.begin() + n);
-		});
+		};
+		if (!self(ctx)->write(op, err))
+			return -1;
 		return self(ctx)->sync(err) ? 0 : -1;
 	}
 
--- a/tests/state_fuzz.cc
+++ b/tests/state_fuzz.cc
@@ -4,7 +4,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
-#include "state_net.h"
+#include "doc_register.h"
 
 enum StepKind {
 	PROPOSE,
@@ -27,6 +27,12 @@
 	PAUSE,
 	LEAVE,
 	LOSSY, // changes loss, duplication and delay of messages
+	PUT_DOC,
+	PUT_DOCS,    // two daemons put a version each at the same time
+	PUT_OLD_DOC, // an older version, or other content under the newest one
+	READ_DOC,
+	FILL_DISK,
+	FREE_DISK,
 	RUN_SHORT,
 	RUN_LONG,
 	STEP_KINDS
@@ -39,11 +45,13 @@
 };
 
 static const char *const step_names[] = {
-	"propose",   "race",	       "resend",	"burst",     "take",
-	"answer",    "crash",	       "crash_at_sync", "fail_sync", "restart",
-	"wipe",	     "wipe_after_ack", "restart_all",	"isolate",   "split",
-	"one_way",   "heal",	       "pause",		"leave",     "lossy",
-	"run_short", "run_long",
+	"propose",     "race",	    "resend",	   "burst",
+	"take",	       "answer",    "crash",	   "crash_at_sync",
+	"fail_sync",   "restart",   "wipe",	   "wipe_after_ack",
+	"restart_all", "isolate",   "split",	   "one_way",
+	"heal",	       "pause",	    "leave",	   "lossy",
+	"put_doc",     "put_docs",  "put_old_doc", "read_doc",
+	"fill_disk",   "free_disk", "run_short",   "run_long",
 };
 
 static void showValue(const Step &s, std::ostream &os)
@@ -75,11 +83,17 @@
 class History
 {
       public:
-	explicit History(const Net::Options &o) : net(o)
+	explicit History(const Net::Options &o) : net(o), reg(net)
 	{
-		net.on_state_change = [this](Daemon &) { check_owners(); };
+		net.on_state_change = [this](Daemon &d) {
+			check_owners();
+			reg.check(d);
+		};
 		net.on_event = [this] { check_freshness(); };
-		net.on_outcome = [this](const Change &c) {
+		net.on_stop = [this](Daemon &d) { reg.drop_reads(d); };
+		net.on_outcome = [this](uint64_t tag, const Change &c) {
+			if (reg.on_outcome(tag, c))
+				return;
 			if (c.out.status == CHANGE_DECIDED)
 				acknowledge(c.id, c.out.revision);
 		};
@@ -101,6 +115,7 @@
 	}
 
 	Net net;
+	DocRegister reg;
 
       private:
 	void set_up()
@@ -298,6 +313,27 @@
 			net.options.duplicate_rate = (s.b % 4) * 0.1;
 			net.options.jitter_us = 500 + (s.b % 5) * 20000;
 			break;
+		case PUT_DOC:
+			put_doc(d, ++newest_put);
+			break;
+		case PUT_DOCS:
+			put_doc(d, newest_put += 1 + s.b % 4);
+			put_doc(other, newest_put += 1 + s.a % 4);
+			break;
+		case PUT_OLD_DOC:
+			put_doc(d, newest_put - newest_put * (s.b % 2) / 2);
+			break;
+		case READ_DOC:
+			reg.read(d);
+			break;
+		case FILL_DISK:
+			if (d.disk)
+				d.disk->full = true;
+			break;
+		case FREE_DISK:
+			for (auto &x : net.daemons)
+				free_disk(*x);
+			break;
 		case RUN_SHORT:
 			net.run((int64_t)s.a * 10000);
 			break;
@@ -308,6 +344,21 @@
 		net.run((int64_t)(s.b % 10) * 10000);
 	}
 
+	void put_doc(Daemon &d, uint64_t version)
+	{
+		if (version && d.st && !d.paused)
+			reg.put(d, version,
+				"content " + std::to_string(next_id++));
+	}
+
+	static void free_disk(Daemon &d)
+	{
+		if (!d.disk)
+			return;
+		d.disk->full = false;
+		d.disk->on_sync = nullptr;
+	}
+
 	// Wipes a voter's disk at the moment when a change is acknowledged.
 	void wipe_after_ack(Daemon &picked_voter, Daemon &at)
 	{
@@ -350,8 +401,7 @@
 
 	void restart(Daemon &d)
 	{
-		if (d.disk)
-			d.disk->on_sync = nullptr;
+		free_disk(d);
 		net.stop(d);
 		net.start(d);
 	}
@@ -455,8 +505,7 @@
 		net.options.jitter_us = 500;
 		for (auto &d : net.daemons) {
 			d->paused = false;
-			if (d->disk)
-				d->disk->on_sync = nullptr;
+			free_disk(*d);
 			buf_t b = {};
 			if (d->st)
 				state_status(d->st, &b);
@@ -506,6 +555,9 @@
 	// that were acknowledged, refused or reported as not decided.
 	void check_final_state()
 	{
+		for (auto &x : net.daemons)
+			reg.read(*x);
+		net.run(1 * SEC);
 		decided_t *d = net.daemons[0]->tables;
 		std::map<uint64_t, std::string> final_ids;
 		std::set<std::string> decided;
@@ -598,6 +650,7 @@
 	std::map<int64_t, uint64_t> acknowledged_revisions;
 	std::set<host_id_t> wiped_hosts;
 	uint64_t next_id = 0;
+	uint64_t newest_put = 0; // version of the document
 };
 
 static void check_history(const Net::Options &o, const std::vector<Step> &steps)
@@ -620,6 +673,7 @@
 	o.learners = *rc::gen::inRange(1, 5);
 	o.drift_ppm = *rc::gen::element(0u, 10000u, 50000u);
 	o.snapshot_entries = *rc::gen::element(8u, 64u, 1000u);
+	o.reopen_disks = *rc::gen::arbitrary<bool>();
 	check_history(o, steps);
 }
 
@@ -631,6 +685,7 @@
 	o.voters = 5;
 	o.learners = 1;
 	o.snapshot_entries = *rc::gen::element(8u, 64u);
+	o.reopen_disks = *rc::gen::arbitrary<bool>();
 	check_history(o, steps);
 }
 
@@ -644,6 +699,7 @@
 	o.auto_voters = 3;
 	o.learners = 2;
 	o.snapshot_entries = *rc::gen::element(8u, 64u);
+	o.reopen_disks = *rc::gen::arbitrary<bool>();
 	check_history(o, steps);
 }
 
--- a/tests/state_net.h
+++ b/tests/state_net.h
@@ -92,6 +92,8 @@
 		// replace each other without operators, and a daemon can start
 		// a new log only when it starts for the first time.
 		uint32_t auto_voters = 0;
+		// A daemon reopens a disk that failed, as on the users' platform.
+		bool reopen_disks = false;
 		// Hosts that a daemon asks first; if empty, the first voters.
 		std::vector<host_id_t> seeds;
 	};
@@ -133,9 +135,13 @@
 
 	void start(Daemon &d)
 	{
-		static const state_ops_t ops = {on_send, on_tables,
-						on_lease_status, on_claimed,
-						on_changed};
+		const state_ops_t ops = {
+			on_send,
+			on_tables,
+			on_lease_status,
+			on_claimed,
+			on_changed,
+			options.reopen_disks ? on_reopen : nullptr};
 		std::vector<state_voter_t> voters;
 		state_cfg_t cfg = {};
 		wal_err_t err = {};
@@ -198,6 +204,16 @@
 		for (auto &c : claims)
 			if (claim_host[c.first] == d.id)
 				c.second.done = true;
+		if (on_stop)
+			on_stop(d);
+	}
+
+	// Stops the daemons that crashed inside a callback.
+	void stop_crashed()
+	{
+		for (auto &d : daemons)
+			if (d->crashing)
+				stop(*d);
 	}
 
 	void wipe(Daemon &d)
@@ -264,6 +280,21 @@
 		return tag;
 	}
 
+	uint64_t put_doc(host_id_t at_host, const std::string &name,
+			 uint64_t version, const std::string &body)
+	{
+		uint64_t tag = next_tag++;
+		doc_t doc = {0, view(name), version, view(body)};
+
+		changes[tag] = Change{name, at_host, false, {}};
+		if (at(at_host).st)
+			state_put_doc(at(at_host).st, tag, &doc);
+		else
+			changes[tag].done = true;
+		stop_crashed();
+		return tag;
+	}
+
 	uint64_t claim(host_id_t at_host, claim_op_t op, const std::string &key,
 		       const std::string &holder)
 	{
@@ -341,7 +372,9 @@
 	std::function<void(Daemon &)> on_state_change;
 	// Called after each event.
 	std::function<void()> on_event;
-	std::function<void(const Change &)> on_outcome;
+	std::function<void(uint64_t tag, const Change &)> on_outcome;
+	// Called after a process has ended.
+	std::function<void(Daemon &)> on_stop;
 
       private:
 	struct Packet {
@@ -362,14 +395,6 @@
 		stop_crashed();
 	}
 
-	// Stops the daemons that crashed inside a callback.
-	void stop_crashed()
-	{
-		for (auto &d : daemons)
-			if (d->crashing)
-				stop(*d);
-	}
-
 	// Runs the next event that is due by until; false if there is none.
 	bool run_next_event(int64_t until)
 	{
@@ -547,7 +572,14 @@
 		it->second.out = {out->status, out->revision, out->resent,
 				  text(out->error)};
 		if (d->net->on_outcome)
-			d->net->on_outcome(it->second);
+			d->net->on_outcome(tag, it->second);
+	}
+
+	static wal_t *on_reopen(void *ctx)
+	{
+		Daemon *d = self(ctx);
+
+		return d->crashing ? nullptr : d->disk->reopen(d->net->rng);
 	}
 
 	std::priority_queue<Packet> packets;
--- a/tests/state_test.cc
+++ b/tests/state_test.cc
@@ -1,7 +1,7 @@
 // Single cases of the state core in a simulated network.
 #include <gtest/gtest.h>
 
-#include "state_net.h"
+#include "doc_register.h"
 
 static std::string publish(const std::string &id, uint64_t base)
 {
@@ -558,6 +558,62 @@
 	expect_no_violations(net);
 }
 
+// Fails the log of the first voter on a full disk, as it is opened again and fails
+// again on the next vote; returns that voter.
+static Daemon &fail_reopened_log(Net &net, DocRegister &reg)
+{
+	Daemon &failing = *net.leader();
+
+	net.run_until(5000000,
+		      [&] { return reg.held(failing) == reg.acknowledged; });
+	failing.disk->full = true;
+	net.put_doc(5, "other", 1, "");
+	EXPECT_TRUE(net.run_until(2000000, [&] {
+		return net.leader() && net.leader() != &failing;
+	}));
+	return failing;
+}
+
+static void connect_register(Net &net, DocRegister &reg)
+{
+	net.on_state_change = [&](Daemon &d) { reg.check(d); };
+	net.on_outcome = [&](uint64_t tag, const Change &c) {
+		reg.on_outcome(tag, c);
+	};
+	net.on_stop = [&](Daemon &d) { reg.drop_reads(d); };
+}
+
+static void decide_versions(Net &net, DocRegister &reg, uint64_t n)
+{
+	for (uint64_t i = 1; i <= n; i++) {
+		uint64_t tag = reg.put(net.at(4), reg.acknowledged + 1, "");
+
+		ASSERT_TRUE(net.run_until(5000000, [&] {
+			return net.changes[tag].done;
+		}));
+	}
+}
+
+TEST(State, AHostWhoseReopenedLogFailsAgainReadsNothingOlder)
+{
+	Net::Options o;
+	o.snapshot_entries = 8;
+	o.reopen_disks = true;
+	Net net(o);
+	DocRegister reg(net);
+
+	connect_register(net, reg);
+	net.start_all();
+	net.run_until(5000000, [&] { return net.leader(); });
+	decide_versions(net, reg, 20);
+	Daemon &failing = fail_reopened_log(net, reg);
+	reg.read(failing);
+	EXPECT_TRUE(net.run_until(5000000, [&] { return reg.reads_ended; }));
+	net.run(1000000);
+	EXPECT_GE(reg.held(failing), 20u);
+	expect_no_violations(net);
+}
+
 TEST(State, AKeyClaimedTwiceIsGrantedToOneHolder)
 {
 	Net net(Net::Options{});
