A reopened log is replayed beside the machine in use, not in its place

Cause: on reopening, the machine was replaced by an empty one that replays the folder, while the feed kept its position and the published tables stayed. As the log failed again before it had caught up, the host went on as one without a disk from feed=22 with machine=16: the next entry of the feed was applied to the old tables, and the result had the newest index, so that it was published and counted as confirmed. Change: the replay has a machine of its own with its own position. The feed goes on into the one in use until the replay has reached it; only then it takes its place. So the machine never goes back, and tables need no guard on publishing.

--- a/src/event.h
+++ b/src/event.h
@@ -210,12 +210,15 @@
 	  "to it less often while load is strained or full.")                  \
 	X("peer_up", 20, "peer", "The link to a daemon is up.")                \
 	X("peer_down", 20, "peer", "The link to a daemon is lost.")            \
-	X("log_closed", 10, "host term machine feed tables",                   \
+	X("log_closed", 10, "host machine feed tables replay",                 \
 	  "The log failed; the daemon goes on without a disk from these "      \
-	  "positions of the log: its state machine, its feed, its tables.")    \
-	X("log_reopened", 10, "host term machine feed tables",                 \
-	  "The disk that failed is used again; positions as in log_closed, "   \
-	  "before the log is replayed beyond its snapshot.")                   \
+	  "positions of the log: its state machine, its feed, its tables; "    \
+	  "replay: how far a reopened log had come, 0 if it had caught up.")   \
+	X("log_reopened", 10, "host machine feed tables replay",               \
+	  "The disk that failed is used again; positions as in log_closed. "   \
+	  "The feed goes on until the log has caught up.")                     \
+	X("log_caught_up", 10, "host machine feed tables replay",              \
+	  "The reopened log has all that the daemon had without it.")          \
 	X("stream_journal_read", 10,                                           \
 	  "streams segments unreadable torn_bytes after_ms",                   \
 	  "The journal of streams was read after the start; streams may "      \
--- a/src/state.c
+++ b/src/state.c
@@ -20,9 +20,9 @@
 /* A request without an answer fails after so many election timeouts. */
 #define FORWARD_TIMEOUT_ELECTIONS 8
 
-bool state_has_log(const state_t *st)
+bool state_uses_feed(const state_t *st)
 {
-	return st->rlog != NULL;
+	return !st->rlog || st->replay;
 }
 
 /* Sending messages. */
@@ -90,16 +90,56 @@
 	return 0;
 }
 
+/* Logs an event of the log with the positions that this host goes on from. */
+static void log_positions(const state_t *st, const char *event)
+{
+	log_event(LOG_NOTICE, event, kv_u("host", st->cfg.self),
+		  kv_u("machine", machine_index(st->machine)),
+		  kv_u("feed", feed_index(st->feed)),
+		  kv_u("tables", decided_index(st->tables)),
+		  kv_u("replay", st->replay ? machine_index(st->replay) : 0));
+}
+
+/*
+ * From here on the log feeds the machine, which has then applied what it had
+ * before, and the idempotency claims, which the feed does not carry.
+ */
+static void end_replay_if_caught_up(state_t *st)
+{
+	if (machine_index(st->replay) < machine_index(st->machine))
+		return;
+	machine_free(st->machine);
+	st->machine = st->replay;
+	st->replay = NULL;
+	if (st->replay_feed_index > feed_index(st->feed))
+		feed_reset(st->feed, st->replay_feed_index);
+	feed_set_parent(st->feed, 0, timer_svc_now(st->timers));
+	st->tables_dirty = true;
+	log_positions(st, "log_caught_up");
+}
+
+static int replay_apply(state_t *st, const wal_rec_t *rec)
+{
+	if (machine_apply(st->replay, rec->index, (entry_kind_t)rec->kind,
+			  rec->data, NULL))
+		return -1;
+	if (is_feed_kind(rec->kind))
+		st->replay_feed_index = rec->index;
+	end_replay_if_caught_up(st);
+	return 0;
+}
+
 static int log_apply(void *ctx, const wal_rec_t *rec)
 {
 	state_t *st = ctx;
 
 	if (rec->kind == ENTRY_NOOP || rec->kind == ENTRY_MEMBERS)
 		return 0;
+	if (st->replay)
+		return replay_apply(st, rec);
 	if (apply(st, rec->index, rec->kind, rec->data))
 		return -1;
-	/* The feed may have gone further than a log that was reopened. */
-	if (is_feed_kind(rec->kind) && rec->index > feed_index(st->feed))
+	if (is_feed_kind(rec->kind))
 		feed_append(st->feed, rec->index, rec->kind, rec->data,
 			    timer_svc_now(st->timers));
 	return 0;
@@ -109,10 +149,11 @@
 static void log_save(void *ctx, buf_t *out)
 {
 	state_t *st = ctx;
-	uint64_t fed_index = feed_index(st->feed);
+	uint64_t fed_index =
+		st->replay ? st->replay_feed_index : feed_index(st->feed);
 
 	buf_put(out, &fed_index, sizeof(fed_index));
-	machine_save(st->machine, MACHINE_ALL, out);
+	machine_save(st->replay ? st->replay : st->machine, MACHINE_ALL, out);
 }
 
 static int log_load(void *ctx, uint64_t index, str_t bytes)
@@ -120,13 +161,21 @@
 	state_t *st = ctx;
 	uint64_t fed_index;
 
-	(void)index;
 	if (bytes.n < sizeof(fed_index))
 		return -1;
 	memcpy(&fed_index, bytes.p, sizeof(fed_index));
-	if (machine_load(st->machine, str_n(bytes.p + sizeof(fed_index),
-					    bytes.n - sizeof(fed_index))))
+	/* Snapshots of earlier builds may name a later entry than they hold. */
+	if (fed_index > index)
+		fed_index = index;
+	if (machine_load(st->replay ? st->replay : st->machine,
+			 str_n(bytes.p + sizeof(fed_index),
+			       bytes.n - sizeof(fed_index))))
 		return -1;
+	if (st->replay) {
+		st->replay_feed_index = fed_index;
+		end_replay_if_caught_up(st);
+		return 0;
+	}
 	if (fed_index > feed_index(st->feed))
 		feed_reset(st->feed, fed_index);
 	st->tables_dirty = true;
@@ -138,7 +187,7 @@
 {
 	state_t *st = ctx;
 
-	if (state_has_log(st) || !is_feed_kind(kind))
+	if (!state_uses_feed(st) || !is_feed_kind(kind))
 		return -1;
 	return apply(st, index, kind, data);
 }
@@ -154,7 +203,7 @@
 {
 	state_t *st = ctx;
 
-	if (state_has_log(st) || index <= feed_index(st->feed))
+	if (!state_uses_feed(st) || index <= feed_index(st->feed))
 		return -1;
 	if (machine_load(st->machine, bytes))
 		return -1;
@@ -177,11 +226,6 @@
 	if (!st->tables_dirty)
 		return;
 	tables = machine_tables(st->machine);
-	if (decided_index(tables) < decided_index(st->tables)) {
-		/* A reopened log is still being replayed: keep newer tables. */
-		decided_unref(tables);
-		return;
-	}
 	st->tables_dirty = false;
 	decided_unref(st->tables);
 	st->tables = tables;
@@ -192,16 +236,6 @@
 		st->renew_due_us = st->last_renew_us + st->cfg.heartbeat_us;
 }
 
-/* Logs an event of the log with the positions that this host goes on from. */
-static void log_positions(const state_t *st, const char *event)
-{
-	log_event(LOG_NOTICE, event, kv_u("host", st->cfg.self),
-		  kv_u("term", rlog_term(st->rlog)),
-		  kv_u("machine", machine_index(st->machine)),
-		  kv_u("feed", feed_index(st->feed)),
-		  kv_u("tables", decided_index(st->tables)));
-}
-
 /* Adopts the role, term and leader of the log; gives up a log that failed. */
 static void follow_log(state_t *st, int64_t now_us)
 {
@@ -215,6 +249,8 @@
 		log_positions(st, "log_closed");
 		rlog_free(st->rlog);
 		st->rlog = NULL;
+		machine_free(st->replay);
+		st->replay = NULL;
 		if (st->ops.reopen)
 			st->reopen_due_us = now_us + REOPEN_RETRY_US;
 		if (st->leading)
@@ -379,7 +415,8 @@
 /*
  * Tries to reopen the disk that failed. The log is replayed from its folder
  * into an empty machine, so this host acknowledges and votes only on what that
- * folder holds.
+ * folder holds. Until it has caught up, the feed goes on into the machine in
+ * use: a log that fails again leaves no trace there.
  */
 static void reopen_log(state_t *st, int64_t now_us)
 {
@@ -392,9 +429,11 @@
 	wal = st->ops.reopen(st->ctx);
 	if (!wal)
 		return;
-	machine_free(st->machine);
-	st->machine = machine_new();
+	st->replay = machine_new();
+	st->replay_feed_index = 0;
 	if (open_log(st, wal, now_us, &err)) {
+		machine_free(st->replay);
+		st->replay = NULL;
 		st->log_error = err;
 		return;
 	}
@@ -748,6 +787,7 @@
 	sessions_free(st->sessions);
 	decided_unref(st->tables);
 	machine_free(st->machine);
+	machine_free(st->replay);
 	buf_free(&st->loopback);
 	str_free(&st->cfg.zone);
 	free(st->first_voters);
--- a/src/state_hold.c
+++ b/src/state_hold.c
@@ -69,7 +69,7 @@
 	pb.feed_try = st->feed_try;
 	pb.leave = st->leaving;
 	pb.grant = st->grant;
-	pb.feed = !state_has_log(st);
+	pb.feed = state_uses_feed(st);
 	state_send(st, to, PEER__MSG__BODY_RENEW, &pb);
 }
 
@@ -216,7 +216,7 @@
 	if (r->not_member)
 		return;
 	update_live(st, r);
-	if (!state_has_log(st))
+	if (state_uses_feed(st))
 		feed_set_parent(st->feed, r->parent, now_us);
 	if (!st->leaving)
 		add_confirmation(st, r);
@@ -231,7 +231,8 @@
 	int64_t max_behind_us =
 		st->cfg.heartbeat_us * FEED_PARENT_TIMEOUT_HEARTBEATS;
 
-	if (state_has_log(st) || now_us - st->behind_since_us < max_behind_us)
+	if (!state_uses_feed(st) ||
+	    now_us - st->behind_since_us < max_behind_us)
 		return;
 	st->behind_since_us = now_us;
 	state_request_feed_parent(st);
--- a/src/state_int.h
+++ b/src/state_int.h
@@ -73,8 +73,14 @@
 	timer_sub_t timer;
 	uint64_t session; /* random id of this start of the process */
 
-	machine_t *machine;
-	decided_t *tables; /* in force; one reference */
+	machine_t *machine; /* never goes back; feed_index(feed) is its place */
+	/*
+	 * What a log that was reopened has applied so far: takes the place of
+	 * machine once it has caught up with it. NULL otherwise.
+	 */
+	machine_t *replay;
+	uint64_t replay_feed_index; /* of the latest feed entry in replay */
+	decided_t *tables;	    /* in force; one reference */
 	bool tables_dirty; /* the machine's tables may differ from these */
 	rlog_t *rlog;	   /* NULL without a disk, or once the disk failed */
 	wal_err_t log_error;
@@ -162,7 +168,11 @@
 		void *body);
 /* Puts the machine's tables into force and reports them if they changed. */
 void state_publish(state_t *st);
-bool state_has_log(const state_t *st);
+/*
+ * Whether the tables come from the feed: there is no log, or one that was reopened
+ * has not caught up yet.
+ */
+bool state_uses_feed(const state_t *st);
 /* Asks the leader for another feed parent; ctx is the state_t. */
 void state_request_feed_parent(void *ctx);
 
