A rejection that does not name the request is no promise that it has not run

Here each attempt has a connection of its own, which settles it only where bytes cannot come before the request is sent. A runner may write as soon as it accepts: the rejection that then came first was taken for the answer to the request just sent, unless it named another. Change: 'not run' counts only with the id of the request. Tests that had rejections without a name name them now, as does the soak's stand-in but for its stray ones: they are rejections by the page.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -202,11 +202,11 @@
 			attempt_end(r, PLACE_BROKEN, true, REASON_TARGET_ERROR);
 		return;
 	}
-	r->named = info.id.n > 0;
+	/* Without the name, it may be an earlier answer, written once more. */
+	r->named = str_eq(info.id, r->info.id);
+	not_run = info.not_run && r->named;
 	if (!r->by_peer)
 		reach_note_heard(r->gw);
-	/* Behind a stray response, one without a name may be another stray. */
-	not_run = info.not_run && (r->named || !r->n_strays);
 	r->last_byte_us = gateway_now(r->gw);
 	note_holdoff(r, &info);
 	named_limits_note(r, &info);
@@ -403,9 +403,9 @@
 }
 
 /*
- * Each attempt has a connection of its own: a rejection need not name its
- * request, and a target may answer once more, late. On a connection that has
- * carried nothing else, the first response is that of this attempt.
+ * Each attempt has a connection of its own: a target may answer once more, late.
+ * On a connection that has carried nothing else, a response that names this
+ * request is that of this attempt.
  */
 void attempt_begin(request_t *r)
 {
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -162,8 +162,8 @@
 
 TEST(Gateway, RequestThatATargetDidNotRunIsSentToAnother)
 {
-	Target a({response(503, "Not-Executed: 1\r\n", "")});
-	Target b({response(421, "Instance-Id: i-7\r\n", "")});
+	Target a({response(503, "Not-Executed: 1\r\nRequest-Id: r1\r\n", "")});
+	Target b({response(421, "Instance-Id: i-7\r\nRequest-Id: r1\r\n", "")});
 	Target c({ok_response("third")});
 	GatewayFixture fixture({&a, &b, &c});
 
@@ -301,7 +301,10 @@
 
 TEST(Gateway, RunnerThatAsksForAPauseIsSentNothingUntilItsEnd)
 {
-	Target a({response(503, "Not-Executed: 1\r\nRetry-After: 0.6\r\n", ""),
+	Target a({response(503,
+			   "Not-Executed: 1\r\nRequest-Id: r1\r\nRetry-After: "
+			   "0.6\r\n",
+			   ""),
 		  ok_response("later")});
 	Target b({ok_response("other"), ok_response("other")});
 	GatewayFixture fixture({&a, &b, &a, &b, &a});
@@ -315,7 +318,9 @@
 
 TEST(Gateway, AnAskNamesTheRunnersThatWantNoRequests)
 {
-	Target a({response(503, "Not-Executed: 1\r\nRetry-After: 5\r\n", "")});
+	Target a({response(
+		503, "Not-Executed: 1\r\nRequest-Id: r1\r\nRetry-After: 5\r\n",
+		"")});
 	Target b({ok_response(), ok_response()});
 	GatewayFixture fixture({&a, &b, &b});
 
@@ -597,8 +602,9 @@
 	{"body without proof", "HTTP/1.1 200 OK\r\n\r\n", "junk", 502},
 	{"body of a denial", "HTTP/1.1 503 X\r\n\r\n", "junk", 502},
 	{"body of a failure", "HTTP/1.1 500 X\r\n\r\n", "junk", 502},
-	{"body of a rejection", "HTTP/1.1 503 X\r\nNot-Executed: 1\r\n\r\n",
-	 "junk", 503},
+	{"body of a rejection",
+	 "HTTP/1.1 503 X\r\nNot-Executed: 1\r\nRequest-Id: r1\r\n\r\n", "junk",
+	 503},
 	{"body of a stray response",
 	 "HTTP/1.1 200 OK\r\nResponse-Signature: s\r\n"
 	 "Request-Id: other\r\n\r\n",
--- a/tests/soak/platform.c
+++ b/tests/soak/platform.c
@@ -198,13 +198,13 @@
 		buf_printf(fields, "Server-Brittle: %u\r\n", brittle);
 }
 
-/* A rejection: nothing has run. It does not name its request. */
+/* A rejection: nothing has run. */
 static void reject(conn_t *c, double pause_s)
 {
 	AUTO_BUF buf_t fields = {0};
 	AUTO_BUF buf_t again = {0};
 
-	buf_puts(&fields, "Not-Executed: 1\r\n");
+	buf_printf(&fields, "Not-Executed: 1\r\nRequest-Id: %s\r\n", c->id);
 	write_limit_field(c, &fields);
 	if (is_leaving(c->r))
 		buf_puts(&fields, "Server-Leaving: 1\r\n");
@@ -781,6 +781,7 @@
 static void on_head(void *ctx, const http1_head_t *h)
 {
 	conn_t *c = ctx;
+	AUTO_BUF buf_t early = {0};
 	str_t model, adapter;
 
 	copy_text(c->method, sizeof(c->method), h->method);
@@ -805,10 +806,11 @@
 		return;
 	record_arrival(c->p->s->record, c->attempt, c->r->id);
 	c->refused_early = true;
-	http1_send(c->c,
+	buf_printf(&early,
 		   "HTTP/1.1 503 X\r\nNot-Executed: 1\r\n"
-		   "Content-Length: 0\r\n\r\n",
-		   54);
+		   "Request-Id: %s\r\nContent-Length: 0\r\n\r\n",
+		   c->id);
+	http1_send(c->c, early.p, early.n);
 }
 
 static void on_body(void *ctx, str_t piece)
