A connection on which something came before the request carries none

A runner, or what stands before it, may write or close as soon as it has accepted. Now bytes or a close that are there as the connection comes about end it before anything is sent, on an own connection, at the daemon at the far end of a tunnel, and behind that daemon's reply. The request takes the other way or another target. Costs no system call: the event that tells of the connection tells of its bytes. The test of a tunnel's close without the empty frame sent its frames before the request and sends them behind it now, all checks as before.

--- a/src/http1.c
+++ b/src/http1.c
@@ -570,7 +570,10 @@
 	if (n <= 0)
 		return false;
 	buf_consume(&c->raw, (size_t)n);
-	become_usable(c);
+	if (c->raw.n)
+		conn_end(c, HTTP1_UNEXPECTED_BYTES);
+	else
+		become_usable(c);
 	return c->state != CONN_CLOSED;
 }
 
@@ -660,7 +663,7 @@
 	}
 }
 
-static void on_connected(http1_conn_t *c)
+static void on_connected(http1_conn_t *c, uint32_t events)
 {
 	int error = 0;
 	socklen_t n = sizeof(error);
@@ -675,7 +678,13 @@
 		update_events(c);
 		return;
 	}
-	become_usable(c);
+	/* What comes before a request is no answer to it. */
+	if (events & EPOLLRDHUP)
+		conn_end(c, HTTP1_PEER_CLOSED);
+	else if (events & EPOLLIN)
+		conn_end(c, HTTP1_UNEXPECTED_BYTES);
+	else
+		become_usable(c);
 }
 
 static void on_event(void *ctx, uint32_t events)
@@ -683,7 +692,7 @@
 	http1_conn_t *c = ctx;
 
 	if (c->state == CONN_CONNECTING) {
-		on_connected(c);
+		on_connected(c, events);
 		return;
 	}
 	if ((events & EPOLLOUT) && c->out.n)
--- a/src/tunnel.c
+++ b/src/tunnel.c
@@ -317,7 +317,8 @@
 		return;
 	}
 	getsockopt(e->watch.fd, SOL_SOCKET, SO_ERROR, &error, &n);
-	if (error) {
+	/* What a target sends before a request is no answer to it. */
+	if (error || (events & EPOLLIN)) {
 		refuse(t);
 		return;
 	}
--- a/tests/tunnel_test.cc
+++ b/tests/tunnel_test.cc
@@ -22,7 +22,10 @@
 		WAIT
 	};
 
-	Target(const std::string &bytes, End end) : bytes(bytes), end(end)
+	// opened: sent after the first bytes; the others after the next ones.
+	Target(const std::string &bytes, End end,
+	       const std::string &opened = "")
+	    : bytes(bytes), opened(opened), end(end)
 	{
 		fd = listen_loopback(&port);
 		thread = std::thread([this] { serve(); });
@@ -42,6 +45,11 @@
 		if (c < 0)
 			return;
 		ssize_t n = recv(c, buf, sizeof(buf), 0);
+		if (n > 0 && !opened.empty()) {
+			(void)!send(c, opened.data(), opened.size(),
+				    MSG_NOSIGNAL);
+			n = recv(c, buf, sizeof(buf), 0);
+		}
 		if (n > 0)
 			received.assign(buf, (size_t)n);
 		(void)!send(c, bytes.data(), bytes.size(), MSG_NOSIGNAL);
@@ -59,7 +67,7 @@
 		return "127.0.0.1:" + std::to_string(port);
 	}
 
-	std::string bytes, received;
+	std::string bytes, opened, received;
 	End end;
 	uint16_t port;
 	int fd;
@@ -200,12 +208,28 @@
 	EXPECT_FALSE(r.complete);
 }
 
+const std::string OPENED("\0\0\0\2\x08\1", 6); // the reply to an opening
+
+TEST(Tunnel, BytesThatComeWithTheReplyToTheOpeningAreNoAnswer)
+{
+	std::string greeting = std::string("\0\0\0\x18", 4) + HEAD + "begin";
+	Target daemon("", Target::CLOSE, OPENED + greeting);
+	Fixture f;
+	Response r;
+
+	f.port = daemon.port;
+	f.connect(r, "127.0.0.1:1");
+	f.await(r.closed);
+	EXPECT_FALSE(r.connected);
+	EXPECT_EQ("", r.body);
+	EXPECT_EQ("", daemon.received);
+}
+
 // What a daemon sends whose process is killed: no frame that ends the target's bytes.
 TEST(Tunnel, AnOrderlyCloseWithoutTheEmptyFrameDoesNotEndTheResponse)
 {
-	std::string sent = std::string("\0\0\0\2\x08\1", 6) +
-			   std::string("\0\0\0\x18", 4) + HEAD + "begin";
-	Target daemon(sent, Target::CLOSE);
+	std::string sent = std::string("\0\0\0\x18", 4) + HEAD + "begin";
+	Target daemon(sent, Target::CLOSE, OPENED);
 	Fixture f;
 	Response r;
 
