A stream that has begun goes on only as an event stream

Errors by status were no part of a stream before; a next target that answers 200 with proof and another type, as engines do that report errors in JSON, had its text passed on behind the first event, and the stream ended as complete (ORDER). Now a response that goes on with a stream must be of the type of the first.

--- a/src/relay.c
+++ b/src/relay.c
@@ -80,16 +80,26 @@
 	}
 }
 
+static bool is_event_stream(const http1_head_t *h)
+{
+	const str_t type = STR("text/event-stream");
+	str_t value = http1_field(h, STR("Content-Type"));
+
+	/* Parameters may follow. */
+	return value.n >= type.n && http1_name_eq(str_n(value.p, type.n), type);
+}
+
 /*
  * Whether the caller may get a response of a target that may have run the
  * request: a success has to bear the target's proof and no content coding, and
  * no other status may tell the caller that nothing has run. A stream that has
- * begun is continued by a success alone.
+ * begun is continued by a success of the same type alone.
  */
 static bool is_relayable(const request_t *r, const http1_head_t *h,
 			 const response_info_t *info)
 {
-	if (r->head_sent && h->status != 200)
+	if (r->head_sent &&
+	    (h->status != 200 || is_event_stream(h) != r->event_stream))
 		return false;
 	if (h->status / 100 == 2)
 		return info->has_proof &&
@@ -105,6 +115,7 @@
 	r->event_open = false;
 	if (!is_relayable(r, h, info))
 		return -1;
+	r->event_stream = is_event_stream(h);
 	buf_printf(&r->head_out, "HTTP/1.1 %d %s\r\n", h->status,
 		   http_status_str((enum http_status)h->status));
 	relay_copy_fields(&r->head_out, h, NULL);
