A leader whose disk fails hands over

A leader that fails now asks the voter that holds most of its log to lead, as one that shuts down does; elections are as safe as before, since the asked voter has to win one.

--- a/src/event.h
+++ b/src/event.h
@@ -32,8 +32,8 @@
 	X("thread_start_failed", 10, "error",                                  \
 	  "The daemon does not start, as a thread cannot be started.")         \
 	X("handover", 10, "host term idle",                                    \
-	  "The leader shuts down, or is overloaded, and asks this host to "    \
-	  "lead; idle: no order of its own is outstanding.")                   \
+	  "The leader shuts down, is overloaded or lost its disk, and asks "   \
+	  "this host to lead; idle: no order of its own is outstanding.")      \
 	X("leader_overloaded", 10, "term",                                     \
 	  "The leader's loop is too slow to dispatch; another host is to "     \
 	  "lead.")                                                             \
--- a/src/rlog.h
+++ b/src/rlog.h
@@ -90,8 +90,9 @@
 void rlog_request_round(rlog_t *l, int64_t now_us);
 
 /*
- * On the leader: whether a voter holds all records and is heard from, so that it
- * would win an election that starts now.
+ * On the leader, or one whose disk has failed: whether a voter holds all records, or
+ * as many as any other, and is heard from, so that it would win an election that
+ * starts now.
  */
 bool rlog_can_succeed(const rlog_t *l, host_id_t id, int64_t now_us);
 /*
--- a/src/state.c
+++ b/src/state.c
@@ -247,6 +247,8 @@
 		/* From here on this host runs as one without a disk. */
 		st->log_error = *rlog_error(st->rlog);
 		log_positions(st, "log_closed");
+		if (st->leading)
+			state_ask_successor(st, false, now_us);
 		rlog_free(st->rlog);
 		st->rlog = NULL;
 		machine_free(st->replay);
--- a/tests/state_test.cc
+++ b/tests/state_test.cc
@@ -594,6 +594,26 @@
 	}
 }
 
+TEST(State, ALeaderWhoseDiskFailsHandsOverBeforeAnElectionTimeout)
+{
+	Net::Options o;
+	o.jitter_us = 0; // a link keeps the order of its messages
+	Net net(o);
+
+	net.start_all();
+	net.run_until(5000000, [&] { return net.leader(); });
+	Daemon *failing = net.leader();
+	net.run(1000000);
+	failing->disk->full = true;
+	int64_t failed_us = net.now_us;
+	net.put_doc(5, "doc", 1, "");
+	EXPECT_TRUE(net.run_until(2000000, [&] {
+		return net.leader() && net.leader() != failing;
+	}));
+	EXPECT_LT(net.now_us - failed_us, net.election_us);
+	expect_no_violations(net);
+}
+
 TEST(State, AHostWhoseReopenedLogFailsAgainReadsNothingOlder)
 {
 	Net::Options o;
