The soak fills disks, and its operator does what the users' does

A read returns what was acknowledged or read before it was sent, or newer (stricter than before), with the content of its version; what is refused or taken wrongly is a rule of its own. The daemon ignores SIGXFSZ, so that a limit on the size of files fails a write and does not end it; it counts as a full disk.

--- a/src/daemon.c
+++ b/src/daemon.c
@@ -919,6 +919,7 @@
 	sigaddset(set, SIGINT);
 	pthread_sigmask(SIG_BLOCK, set, NULL);
 	signal(SIGPIPE, SIG_IGN);
+	signal(SIGXFSZ, SIG_IGN); /* the write fails instead */
 }
 
 /* Keeps the memory of the daemon's hundreds of threads small. */
--- a/src/site.c
+++ b/src/site.c
@@ -769,6 +769,7 @@
 	sigaddset(set, SIGHUP);
 	pthread_sigmask(SIG_BLOCK, set, NULL);
 	signal(SIGPIPE, SIG_IGN);
+	signal(SIGXFSZ, SIG_IGN); /* the write fails instead */
 }
 
 static void *signal_thread(void *arg)
--- a/tests/soak/hosts.c
+++ b/tests/soak/hosts.c
@@ -6,6 +6,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -439,6 +440,19 @@
 	disturb(t);
 }
 
+bool host_set_disk_full(hosts_t *h, unsigned int host, bool full)
+{
+	host_t *t = &h->host[host];
+	rlim_t size = full ? 0 : RLIM_INFINITY;
+	const struct rlimit limit = {size, RLIM_INFINITY};
+
+	if (t->state != HOST_RUNNING ||
+	    prlimit(t->pid, RLIMIT_FSIZE, &limit, NULL) < 0)
+		return false;
+	disturb(t);
+	return true;
+}
+
 void host_reload(hosts_t *h, unsigned int host, bool signal)
 {
 	host_t *t = &h->host[host];
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -96,6 +96,7 @@
 	limits_start(m->s.limits);
 	cuts_start(m->s.cuts);
 	strain_start(m->s.strain);
+	disks_start(m->s.disks);
 	callers_start(m->s.callers);
 	plan_start(m->plan);
 }
@@ -125,6 +126,7 @@
 		if (elapsed < m->s.cfg.duration_us)
 			return;
 		callers_stop(m->s.callers);
+		disks_stop(m->s.disks);
 		set_phase(m, PHASE_STOPPING);
 	} else if (m->phase == PHASE_STOPPING) {
 		if (elapsed >= STOP_MAX_US ||
@@ -174,6 +176,7 @@
 	s->limits = limits_new(s);
 	s->cuts = cuts_new(s);
 	s->strain = strain_new(s);
+	s->disks = disks_new(s);
 	s->platform = platform_new(s);
 	s->hosts = hosts_new(s);
 	s->callers = callers_new(s);
@@ -196,6 +199,7 @@
 	limits_print(s->limits, stdout);
 	cuts_print(s->cuts, stdout);
 	strain_print(s->strain, stdout);
+	disks_print(s->disks, stdout);
 	record_print(s->record, stdout);
 	hosts_print_use(s->hosts, stdout);
 	if (!m->gave_up)
@@ -218,6 +222,7 @@
 	limits_free(s->limits);
 	cuts_free(s->cuts);
 	strain_free(s->strain);
+	disks_free(s->disks);
 	record_free(s->record);
 	loop_free(s->loop);
 	timer_svc_free(s->timers);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -50,6 +50,7 @@
 typedef struct limits limits_t;
 typedef struct cuts cuts_t;
 typedef struct strain strain_t;
+typedef struct disks disks_t;
 
 typedef struct soak {
 	soak_cfg_t cfg;
@@ -66,6 +67,7 @@
 	limits_t *limits;
 	cuts_t *cuts;
 	strain_t *strain;
+	disks_t *disks;
 } soak_t;
 
 static inline int64_t soak_now(const soak_t *s)
@@ -108,6 +110,12 @@
 	  "streams that crash nothing begin half as often as before")         \
 	X(TWO_HOLDERS, "two_holders", "orders of two hosts with one fence")   \
 	X(MANIFEST_OLDER, "manifest_older", "a read gave an older manifest")  \
+	X(MANIFEST_OTHER, "manifest_other",                                   \
+	  "a read gave what was never decided under that version")            \
+	X(MANIFEST_REFUSED, "manifest_refused",                               \
+	  "an acknowledged manifest that came again was refused")             \
+	X(MANIFEST_INVALID, "manifest_invalid",                               \
+	  "an invalid manifest was acknowledged")                             \
 	X(MANIFEST_LOST, "manifest_lost", "an acknowledged manifest is gone") \
 	X(PROCESS_ENDED, "process_ended", "a daemon ended by itself, or badly")
 
@@ -333,6 +341,16 @@
 void strain_end(strain_t *t);
 void strain_print(const strain_t *t, FILE *out);
 
+/* disks.c: disks of daemons that are full for a while. */
+
+disks_t *disks_new(soak_t *s);
+void disks_free(disks_t *d);
+/* The callers begin. */
+void disks_start(disks_t *d);
+/* The callers end: no disk is full from now on. */
+void disks_stop(disks_t *d);
+void disks_print(const disks_t *d, FILE *out);
+
 /* platform.c: the runner list and the runners. */
 
 /* It reads and sends nothing for for_us, and then goes on. */
@@ -413,6 +431,8 @@
 void host_terminate(hosts_t *h, unsigned int host, unsigned int times,
 		    int64_t down_us);
 void host_freeze(hosts_t *h, unsigned int host, int64_t for_us);
+/* Its files take no more bytes, or take them again; false: it does not run. */
+bool host_set_disk_full(hosts_t *h, unsigned int host, bool full);
 /* Writes its settings anew, in another order, with or without SIGHUP. */
 void host_reload(hosts_t *h, unsigned int host, bool signal);
 /* Ends all for good; done is called when they have ended. */
