--- a/src/state.c
+++ b/src/state.c
@@ -13,10 +13,6 @@
 /* Time between two pulls from the feed parent, in heartbeats. */
 #define FEED_PULL_HEARTBEATS 5
 #define FEED_ENTRIES_KEPT 4096u
-/* Time between two tries to reopen a disk that failed. */
-#define REOPEN_RETRY_US (300 * USEC_PER_MSEC)
-/* A voter silent for so many election timeouts may be replaced. */
-#define VOTER_REPLACE_ELECTIONS 12
 /* A request without an answer fails after so many election timeouts. */
 #define FORWARD_TIMEOUT_ELECTIONS 8
 
@@ -27,7 +23,7 @@
 
 /* Sending messages. */
 
-static void send_msg(void *ctx, host_id_t to, const Peer__Msg *msg)
+void state_send_msg(void *ctx, host_id_t to, const Peer__Msg *msg)
 {
 	state_t *st = ctx;
 	size_t n = peer__msg__get_packed_size(msg);
@@ -50,165 +46,7 @@
 
 	msg.body_case = which;
 	msg.vote_req = body; /* all members of the union are pointers */
-	send_msg(st, to, &msg);
-}
-
-/* Applying committed entries to the state machine. */
-
-/* Whether the feed carries entries of this kind to hosts without a log. */
-static bool is_feed_kind(uint32_t kind)
-{
-	return kind == ENTRY_CHANGE || kind == ENTRY_ASSIGN ||
-	       kind == ENTRY_DOC;
-}
-
-static void on_change_applied(void *ctx, str_t change_id,
-			      const change_outcome_t *o)
-{
-	state_t *st = ctx;
-
-	(void)change_id;
-	intake_change_applied(st->intake, st->applying_index, o);
-}
-
-static void on_claim_applied(void *ctx, size_t pos, const claim_result_t *res)
-{
-	state_t *st = ctx;
-
-	intake_claim_applied(st->intake, st->applying_index, pos, res);
-}
-
-static int apply(state_t *st, uint64_t index, uint32_t kind, str_t data)
-{
-	const machine_sink_t sink = {on_change_applied, on_claim_applied, st};
-
-	st->applying_index = index;
-	if (machine_apply(st->machine, index, (entry_kind_t)kind, data, &sink))
-		return -1;
-	if (is_feed_kind(kind))
-		st->tables_dirty = true;
-	return 0;
-}
-
-/* Logs an event of the log with the positions that this host goes on from. */
-static void log_positions(const state_t *st, const char *event)
-{
-	log_event(LOG_NOTICE, event, kv_u("host", st->cfg.self),
-		  kv_u("machine", machine_index(st->machine)),
-		  kv_u("feed", feed_index(st->feed)),
-		  kv_u("tables", decided_index(st->tables)),
-		  kv_u("replay", st->replay ? machine_index(st->replay) : 0));
-}
-
-/*
- * From here on the log feeds the machine, which has then applied what it had
- * before, and the idempotency claims, which the feed does not carry.
- */
-static void end_replay_if_caught_up(state_t *st)
-{
-	if (machine_index(st->replay) < machine_index(st->machine))
-		return;
-	machine_free(st->machine);
-	st->machine = st->replay;
-	st->replay = NULL;
-	if (st->replay_feed_index > feed_index(st->feed))
-		feed_reset(st->feed, st->replay_feed_index);
-	feed_set_parent(st->feed, 0, timer_svc_now(st->timers));
-	st->tables_dirty = true;
-	log_positions(st, "log_caught_up");
-}
-
-static int replay_apply(state_t *st, const wal_rec_t *rec)
-{
-	if (machine_apply(st->replay, rec->index, (entry_kind_t)rec->kind,
-			  rec->data, NULL))
-		return -1;
-	if (is_feed_kind(rec->kind))
-		st->replay_feed_index = rec->index;
-	end_replay_if_caught_up(st);
-	return 0;
-}
-
-static int log_apply(void *ctx, const wal_rec_t *rec)
-{
-	state_t *st = ctx;
-
-	if (rec->kind == ENTRY_NOOP || rec->kind == ENTRY_MEMBERS)
-		return 0;
-	if (st->replay)
-		return replay_apply(st, rec);
-	if (apply(st, rec->index, rec->kind, rec->data))
-		return -1;
-	if (is_feed_kind(rec->kind))
-		feed_append(st->feed, rec->index, rec->kind, rec->data,
-			    timer_svc_now(st->timers));
-	return 0;
-}
-
-/* Log snapshots hold the index of the latest feed entry, then the machine. */
-static void log_save(void *ctx, buf_t *out)
-{
-	state_t *st = ctx;
-	uint64_t fed_index =
-		st->replay ? st->replay_feed_index : feed_index(st->feed);
-
-	buf_put(out, &fed_index, sizeof(fed_index));
-	machine_save(st->replay ? st->replay : st->machine, MACHINE_ALL, out);
-}
-
-static int log_load(void *ctx, uint64_t index, str_t bytes)
-{
-	state_t *st = ctx;
-	uint64_t fed_index;
-
-	if (bytes.n < sizeof(fed_index))
-		return -1;
-	memcpy(&fed_index, bytes.p, sizeof(fed_index));
-	/* Snapshots of earlier builds may name a later entry than they hold. */
-	if (fed_index > index)
-		fed_index = index;
-	if (machine_load(st->replay ? st->replay : st->machine,
-			 str_n(bytes.p + sizeof(fed_index),
-			       bytes.n - sizeof(fed_index))))
-		return -1;
-	if (st->replay) {
-		st->replay_feed_index = fed_index;
-		end_replay_if_caught_up(st);
-		return 0;
-	}
-	if (fed_index > feed_index(st->feed))
-		feed_reset(st->feed, fed_index);
-	st->tables_dirty = true;
-	return 0;
-}
-
-static int feed_apply_entry(void *ctx, uint64_t index, entry_kind_t kind,
-			    str_t data)
-{
-	state_t *st = ctx;
-
-	if (!state_uses_feed(st) || !is_feed_kind(kind))
-		return -1;
-	return apply(st, index, kind, data);
-}
-
-static void feed_save(void *ctx, buf_t *out)
-{
-	state_t *st = ctx;
-
-	machine_save(st->machine, MACHINE_TABLES, out);
-}
-
-static int feed_load(void *ctx, uint64_t index, str_t bytes)
-{
-	state_t *st = ctx;
-
-	if (!state_uses_feed(st) || index <= feed_index(st->feed))
-		return -1;
-	if (machine_load(st->machine, bytes))
-		return -1;
-	st->tables_dirty = true;
-	return 0;
+	state_send_msg(st, to, &msg);
 }
 
 void state_request_feed_parent(void *ctx)
@@ -236,109 +74,6 @@
 		st->renew_due_us = st->last_renew_us + st->cfg.heartbeat_us;
 }
 
-/* Adopts the role, term and leader of the log; gives up a log that failed. */
-static void follow_log(state_t *st, int64_t now_us)
-{
-	bool is_leader;
-
-	if (!st->rlog)
-		return;
-	if (rlog_role(st->rlog) == RLOG_FAILED) {
-		/* From here on this host runs as one without a disk. */
-		st->log_error = *rlog_error(st->rlog);
-		log_positions(st, "log_closed");
-		if (st->leading)
-			state_ask_successor(st, false, now_us);
-		rlog_free(st->rlog);
-		st->rlog = NULL;
-		machine_free(st->replay);
-		st->replay = NULL;
-		if (st->ops.reopen)
-			st->reopen_due_us = now_us + REOPEN_RETRY_US;
-		if (st->leading)
-			state_lead_end(st);
-		st->leader = 0;
-		st->renew_due_us = now_us;
-		return;
-	}
-	is_leader = rlog_is_leader(st->rlog);
-	if (st->leading &&
-	    (!is_leader || st->last_led_term != rlog_term(st->rlog)))
-		state_lead_end(st);
-	if (is_leader && !st->leading)
-		state_lead_begin(st, now_us);
-	state_set_leader(st, rlog_leader(st->rlog), rlog_term(st->rlog),
-			 now_us);
-}
-
-static void log_changed(void *ctx)
-{
-	(void)ctx; /* process_due() calls follow_log() after each step */
-}
-
-/* Whether the tables mark all current voters other than id as voters. */
-static bool other_voters_marked(const state_t *st, host_id_t id)
-{
-	host_id_t ids[RLOG_VOTERS_MAX];
-	size_t n = rlog_voters(st->rlog, ids, RLOG_VOTERS_MAX);
-
-	for (size_t i = 0; i < n; i++) {
-		const host_t *h = decided_host(st->tables, ids[i]);
-
-		if (ids[i] != id && (!h || !h->voter))
-			return false;
-	}
-	return true;
-}
-
-/*
- * Where operators choose no voters, any host with a disk may become one, up to
- * the configured number. A voter that has been silent for long is replaced. Its
- * replacement joins before it is removed, so that the quorum never depends on
- * fewer hosts than before.
- */
-static bool auto_voter_allowed(const state_t *st, host_id_t id)
-{
-	int64_t now_us = timer_svc_now(st->timers);
-	int64_t max_silence_us = st->cfg.election_us * VOTER_REPLACE_ELECTIONS;
-	host_id_t ids[RLOG_VOTERS_MAX];
-	size_t n = rlog_voters(st->rlog, ids, RLOG_VOTERS_MAX);
-	bool any_silent = false;
-
-	if (rlog_is_voter(st->rlog, id))
-		return n <= st->cfg.auto_voters ||
-		       rlog_peer_silent_us(st->rlog, id, now_us) <
-			       max_silence_us;
-	if (n < st->cfg.auto_voters)
-		return true;
-	for (size_t i = 0; i < n; i++)
-		if (rlog_peer_silent_us(st->rlog, ids[i], now_us) >=
-		    max_silence_us)
-			any_silent = true;
-	return any_silent && n == st->cfg.auto_voters;
-}
-
-/*
- * Whether a host with a disk may be a voter. Operators remove a voter by
- * clearing the voter mark of its host row. That only counts if the rows of all
- * other voters carry the mark: tables that mark no voters remove nobody. A host
- * without a row may vote only if it is one of the first voters.
- */
-static bool log_voter_allowed(void *ctx, host_id_t id)
-{
-	const state_t *st = ctx;
-	const host_t *h = decided_host(st->tables, id);
-
-	if (st->cfg.auto_voters)
-		return auto_voter_allowed(st, id);
-	if (h)
-		return h->voter || !other_voters_marked(st, id);
-	for (size_t i = 0; i < st->cfg.n_voters; i++)
-		if (st->first_voters[i] == id)
-			return true;
-	return false;
-}
-
 static uint64_t intake_append(void *ctx, entry_kind_t kind, str_t data)
 {
 	state_t *st = ctx;
@@ -412,38 +147,6 @@
 	return offset > 0;
 }
 
-static int open_log(state_t *st, wal_t *wal, int64_t now_us, wal_err_t *err);
-
-/*
- * Tries to reopen the disk that failed. The log is replayed from its folder
- * into an empty machine, so this host acknowledges and votes only on what that
- * folder holds. Until it has caught up, the feed goes on into the machine in
- * use: a log that fails again leaves no trace there.
- */
-static void reopen_log(state_t *st, int64_t now_us)
-{
-	wal_err_t err = {0};
-	wal_t *wal;
-
-	if (now_us < st->reopen_due_us)
-		return;
-	st->reopen_due_us = now_us + REOPEN_RETRY_US;
-	wal = st->ops.reopen(st->ctx);
-	if (!wal)
-		return;
-	st->replay = machine_new();
-	st->replay_feed_index = 0;
-	if (open_log(st, wal, now_us, &err)) {
-		machine_free(st->replay);
-		st->replay = NULL;
-		st->log_error = err;
-		return;
-	}
-	st->reopen_due_us = INT64_MAX;
-	memset(&st->log_error, 0, sizeof(st->log_error));
-	log_positions(st, "log_reopened");
-}
-
 /*
  * Does all work that is due, reports what has changed, and arms the timer for
  * the next work. Called at the end of each function that changes the core.
@@ -454,10 +157,10 @@
 
 	do {
 		due = INT64_MAX;
-		reopen_log(st, now_us);
+		state_reopen_log(st, now_us);
 		if (st->rlog)
 			due = rlog_tick(st->rlog, now_us);
-		follow_log(st, now_us);
+		state_follow_log(st, now_us);
 		state_publish(st);
 		forward_set_leader(st->forward,
 				   state_leader_for_requests(st, now_us),
@@ -471,7 +174,7 @@
 			state_answer_seekers(st);
 		if (st->leading)
 			state_lead_tick(st, now_us);
-		follow_log(st, now_us);
+		state_follow_log(st, now_us);
 		state_publish(st);
 		state_apply_confirmations(st, now_us);
 	} while (dispatch_loopback(st, now_us));
@@ -700,11 +403,12 @@
 			st->cfg.heartbeat_us * FEED_PARENT_TIMEOUT_HEARTBEATS,
 		.max_records = FEED_ENTRIES_KEPT,
 	};
-	const feed_ops_t feed_ops = {send_msg, feed_apply_entry, feed_save,
-				     feed_load, state_request_feed_parent};
-	const forward_ops_t forward_ops = {send_msg, on_change_outcome,
+	const feed_ops_t feed_ops = {state_send_msg, state_feed_apply,
+				     state_feed_save, state_feed_load,
+				     state_request_feed_parent};
+	const forward_ops_t forward_ops = {state_send_msg, on_change_outcome,
 					   on_claim_result};
-	const intake_ops_t intake_ops = {send_msg, intake_append};
+	const intake_ops_t intake_ops = {state_send_msg, intake_append};
 
 	st->feed = feed_new(&feed_cfg, &feed_ops, st);
 	st->forward =
@@ -715,30 +419,6 @@
 	st->sessions = sessions_new(st->cfg.lease_us, st->cfg.drift_ppm);
 }
 
-static int open_log(state_t *st, wal_t *wal, int64_t now_us, wal_err_t *err)
-{
-	const rlog_cfg_t cfg = {
-		.self = st->cfg.self,
-		.voters = st->first_voters,
-		.n_voters = st->cfg.n_voters,
-		.seed = st->session,
-		.heartbeat_us = st->cfg.heartbeat_us,
-		.election_us = st->cfg.election_us,
-		.snapshot_entries = st->cfg.snapshot_entries,
-		.join_only = st->cfg.join_only,
-	};
-	const rlog_ops_t ops = {send_msg, log_apply,   log_save,
-				log_load, log_changed, log_voter_allowed};
-
-	if (!wal)
-		return 0;
-	st->rlog = rlog_new(&cfg, &ops, st, wal, now_us, err);
-	if (!st->rlog)
-		return -1;
-	st->led_term_max = rlog_term(st->rlog);
-	return 0;
-}
-
 state_t *state_new(const state_cfg_t *cfg, const state_ops_t *ops, void *ctx,
 		   timer_svc_t *timers, wal_t *wal, wal_err_t *err)
 {
@@ -768,7 +448,7 @@
 	st->machine = machine_new();
 	st->tables = machine_tables(st->machine);
 	make_components(st);
-	if (open_log(st, wal, now_us, err)) {
+	if (state_open_log(st, wal, now_us, err)) {
 		state_free(st);
 		return NULL;
 	}
--- a/src/state_int.h
+++ b/src/state_int.h
@@ -1,6 +1,6 @@
 /*
  * state_int.h - internals of the state core, included only by state.c,
- * state_lead.c and state_hold.c. The caller of any function here holds the
+ * state_log.c, state_lead.c and state_hold.c. The caller of any function here holds the
  * core's lock.
  */
 #ifndef DK_STATE_INT_H
@@ -176,6 +176,22 @@
 /* Asks the leader for another feed parent; ctx is the state_t. */
 void state_request_feed_parent(void *ctx);
 
+/* As rlog_ops_t.send and feed_ops_t.send; ctx is the state_t. */
+void state_send_msg(void *ctx, host_id_t to, const Peer__Msg *msg);
+
+/* state_log.c: decided entries, from the log and from the feed. */
+
+/* 0, or -1 with *err where the log cannot be used; a host without a disk has none. */
+int state_open_log(state_t *st, wal_t *wal, int64_t now_us, wal_err_t *err);
+/* Tries to open the disk that failed again, if that is due. */
+void state_reopen_log(state_t *st, int64_t now_us);
+/* Adopts the role, term and leader of the log; gives up a log that failed. */
+void state_follow_log(state_t *st, int64_t now_us);
+/* As feed_ops_t.apply, save and load. */
+int state_feed_apply(void *ctx, uint64_t index, entry_kind_t kind, str_t data);
+void state_feed_save(void *ctx, buf_t *out);
+int state_feed_load(void *ctx, uint64_t index, str_t bytes);
+
 /* state_lead.c: the work of the leader for all daemons. */
 
 /* Tells the hosts that asked for the leader, now that one is known. */
