--- a/tests/loop_util.h
+++ b/tests/loop_util.h
@@ -95,16 +95,24 @@
 	return a;
 }
 
-// A port that is free now; another process may take it before its use.
+// A port that is free. A socket of ours stays bound to it, so that nobody else gets it; who
+// sets SO_REUSEADDR, as the daemon's listeners do, may listen there all the same.
 inline uint16_t free_port()
 {
+	static const size_t HELD_MAX = 64;
+	static int held[HELD_MAX];
+	static size_t n_held = 0;
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
 	struct sockaddr_in a = loopback_addr();
 	socklen_t n = sizeof(a);
+	int one = 1;
 
 	bind(fd, (struct sockaddr *)&a, sizeof(a));
 	getsockname(fd, (struct sockaddr *)&a, &n);
-	close(fd);
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (n_held >= HELD_MAX)
+		close(held[n_held % HELD_MAX]);
+	held[n_held++ % HELD_MAX] = fd;
 	return ntohs(a.sin_port);
 }
 
