--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -116,23 +116,20 @@
 // would send the next one a second later.
 TEST(Gateway, LostSynDelaysNoRequestByASecond)
 {
-	struct sockaddr_in a = loopback_addr();
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	uint16_t port;
+	int fd = listen_loopback(&port, 0);
 	struct timeval patience = {3, 0};
 	char buf[4096];
 
-	a.sin_port = htons(free_port());
-	ASSERT_EQ(0, bind(fd, (struct sockaddr *)&a, sizeof(a)));
-	listen(fd, 0);
 	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof(patience));
-	Client filler(ntohs(a.sin_port));
+	Client filler(port);
 	Target name_only({});
 	GatewayFixture fixture({&name_only});
-	name_only.port = ntohs(a.sin_port);
+	name_only.port = port;
 	std::string got;
 	std::thread caller([&] { got = fixture.ask("/once/x"); });
 
-	while (!connects_to(ntohs(a.sin_port)))
+	while (!connects_to(port))
 		usleep(500);
 	close(accept(fd, nullptr, nullptr));
 	int c = accept(fd, nullptr, nullptr);
--- a/tests/http1_test.cc
+++ b/tests/http1_test.cc
@@ -376,13 +376,7 @@
       public:
 	EndlessServer()
 	{
-		struct sockaddr_in a = loopback_addr();
-
-		port = free_port();
-		a.sin_port = htons(port);
-		fd = socket(AF_INET, SOCK_STREAM, 0);
-		bind(fd, (struct sockaddr *)&a, sizeof(a));
-		listen(fd, 4);
+		fd = listen_loopback(&port);
 		thread = std::thread([this] { serve(); });
 	}
 	~EndlessServer()
@@ -460,13 +454,8 @@
 
 TEST(Upstream, TimeoutTellsWhatDidNotArrive)
 {
-	struct sockaddr_in a = loopback_addr();
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-	uint16_t port = free_port();
-
-	a.sin_port = htons(port);
-	bind(fd, (struct sockaddr *)&a, sizeof(a));
-	listen(fd, 4); // connects, and never answers
+	uint16_t port;
+	int fd = listen_loopback(&port); // connects, and never answers
 	CallOnce call(port, 1024, 50 * USEC_PER_MSEC);
 
 	EXPECT_EQ(0, call.status);
@@ -481,13 +470,8 @@
 // by the copy of another order's answer.
 TEST(Upstream, SecondCopyOfAnAnswerAnswersNoOrder)
 {
-	struct sockaddr_in a = loopback_addr();
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-	uint16_t port = free_port();
-
-	a.sin_port = htons(port);
-	ASSERT_EQ(0, bind(fd, (struct sockaddr *)&a, sizeof(a)));
-	listen(fd, 4);
+	uint16_t port;
+	int fd = listen_loopback(&port);
 	std::thread server([&] {
 		std::vector<int> conns;
 
--- a/tests/loop_util.h
+++ b/tests/loop_util.h
@@ -17,7 +17,7 @@
 {
 
 // A socket that listens on the loopback address; sets its port.
-inline int listen_loopback(uint16_t *port)
+inline int listen_loopback(uint16_t *port, int backlog = 16)
 {
 	struct sockaddr_in a = {};
 	socklen_t n = sizeof(a);
@@ -26,7 +26,7 @@
 	a.sin_family = AF_INET;
 	a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	bind(fd, (struct sockaddr *)&a, sizeof(a));
-	listen(fd, 16);
+	listen(fd, backlog);
 	getsockname(fd, (struct sockaddr *)&a, &n);
 	*port = ntohs(a.sin_port);
 	return fd;
