manifest check: what an operator should know of a manifest before sending it

New: damasklug manifest check FILE: errors; entries that can never match or take effect; values that contradict each other; and what differs from the one in force, told by a daemon's control port or by a file. manifest_check.c has the decisions, without files or network, and reports typed findings to a callback; cli_manifest.c prints them or gathers them as JSON; exit code 2 on a fault.

--- a/src/cli.c
+++ b/src/cli.c
@@ -49,6 +49,16 @@
 	{NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL},
 };
 
+static GOptionEntry manifest_options[] = {
+	{"against", 0, 0, G_OPTION_ARG_FILENAME, &cli_opts.against,
+	 "Also print what differs from the manifest in this file", "FILE"},
+	{"control", 0, 0, G_OPTION_ARG_STRING, &cli_opts.control,
+	 "Also print what differs from the manifest in force, as the control "
+	 "port of this daemon tells it",
+	 "IP:PORT"},
+	{NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL},
+};
+
 static GOptionEntry list_options[] = {
 	{"prefix", 0, 0, G_OPTION_ARG_STRING, &cli_opts.prefix,
 	 "Only rows whose name starts with this", "TEXT"},
@@ -313,6 +323,13 @@
 	 {0},
 	 true,
 	 cli_cmd_check},
+	{"manifest",
+	 "check",
+	 "FILE",
+	 "Checks a manifest of the platform offline; exits with 2 on a fault",
+	 {manifest_options},
+	 true,
+	 cli_cmd_manifest_check},
 	{"reasons",
 	 NULL,
 	 "",
@@ -389,6 +406,8 @@
 	append_options(out, change_options);
 	buf_puts(out, "\n## Options of `list`\n\n");
 	append_options(out, list_options);
+	buf_puts(out, "\n## Options of `manifest check`\n\n");
+	append_options(out, manifest_options);
 	buf_puts(out, "\n## Options of `org create` and `org set`\n\n");
 	append_options(out, org_options);
 	buf_puts(out, "\n## Options of `adapter publish`\n\n");
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -95,6 +95,8 @@
 
 /* The call that a method and a request target name, or CALL_UNKNOWN. */
 site_call_t dialect_match_call(str_t method, str_t target);
+/* The path of a call, without a query; NULL: no such call. */
+const char *dialect_call_path(site_call_t call);
 /* The caller's failure domain, from the target of CALL_ADDRESSES; or empty. */
 str_t dialect_caller_zone(str_t target);
 /* Appends the body of a response to CALL_ADDRESSES; addrs are "ip:port". */
--- a/tests/scripts/site.sh
+++ b/tests/scripts/site.sh
@@ -83,6 +83,8 @@
 sed 's/"timeout_ms":3000/"timeout_ms":0/; s/"version":3/"version":4/' "$dir/manifest.json" >"$dir/bad.json"
 [ "$(control 1 config/put --data-binary @"$dir/bad.json")" = 400 ] && pass site-invalid-manifest || fail site-invalid-manifest
 if eventually cmp -s "$dir/manifest.json" <(curl -s "http://$(ip 3):$CONTROL/damasklug/config/get"); then pass site-manifest-read; else fail site-manifest-read; fi
+sed 's/"timeout_ms":3000,"slo/"timeout_ms":2000,"slo/; s/"version":3/"version":4/' "$dir/manifest.json" >"$dir/next.json"
+[ "$("$O/damasklug" manifest check "$dir/next.json" --control "$(ip 2):$CONTROL")" = "changed: route look: timeout, ms: 3000 -> 2000" ] && pass site-manifest-check || fail site-manifest-check
 [ "$(curl -s "http://$(ip 1):$DIRECTORY/damasklug/resolve?name=x.example&region=r&zone=z1" | jq '.addrs | length')" = 3 ] && pass site-addresses || fail site-addresses
 
 # A request can be explained whether it was cut off, late or refused.
