Scripts of the site daemon take addresses that no soak has

site-blocked-log, and in a second run site-quarantine and site-release, failed beside a soak: both used 127.0.0.11 to 13, and the port of metrics is fixed, so that the script read the metrics of the soak's daemons. Three runs without a soak: nothing failed; with one beside on the new addresses, two runs of site.sh: nothing failed. hosts.sh and slow_readers.sh had the same and pass on theirs.

--- a/tests/scripts/hosts.sh
+++ b/tests/scripts/hosts.sh
@@ -8,7 +8,8 @@
 . tests/scripts/lib_cluster.sh
 mapfile -t P < <("$O/dev/ports" 6)
 FRONT=${P[0]} READY=${P[1]} CONTROL=${P[2]} DIRECTORY=${P[3]} PEER=${P[4]} LIST=${P[5]}
-ip() { echo "127.0.0.$((30 + $1))"; }
+# Not among the addresses of a soak (127.0.0.10 on), as the port of metrics is fixed.
+ip() { echo "127.0.4.$((30 + $1))"; }
 
 settings() { # HOST LIMITS
 	cat >"$dir/new.json" <<EOT
@@ -52,7 +53,7 @@
 for i in 4 5 6; do settings "$i" "$SMALL"; done
 if eventually knows cores=3.2 3 && eventually knows cores=0.9 3; then pass hosts-capacity-decided; else fail hosts-capacity-decided; hosts 6; fi
 answers >"$dir/answers"
-leader=$(hosts 6 | sed -n 's/^127.0.0.3\([0-9]\) .* leader=1.*/\1/p')
+leader=$(hosts 6 | sed -n 's/^127.0.4.3\([0-9]\) .* leader=1.*/\1/p')
 ok=1
 for i in 1 2 3 4 5 6; do
 	n=$(times_listed "$i")
--- a/tests/scripts/site.sh
+++ b/tests/scripts/site.sh
@@ -10,7 +10,8 @@
 mapfile -t P < <("$O/dev/ports" 7)
 FRONT=${P[0]} READY=${P[1]} CONTROL=${P[2]} DIRECTORY=${P[3]} PEER=${P[4]}
 LIST=${P[5]} RUNNER=${P[6]}
-ip() { echo "127.0.0.$((10 + $1))"; }
+# Not among the addresses of a soak (127.0.0.10 on), as the port of metrics is fixed.
+ip() { echo "127.0.3.$((10 + $1))"; }
 
 settings() {
 	cat >"$dir/site-$1.json" <<EOF
--- a/tests/scripts/slow_readers.sh
+++ b/tests/scripts/slow_readers.sh
@@ -7,7 +7,7 @@
 . tests/scripts/lib_cluster.sh
 mapfile -t P < <("$O/dev/ports" 7)
 FRONT=${P[0]} READY=${P[1]} CONTROL=${P[2]} DIRECTORY=${P[3]} PEER=${P[4]} LIST=${P[5]} RUNNER=${P[6]}
-IP=127.0.0.41
+IP=127.0.5.41
 READERS=100
 KB=240
 
