--- a/src/gateway_int.h
+++ b/src/gateway_int.h
@@ -145,7 +145,7 @@
 	/* Over all attempts of a stream. */
 
 	bool head_sent;	    /* to the caller */
-	bool event_stream;  /* that head says so */
+	bool event_stream;  /* the type that its head tells */
 	bool have_event_id; /* last_event_id is set */
 	/* An event was sent to the caller in pieces: no resumption. */
 	bool event_split;
--- a/src/site_ports.c
+++ b/src/site_ports.c
@@ -243,14 +243,16 @@
 	const doc_t *doc = find_doc(c->site, STR(DOC_MANIFEST));
 	AUTO_BUF buf_t text = {0};
 
-	if (!doc)
+	if (!doc) {
 		respond_error(c, 503, STR("no manifest is decided yet"));
-	else if (site_read_manifest(doc, &text) < 0)
+		return;
+	}
+	if (site_read_manifest(doc, &text) < 0) {
 		respond_error(c, 503, STR("the stored manifest is corrupt"));
-	else {
-		log_manifest_read(c, doc);
-		respond(c, 200, buf_str(&text));
+		return;
 	}
+	log_manifest_read(c, doc);
+	respond(c, 200, buf_str(&text));
 }
 
 static void record_confirmed(const port_call_t *c)
--- a/src/state_log.c
+++ b/src/state_log.c
@@ -48,7 +48,7 @@
 	return 0;
 }
 
-/* Logs an event of the log with the positions that this host goes on from. */
+/* Logs an event with the positions in the log that this host goes on from. */
 static void log_positions(const state_t *st, const char *event)
 {
 	log_event(LOG_NOTICE, event, kv_u("host", st->cfg.self),
@@ -59,8 +59,8 @@
 }
 
 /*
- * From here on the log feeds the machine, which has then applied what it had
- * before, and the idempotency claims, which the feed does not carry.
+ * Once the replay holds all that this host has applied without its log, it becomes the
+ * machine in use. It also holds the idempotency claims, which the feed does not carry.
  */
 static void end_replay_if_caught_up(state_t *st)
 {
