--- a/src/wal.c
+++ b/src/wal.c
@@ -128,8 +128,7 @@
 static int set_io_error(wal_err_t *err, wal_code_t code, const char *file,
 			uint64_t offset)
 {
-	/* EFBIG: a limit on the size of the process's files. */
-	if (errno == ENOSPC || errno == EDQUOT || errno == EFBIG)
+	if (errno == ENOSPC || errno == EDQUOT)
 		code = WAL_FULL;
 	return set_error(err, code, file, offset);
 }
