--- a/tests/http1_test.cc
+++ b/tests/http1_test.cc
@@ -392,11 +392,15 @@
 	{
 		const std::string head = "HTTP/1.1 200 OK\r\n\r\n";
 		const std::string piece(4096, ' ');
+		char request[512];
 		int c = accept(fd, nullptr, nullptr);
 
 		if (c < 0)
 			return;
-		ssize_t n = ::send(c, head.data(), head.size(), MSG_NOSIGNAL);
+		ssize_t n = recv(c, request, sizeof(request), 0);
+
+		if (n > 0)
+			n = ::send(c, head.data(), head.size(), MSG_NOSIGNAL);
 
 		while (n > 0)
 			n = ::send(c, piece.data(), piece.size(), MSG_NOSIGNAL);
