manifest check: numbers are told in full; a parameter that nothing used is gone

A difference was printed with six digits, so that a body limit of 4194305 -> 4194304 read "4.1943e+06 -> 4.1943e+06"; now it is told in full (tried by hand with these two). The tables of numbers named the type of their row, which no expansion used. manifest.sh: seven scripted runs with unchanged expected output pass; formatter and linter clean on the file. Only the command line uses the module.

--- a/src/manifest_check.c
+++ b/src/manifest_check.c
@@ -7,44 +7,43 @@
 
 #define TEXT_MAX 256u
 
-/* Numbers of a row that are compared by value: X(row type, member, "name", unit) */
-#define ROUTE_NUMBERS(X)                                             \
-	X(route_t, kind, "kind", 1)                                  \
-	X(route_t, timeout_us, "timeout, ms", USEC_PER_MSEC)         \
-	X(route_t, target_us, "objective, ms", USEC_PER_MSEC)        \
-	X(route_t, event_gap_us, "longest pause, ms", USEC_PER_MSEC) \
-	X(route_t, priority, "priority", 1)                          \
-	X(route_t, attempts, "attempts", 1)                          \
-	X(route_t, resumable, "resumable", 1)                        \
-	X(route_t, is_public, "public", 1)
-
-#define SERVICE_NUMBERS(X)                              \
-	X(service_t, max_conns, "connections", 1)       \
-	X(service_t, engine, "model runners", 1)        \
-	X(service_t, slots, "slots", 1)                 \
-	X(service_t, kv_tokens, "cache, tokens", 1)     \
-	X(service_t, adapter_slots, "adapter slots", 1) \
-	X(service_t, weights_mb, "weights, MB", 1)      \
-	X(service_t, loads_per_s, "loads a second", 1)
-
-#define MODEL_NUMBERS(X)                                         \
-	X(model_spec_t, weights_mb, "size of a model, MB", 1)    \
-	X(model_spec_t, adapter_mb, "size of an adapter, MB", 1) \
-	X(model_spec_t, load_us, "load of a model, ms", USEC_PER_MSEC)
-
-#define ORG_NUMBERS(X)                                                  \
-	X(organisation_t, priority, "priority", 1)                      \
-	X(organisation_t, quota_unit, "unit of its quota", 1)           \
-	X(organisation_t, plain_tokens, "tokens of a plain request", 1) \
-	X(organisation_t, quota_per_s, "quota a second", 1)             \
-	X(organisation_t, quota_burst, "burst", 1)
-
-#define LIMIT_NUMBERS(X)                                             \
-	X(manifest_limits_t, head_max, "largest head, bytes", 1)     \
-	X(manifest_limits_t, body_max, "largest body, bytes", 1)     \
-	X(manifest_limits_t, head_timeout_us, "time for a head, ms", \
-	  USEC_PER_MSEC)                                             \
-	X(manifest_limits_t, idle_timeout_us, "idle time, ms", USEC_PER_MSEC)
+/* Numbers of a row that are compared by value: X(member, "name", unit) */
+#define ROUTE_NUMBERS(X)                                    \
+	X(kind, "kind", 1)                                  \
+	X(timeout_us, "timeout, ms", USEC_PER_MSEC)         \
+	X(target_us, "objective, ms", USEC_PER_MSEC)        \
+	X(event_gap_us, "longest pause, ms", USEC_PER_MSEC) \
+	X(priority, "priority", 1)                          \
+	X(attempts, "attempts", 1)                          \
+	X(resumable, "resumable", 1)                        \
+	X(is_public, "public", 1)
+
+#define SERVICE_NUMBERS(X)                   \
+	X(max_conns, "connections", 1)       \
+	X(engine, "model runners", 1)        \
+	X(slots, "slots", 1)                 \
+	X(kv_tokens, "cache, tokens", 1)     \
+	X(adapter_slots, "adapter slots", 1) \
+	X(weights_mb, "weights, MB", 1)      \
+	X(loads_per_s, "loads a second", 1)
+
+#define MODEL_NUMBERS(X)                           \
+	X(weights_mb, "size of a model, MB", 1)    \
+	X(adapter_mb, "size of an adapter, MB", 1) \
+	X(load_us, "load of a model, ms", USEC_PER_MSEC)
+
+#define ORG_NUMBERS(X)                                  \
+	X(priority, "priority", 1)                      \
+	X(quota_unit, "unit of its quota", 1)           \
+	X(plain_tokens, "tokens of a plain request", 1) \
+	X(quota_per_s, "quota a second", 1)             \
+	X(quota_burst, "burst", 1)
+
+#define LIMIT_NUMBERS(X)                                         \
+	X(head_max, "largest head, bytes", 1)                    \
+	X(body_max, "largest body, bytes", 1)                    \
+	X(head_timeout_us, "time for a head, ms", USEC_PER_MSEC) \
+	X(idle_timeout_us, "idle time, ms", USEC_PER_MSEC)
 
 const char *finding_kind_name(finding_kind_t kind)
 {
@@ -231,7 +230,8 @@
 			double after)
 {
 	if (before != after)
-		report(s, FINDING_CHANGED, "%s: %g -> %g", name, before, after);
+		report(s, FINDING_CHANGED, "%s: %.15g -> %.15g", name, before,
+		       after);
 }
 
 static void diff_text(const subject_t *s, const char *name, str_t before,
@@ -242,7 +242,7 @@
 		       STR_ARG(before), STR_ARG(after));
 }
 
-#define X(type, member, text, unit)                                 \
+#define X(member, text, unit)                                       \
 	diff_number(s, text, (double)before->member / (double)unit, \
 		    (double)after->member / (double)unit);
 
