--- a/review/standin/standin.c
+++ b/review/standin/standin.c
@@ -6,6 +6,9 @@
  *   standin ports N                      prints N free ports
  *   standin list IP:PORT FILE RECORD     serves GET /runners with FILE's bytes
  *   standin runner ID IP:PORT CTL RECORD [WORK_MS]
+ *   standin load PREFIX SECONDS PER_S PATH FILE IP:PORT...
+ *                                        sends GETs to the addresses in turn; a line in
+ *                                        FILE for each: time, id, address, status
  *   standin call TIMEOUT_MS IP:PORT METHOD PATH [-H LINE]... [-d FILE] [-o FILE]
  *                                        prints the status; 0: no answer
  *
@@ -371,6 +374,68 @@
 	return 0;
 }
 
+/* Load: one thread for each request under way. */
+
+static struct {
+	const char *prefix, *path;
+	char **addrs;
+	int n_addrs;
+} load;
+
+static void *send_one(void *arg)
+{
+	long i = (long)arg;
+	const struct timeval timeout = {3, 500000};
+	const char *to = load.addrs[i % load.n_addrs];
+	struct sockaddr_in addr;
+	char request[512];
+	message_t *m = message_new();
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	int status = 0;
+	int n = snprintf(request, sizeof(request),
+			 "GET %s%ld HTTP/1.1\r\nHost: x.example\r\nRequest-Id: "
+			 "%s%ld\r\nDeadline-Ms: 3000\r\n\r\n",
+			 load.path, i, load.prefix, i);
+
+	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
+	if (parse_addr(to, &addr) == 0 &&
+	    connect(fd, (struct sockaddr *)&addr, sizeof(addr)) == 0 &&
+	    write_all(fd, request, (size_t)n) == 0 &&
+	    read_message(fd, m, true) == 0)
+		sscanf(m->head, "HTTP/1.%*d %d", &status);
+	close(fd);
+	record("%s%ld %s %d", load.prefix, i, to, status);
+	free(m->body);
+	free(m);
+	return NULL;
+}
+
+static int run_load(int argc, char **argv)
+{
+	double until, next = now_s();
+	double gap = 1 / atof(argv[2]);
+	pthread_attr_t attr;
+
+	load.prefix = argv[0];
+	load.path = argv[3];
+	record_path = argv[4];
+	load.addrs = argv + 5;
+	load.n_addrs = argc - 5;
+	until = next + atof(argv[1]);
+	pthread_attr_init(&attr);
+	pthread_attr_setdetachstate(&attr, PTHREAD_CREATE_DETACHED);
+	for (long i = 0; next < until; i++, next += gap) {
+		double wait = next - now_s();
+		pthread_t t;
+
+		if (wait > 0)
+			usleep((useconds_t)(wait * 1e6));
+		pthread_create(&t, &attr, send_one, (void *)i);
+	}
+	usleep(3600000);
+	return 0;
+}
+
 static int print_ports(int n)
 {
 	struct sockaddr_in addr = {.sin_family = AF_INET};
@@ -409,6 +474,8 @@
 		server.work_ms = argc > 6 ? atoi(argv[6]) : 20;
 		return serve(argv[3]);
 	}
+	if (argc >= 8 && !strcmp(argv[1], "load"))
+		return run_load(argc - 2, argv + 2);
 	if (argc >= 6 && !strcmp(argv[1], "call"))
 		return call(argc - 2, argv + 2);
 	fprintf(stderr, "standin: see the head of standin.c\n");
