--- a/review/standin/standin.c
+++ b/review/standin/standin.c
@@ -9,6 +9,8 @@
  *   standin load PREFIX SECONDS PER_S PATH FILE IP:PORT...
  *                                        sends GETs to the addresses in turn; a line in
  *                                        FILE for each: time, id, address, status
+ *   standin killwhen PID FILE SECONDS    kills the process once FILE is replaced by another
+ *                                        file; prints whether it was
  *   standin call TIMEOUT_MS IP:PORT METHOD PATH [-H LINE]... [-d FILE] [-o FILE]
  *                                        prints the status; 0: no answer
  *
@@ -28,6 +30,7 @@
 #include <string.h>
 #include <strings.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
 #include <sys/time.h>
 #include <time.h>
 #include <unistd.h>
@@ -436,6 +439,23 @@
 	return 0;
 }
 
+static int kill_when_replaced(int pid, const char *path, int seconds)
+{
+	struct stat before, now;
+	ino_t inode = stat(path, &before) ? 0 : before.st_ino;
+	double until = now_s() + seconds;
+
+	while (now_s() < until) {
+		if (stat(path, &now) || now.st_ino == inode)
+			continue;
+		kill(pid, SIGKILL);
+		puts("killed");
+		return 0;
+	}
+	puts("not replaced");
+	return 0;
+}
+
 static int print_ports(int n)
 {
 	struct sockaddr_in addr = {.sin_family = AF_INET};
@@ -474,6 +494,9 @@
 		server.work_ms = argc > 6 ? atoi(argv[6]) : 20;
 		return serve(argv[3]);
 	}
+	if (argc == 5 && !strcmp(argv[1], "killwhen"))
+		return kill_when_replaced(atoi(argv[2]), argv[3],
+					  atoi(argv[4]));
 	if (argc >= 8 && !strcmp(argv[1], "load"))
 		return run_load(argc - 2, argv + 2);
 	if (argc >= 6 && !strcmp(argv[1], "call"))
