A silent voter is replaced within catchup_s, whoever leads meanwhile

DEPLOY.md counts the first one as lost for catchup_s only.

Cause: a voter without a word was replaced after 12 election timeouts (5.4 s), a constant that the settings do not reach, and a new leader counted that time from its own election.

Change: the time is catchup_s less 4 election timeouts, in which a lost leader is replaced, the new host finds the leader and the members change twice; 2 election timeouts at least. The reason in voter_removed is "not wanted", as operators choose no voters there.

Ruled out: a voter that cannot be heard being removed before its successor has joined (the same number of hosts would have to work, but the log would run on two voters if the successor fails).

--- a/proto/state.pb-c.c
+++ b/proto/state.pb-c.c
@@ -367,6 +367,51 @@
   assert(message->base.descriptor == &peer__vote_res__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   peer__silent_voter__init
+                     (Peer__SilentVoter         *message)
+{
+  static const Peer__SilentVoter init_value = PEER__SILENT_VOTER__INIT;
+  *message = init_value;
+}
+size_t peer__silent_voter__get_packed_size
+                     (const Peer__SilentVoter *message)
+{
+  assert(message->base.descriptor == &peer__silent_voter__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__silent_voter__pack
+                     (const Peer__SilentVoter *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__silent_voter__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__silent_voter__pack_to_buffer
+                     (const Peer__SilentVoter *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__silent_voter__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__SilentVoter *
+       peer__silent_voter__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__SilentVoter *)
+     protobuf_c_message_unpack (&peer__silent_voter__descriptor,
+                                allocator, len, data);
+}
+void   peer__silent_voter__free_unpacked
+                     (Peer__SilentVoter *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__silent_voter__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   peer__append__init
                      (Peer__Append         *message)
 {
@@ -1599,7 +1644,58 @@
   (ProtobufCMessageInit) peer__vote_res__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__append__field_descriptors[7] =
+static const ProtobufCFieldDescriptor peer__silent_voter__field_descriptors[2] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__SilentVoter, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "silent_us",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__SilentVoter, silent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__silent_voter__field_indices_by_name[] = {
+  0,   /* field[0] = id */
+  1,   /* field[1] = silent_us */
+};
+static const ProtobufCIntRange peer__silent_voter__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor peer__silent_voter__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.SilentVoter",
+  "SilentVoter",
+  "Peer__SilentVoter",
+  "peer",
+  sizeof(Peer__SilentVoter),
+  2,
+  peer__silent_voter__field_descriptors,
+  peer__silent_voter__field_indices_by_name,
+  1,  peer__silent_voter__number_ranges,
+  (ProtobufCMessageInit) peer__silent_voter__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__append__field_descriptors[8] =
 {
   {
     "term",
@@ -1685,6 +1781,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "silent",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Append, n_silent),
+    offsetof(Peer__Append, silent),
+    &peer__silent_voter__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__append__field_indices_by_name[] = {
   4,   /* field[4] = commit */
@@ -1693,12 +1801,13 @@
   3,   /* field[3] = prev_term */
   6,   /* field[6] = records */
   5,   /* field[5] = round */
+  7,   /* field[7] = silent */
   0,   /* field[0] = term */
 };
 static const ProtobufCIntRange peer__append__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor peer__append__descriptor =
 {
@@ -1708,7 +1817,7 @@
   "Peer__Append",
   "peer",
   sizeof(Peer__Append),
-  7,
+  8,
   peer__append__field_descriptors,
   peer__append__field_indices_by_name,
   1,  peer__append__number_ranges,
--- a/proto/state.pb-c.h
+++ b/proto/state.pb-c.h
@@ -23,6 +23,7 @@
 typedef struct Peer__SnapshotFile Peer__SnapshotFile;
 typedef struct Peer__VoteReq Peer__VoteReq;
 typedef struct Peer__VoteRes Peer__VoteRes;
+typedef struct Peer__SilentVoter Peer__SilentVoter;
 typedef struct Peer__Append Peer__Append;
 typedef struct Peer__AppendRes Peer__AppendRes;
 typedef struct Peer__SnapshotChunk Peer__SnapshotChunk;
@@ -171,6 +172,20 @@
     , 0, 0, 0, 0 }
 
 
+/*
+ * A voter that the leader has not heard from.
+ */
+struct  Peer__SilentVoter
+{
+  ProtobufCMessage base;
+  uint32_t id;
+  uint64_t silent_us;
+};
+#define PEER__SILENT_VOTER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__silent_voter__descriptor) \
+    , 0, 0 }
+
+
 struct  Peer__Append
 {
   ProtobufCMessage base;
@@ -185,10 +200,15 @@
   uint64_t round;
   size_t n_records;
   Peer__Record **records;
+  /*
+   * Voters that have answered nothing for some heartbeats.
+   */
+  size_t n_silent;
+  Peer__SilentVoter **silent;
 };
 #define PEER__APPEND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__append__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
 
 
 struct  Peer__AppendRes
@@ -728,6 +748,25 @@
 void   peer__vote_res__free_unpacked
                      (Peer__VoteRes *message,
                       ProtobufCAllocator *allocator);
+/* Peer__SilentVoter methods */
+void   peer__silent_voter__init
+                     (Peer__SilentVoter         *message);
+size_t peer__silent_voter__get_packed_size
+                     (const Peer__SilentVoter   *message);
+size_t peer__silent_voter__pack
+                     (const Peer__SilentVoter   *message,
+                      uint8_t             *out);
+size_t peer__silent_voter__pack_to_buffer
+                     (const Peer__SilentVoter   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__SilentVoter *
+       peer__silent_voter__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__silent_voter__free_unpacked
+                     (Peer__SilentVoter *message,
+                      ProtobufCAllocator *allocator);
 /* Peer__Append methods */
 void   peer__append__init
                      (Peer__Append         *message);
@@ -1058,6 +1097,9 @@
 typedef void (*Peer__VoteRes_Closure)
                  (const Peer__VoteRes *message,
                   void *closure_data);
+typedef void (*Peer__SilentVoter_Closure)
+                 (const Peer__SilentVoter *message,
+                  void *closure_data);
 typedef void (*Peer__Append_Closure)
                  (const Peer__Append *message,
                   void *closure_data);
@@ -1120,6 +1162,7 @@
 extern const ProtobufCMessageDescriptor peer__snapshot_file__descriptor;
 extern const ProtobufCMessageDescriptor peer__vote_req__descriptor;
 extern const ProtobufCMessageDescriptor peer__vote_res__descriptor;
+extern const ProtobufCMessageDescriptor peer__silent_voter__descriptor;
 extern const ProtobufCMessageDescriptor peer__append__descriptor;
 extern const ProtobufCMessageDescriptor peer__append_res__descriptor;
 extern const ProtobufCMessageDescriptor peer__snapshot_chunk__descriptor;
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -35,6 +35,8 @@
 	str_t data_dir; /* empty: this host keeps nothing on disk */
 	/* How many hosts with a disk may fail at the same time. */
 	uint32_t tolerated_failures;
+	/* Such a host counts as failed until it has been back for so long. */
+	int64_t catch_up_us;
 	str_t runner_list_addr; /* where the platform serves the runner list */
 	double runner_list_reads_per_s; /* limit for all daemons together */
 	int64_t runner_list_lag_us; /* the list may be this much out of date */
--- a/src/rlog.h
+++ b/src/rlog.h
@@ -65,7 +65,7 @@
 	int (*load)(void *ctx, uint64_t index, str_t bytes);
 	/* The role, the term or the leader has changed. */
 	void (*changed)(void *ctx);
-	/* Whether the operators let a host with a disk be a voter. */
+	/* Whether a host with a disk may be a voter, or remain one. */
 	bool (*voter_allowed)(void *ctx, host_id_t id);
 } rlog_ops_t;
 
@@ -111,8 +111,9 @@
  */
 int64_t rlog_leadership_confirmed_us(const rlog_t *l, int64_t now_us);
 /*
- * On the leader: time since it last heard from a host, or since it became
- * leader where that is shorter; 0 for the leader itself.
+ * On the leader: time since it, or a leader before it, last heard from a host, or
+ * since this host started where that is shorter; 0 for the leader itself, and while
+ * the host has had no time to answer this leader.
  */
 int64_t rlog_peer_silent_us(const rlog_t *l, host_id_t id, int64_t now_us);
 /* Adds a host that this one may ask to let it join. */
--- a/src/rlog_int.h
+++ b/src/rlog_int.h
@@ -39,6 +39,9 @@
 	uint64_t next;	      /* index of the next record to send */
 	uint64_t match;	      /* last index synced there, in this incarnation */
 	uint64_t acked_round; /* latest round that it answered */
+	/*
+	 * When the leader last heard from it; on another host as that leader told.
+	 */
 	int64_t last_heard_us;
 	int64_t last_progress_us;
 	bool sending_snapshot;
--- a/src/rlog_members.c
+++ b/src/rlog_members.c
@@ -247,6 +247,15 @@
 	p->last_heard_us = now_us;
 }
 
+/* Whether a peer holds all committed records and answers the latest rounds. */
+static bool is_caught_up(const rlog_t *l, const peer_t *p)
+{
+	uint64_t max_lag_us = (uint64_t)l->cfg.heartbeat_us * RESEND_HEARTBEATS;
+
+	return p->incarnation && p->match && p->match >= l->commit &&
+	       p->acked_round + max_lag_us >= l->round;
+}
+
 /*
  * Changes one member at a time. A voter whose data folder was emptied is
  * removed before it may join with its new folder. A host is added only once it
@@ -255,7 +264,6 @@
 void rlog_reconcile_members(rlog_t *l, int64_t now_us)
 {
 	members_t m = l->members;
-	uint64_t max_lag_us = (uint64_t)l->cfg.heartbeat_us * RESEND_HEARTBEATS;
 
 	if (l->commit < l->term_start_index || l->members.index > l->commit)
 		return;
@@ -270,7 +278,7 @@
 			continue;
 		log_event(LOG_NOTICE, "voter_removed", kv_u("host", m.v[i].id),
 			  KV_C("reason", has_new_folder ? "its disk was emptied"
-							: "operators' change"));
+							: "not wanted"));
 		m.v[i] = m.v[--m.n];
 		propose_members(l, &m, now_us);
 		return;
@@ -278,10 +286,8 @@
 	for (size_t i = 0; i < l->n_peers; i++) {
 		const peer_t *p = &l->peers[i];
 
-		if (rlog_member(&m, p->id) || !p->incarnation ||
-		    m.n == RLOG_VOTERS_MAX || p->match < l->commit ||
-		    !p->match || p->acked_round + max_lag_us < l->round ||
-		    !l->ops.voter_allowed(l->ctx, p->id))
+		if (rlog_member(&m, p->id) || m.n == RLOG_VOTERS_MAX ||
+		    !is_caught_up(l, p) || !l->ops.voter_allowed(l->ctx, p->id))
 			continue;
 		log_event(LOG_NOTICE, "voter_added", kv_u("host", p->id));
 		m.v[m.n].id = p->id;
@@ -294,13 +300,14 @@
 int64_t rlog_peer_silent_us(const rlog_t *l, host_id_t id, int64_t now_us)
 {
 	const peer_t *p = rlog_peer((rlog_t *)l, id);
-	int64_t silent_since_us = l->leader_since_us;
+	int64_t answer_us = l->cfg.heartbeat_us * RESEND_HEARTBEATS;
+	int64_t heard_us = l->started_us;
 
-	if (id == l->cfg.self)
+	if (id == l->cfg.self || now_us - l->leader_since_us < answer_us)
 		return 0;
-	if (p && p->last_heard_us > silent_since_us)
-		silent_since_us = p->last_heard_us;
-	return now_us - silent_since_us;
+	if (p && p->last_heard_us > heard_us)
+		heard_us = p->last_heard_us;
+	return now_us - heard_us;
 }
 
 void rlog_add_peer(rlog_t *l, host_id_t id)
--- a/src/site_state.c
+++ b/src/site_state.c
@@ -24,6 +24,13 @@
  */
 #define STATE_SNAPSHOT_ENTRIES 32u
 #define VOTERS_MIN 3u
+/*
+ * A host with an empty disk becomes a voter within this time: a lost leader is replaced,
+ * the host hears of the new one and catches up, and the members change twice.
+ */
+#define VOTER_JOIN_US (4 * STATE_ELECTION_US)
+/* A voter that is silent for less may have lost messages, or be electing a leader. */
+#define VOTER_LOST_MIN_US (2 * STATE_ELECTION_US)
 
 host_id_t site_parse_host_id(str_t ip)
 {
@@ -107,6 +114,8 @@
 		.snapshot_entries = STATE_SNAPSHOT_ENTRIES,
 		.fanout = STATE_FANOUT,
 		.auto_voters = voters < VOTERS_MIN ? VOTERS_MIN : voters,
+		.voter_lost_us = MAX(s->settings.catch_up_us - VOTER_JOIN_US,
+				     VOTER_LOST_MIN_US),
 		.join_only = !s->settings.bootstrap,
 	};
 	wal_err_t err = {0};
--- a/src/state.h
+++ b/src/state.h
@@ -50,10 +50,12 @@
 	uint64_t snapshot_entries; /* log entries between two snapshots */
 	uint32_t fanout;	   /* children of one daemon in the feed tree */
 	/*
-	 * Number of voters that the cluster chooses by itself among the hosts
-	 * with a disk; 0 where operators choose the voters.
+	 * Fewest voters that the cluster chooses by itself among the hosts with a
+	 * disk, see voters.h; 0 where operators choose the voters.
 	 */
 	uint32_t auto_voters;
+	/* With auto_voters: a voter silent for so long counts as lost. */
+	int64_t voter_lost_us;
 	/*
 	 * The log exists already on other hosts: with an empty disk too, this
 	 * host joins it and never starts a new one.
--- a/src/state_log.c
+++ b/src/state_log.c
@@ -5,13 +5,12 @@
 #include "state_int.h"
 
 #include "log.h"
+#include "voters.h"
 
 #include <string.h>
 
 /* Time between two tries to reopen a disk that failed. */
 #define REOPEN_RETRY_US (300 * USEC_PER_MSEC)
-/* A voter silent for so many election timeouts may be replaced. */
-#define VOTER_REPLACE_ELECTIONS 12
 
 /* Whether the feed carries entries of this kind to hosts without a log. */
 static bool is_feed_kind(uint32_t kind)
@@ -224,35 +223,32 @@
 }
 
 /* Whether the voter is silent for long, or has said that it shuts down. */
-static bool voter_is_lost(const state_t *st, host_id_t id)
+static bool voter_is_lost(const state_t *st, host_id_t id, int64_t now_us)
 {
-	int64_t now_us = timer_svc_now(st->timers);
-
 	return sessions_has_left(st->sessions, id) ||
 	       rlog_peer_silent_us(st->rlog, id, now_us) >=
-		       st->cfg.election_us * VOTER_REPLACE_ELECTIONS;
+		       st->cfg.voter_lost_us;
 }
 
-/*
- * Where operators choose no voters, any host with a disk may become one, up to
- * the configured number. A voter that is lost is replaced. Its replacement joins before
- * it is removed, so that the quorum never depends on fewer hosts than before.
- */
+/* Where operators choose no voters, any host with a disk may become one. */
 static bool auto_voter_allowed(const state_t *st, host_id_t id)
 {
+	int64_t now_us = timer_svc_now(st->timers);
 	host_id_t ids[RLOG_VOTERS_MAX];
-	size_t n = rlog_voters(st->rlog, ids, RLOG_VOTERS_MAX);
-	bool any_lost = false;
+	voter_t rows[RLOG_VOTERS_MAX];
+	voters_t v = {
+		.rows = rows,
+		.n = rlog_voters(st->rlog, ids, RLOG_VOTERS_MAX),
+		.min = st->cfg.auto_voters,
+	};
 
+	for (size_t i = 0; i < v.n; i++) {
+		rows[i].id = ids[i];
+		rows[i].is_lost = voter_is_lost(st, ids[i], now_us);
+	}
 	if (rlog_is_voter(st->rlog, id))
-		return n <= st->cfg.auto_voters || !voter_is_lost(st, id);
-	if (sessions_has_left(st->sessions, id))
-		return false;
-	if (n < st->cfg.auto_voters)
-		return true;
-	for (size_t i = 0; i < n; i++)
-		any_lost |= voter_is_lost(st, ids[i]);
-	return any_lost && n == st->cfg.auto_voters;
+		return voters_keep(&v, id);
+	return !sessions_has_left(st->sessions, id) && voters_admit(&v);
 }
 
 /*
--- a/tests/state_net.h
+++ b/tests/state_net.h
@@ -93,6 +93,9 @@
 		// replace each other without operators, and a daemon can start
 		// a new log only when it starts for the first time.
 		uint32_t auto_voters = 0;
+		// With auto_voters: a host counts as lost until it has been
+		// there for so long.
+		int64_t catch_up_us = 4000000;
 		// A daemon reopens a disk that failed, as on the users' platform.
 		bool reopen_disks = false;
 		// Hosts that a daemon asks first; if empty, the first voters.
@@ -123,6 +126,13 @@
 			stop(*d);
 	}
 
+	// As site_state.c sets it.
+	int64_t voter_lost_us() const
+	{
+		return std::max(options.catch_up_us - 4 * election_us,
+				2 * election_us);
+	}
+
 	Daemon &at(host_id_t id)
 	{
 		return *daemons[id - 1];
@@ -167,6 +177,7 @@
 		cfg.snapshot_entries = options.snapshot_entries;
 		cfg.fanout = options.fanout;
 		cfg.auto_voters = options.auto_voters;
+		cfg.voter_lost_us = voter_lost_us();
 		cfg.join_only = options.auto_voters && d.was_started;
 		d.was_started = true;
 		d.timers = timer_svc_new_virtual(d.clock_us(now_us));
--- a/tests/state_test.cc
+++ b/tests/state_test.cc
@@ -1,6 +1,8 @@
 // Single cases of the state core in a simulated network.
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 #include "doc_register.h"
 
 static std::string publish(const std::string &id, uint64_t base)
@@ -130,6 +132,73 @@
 	}
 }
 
+// Three voters and two learners run; the spare hosts with a disk do not yet.
+static void start_without_spares(Net &net)
+{
+	for (auto &d : net.daemons)
+		if (d->id <= 3 || !d->voter)
+			net.start(*d);
+	net.run_until(5000000, [&] { return net.leader(); });
+	ASSERT_EQ(CHANGE_DECIDED, submit(net, 7, "a", publish("a", 0)).status);
+	net.run(4000000);
+}
+
+TEST(State, SilentVotersReplacedOneCatchUpTimeApartLeaveAQuorum)
+{
+	for (uint64_t seed = 1; seed <= 90; seed++) {
+		Net::Options o;
+		o.seed = seed;
+		o.spare_voters = 3;
+		o.auto_voters = 3;
+		o.catch_up_us = seed % 3 == 0 ? 2000000 : seed % 3 * 4000000;
+		Net net(o);
+
+		start_without_spares(net);
+		for (host_id_t i = 1; i <= 3; i++) {
+			net.stop(net.at(i));
+			net.options.seeds = {i + 1, i + 2};
+			net.start(net.at(3 + i));
+			net.run(o.catch_up_us);
+		}
+		ASSERT_EQ(CHANGE_DECIDED,
+			  submit(net, 7, "b", publish("b", 1)).status)
+			<< "seed " << seed;
+		expect_no_violations(net);
+	}
+}
+
+static bool votes(Net &net, host_id_t id)
+{
+	std::vector<host_id_t> voters;
+
+	if (net.leader())
+		voters = Net::voters_of(*net.leader());
+	return std::count(voters.begin(), voters.end(), id) > 0;
+}
+
+TEST(State, TheSilenceOfAVoterDoesNotBeginAnewWithALeader)
+{
+	for (uint64_t seed = 1; seed <= 30; seed++) {
+		Net::Options o;
+		o.seed = seed;
+		o.spare_voters = 3;
+		o.auto_voters = 3;
+		Net net(o);
+		host_id_t lost;
+
+		start_without_spares(net);
+		net.start(net.at(4));
+		lost = net.leader()->id % 3 + 1;
+		net.stop(net.at(lost));
+		net.run(net.voter_lost_us() - 400000);
+		state_resign(net.leader()->st);
+		EXPECT_TRUE(net.run_until(
+			1000000,
+			[&] { return votes(net, 4) && !votes(net, lost); }))
+			<< "seed " << seed;
+	}
+}
+
 TEST(State, OneVoterDecidesAndKeepsItsLogOverARestart)
 {
 	Net::Options o;
