A host whose seeds are all gone finds the leader by the hosts it knows

Cause: a host that loses its leader asks that leader and its seeds, of which none was there any more. A new leader tells the hosts that had a session, but the one in between had not heard from all of them.

Change: every other question goes to a host that had a session at the last answer of a leader. Any host names the leader that it knows. The seeds get half as many questions; at a start nothing changes, as no host is known.

--- a/src/state_hold.c
+++ b/src/state_hold.c
@@ -22,12 +22,21 @@
 	       RENEW_DIVISOR;
 }
 
-/* Picks a host to ask for the leader: seeds and known voters in turn. */
+/*
+ * Picks a host to ask for the leader: seeds and known voters in turn, and in between the
+ * hosts that had a session, as all seeds may be gone for good.
+ */
 static host_id_t seek_host(const state_t *st, uint32_t attempt)
 {
 	host_id_t ids[SEEK_HOSTS_MAX];
 	size_t n = 0;
 
+	if (st->n_live && attempt % 2)
+		return st->live[rendezvous_score(attempt, st->cfg.self) %
+				st->n_live];
+	if (st->n_live)
+		attempt /= 2;
+
 	for (size_t i = 0; i < st->n_seeds && n < SEEK_HOSTS_MAX; i++)
 		ids[n++] = st->seeds[i];
 	for (size_t i = 0; i < decided_host_count(st->tables); i++) {
--- a/tests/state_test.cc
+++ b/tests/state_test.cc
@@ -199,6 +199,30 @@
 	}
 }
 
+TEST(State, AHostWhoseSeedsAreGoneFindsTheLeaderByTheHostsThatItKnows)
+{
+	Net::Options o;
+	host_id_t old;
+
+	o.spare_voters = 2;
+	o.auto_voters = 3;
+	Net net(o);
+	for (host_id_t id = 1; id <= 5; id++)
+		net.start(net.at(id));
+	net.options.seeds = {1};
+	net.start(net.at(7));
+	net.run(6000000);
+	EXPECT_TRUE(net.is_fresh(net.at(7)));
+	net.isolate(7, true);
+	old = net.leader()->id;
+	net.stop(net.at(1));
+	net.stop(net.at(old == 1 ? 2 : old));
+	net.run(6000000);
+	net.heal();
+	EXPECT_TRUE(net.run_until(5000000,
+				  [&] { return net.is_fresh(net.at(7)); }));
+}
+
 TEST(State, OneVoterDecidesAndKeepsItsLogOverARestart)
 {
 	Net::Options o;
