Hosts with a disk vote in odd numbers, up to two more than the fewest

Cause: a ready successor had no vote as long as no voter was missing, so the log hung on the three first hosts whatever else was there.

Change: as many hosts vote as are there, in odd numbers, from 2 * tolerate + 1 to two more. An even number goes back to the odd one below it once it has stood for as long as a silent voter is waited for; the voter that joined first goes. Members keep the order in which they joined.

--- a/src/rlog.c
+++ b/src/rlog.c
@@ -327,6 +327,7 @@
 	l->role = RLOG_LEADER;
 	l->leader = l->cfg.self;
 	l->leader_since_us = now_us;
+	l->members_since_us = now_us;
 	l->incoming_from = 0;
 	for (size_t i = 0; i < l->n_peers; i++) {
 		peer_t *p = &l->peers[i];
--- a/src/rlog.h
+++ b/src/rlog.h
@@ -116,6 +116,13 @@
  * the host has had no time to answer this leader.
  */
 int64_t rlog_peer_silent_us(const rlog_t *l, host_id_t id, int64_t now_us);
+/* On the leader: time since it changed the voters, or became the leader. */
+int64_t rlog_members_age_us(const rlog_t *l, int64_t now_us);
+/*
+ * On the leader: number of hosts that are no voters, but hold all committed records
+ * and answer the latest rounds.
+ */
+size_t rlog_candidates(const rlog_t *l);
 /* Adds a host that this one may ask to let it join. */
 void rlog_add_peer(rlog_t *l, host_id_t id);
 host_id_t rlog_leader(const rlog_t *l);
@@ -125,7 +132,10 @@
 /* Index of the last record of these kinds not applied yet; 0: none. */
 uint64_t rlog_last_unapplied(const rlog_t *l, entry_kind_t a, entry_kind_t b);
 bool rlog_is_voter(const rlog_t *l, host_id_t id);
-/* Fills the ids of at most max current voters; returns how many it filled. */
+/*
+ * Fills the ids of at most max current voters, in the order in which they joined;
+ * returns how many it filled.
+ */
 size_t rlog_voters(const rlog_t *l, host_id_t *out, size_t max);
 /* Why the log has stopped; its code is WAL_OK while it has not. */
 const wal_err_t *rlog_error(const rlog_t *l);
--- a/src/rlog_int.h
+++ b/src/rlog_int.h
@@ -102,6 +102,8 @@
 	 */
 	uint64_t round;
 	int64_t leader_since_us;
+	/* When this leader last changed the members, or became the leader. */
+	int64_t members_since_us;
 	uint64_t term_start_index; /* first record of this leader's term */
 	int64_t started_us;
 	int64_t leader_heard_us; /* when the leader was last heard from */
--- a/src/rlog_members.c
+++ b/src/rlog_members.c
@@ -160,6 +160,7 @@
 
 	rlog_members_pack(m, &data);
 	m->index = rlog_propose(l, ENTRY_MEMBERS, buf_str(&data));
+	l->members_since_us = now_us;
 	rlog_set_members(l, m);
 	rlog_flush(l, now_us);
 }
@@ -256,6 +257,24 @@
 	       p->acked_round + max_lag_us >= l->round;
 }
 
+size_t rlog_candidates(const rlog_t *l)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < l->n_peers; i++)
+		if (!rlog_member(&l->members, l->peers[i].id) &&
+		    is_caught_up(l, &l->peers[i]))
+			n++;
+	return n;
+}
+
+/* The others keep the order in which they joined. */
+static void remove_member(members_t *m, size_t at)
+{
+	m->n--;
+	memmove(&m->v[at], &m->v[at + 1], (m->n - at) * sizeof(m->v[0]));
+}
+
 /*
  * Changes one member at a time. A voter whose data folder was emptied is
  * removed before it may join with its new folder. A host is added only once it
@@ -279,7 +298,7 @@
 		log_event(LOG_NOTICE, "voter_removed", kv_u("host", m.v[i].id),
 			  KV_C("reason", has_new_folder ? "its disk was emptied"
 							: "not wanted"));
-		m.v[i] = m.v[--m.n];
+		remove_member(&m, i);
 		propose_members(l, &m, now_us);
 		return;
 	}
@@ -310,6 +329,11 @@
 	return now_us - heard_us;
 }
 
+int64_t rlog_members_age_us(const rlog_t *l, int64_t now_us)
+{
+	return now_us - l->members_since_us;
+}
+
 void rlog_add_peer(rlog_t *l, host_id_t id)
 {
 	rlog_peer_get_or_add(l, id);
--- a/src/state_log.c
+++ b/src/state_log.c
@@ -239,7 +239,11 @@
 	voters_t v = {
 		.rows = rows,
 		.n = rlog_voters(st->rlog, ids, RLOG_VOTERS_MAX),
+		.n_candidates = rlog_candidates(st->rlog),
 		.min = st->cfg.auto_voters,
+		.leader = st->cfg.self,
+		.settled = rlog_members_age_us(st->rlog, now_us) >=
+			   st->cfg.voter_lost_us,
 	};
 
 	for (size_t i = 0; i < v.n; i++) {
--- a/src/voters.h
+++ b/src/voters.h
@@ -2,6 +2,11 @@
  * voters.h - which hosts with a disk vote, where operators choose none: how many, which
  * of them joins and which is removed. Decides by what the leader passes in, and keeps no
  * state.
+ *
+ * A host that is removed without a word cannot be told from one that comes back. So no
+ * quorum may depend on one more host than it has to: the number of voters is odd and
+ * grows with the hosts that are there, up to one tolerated loss more than the settings
+ * ask for.
  */
 #ifndef DK_VOTERS_H
 #define DK_VOTERS_H
@@ -20,7 +25,10 @@
 typedef struct voters {
 	const voter_t *rows; /* in the order in which they joined; not owned */
 	size_t n;
-	uint32_t min; /* fewer only while there are fewer hosts */
+	size_t n_candidates; /* other hosts that could join now */
+	uint32_t min;	     /* odd; fewer only while there are fewer hosts */
+	host_id_t leader;    /* a voter */
+	bool settled;	     /* the voters have been the same for long */
 } voters_t;
 
 /* Whether the voter stays one. */
--- a/tests/scripts/voters.sh
+++ b/tests/scripts/voters.sh
@@ -22,7 +22,9 @@
 	done <<'END'
 killed 4 with KILL 4.2 KILL
 killed-late 4 with KILL 5 KILL
+killed-ready 4 ready KILL 2 KILL
 killed-ready-late 4 ready KILL 4.5 KILL
+killed-at-once 4 ready KILL 0 KILL
 told-then-killed 4 with TERM 4.2 KILL
 killed-then-told 4 with KILL 4.2 TERM
 killed-half-time 2 with KILL 2.1 KILL
