What is held of unfinished responses is limited for the whole host

Reported by other operators: a faulty runner sent bytes that were no answer, without end, and the machine that had called it ran out of memory, which ended the requests of others.

Cause: the limit for all callers counted only what waits in their connections; events without end, failures, responses and heads that are not whole were not counted, nor what tunnels hold for openers that do not read; and a buffer kept the size that it had grown to after its bytes were sent.

Change: what is held counts with what waits, by the memory that it takes; the part of each request shrinks as the sum comes near its limit (buffer_share.h, the formula that slow readers had). Heads and tunnels have limits of the same kind. Buffers give back what they no longer need. Counters events_split and response_heads_too_large, log event event_split.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -280,6 +280,7 @@
 		.from = g->ip,
 		.timeout_us = timeout_us,
 		.opened = tunnel_read_opened,
+		.heads = &g->heads,
 	};
 
 	tunnel_write_open(&opening, g->secret, addr, timeout_us);
@@ -291,7 +292,8 @@
 				       const http1_ops_t *ops)
 {
 	http1_dial_t dial = {.from = r->gw->ip,
-			     .timeout_us = CONNECT_TIMEOUT_US};
+			     .timeout_us = CONNECT_TIMEOUT_US,
+			     .heads = &r->gw->heads};
 
 	if (by_peer)
 		return gateway_connect_by_peer(r->gw, r->via, r->addr,
@@ -340,6 +342,7 @@
 		return;
 	close_spare(r);
 	r->target_close = http1_close_reason_text(why);
+	counter_add(CTR_RESPONSE_HEADS_TOO_LARGE, why == HTTP1_HEAD_TOO_LARGE);
 	relay_note_end(r);
 	crashes_note_close(r, why);
 	note_lost(r);
--- a/src/counter.h
+++ b/src/counter.h
@@ -30,6 +30,10 @@
 	  "Streams not recorded as too many are known; none can go on")     \
 	X(STREAMS_HELD_BACK, "streams_held_back",                           \
 	  "Times that a target was not read as its caller read slowly")     \
+	X(EVENTS_SPLIT, "events_split",                                     \
+	  "Streams with an event sent in pieces, as its end did not come")  \
+	X(RESPONSE_HEADS_TOO_LARGE, "response_heads_too_large",             \
+	  "Connections to targets closed as a head did not end")            \
 	X(STREAMS_ENDED_MIDWAY, "streams_ended_midway",                     \
 	  "Streams that their target ended inside an event")                \
 	X(STREAMS_AMBIGUOUS, "streams_ambiguous",                           \
--- a/src/event.h
+++ b/src/event.h
@@ -91,6 +91,9 @@
 	  "has heard from none since: its requests go by way of other hosts.") \
 	X("runners_reached", 10, "after_ms",                                   \
 	  "This host reaches runners itself again.")                           \
+	X("event_split", 10, "id runner bytes held",                           \
+	  "An event of a stream is sent in pieces, as so many bytes of it "    \
+	  "have come and not its end; held: what is buffered for callers.")    \
 	X("attempt_ended", 100,                                                \
 	  "id runner digest outcome sent response_status named framing "       \
 	  "body_started unfinished_bytes target_close after_send_ms tries "    \
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -68,6 +68,7 @@
 	buf_free(&r->head_out);
 	buf_free(&r->body_out);
 	buf_free(&r->fallback_response);
+	g->held_bytes -= r->held_bytes;
 	free(r);
 }
 
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -108,8 +108,9 @@
  */
 void gateway_resync_dispatcher(gateway_t *g);
 /*
- * Limits what is buffered for callers that read slowly: as it comes near this many
- * bytes in all, the part of each caller shrinks. 0: each has its own limit alone.
+ * Limits what is buffered for callers that read slowly, and of responses that are not
+ * whole: as it comes near this many bytes in all, the part of each request shrinks.
+ * Heads of responses have as much again. 0: each has its own limit alone.
  */
 void gateway_limit_unsent(gateway_t *g, size_t bytes);
 /*
@@ -119,7 +120,7 @@
 void gateway_limit_bodies(gateway_t *g, size_t bytes);
 /* Bytes of these bodies now. */
 size_t gateway_body_bytes(const gateway_t *g);
-/* Bytes buffered for callers now. */
+/* Bytes buffered for callers now, those of responses that are not whole included. */
 size_t gateway_unsent_bytes(const gateway_t *g);
 /* Number of requests under way. */
 size_t gateway_active_requests(const gateway_t *g);
--- a/src/gateway_int.h
+++ b/src/gateway_int.h
@@ -134,6 +134,8 @@
 	bool event_open;
 	/* Of the event inside which the response has ended. */
 	size_t unfinished_bytes;
+	/* Of body_out and fallback_response, as counted in the gateway. */
+	size_t held_bytes;
 	/* Complete 5xx response, sent where no later attempt does better. */
 	buf_t fallback_response;
 	/* Of the target's response that the caller has got, or of the fallback. */
@@ -244,7 +246,10 @@
 	void *ctx;
 	http1_listener_t *listener;
 	http1_limits_t limits;
-	size_t unsent_max;    /* see gateway_limit_unsent(); 0: no limit */
+	size_t unsent_max; /* see gateway_limit_unsent(); 0: no limit */
+	/* Of responses, not sent yet as they are not whole, of all requests. */
+	size_t held_bytes;
+	http1_heads_t heads;  /* of responses */
 	size_t bodies_max;    /* see gateway_limit_bodies(); 0: no limit */
 	size_t body_bytes;    /* of all requests under way */
 	manifest_t *manifest; /* in force; NULL: none yet */
@@ -460,5 +465,7 @@
 void relay_end(request_t *r);
 /* Drops what the attempt under way has buffered of its response. */
 void relay_reset(request_t *r);
+/* What is held of the response has changed: counts it for the whole gateway. */
+void relay_count_held(request_t *r);
 
 #endif
--- a/src/http1.c
+++ b/src/http1.c
@@ -12,10 +12,11 @@
 
 #include <http_parser.h>
 
+#include "buffer_share.h"
 #include "socket.h"
 
 #define READ_BYTES 16384u
-/* A buffer of a larger capacity is freed once it is empty. */
+/* A buffer of a larger capacity is cut or freed once it holds less. */
 #define KEEP_BYTES 32768u
 /*
  * Reading stops above so many bytes of pipelined requests, which a caller has
@@ -23,6 +24,8 @@
  */
 #define PIPELINED_BYTES_MAX 65536u
 #define RESPONSE_HEAD_MAX 65536u
+/* The same where heads of all connections are at their limit. */
+#define RESPONSE_HEAD_MIN 8192u
 /* How long a peer has to close first, once this end has sent its FIN. */
 #define LINGER_US (1 * USEC_PER_SEC)
 
@@ -46,6 +49,8 @@
 	struct cds_list_head node;    /* of the listener; incoming only */
 	const http1_limits_t *limits; /* incoming only */
 	http1_listener_t *listener;   /* incoming only */
+	http1_heads_t *heads;	      /* outgoing only; may be NULL */
+	size_t head_counted;	      /* of this connection, in heads */
 	http1_ops_t ops;
 	void *ctx;  /* of the owner; not used once owned is false */
 	bool owned; /* the owner still gets callbacks */
@@ -95,6 +100,25 @@
 		c->listener->unsent += c->out.n - before;
 }
 
+/* So many bytes of a response's head wait for the rest of it. */
+static void count_head(http1_conn_t *c, size_t n)
+{
+	if (!c->heads)
+		return;
+	c->heads->bytes += n - c->head_counted;
+	c->head_counted = n;
+}
+
+static size_t head_max(const http1_conn_t *c)
+{
+	if (c->incoming)
+		return c->limits->head_max;
+	if (!c->heads)
+		return RESPONSE_HEAD_MAX;
+	return buffer_share(c->heads->bytes, c->heads->max, RESPONSE_HEAD_MAX,
+			    RESPONSE_HEAD_MIN);
+}
+
 size_t http1_listener_unsent(const http1_listener_t *ls)
 {
 	return ls ? ls->unsent : 0;
@@ -126,6 +150,7 @@
 		cds_list_del(&c->node);
 		c->listener->unsent -= c->out.n;
 	}
+	count_head(c, 0);
 	if (fd >= 0)
 		close(fd);
 	loop_defer_free(c->loop, &c->deferred_free);
@@ -225,8 +250,7 @@
 	if (done)
 		c->progress_us = now_us(c);
 	set_patience(c);
-	if (!c->out.n && c->out.cap > KEEP_BYTES)
-		buf_free(&c->out);
+	buf_trim(&c->out, KEEP_BYTES);
 	if (!c->out.n && c->closing && c->state != CONN_LINGERING) {
 		start_linger(c);
 		return;
@@ -450,10 +474,12 @@
 /* True where the rest of the input can be processed now. */
 static bool parse_head(http1_conn_t *c)
 {
-	size_t max = c->incoming ? c->limits->head_max : RESPONSE_HEAD_MAX;
+	size_t max;
 	size_t n;
 
 	skip_empty_lines(c);
+	count_head(c, c->in.n);
+	max = head_max(c);
 	n = c->in.n ? head_size(&c->in) : 0;
 	if (n > max || (!n && c->in.n > max) || c->preamble_bytes > max) {
 		refuse_message(c, "431 Request Header Fields Too Large",
@@ -468,6 +494,7 @@
 	buf_reset(&c->head_bytes);
 	buf_put(&c->head_bytes, c->in.p, n);
 	buf_consume(&c->in, n);
+	count_head(c, 0);
 	memset(&c->head, 0, sizeof(c->head));
 	http_parser_init(&c->parser,
 			 c->incoming ? HTTP_REQUEST : HTTP_RESPONSE);
@@ -763,6 +790,7 @@
 	c->ctx = ctx;
 	c->owned = true;
 	c->opened = dial->opened;
+	c->heads = dial->heads;
 	buf_put(&c->out, dial->opening.p, dial->opening.n);
 	timer_svc_arm(loop_timers(l), &c->timer, now_us(c) + dial->timeout_us);
 	return c;
--- a/src/http1.h
+++ b/src/http1.h
@@ -128,6 +128,15 @@
 /* Stops accepting, closes all connections and frees the listener. */
 void http1_unlisten(http1_listener_t *ls);
 
+/*
+ * Limits the response heads of several connections that are not whole: as they come near
+ * max bytes in all, the part of each connection shrinks. Outlives the connections.
+ */
+typedef struct http1_heads {
+	size_t bytes; /* now */
+	size_t max;   /* 0: each has its own limit alone */
+} http1_heads_t;
+
 /* How an outgoing connection is made. */
 typedef struct http1_dial {
 	struct sockaddr_in to;
@@ -142,6 +151,7 @@
 	 */
 	str_t opening;
 	ssize_t (*opened)(str_t in);
+	http1_heads_t *heads; /* not owned; NULL: none */
 } http1_dial_t;
 
 #define HTTP1_FRAME_LENGTH_BYTES 4u
--- a/src/relay.c
+++ b/src/relay.c
@@ -13,13 +13,19 @@
 
 #include <http_parser.h>
 
+#include "buffer_share.h"
 #include "counter.h"
 #include "hist.h"
+#include "log.h"
 
 /* A larger success is sent piece by piece; a larger failure ends the attempt. */
 #define BUFFERED_RESPONSE_MAX (256u << 10)
 /* A larger event is sent to the caller in pieces. */
 #define BUFFERED_EVENT_MAX (256u << 10)
+/* The same, and of a failure, where buffers for all callers are at their limit. */
+#define BUFFERED_MIN (16u << 10)
+/* A buffer keeps so much memory once its bytes are sent. */
+#define BUFFER_KEPT (4u << 10)
 /* Longest end of an event, CR LF CR LF; it is never split between two pieces. */
 #define EVENT_END_MAX 4u
 /* The target is not read while a slow caller has more unsent bytes than this. */
@@ -157,26 +163,27 @@
 void gateway_limit_unsent(gateway_t *g, size_t bytes)
 {
 	g->unsent_max = bytes;
+	g->heads.max = bytes;
 }
 
 size_t gateway_unsent_bytes(const gateway_t *g)
 {
-	return http1_listener_unsent(g->listener);
+	return http1_listener_unsent(g->listener) + g->held_bytes +
+	       g->heads.bytes;
 }
 
-/* Falls from the most to the least in the second half of the limit for all. */
 static size_t caller_unsent_max(const gateway_t *g)
 {
-	size_t used = gateway_unsent_bytes(g);
-	size_t half = g->unsent_max / 2;
+	return buffer_share(gateway_unsent_bytes(g), g->unsent_max,
+			    CALLER_UNSENT_MAX, CALLER_UNSENT_MIN);
+}
+
+void relay_count_held(request_t *r)
+{
+	size_t n = r->body_out.cap + r->fallback_response.cap;
 
-	if (!g->unsent_max || used <= half)
-		return CALLER_UNSENT_MAX;
-	if (used >= g->unsent_max)
-		return CALLER_UNSENT_MIN;
-	return CALLER_UNSENT_MIN + (CALLER_UNSENT_MAX - CALLER_UNSENT_MIN) *
-					   (uint64_t)(g->unsent_max - used) /
-					   (g->unsent_max - half);
+	r->gw->held_bytes += n - r->held_bytes;
+	r->held_bytes = n;
 }
 
 /*
@@ -256,18 +263,37 @@
 	}
 }
 
+/* Bytes of an event without end that wait for it. */
+static size_t event_buffer_max(const request_t *r)
+{
+	return buffer_share(gateway_unsent_bytes(r->gw), r->gw->unsent_max,
+			    BUFFERED_EVENT_MAX, BUFFERED_MIN);
+}
+
+static void note_split(request_t *r)
+{
+	if (r->event_split)
+		return;
+	r->event_split = true;
+	counter_add(CTR_EVENTS_SPLIT, 1);
+	log_event(LOG_NOTICE, "event_split", kv_s("id", r->info.id),
+		  kv_s("runner", r->runner), kv_u("bytes", r->body_out.n),
+		  kv_u("held", gateway_unsent_bytes(r->gw)));
+}
+
 static void relay_events(request_t *r, str_t piece)
 {
 	size_t n;
 
 	buf_put(&r->body_out, piece.p, piece.n);
+	relay_count_held(r);
 	n = complete_events_len(buf_str(&r->body_out));
-	if (!n && r->body_out.n > BUFFERED_EVENT_MAX) {
+	if (!n && r->body_out.n > event_buffer_max(r)) {
 		/*
 		 * Bounds the memory for one request. A stream with a split
 		 * event cannot be resumed.
 		 */
-		r->event_split = true;
+		note_split(r);
 		r->event_open = true;
 		n = r->body_out.n - EVENT_END_MAX;
 	} else if (n) {
@@ -280,16 +306,15 @@
 		return;
 	send_to_caller(r, str_n(r->body_out.p, n), -1);
 	buf_consume(&r->body_out, n);
+	buf_trim(&r->body_out, BUFFER_KEPT);
+	relay_count_held(r);
 }
 
-/* A success is sent in pieces earlier where buffers for all are near their limit. */
+/* Less where buffers for all are near their limit. */
 static size_t response_buffer_max(const request_t *r)
 {
-	size_t max = caller_unsent_max(r->gw);
-
-	if (r->response_head.status / 100 != 2 || max > BUFFERED_RESPONSE_MAX)
-		return BUFFERED_RESPONSE_MAX;
-	return max;
+	return buffer_share(gateway_unsent_bytes(r->gw), r->gw->unsent_max,
+			    BUFFERED_RESPONSE_MAX, BUFFERED_MIN);
 }
 
 void relay_body(request_t *r, str_t piece)
@@ -314,6 +339,7 @@
 		return;
 	}
 	buf_put(&r->body_out, piece.p, piece.n);
+	relay_count_held(r);
 	if (r->body_out.n <= response_buffer_max(r))
 		return;
 	if (r->response_head.status / 100 != 2) {
@@ -321,7 +347,8 @@
 		return;
 	}
 	send_to_caller(r, buf_str(&r->body_out), r->response_head.body_length);
-	buf_reset(&r->body_out);
+	buf_free(&r->body_out);
+	relay_count_held(r);
 }
 
 static void send_last_chunk(const request_t *r)
@@ -381,6 +408,7 @@
 		buf_put(&r->fallback_response, r->head_out.p, r->head_out.n);
 		finish_head(r, &r->fallback_response, (int64_t)r->body_out.n);
 		buf_put(&r->fallback_response, r->body_out.p, r->body_out.n);
+		relay_count_held(r);
 		attempt_end(r, PLACE_FAILED, true, REASON_TARGET_ERROR);
 		return;
 	}
@@ -434,5 +462,6 @@
 void relay_reset(request_t *r)
 {
 	buf_reset(&r->head_out);
-	buf_reset(&r->body_out);
+	buf_free(&r->body_out);
+	relay_count_held(r);
 }
--- a/src/site_hosts.c
+++ b/src/site_hosts.c
@@ -127,6 +127,8 @@
 static void limit_buffers(site_t *s)
 {
 	gateway_limit_unsent(s->gateway, memory_bytes(s) / UNSENT_PART);
+	if (s->tunnels)
+		tunnels_limit_unsent(s->tunnels, memory_bytes(s) / UNSENT_PART);
 	gateway_limit_bodies(s->gateway, memory_bytes(s) / BODIES_PART);
 	socket_limit_buffers(memory_bytes(s) / SOCKET_PART);
 }
--- a/src/tunnel.c
+++ b/src/tunnel.c
@@ -12,6 +12,7 @@
 
 #include <glib.h>
 
+#include "buffer_share.h"
 #include "counter.h"
 #include "http1.h"
 #include "pb.h"
@@ -24,6 +25,8 @@
 #define READ_BYTES 16384u
 /* An end is not read while so much waits to be written to the other. */
 #define UNSENT_MAX 65536u
+/* The same where what waits in all tunnels is at its limit. */
+#define UNSENT_MIN 4096u
 /* Tunnels at a time; a daemon has descriptors for its own callers, too. */
 #define TUNNELS_MAX 1000u
 /* The opening message has to come within this time. */
@@ -44,8 +47,9 @@
 typedef struct tunnel_end {
 	loop_watch_t watch;
 	tunnel_t *tunnel;
-	buf_t out;  /* to be written to it */
-	bool ended; /* it has closed in order */
+	buf_t out;	/* to be written to it */
+	size_t counted; /* of out, in tunnels_t.unsent */
+	bool ended;	/* it has closed in order */
 } tunnel_end_t;
 
 struct tunnel {
@@ -64,6 +68,8 @@
 	loop_watch_t watch;
 	struct cds_list_head all;
 	size_t n;
+	size_t unsent;	   /* waits to be written, in all of them */
+	size_t unsent_max; /* 0: no limit for all */
 };
 
 /* Messages. */
@@ -152,11 +158,20 @@
 	free(t);
 }
 
+/* What waits for this end has changed. */
+static void count_unsent(tunnel_end_t *e)
+{
+	e->tunnel->all->unsent += e->out.n - e->counted;
+	e->counted = e->out.n;
+}
+
 static void close_end(tunnel_t *t, tunnel_end_t *e, bool reset)
 {
 	const struct linger abort_on_close = {1, 0};
 	int fd = e->watch.fd;
 
+	buf_free(&e->out);
+	count_unsent(e);
 	if (fd < 0)
 		return;
 	loop_unwatch(t->all->loop, &e->watch);
@@ -186,13 +201,19 @@
 				       : &e->tunnel->opener;
 }
 
+static size_t unsent_max(const tunnels_t *all)
+{
+	return buffer_share(all->unsent, all->unsent_max, UNSENT_MAX,
+			    UNSENT_MIN);
+}
+
 static void update_events(tunnel_end_t *e)
 {
 	uint32_t events = 0;
 
 	if (e->watch.fd < 0)
 		return;
-	if (!e->ended && other_end(e)->out.n < UNSENT_MAX)
+	if (!e->ended && other_end(e)->out.n < unsent_max(e->tunnel->all))
 		events |= EPOLLIN;
 	if (e->out.n || e->tunnel->state == TUNNEL_CONNECTING)
 		events |= EPOLLOUT;
@@ -211,6 +232,7 @@
 		if (n > 0)
 			buf_consume(&e->out, (size_t)n);
 	}
+	count_unsent(e);
 	if (n < 0 && errno != EAGAIN && errno != EINTR) {
 		tunnel_end(t, true);
 		return false;
@@ -498,6 +520,16 @@
 	free(t);
 }
 
+void tunnels_limit_unsent(tunnels_t *t, size_t bytes)
+{
+	t->unsent_max = bytes;
+}
+
+size_t tunnels_unsent_bytes(const tunnels_t *t)
+{
+	return t->unsent;
+}
+
 size_t tunnels_count(const tunnels_t *t)
 {
 	return t->n;
--- a/src/tunnel.h
+++ b/src/tunnel.h
@@ -33,6 +33,13 @@
 void tunnels_drain(tunnels_t *t);
 /* Ends all; t may be NULL. */
 void tunnels_free(tunnels_t *t);
+/*
+ * Limits what waits to be written in all of them: as it comes near this many bytes, the
+ * part of each shrinks. 0: each has its own limit alone.
+ */
+void tunnels_limit_unsent(tunnels_t *t, size_t bytes);
+/* Bytes that wait now. */
+size_t tunnels_unsent_bytes(const tunnels_t *t);
 /* How many are open. */
 size_t tunnels_count(const tunnels_t *t);
 
--- a/src/util.c
+++ b/src/util.c
@@ -180,6 +180,16 @@
 		b->p[0] = '\0';
 }
 
+void buf_trim(buf_t *b, size_t keep)
+{
+	size_t need = b->n + 1 > keep ? b->n + 1 : keep;
+
+	if (b->cap / 2 < need)
+		return;
+	b->p = xrealloc(b->p, need);
+	b->cap = need;
+}
+
 void buf_free(buf_t *b)
 {
 	free(b->p);
--- a/src/util.h
+++ b/src/util.h
@@ -81,6 +81,8 @@
 void buf_consume(buf_t *b, size_t n);
 /* Empties the buffer and keeps its memory. */
 void buf_reset(buf_t *b);
+/* Gives back memory beyond keep bytes, where more than half of it is not used. */
+void buf_trim(buf_t *b, size_t keep);
 void buf_free(buf_t *b);
 str_t buf_str(const buf_t *b);
 
--- a/tests/faulty_target_test.cc
+++ b/tests/faulty_target_test.cc
@@ -49,6 +49,85 @@
 const char *const EVENT_1 = "id: 1\ndata: a\n\n";
 const char *const EVENT_2 = "id: 2\ndata: b\n\n";
 
+const size_t KB = 1024;
+const size_t MANY = 24;
+const size_t LIMIT_OF_ALL = 256 * KB;
+
+// So many targets begin a response and leave it so. Returns the most bytes that the gateway
+// has held of them; another request is served meanwhile, and nothing is held in the end.
+size_t most_held(const std::string &path, const std::string &begun)
+{
+	std::vector<std::unique_ptr<Target>> faulty;
+	std::vector<std::unique_ptr<Client>> callers;
+	std::vector<Target *> order;
+	Target sound({ok_response()});
+	size_t most = 0;
+	size_t now = 0;
+
+	for (size_t i = 0; i < MANY; i++) {
+		faulty.push_back(std::make_unique<Target>(
+			std::deque<Action>{{begun, false, false, true}}));
+		order.push_back(faulty.back().get());
+	}
+	order.push_back(&sound);
+	GatewayFixture f(order);
+	f.l.call([&] { gateway_limit_unsent(f.gateway, LIMIT_OF_ALL); });
+	for (size_t i = 0; i < MANY; i++) {
+		callers.push_back(std::make_unique<Client>(f.port));
+		callers.back()->send(
+			"GET " + path + " HTTP/1.1\r\nHost: x\r\n" +
+			"Request-Id: f" + std::to_string(i) + "\r\n\r\n");
+	}
+	for (int i = 0; i < 60; i++) {
+		f.l.call([&] { now = gateway_unsent_bytes(f.gateway); });
+		most = std::max(most, now);
+		usleep(10000);
+	}
+	EXPECT_EQ(200, status(f.ask("/once/sound")));
+	callers.clear();
+	for (int i = 0; i < 200 && now; i++) {
+		f.l.call([&] { now = gateway_unsent_bytes(f.gateway); });
+		usleep(10000);
+	}
+	EXPECT_EQ(0u, now);
+	return most;
+}
+
+// Beyond the limit each request may have its least part, and one piece that was read.
+const size_t HELD_MAX = LIMIT_OF_ALL + MANY * 34 * KB;
+
+// Guards against the memory of a host that many targets fill with what is no answer.
+TEST(FaultyTarget, EventsWithoutEndAreHeldUpToTheLimitOfAll)
+{
+	EXPECT_LE(most_held("/stream/x",
+			    STREAM_HEAD + chunk(std::string(240 * KB, 'x'))),
+		  HELD_MAX);
+}
+
+TEST(FaultyTarget, FailuresWithoutEndAreHeldUpToTheLimitOfAll)
+{
+	EXPECT_LE(most_held("/once/x", "HTTP/1.1 500 X\r\nContent-Length: "
+				       "900000\r\n\r\n" +
+					       std::string(240 * KB, 'x')),
+		  HELD_MAX);
+}
+
+TEST(FaultyTarget, ResponsesWithoutEndAreHeldUpToTheLimitOfAll)
+{
+	EXPECT_LE(most_held("/once/x", "HTTP/1.1 200 X\r\nResponse-Signature: "
+				       "s\r\nContent-Length: "
+				       "900000\r\n\r\n" +
+					       std::string(240 * KB, 'x')),
+		  HELD_MAX);
+}
+
+TEST(FaultyTarget, HeadsWithoutEndAreHeldUpToTheLimitOfAll)
+{
+	EXPECT_LE(most_held("/once/x", "HTTP/1.1 200 X\r\nA: " +
+					       std::string(62 * KB, 'x')),
+		  HELD_MAX);
+}
+
 // An earlier refusal, written once more, is no promise about this request.
 void expect_unnamed_rejection_not_believed(bool by_peer, const char *path)
 {
--- a/tests/tunnel_test.cc
+++ b/tests/tunnel_test.cc
@@ -307,6 +307,40 @@
 	expect_no_tunnel(f);
 }
 
+// Guards against the memory of a host that serves tunnels of openers that do not read.
+TEST(Tunnel, WhatWaitsInManyTunnelsIsHeldUpToTheLimitOfAll)
+{
+	const size_t many = 16;
+	const size_t limit = 128 << 10;
+	std::vector<std::unique_ptr<Target>> targets;
+	std::vector<std::unique_ptr<Opener>> openers;
+	Fixture f;
+	size_t unsent = 0;
+	size_t most = 0;
+
+	f.l.call([&] { tunnels_limit_unsent(f.tunnels, limit); });
+	for (size_t i = 0; i < many; i++) {
+		targets.push_back(std::make_unique<Target>(
+			HEAD + std::string(16 << 20, 'x'), Target::CLOSE));
+		openers.push_back(
+			std::make_unique<Opener>(f, targets.back()->addr()));
+		openers.back()->await_open();
+		openers.back()->send("GET / HTTP/1.1\r\n\r\n");
+	}
+	for (int i = 0; i < 60; i++) {
+		f.l.call([&] { unsent = tunnels_unsent_bytes(f.tunnels); });
+		most = std::max(most, unsent);
+		usleep(10000);
+	}
+	EXPECT_GE(most, limit / 2);
+	// Beyond the limit each may have its least part, and one piece that was read.
+	EXPECT_LE(most, limit + many * (21 << 10));
+	openers.clear();
+	expect_no_tunnel(f);
+	f.l.call([&] { unsent = tunnels_unsent_bytes(f.tunnels); });
+	EXPECT_EQ(0u, unsent);
+}
+
 TEST(Tunnel, EndsAsItsOpenerLeavesBeforeItIsOpen)
 {
 	Fixture f;
