A host says that the log's quorum is lost, with the voters that are silent

Change: after 20 election timeouts without a leader a host with a log writes quorum_lost with each voter and how long nothing came from it, counts it in quorum_losses, and tells leaderless_ms in its status; quorum_regained ends it. A host that does not lead notes when it last heard from each voter itself.

Measured: State.AHostSaysThatTheQuorumIsLostAndWhenItIsBack (no counter before). No message is added.

--- a/src/counter.h
+++ b/src/counter.h
@@ -70,6 +70,8 @@
 
 #define COUNTERS_STATE(X)                                                    \
 	X(ELECTIONS, "elections", "Elections started by this daemon")        \
+	X(QUORUM_LOSSES, "quorum_losses",                                    \
+	  "Times that this daemon's log had no leader for long")             \
 	X(LOG_SYNCS, "log_syncs", "Syncs of the log to disk")                \
 	X(CHANGES_DECIDED, "changes_decided", "Changes decided")             \
 	X(CHANGES_RESENT, "changes_resent", "Resent changes answered again") \
--- a/src/event.h
+++ b/src/event.h
@@ -40,6 +40,11 @@
 	X("leader_cut_off", 10, "term",                                        \
 	  "The leader's host reaches no runner, so that it can give no "       \
 	  "orders; another host is to lead.")                                  \
+	X("quorum_lost", 10, "host term index silent_ms",                      \
+	  "The log has had no leader for 20 election timeouts. silent_ms: "    \
+	  "each voter, and how long nothing came from it.")                    \
+	X("quorum_regained", 10, "host leader after_ms",                       \
+	  "The log has a leader again, after so long.")                        \
 	X("leader_changed", 20, "host term",                                   \
 	  "The log has another leader or another term.")                       \
 	X("manifest_in_force", 20, "version routes services",                  \
--- a/src/rlog.c
+++ b/src/rlog.c
@@ -780,6 +780,7 @@
 {
 	if (l->role == RLOG_FAILED)
 		return INT64_MAX;
+	rlog_note_leader(l, now_us);
 	if (l->role == RLOG_LEADER) {
 		tick_leader(l, now_us);
 		if (l->role == RLOG_LEADER)
@@ -808,8 +809,12 @@
 
 void rlog_recv(rlog_t *l, host_id_t from, const Peer__Msg *msg, int64_t now_us)
 {
+	peer_t *p = rlog_peer(l, from);
+
 	if (l->role == RLOG_FAILED)
 		return;
+	if (p && l->role != RLOG_LEADER)
+		p->last_heard_us = now_us;
 	switch (msg->body_case) {
 	case PEER__MSG__BODY_VOTE_REQ:
 		on_vote_req(l, from, msg->vote_req, now_us);
@@ -961,7 +966,7 @@
 	return true;
 }
 
-void rlog_status(const rlog_t *l, buf_t *json)
+void rlog_status(const rlog_t *l, int64_t now_us, buf_t *json)
 {
 	buf_printf(json,
 		   "\"role\":\"%s\",\"term\":%llu,\"leader\":%u,"
@@ -974,8 +979,12 @@
 		   rlog_self_is_voter(l) ? "true" : "false");
 	for (size_t i = 0; i < l->members.n; i++)
 		buf_printf(json, "%s%u", i ? "," : "", l->members.v[i].id);
-	buf_printf(json, "],\"members_settled\":%s",
-		   members_settled(l) ? "true" : "false");
+	buf_printf(json, "],\"members_settled\":%s,\"leaderless_ms\":%lld",
+		   members_settled(l) ? "true" : "false",
+		   l->leaderless_since_us
+			   ? (long long)(now_us - l->leaderless_since_us) /
+				     USEC_PER_MSEC
+			   : 0LL);
 	if (l->role == RLOG_FAILED)
 		buf_printf(json, ",\"failed\":\"%s\"",
 			   wal_code_text(l->error.code));
--- a/src/rlog.h
+++ b/src/rlog.h
@@ -140,7 +140,7 @@
 /* Why the log has stopped; its code is WAL_OK while it has not. */
 const wal_err_t *rlog_error(const rlog_t *l);
 /* Appends the status as members of a JSON object, without the braces. */
-void rlog_status(const rlog_t *l, buf_t *json);
+void rlog_status(const rlog_t *l, int64_t now_us, buf_t *json);
 
 #ifdef __cplusplus
 }
--- a/src/rlog_int.h
+++ b/src/rlog_int.h
@@ -40,7 +40,8 @@
 	uint64_t match;	      /* last index synced there, in this incarnation */
 	uint64_t acked_round; /* latest round that it answered */
 	/*
-	 * When the leader last heard from it; on another host as that leader told.
+	 * When the leader last heard from it; on another host as that leader told,
+	 * or when it sent this host a message itself.
 	 */
 	int64_t last_heard_us;
 	int64_t last_progress_us;
@@ -109,7 +110,9 @@
 	int64_t leader_heard_us; /* when the leader was last heard from */
 	int64_t election_due_us;
 	int64_t heartbeat_due_us;
-	int64_t join_due_us; /* when to next ask the peers to join */
+	int64_t join_due_us;	     /* when to next ask the peers to join */
+	int64_t leaderless_since_us; /* 0: a leader is known */
+	bool loss_logged; /* that there has been no leader for long */
 };
 
 /* rlog_store.c: records in memory and on disk, snapshots. */
@@ -185,6 +188,11 @@
 /* Leader: removes peers that are no members and have been silent for long. */
 void rlog_remove_silent_peers(rlog_t *l, int64_t now_us);
 
+/* rlog_loss.c: a log that has no leader for long. */
+
+/* Logs that there is no leader, once, and when there is one again. */
+void rlog_note_leader(rlog_t *l, int64_t now_us);
+
 /* rlog.c */
 
 uint64_t rlog_random(rlog_t *l);
--- a/src/state.c
+++ b/src/state.c
@@ -335,10 +335,10 @@
 	pthread_mutex_unlock(&st->lock);
 }
 
-static void status_log(const state_t *st, buf_t *json)
+static void status_log(const state_t *st, int64_t now_us, buf_t *json)
 {
 	if (st->rlog) {
-		rlog_status(st->rlog, json);
+		rlog_status(st->rlog, now_us, json);
 		return;
 	}
 	buf_printf(json, "\"role\":\"%s\",\"term\":%llu,\"leader\":%u",
@@ -355,7 +355,7 @@
 
 	pthread_mutex_lock(&st->lock);
 	buf_puts(json, "{");
-	status_log(st, json);
+	status_log(st, now_us, json);
 	buf_printf(json,
 		   ",\"host\":%u,\"index\":%llu,\"revision\":%llu,"
 		   "\"fresh\":%s,\"lease_ms\":%lld,\"member\":%s,"
--- a/tests/state_test.cc
+++ b/tests/state_test.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 
+#include "counter.h"
 #include "doc_register.h"
 
 static std::string publish(const std::string &id, uint64_t base)
@@ -223,6 +224,27 @@
 				  [&] { return net.is_fresh(net.at(7)); }));
 }
 
+TEST(State, AHostSaysThatTheQuorumIsLostAndWhenItIsBack)
+{
+	uint64_t before = counter_get(CTR_QUORUM_LOSSES);
+	Net::Options o;
+
+	o.auto_voters = 3;
+	Net net(o);
+	net.start_all();
+	net.run(3000000);
+	net.stop(net.at(1));
+	net.stop(net.at(2));
+	net.run(9000000);
+	EXPECT_EQ(before, counter_get(CTR_QUORUM_LOSSES));
+	net.run(4000000);
+	EXPECT_EQ(before + 1, counter_get(CTR_QUORUM_LOSSES));
+	EXPECT_FALSE(Net::status_has(net.at(3), "\"leaderless_ms\":0"));
+	net.start(net.at(1));
+	EXPECT_TRUE(net.run_until(3000000, [&] { return net.leader(); }));
+	EXPECT_TRUE(Net::status_has(net.at(3), "\"leaderless_ms\":0"));
+}
+
 TEST(State, OneVoterDecidesAndKeepsItsLogOverARestart)
 {
 	Net::Options o;
