An operator can let a log go on whose quorum is gone for good

Change: damasklug log show tells what data folders of stopped daemons hold, so that the newest can be told; log recover makes one of them the only voter of a log with another id, in a much later term. Hosts that come back with the log before are told so, and close theirs (LogReplaced). Reading the meta file of a folder is parted from creating it.

The test of state_test fails for its seeds where LogReplaced does nothing.

--- a/proto/state.pb-c.c
+++ b/proto/state.pb-c.c
@@ -142,6 +142,51 @@
   assert(message->base.descriptor == &peer__members__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   peer__log_replaced__init
+                     (Peer__LogReplaced         *message)
+{
+  static const Peer__LogReplaced init_value = PEER__LOG_REPLACED__INIT;
+  *message = init_value;
+}
+size_t peer__log_replaced__get_packed_size
+                     (const Peer__LogReplaced *message)
+{
+  assert(message->base.descriptor == &peer__log_replaced__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__log_replaced__pack
+                     (const Peer__LogReplaced *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__log_replaced__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__log_replaced__pack_to_buffer
+                     (const Peer__LogReplaced *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__log_replaced__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__LogReplaced *
+       peer__log_replaced__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__LogReplaced *)
+     protobuf_c_message_unpack (&peer__log_replaced__descriptor,
+                                allocator, len, data);
+}
+void   peer__log_replaced__free_unpacked
+                     (Peer__LogReplaced *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__log_replaced__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   peer__doc__init
                      (Peer__Doc         *message)
 {
@@ -1260,7 +1305,7 @@
   (ProtobufCMessageInit) peer__voter__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__members__field_descriptors[2] =
+static const ProtobufCFieldDescriptor peer__members__field_descriptors[3] =
 {
   {
     "log_id",
@@ -1286,15 +1331,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "replaced",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Peer__Members, n_replaced),
+    offsetof(Peer__Members, replaced),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__members__field_indices_by_name[] = {
   0,   /* field[0] = log_id */
+  2,   /* field[2] = replaced */
   1,   /* field[1] = voters */
 };
 static const ProtobufCIntRange peer__members__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor peer__members__descriptor =
 {
@@ -1304,13 +1362,51 @@
   "Peer__Members",
   "peer",
   sizeof(Peer__Members),
-  2,
+  3,
   peer__members__field_descriptors,
   peer__members__field_indices_by_name,
   1,  peer__members__number_ranges,
   (ProtobufCMessageInit) peer__members__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor peer__log_replaced__field_descriptors[1] =
+{
+  {
+    "log_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__LogReplaced, log_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__log_replaced__field_indices_by_name[] = {
+  0,   /* field[0] = log_id */
+};
+static const ProtobufCIntRange peer__log_replaced__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor peer__log_replaced__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.LogReplaced",
+  "LogReplaced",
+  "Peer__LogReplaced",
+  "peer",
+  sizeof(Peer__LogReplaced),
+  1,
+  peer__log_replaced__field_descriptors,
+  peer__log_replaced__field_indices_by_name,
+  1,  peer__log_replaced__number_ranges,
+  (ProtobufCMessageInit) peer__log_replaced__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor peer__doc__field_descriptors[3] =
 {
   {
@@ -3344,7 +3440,7 @@
   (ProtobufCMessageInit) peer__feed_chunk__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__msg__field_descriptors[16] =
+static const ProtobufCFieldDescriptor peer__msg__field_descriptors[17] =
 {
   {
     "vote_req",
@@ -3538,6 +3634,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "log_replaced",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Msg, body_case),
+    offsetof(Peer__Msg, log_replaced),
+    &peer__log_replaced__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__msg__field_indices_by_name[] = {
   2,   /* field[2] = append */
@@ -3548,6 +3656,7 @@
   15,   /* field[15] = handover */
   6,   /* field[6] = join */
   14,   /* field[14] = leads */
+  16,   /* field[16] = log_replaced */
   9,   /* field[9] = propose */
   10,   /* field[10] = propose_res */
   7,   /* field[7] = renew */
@@ -3560,7 +3669,7 @@
 static const ProtobufCIntRange peer__msg__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor peer__msg__descriptor =
 {
@@ -3570,7 +3679,7 @@
   "Peer__Msg",
   "peer",
   sizeof(Peer__Msg),
-  16,
+  17,
   peer__msg__field_descriptors,
   peer__msg__field_indices_by_name,
   1,  peer__msg__number_ranges,
--- a/proto/state.pb-c.h
+++ b/proto/state.pb-c.h
@@ -18,6 +18,7 @@
 typedef struct Peer__Record Peer__Record;
 typedef struct Peer__Voter Peer__Voter;
 typedef struct Peer__Members Peer__Members;
+typedef struct Peer__LogReplaced Peer__LogReplaced;
 typedef struct Peer__Doc Peer__Doc;
 typedef struct Peer__Docs Peer__Docs;
 typedef struct Peer__SnapshotFile Peer__SnapshotFile;
@@ -89,10 +90,31 @@
   uint64_t log_id;
   size_t n_voters;
   Peer__Voter **voters;
+  /*
+   * Logs that this one was recovered from; the latest last.
+   */
+  size_t n_replaced;
+  uint64_t *replaced;
 };
 #define PEER__MEMBERS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__members__descriptor) \
-    , 0, 0,NULL }
+    , 0, 0,NULL, 0,NULL }
+
+
+/*
+ * To a host that holds a log which the sender's was recovered from.
+ */
+struct  Peer__LogReplaced
+{
+  ProtobufCMessage base;
+  /*
+   * the receiver's
+   */
+  uint64_t log_id;
+};
+#define PEER__LOG_REPLACED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__log_replaced__descriptor) \
+    , 0 }
 
 
 /*
@@ -564,7 +586,8 @@
   PEER__MSG__BODY_FEED_PUSH = 13,
   PEER__MSG__BODY_FEED_CHUNK = 14,
   PEER__MSG__BODY_LEADS = 15,
-  PEER__MSG__BODY_HANDOVER = 16
+  PEER__MSG__BODY_HANDOVER = 16,
+  PEER__MSG__BODY_LOG_REPLACED = 17
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PEER__MSG__BODY__CASE)
 } Peer__Msg__BodyCase;
 
@@ -589,6 +612,7 @@
     Peer__FeedChunk *feed_chunk;
     Peer__Leads *leads;
     Peer__Handover *handover;
+    Peer__LogReplaced *log_replaced;
   };
 };
 #define PEER__MSG__INIT \
@@ -653,6 +677,25 @@
 void   peer__members__free_unpacked
                      (Peer__Members *message,
                       ProtobufCAllocator *allocator);
+/* Peer__LogReplaced methods */
+void   peer__log_replaced__init
+                     (Peer__LogReplaced         *message);
+size_t peer__log_replaced__get_packed_size
+                     (const Peer__LogReplaced   *message);
+size_t peer__log_replaced__pack
+                     (const Peer__LogReplaced   *message,
+                      uint8_t             *out);
+size_t peer__log_replaced__pack_to_buffer
+                     (const Peer__LogReplaced   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__LogReplaced *
+       peer__log_replaced__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__log_replaced__free_unpacked
+                     (Peer__LogReplaced *message,
+                      ProtobufCAllocator *allocator);
 /* Peer__Doc methods */
 void   peer__doc__init
                      (Peer__Doc         *message);
@@ -1082,6 +1125,9 @@
 typedef void (*Peer__Members_Closure)
                  (const Peer__Members *message,
                   void *closure_data);
+typedef void (*Peer__LogReplaced_Closure)
+                 (const Peer__LogReplaced *message,
+                  void *closure_data);
 typedef void (*Peer__Doc_Closure)
                  (const Peer__Doc *message,
                   void *closure_data);
@@ -1157,6 +1203,7 @@
 extern const ProtobufCMessageDescriptor peer__record__descriptor;
 extern const ProtobufCMessageDescriptor peer__voter__descriptor;
 extern const ProtobufCMessageDescriptor peer__members__descriptor;
+extern const ProtobufCMessageDescriptor peer__log_replaced__descriptor;
 extern const ProtobufCMessageDescriptor peer__doc__descriptor;
 extern const ProtobufCMessageDescriptor peer__docs__descriptor;
 extern const ProtobufCMessageDescriptor peer__snapshot_file__descriptor;
--- a/src/cli.c
+++ b/src/cli.c
@@ -49,6 +49,12 @@
 	{NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL},
 };
 
+static GOptionEntry recover_options[] = {
+	{"yes", 0, 0, G_OPTION_ARG_NONE, &cli_opts.yes,
+	 "Confirm that the folders of all other voters are given up", NULL},
+	{NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL},
+};
+
 static GOptionEntry manifest_options[] = {
 	{"against", 0, 0, G_OPTION_ARG_FILENAME, &cli_opts.against,
 	 "Also print what differs from the manifest in this file", "FILE"},
@@ -323,6 +329,21 @@
 	 {0},
 	 true,
 	 cli_cmd_check},
+	{"log",
+	 "show",
+	 "FOLDER...",
+	 "Shows the log in data folders whose daemons do not run",
+	 {0},
+	 true,
+	 cli_cmd_log_show},
+	{"log",
+	 "recover",
+	 "FOLDER",
+	 "Where a majority of the voters is gone for good: makes this folder's "
+	 "host the only voter",
+	 {recover_options},
+	 true,
+	 cli_cmd_log_recover},
 	{"manifest",
 	 "check",
 	 "FILE",
@@ -406,6 +427,8 @@
 	append_options(out, change_options);
 	buf_puts(out, "\n## Options of `list`\n\n");
 	append_options(out, list_options);
+	buf_puts(out, "\n## Options of `log recover`\n\n");
+	append_options(out, recover_options);
 	buf_puts(out, "\n## Options of `manifest check`\n\n");
 	append_options(out, manifest_options);
 	buf_puts(out, "\n## Options of `org create` and `org set`\n\n");
--- a/src/cli_int.h
+++ b/src/cli_int.h
@@ -49,6 +49,7 @@
 	gboolean voter, learner;
 	gboolean from_logs;
 	gchar *against, *control;
+	gboolean yes;
 } cli_opts_t;
 
 extern cli_opts_t cli_opts;
@@ -120,6 +121,8 @@
 int cli_cmd_drain(cli_t *cli, int argc, char **argv);
 int cli_cmd_check(cli_t *cli, int argc, char **argv);
 int cli_cmd_manifest_check(cli_t *cli, int argc, char **argv);
+int cli_cmd_log_show(cli_t *cli, int argc, char **argv);
+int cli_cmd_log_recover(cli_t *cli, int argc, char **argv);
 int cli_cmd_events(cli_t *cli, int argc, char **argv);
 /* Prints the timeline of the request argv[0] from the log files that follow. */
 int cli_trace(cli_t *cli, int argc, char **argv);
--- a/src/rlog.c
+++ b/src/rlog.c
@@ -433,7 +433,7 @@
 {
 	Peer__VoteRes pb = PEER__VOTE_RES__INIT;
 
-	if (rlog_is_other_log(l, q->log_id) ||
+	if (rlog_is_other_log(l, from, q->log_id) ||
 	    (!q->handover && leader_is_alive(l, now_us)))
 		return;
 	if (q->pre) {
@@ -553,7 +553,7 @@
 static bool accept_leader(rlog_t *l, host_id_t from, uint64_t term,
 			  uint64_t log_id, uint64_t round, int64_t now_us)
 {
-	if (rlog_is_other_log(l, log_id))
+	if (rlog_is_other_log(l, from, log_id))
 		return false;
 	if (term < l->term) {
 		send_append_res(l, from, round, false, 0);
@@ -837,6 +837,9 @@
 	case PEER__MSG__BODY_JOIN:
 		rlog_on_join(l, from, msg->join, now_us);
 		break;
+	case PEER__MSG__BODY_LOG_REPLACED:
+		rlog_on_replaced(l, msg->log_replaced);
+		break;
 	default:
 		break;
 	}
--- a/src/rlog_int.h
+++ b/src/rlog_int.h
@@ -19,11 +19,17 @@
 	uint64_t incarnation; /* of the data folder that the vote belongs to */
 } rlog_member_t;
 
+/* Most earlier logs that are remembered as replaced. */
+#define RLOG_REPLACED_MAX 8u
+
 typedef struct members {
 	uint64_t index; /* of their ENTRY_MEMBERS record; 0: none known */
 	uint64_t log_id;
 	size_t n;
 	rlog_member_t v[RLOG_VOTERS_MAX];
+	uint64_t replaced
+		[RLOG_REPLACED_MAX]; /* logs that it was recovered from */
+	size_t n_replaced;
 } members_t;
 
 typedef enum campaign {
@@ -163,8 +169,13 @@
 void rlog_set_members(rlog_t *l, const members_t *m);
 /* Whether this host is a member with its current data folder. */
 bool rlog_self_is_voter(const rlog_t *l);
-/* Whether log_id is that of another log; false where either is unknown. */
-bool rlog_is_other_log(const rlog_t *l, uint64_t log_id);
+/*
+ * Whether log_id, in a message of this host, is that of another log; false where either
+ * is unknown. A host whose log this one has replaced is told so.
+ */
+bool rlog_is_other_log(rlog_t *l, host_id_t from, uint64_t log_id);
+/* This host's log was replaced: stops it for good, unless it is the newer one. */
+void rlog_on_replaced(rlog_t *l, const Peer__LogReplaced *r);
 /* The peer with this id; NULL where there is none. */
 peer_t *rlog_peer(rlog_t *l, host_id_t id);
 /* Adds the peer if needed; NULL for this host, and where the list is full. */
--- a/src/rlog_members.c
+++ b/src/rlog_members.c
@@ -29,6 +29,9 @@
 		m->v[m->n].id = pb->voters[i]->id;
 		m->v[m->n++].incarnation = pb->voters[i]->incarnation;
 	}
+	for (size_t i = 0;
+	     i < pb->n_replaced && m->n_replaced < RLOG_REPLACED_MAX; i++)
+		m->replaced[m->n_replaced++] = pb->replaced[i];
 	peer__members__free_unpacked(pb, NULL);
 	return 0;
 }
@@ -49,6 +52,8 @@
 	}
 	pb.n_voters = m->n;
 	pb.voters = ptrs;
+	pb.n_replaced = m->n_replaced;
+	pb.replaced = (uint64_t *)m->replaced;
 	n = peer__members__get_packed_size(&pb);
 	peer__members__pack(&pb, (uint8_t *)buf_reserve(out, n));
 	out->n += n;
@@ -78,9 +83,32 @@
 	return m;
 }
 
-bool rlog_is_other_log(const rlog_t *l, uint64_t log_id)
+static bool has_replaced(const members_t *m, uint64_t log_id)
 {
-	return l->members.log_id && log_id && log_id != l->members.log_id;
+	for (size_t i = 0; i < m->n_replaced; i++)
+		if (m->replaced[i] == log_id)
+			return true;
+	return false;
+}
+
+bool rlog_is_other_log(rlog_t *l, host_id_t from, uint64_t log_id)
+{
+	Peer__LogReplaced pb = PEER__LOG_REPLACED__INIT;
+
+	if (!l->members.log_id || !log_id || log_id == l->members.log_id)
+		return false;
+	pb.log_id = log_id;
+	if (has_replaced(&l->members, log_id))
+		rlog_send(l, from, PEER__MSG__BODY_LOG_REPLACED, &pb);
+	return true;
+}
+
+void rlog_on_replaced(rlog_t *l, const Peer__LogReplaced *r)
+{
+	wal_err_t err = {.code = WAL_REPLACED};
+
+	if (r->log_id && r->log_id == l->members.log_id)
+		rlog_fail(l, &err);
 }
 
 bool rlog_self_is_voter(const rlog_t *l)
@@ -226,7 +254,7 @@
 	const rlog_member_t *m = rlog_member(&l->members, from);
 	peer_t *p;
 
-	if (rlog_is_other_log(l, j->log_id) || !j->incarnation)
+	if (rlog_is_other_log(l, from, j->log_id) || !j->incarnation)
 		return;
 	if (!l->members.n) {
 		p = is_first_voter(l, from) ? rlog_peer_get_or_add(l, from)
--- a/src/state_log.c
+++ b/src/state_log.c
@@ -184,7 +184,7 @@
 		st->rlog = NULL;
 		machine_free(st->replay);
 		st->replay = NULL;
-		if (st->ops.reopen)
+		if (st->ops.reopen && st->log_error.code != WAL_REPLACED)
 			st->reopen_due_us = now_us + REOPEN_RETRY_US;
 		if (st->leading)
 			state_lead_end(st);
--- a/src/wal.c
+++ b/src/wal.c
@@ -671,37 +671,41 @@
 	return sync_dir(f, err) || wal_sync(f, err);
 }
 
-/* Checks that the folder is this host's, or marks a new one as such. */
-static int read_or_create_meta(folder_t *f, str_t cluster, uint32_t host,
-			       wal_err_t *err)
+/* What a folder belongs to; NULL in place of it: whatever the folder says. */
+typedef struct owner {
+	uint64_t cluster_hash;
+	uint32_t host;
+} owner_t;
+
+static int check_meta(folder_t *f, str_t file, const owner_t *owner,
+		      wal_err_t *err)
 {
-	AUTO_BUF buf_t file = {0};
-	uint64_t cluster_hash = hash_bytes(cluster.p, cluster.n, 0);
-	meta_t m = {0};
-	int rc = read_file(f, "meta", &file, err);
+	meta_t m;
 
-	if (rc < 0)
-		return -1;
-	if (rc == 0) {
-		if (file.n != sizeof(m))
-			return set_error(err, WAL_CORRUPT, "meta", file.n);
-		memcpy(&m, file.p, sizeof(m));
-		if (m.magic != META_MAGIC || m.version != FORMAT_VERSION)
-			return set_error(err, WAL_VERSION, "meta", 0);
-		if (m.checksum != hash_bytes(&m, offsetof(meta_t, checksum), 0))
-			return set_error(err, WAL_CORRUPT, "meta", 0);
-		if (m.cluster_hash != cluster_hash || m.host != host)
-			return set_error(err, WAL_FOREIGN, "meta", 0);
-		f->wal.recovered.incarnation = m.incarnation;
-		return 0;
-	}
-	if (f->n_segs || f->wal.recovered.snapshot_index ||
-	    f->wal.recovered.term)
+	if (file.n != sizeof(m))
+		return set_error(err, WAL_CORRUPT, "meta", file.n);
+	memcpy(&m, file.p, sizeof(m));
+	if (m.magic != META_MAGIC || m.version != FORMAT_VERSION)
+		return set_error(err, WAL_VERSION, "meta", 0);
+	if (m.checksum != hash_bytes(&m, offsetof(meta_t, checksum), 0))
 		return set_error(err, WAL_CORRUPT, "meta", 0);
-	m.magic = META_MAGIC;
-	m.version = FORMAT_VERSION;
-	m.cluster_hash = cluster_hash;
-	m.host = host;
+	if (owner &&
+	    (m.cluster_hash != owner->cluster_hash || m.host != owner->host))
+		return set_error(err, WAL_FOREIGN, "meta", 0);
+	f->wal.recovered.incarnation = m.incarnation;
+	f->wal.recovered.host = m.host;
+	return 0;
+}
+
+static int create_meta(folder_t *f, const owner_t *owner, wal_err_t *err)
+{
+	meta_t m = {
+		.magic = META_MAGIC,
+		.version = FORMAT_VERSION,
+		.cluster_hash = owner->cluster_hash,
+		.host = owner->host,
+	};
+
 	while (!m.incarnation)
 		if (getrandom(&m.incarnation, sizeof(m.incarnation), 0) < 0 &&
 		    errno != EINTR)
@@ -709,10 +713,30 @@
 	m.checksum = hash_bytes(&m, offsetof(meta_t, checksum), 0);
 	f->wal.recovered.empty = true;
 	f->wal.recovered.incarnation = m.incarnation;
+	f->wal.recovered.host = m.host;
 	return replace_file(f, "meta", str_n((char *)&m, sizeof(m)),
 			    str_n(NULL, 0), err);
 }
 
+/* Checks that the folder is the owner's, or marks a new one as such. */
+static int read_or_create_meta(folder_t *f, const owner_t *owner,
+			       wal_err_t *err)
+{
+	AUTO_BUF buf_t file = {0};
+	int rc = read_file(f, "meta", &file, err);
+
+	if (rc < 0)
+		return -1;
+	if (rc == 0)
+		return check_meta(f, buf_str(&file), owner, err);
+	if (f->n_segs || f->wal.recovered.snapshot_index ||
+	    f->wal.recovered.term)
+		return set_error(err, WAL_CORRUPT, "meta", 0);
+	if (!owner)
+		return set_error(err, WAL_MISSING, "meta", 0);
+	return create_meta(f, owner, err);
+}
+
 /* Opens the folder, which it creates where needed, and locks it. */
 static int open_folder(folder_t *f, wal_err_t *err)
 {
@@ -730,7 +754,7 @@
 	return 0;
 }
 
-wal_t *wal_open(str_t path, str_t cluster, uint32_t host, wal_err_t *err)
+static wal_t *open_wal(str_t path, const owner_t *owner, wal_err_t *err)
 {
 	static const wal_ops_t ops = {wal_append, wal_truncate, wal_set_vote,
 				      wal_sync,	  wal_snapshot, wal_replay};
@@ -744,7 +768,7 @@
 	f->lock_fd = -1;
 	f->segment_fd = -1;
 	if (open_folder(f, err) || read_vote(f, err) || read_snapshot(f, err) ||
-	    recover_log(f, err) || read_or_create_meta(f, cluster, host, err))
+	    recover_log(f, err) || read_or_create_meta(f, owner, err))
 		goto fail;
 	return &f->wal;
 fail:
@@ -752,6 +776,27 @@
 	return NULL;
 }
 
+wal_t *wal_open(str_t path, str_t cluster, uint32_t host, wal_err_t *err)
+{
+	const owner_t owner = {hash_bytes(cluster.p, cluster.n, 0), host};
+
+	return open_wal(path, &owner, err);
+}
+
+wal_t *wal_open_existing(str_t path, wal_err_t *err)
+{
+	AUTO_FREE char *meta = NULL;
+	AUTO_BUF buf_t name = {0};
+
+	buf_printf(&name, "%.*s/meta", STR_ARG(path));
+	meta = str_dup(buf_str(&name));
+	if (!access(meta, F_OK))
+		return open_wal(path, NULL, err);
+	memset(err, 0, sizeof(*err));
+	set_error(err, WAL_MISSING, "meta", 0);
+	return NULL;
+}
+
 void wal_close(wal_t *w)
 {
 	folder_t *f = w ? w->ctx : NULL;
--- a/src/wal.h
+++ b/src/wal.h
@@ -23,7 +23,9 @@
 	X(SNAPSHOT, "the snapshot is corrupt")                           \
 	X(FOREIGN, "the data folder belongs to another cluster or host") \
 	X(LOCKED, "another process uses the data folder")                \
-	X(VERSION, "the data folder has an unknown format version")
+	X(VERSION, "the data folder has an unknown format version")      \
+	X(MISSING, "there is no log in the data folder")                 \
+	X(REPLACED, "the log was recovered from another data folder")
 
 typedef enum wal_code {
 #define X(name, text) WAL_##name,
@@ -84,6 +86,7 @@
 	str_t snapshot;	      /* valid until the first snapshot operation */
 	bool empty;	      /* the folder was new or had been emptied */
 	uint64_t incarnation; /* random number of this folder; never 0 */
+	uint32_t host;	      /* that the folder belongs to */
 	uint64_t torn_bytes;  /* removed from the end of the last file */
 } wal_recovered_t;
 
@@ -98,6 +101,8 @@
  * it. Returns NULL, with *err filled, where that fails.
  */
 wal_t *wal_open(str_t folder, str_t cluster, uint32_t host, wal_err_t *err);
+/* The same for a folder that exists, of whichever cluster and host. */
+wal_t *wal_open_existing(str_t folder, wal_err_t *err);
 void wal_close(wal_t *w);
 
 #ifdef __cplusplus
--- a/tests/state_test.cc
+++ b/tests/state_test.cc
@@ -5,6 +5,7 @@
 
 #include "counter.h"
 #include "doc_register.h"
+#include "rlog_recover.h"
 
 static std::string publish(const std::string &id, uint64_t base)
 {
@@ -245,6 +246,43 @@
 	EXPECT_TRUE(Net::status_has(net.at(3), "\"leaderless_ms\":0"));
 }
 
+TEST(State, OldVotersThatComeBackDecideNothingInALogThatWasRecovered)
+{
+	for (uint64_t seed = 1; seed <= 60; seed++) {
+		Net::Options o;
+		o.seed = seed;
+		o.auto_voters = 3;
+		Net net(o);
+		wal_err_t err = {};
+		wal_t *wal;
+		uint64_t tag;
+
+		net.start_all();
+		net.run_until(5000000, [&] { return net.leader(); });
+		ASSERT_EQ(CHANGE_DECIDED,
+			  submit(net, 5, "a", publish("a", 0)).status);
+		net.run(1000000);
+		for (host_id_t id = 1; id <= 3; id++)
+			net.stop(net.at(id));
+		wal = net.at(3).disk->open();
+		wal->recovered.host = 3;
+		ASSERT_EQ(0, rlog_recover(wal, &err));
+		net.start(net.at(3));
+		EXPECT_EQ(CHANGE_DECIDED,
+			  submit(net, 5, "b", publish("b", 1)).status);
+		net.start(net.at(1));
+		net.start(net.at(2));
+		net.run((int64_t)(net.rng() % 400000));
+		tag = net.propose(1, "c", publish("c", 1));
+		net.run(8000000);
+		EXPECT_TRUE(net.changes[tag].done);
+		EXPECT_NE(CHANGE_DECIDED, net.changes[tag].out.status)
+			<< "seed " << seed;
+		EXPECT_TRUE(all_have_revision(net, 2)) << "seed " << seed;
+		expect_no_violations(net);
+	}
+}
+
 TEST(State, OneVoterDecidesAndKeepsItsLogOverARestart)
 {
 	Net::Options o;
