The times of the state core and of links follow from the settings' bounds

Cause: heartbeats, election timeout, lease, staleness and the silence of a link were constants, right for contact_ms 3,000, config_ms 2,000 and catchup_s 4. A deployment may ask for half of that: a silent link would be found after 2 s with a contact_ms of 1.5, a lost relay of the feed after 1.1 s with a config_ms of 1, and a voter be replaced later than catchup_s 2 allows.

They shrink with the tightest of the three bounds, by half at most, and never grow, as longer bounds need no longer times.

Half of the bounds cost twice the heartbeats: not measured apart.

--- a/src/dialect.h
+++ b/src/dialect.h
@@ -37,6 +37,8 @@
 	uint32_t tolerated_failures;
 	/* Such a host counts as failed until it has been back for so long. */
 	int64_t catch_up_us;
+	/* Bounds hold for a host that has been undisturbed for so long. */
+	int64_t contact_us;
 	str_t runner_list_addr; /* where the platform serves the runner list */
 	double runner_list_reads_per_s; /* limit for all daemons together */
 	int64_t runner_list_lag_us; /* the list may be this much out of date */
--- a/src/site.c
+++ b/src/site.c
@@ -8,6 +8,7 @@
  * loop whatever it has to handle.
  */
 #include "site_int.h"
+#include "site_times.h"
 
 #include <errno.h>
 #include <malloc.h>
@@ -30,7 +31,6 @@
 #define THREAD_STACK_BYTES (256u << 10)
 #define FRAME_MAX (8u << 20)
 #define LINK_QUEUE_MAX (4u << 20)
-#define LINK_HEARTBEAT_US (500 * USEC_PER_MSEC)
 #define LINK_SILENT_HEARTBEATS 4
 /*
  * While no leader can be reached, requests are served with the last confirmed
@@ -317,15 +317,15 @@
 {
 	static const link_ops_t ops = {on_frame, on_link_changed, peer_addr};
 	AUTO_BUF buf_t listen = {0};
+	int64_t heartbeat_us = site_times(&s->settings).link_heartbeat_us;
 	link_cfg_t cfg = {
 		.self = s->self,
 		.cluster = STR(SITE_CLUSTER),
 		.secret = STR(SITE_SECRET),
 		.frame_max = FRAME_MAX,
 		.queue_max = LINK_QUEUE_MAX,
-		.heartbeat_us = LINK_HEARTBEAT_US,
-		.silence_timeout_us =
-			LINK_HEARTBEAT_US * LINK_SILENT_HEARTBEATS,
+		.heartbeat_us = heartbeat_us,
+		.silence_timeout_us = heartbeat_us * LINK_SILENT_HEARTBEATS,
 	};
 
 	buf_printf(&listen, "%.*s:%u", STR_ARG(s->settings.ip),
--- a/src/site_state.c
+++ b/src/site_state.c
@@ -10,12 +10,9 @@
 #include <arpa/inet.h>
 
 #include "log.h"
+#include "site_times.h"
 #include "state_mail.h"
 
-#define STATE_HEARTBEAT_US (100 * USEC_PER_MSEC)
-#define STATE_ELECTION_US (450 * USEC_PER_MSEC)
-#define STATE_LEASE_US (1500 * USEC_PER_MSEC)
-#define STATE_STALENESS_MAX_US (1800 * USEC_PER_MSEC)
 #define STATE_DRIFT_PPM 500u
 #define STATE_FANOUT 8u
 /*
@@ -24,13 +21,6 @@
  */
 #define STATE_SNAPSHOT_ENTRIES 32u
 #define VOTERS_MIN 3u
-/*
- * A host with an empty disk becomes a voter within this time: a lost leader is replaced,
- * the host hears of the new one and catches up, and the members change twice.
- */
-#define VOTER_JOIN_US (4 * STATE_ELECTION_US)
-/* A voter that is silent for less may have lost messages, or be electing a leader. */
-#define VOTER_LOST_MIN_US (2 * STATE_ELECTION_US)
 
 host_id_t site_parse_host_id(str_t ip)
 {
@@ -98,6 +88,7 @@
 		.changed = callbacks->changed,
 		.reopen = reopen_disk,
 	};
+	const site_times_t times = site_times(&s->settings);
 	state_voter_t seeds[SITE_SEEDS_MAX] = {0};
 	uint32_t voters = s->settings.tolerated_failures * 2 + 1;
 	state_cfg_t cfg = {
@@ -106,16 +97,15 @@
 		.voters = seeds,
 		.n_voters = s->settings.n_seeds,
 		.seed = random_seed(),
-		.heartbeat_us = STATE_HEARTBEAT_US,
-		.election_us = STATE_ELECTION_US,
-		.lease_us = STATE_LEASE_US,
-		.max_staleness_us = STATE_STALENESS_MAX_US,
+		.heartbeat_us = times.heartbeat_us,
+		.election_us = times.election_us,
+		.lease_us = times.lease_us,
+		.max_staleness_us = times.max_staleness_us,
 		.drift_ppm = STATE_DRIFT_PPM,
 		.snapshot_entries = STATE_SNAPSHOT_ENTRIES,
 		.fanout = STATE_FANOUT,
 		.auto_voters = voters < VOTERS_MIN ? VOTERS_MIN : voters,
-		.voter_lost_us = MAX(s->settings.catch_up_us - VOTER_JOIN_US,
-				     VOTER_LOST_MIN_US),
+		.voter_lost_us = times.voter_lost_us,
 		.join_only = !s->settings.bootstrap,
 	};
 	wal_err_t err = {0};
--- a/tests/dialect_test.cc
+++ b/tests/dialect_test.cc
@@ -5,6 +5,7 @@
 #include <fstream>
 
 #include "dialect.h"
+#include "site_times.h"
 
 namespace
 {
@@ -681,4 +682,40 @@
 	buf_free(&out);
 }
 
+// Guards against times that stay as they are where a deployment asks for shorter ones.
+TEST(SiteTimes, ShrinkWithTheTightestBoundAndNeverGrow)
+{
+	site_settings_t s = {};
+	site_times_t usual, half, twice;
+
+	s.contact_us = 3 * USEC_PER_SEC;
+	s.manifest_deadline_us = 2 * USEC_PER_SEC;
+	s.catch_up_us = 4 * USEC_PER_SEC;
+	usual = site_times(&s);
+	EXPECT_EQ(2200 * USEC_PER_MSEC, usual.voter_lost_us);
+	for (int64_t site_settings_t::*bound :
+	     {&site_settings_t::contact_us,
+	      &site_settings_t::manifest_deadline_us,
+	      &site_settings_t::catch_up_us}) {
+		s.*bound /= 2;
+		half = site_times(&s);
+		EXPECT_EQ(usual.heartbeat_us / 2, half.heartbeat_us);
+		EXPECT_EQ(usual.election_us / 2, half.election_us);
+		EXPECT_EQ(usual.lease_us / 2, half.lease_us);
+		EXPECT_EQ(usual.max_staleness_us / 2, half.max_staleness_us);
+		EXPECT_EQ(usual.link_heartbeat_us / 2, half.link_heartbeat_us);
+		EXPECT_LT(half.voter_lost_us + 4 * half.election_us,
+			  s.catch_up_us + 1);
+		s.*bound /= 8;
+		EXPECT_EQ(half.heartbeat_us, site_times(&s).heartbeat_us);
+		s.*bound *= 32;
+		twice = site_times(&s);
+		EXPECT_EQ(usual.heartbeat_us, twice.heartbeat_us);
+		EXPECT_EQ(usual.lease_us, twice.lease_us);
+		s.*bound /= 2;
+	}
+	s.catch_up_us *= 2;
+	EXPECT_EQ(6200 * USEC_PER_MSEC, site_times(&s).voter_lost_us);
+}
+
 } // namespace
--- a/tests/scripts/lib_site.sh
+++ b/tests/scripts/lib_site.sh
@@ -1,7 +1,7 @@
 # Sourced by scripts that run site daemons, after lib_cluster.sh: ports, addresses and
 # settings of hosts with a disk, of which the first three are the seeds. The script sets net
 # to the first three numbers of the hosts' addresses, not among those of a soak (127.0.0.10
-# on), and may set catchup_s.
+# on), and may set catchup_s, which contact_ms and config_ms follow.
 mapfile -t P < <("$O/dev/ports" 7)
 FRONT=${P[0]} READY=${P[1]} CONTROL=${P[2]} DIRECTORY=${P[3]} PEER=${P[4]}
 LIST=${P[5]} RUNNER=${P[6]}
@@ -15,7 +15,7 @@
  "port_range":[$PEER,$PEER],"bootstrap":${2:-true},"data_dir":"$dir/site-data-$1",
  "seeds":["$(ip 1):$CONTROL","$(ip 2):$CONTROL","$(ip 3):$CONTROL"],
  "tolerate":{"machines":1},"cloud":{"addr":"127.0.0.1:$LIST","rate_per_s":47},
- "bounds":{"grace_s":8,"catchup_s":${catchup_s:-4},"fencing":true,"ttl_max_s":5,"budget_ratio":0.2,
+ "bounds":{"grace_s":8,"catchup_s":${catchup_s:-4},"contact_ms":$((${catchup_s:-4} * 750)),"config_ms":$((${catchup_s:-4} * 500)),"fencing":true,"ttl_max_s":5,"budget_ratio":0.2,
   "budget_slack":64,"budget_window_s":10}}
 EOF
 }
