--- a/tests/scripts/soak.sh
+++ b/tests/scripts/soak.sh
@@ -7,13 +7,15 @@
 dir=$(mktemp -d)
 trap 'rm -rf "$dir"' EXIT
 
-for seed in 1 2 14; do
-	mkdir "$dir/$seed"
-	if "$O/tests/soak-run" --daemon "$O/damasklug" --dir "$dir/$seed" --seed "$seed" \
-		--hosts 5 --seconds 12 >"$dir/$seed.txt" 2>&1; then
-		echo "ok soak-seed-$seed"
+run() { # NAME SEED SECONDS OPTIONS...
+	mkdir "$dir/$1"
+	if "$O/tests/soak-run" --daemon "$O/damasklug" --dir "$dir/$1" --seed "$2" \
+		--hosts 5 --seconds "$3" "${@:4}" >"$dir/$1.txt" 2>&1; then
+		echo "ok soak-$1"
 	else
-		echo "not ok soak-seed-$seed"
-		cat "$dir/$seed.txt"
+		echo "not ok soak-$1"
+		cat "$dir/$1.txt"
 	fi
-done
+}
+for seed in 1 2 14; do run "seed-$seed" "$seed" 12; done
+run replace 1 20 --replace
--- a/tests/soak/disks.c
+++ b/tests/soak/disks.c
@@ -54,7 +54,8 @@
 
 	d->s = s;
 	d->rng = soak_rand(s, "disks");
-	d->is_on = chance(d->rng, SEEDS_SHARE) && !s->cfg.power_losses;
+	d->is_on = chance(d->rng, SEEDS_SHARE) && !s->cfg.power_losses &&
+		   !s->cfg.replacements;
 	timer_sub_init(&d->timer, on_timer, d);
 	return d;
 }
--- a/tests/soak/hosts.c
+++ b/tests/soak/hosts.c
@@ -17,7 +17,10 @@
 #define USE_PERIOD_US (1 * USEC_PER_SEC)
 /* A daemon that still runs so long after its grace has outlived it. */
 #define GRACE_MARGIN_US (1 * USEC_PER_SEC)
-/* A disk is emptied only if the other voters have run for so long. */
+/*
+ * A disk is emptied, or its host replaced, only if the other voters have run for so long:
+ * catchup_s of the settings.
+ */
 #define WIPE_CALM_US (4 * USEC_PER_SEC)
 #define SEEDS 3u
 
@@ -36,6 +39,8 @@
 	pid_t pid;
 	bool has_started; /* once: later starts do not found the cluster */
 	bool wipe;
+	bool replace;		 /* at its next start */
+	unsigned int generation; /* how many hosts it has replaced */
 	int64_t down_us;	 /* how long it stays down after its end */
 	int64_t due_us;		 /* when to start, wake or kill it */
 	int64_t disturbed_us;	 /* last fault, or start after one */
@@ -55,10 +60,20 @@
 	void *done_ctx;
 };
 
+/* The last number names the host in all generations. */
+static void write_ip(const soak_t *s, buf_t *out, unsigned int host)
+{
+	unsigned int generation =
+		s->hosts ? s->hosts->host[host].generation : 0;
+
+	buf_printf(out, "127.%u.%u.%u", generation ? 1 : 0, generation,
+		   host + 10);
+}
+
 void host_addr(const soak_t *s, buf_t *out, unsigned int host, uint16_t port)
 {
-	(void)s;
-	buf_printf(out, "127.0.0.%u:%u", host + 10, port);
+	write_ip(s, out, host);
+	buf_printf(out, ":%u", port);
 }
 
 static bool is_voter(const host_t *h)
@@ -100,10 +115,10 @@
 	const soak_cfg_t *cfg = &h->hosts->s->cfg;
 	g_autofree char *data = path_of(h, "-data");
 
-	buf_printf(out,
-		   "{\"node\":\"host-%u\",\"ip\":\"127.0.0.%u\",\"zone\":"
-		   "\"z%u\",\"region\":\"r\",\n\"listen\":{",
-		   h->index, h->index + 10, h->index % ZONES);
+	buf_printf(out, "{\"node\":\"host-%u\",\"ip\":\"", h->index);
+	write_ip(h->hosts->s, out, h->index);
+	buf_printf(out, "\",\"zone\":\"z%u\",\"region\":\"r\",\n\"listen\":{",
+		   h->index % ZONES);
 	write_port(h, out, "front", cfg->front, ",");
 	write_port(h, out, "ready", cfg->ready, ",");
 	write_port(h, out, "control", cfg->control, ",");
@@ -192,6 +207,8 @@
 {
 	if (h->wipe)
 		empty_disk(h);
+	h->generation += h->replace;
+	h->replace = false;
 	h->log_size = log_size(h);
 	if (save_settings(h) < 0 || spawn(h) < 0)
 		return -1;
@@ -413,6 +430,21 @@
 	host_kill(h, host, down_us);
 }
 
+void host_replace(hosts_t *h, unsigned int host, bool told)
+{
+	host_t *t = &h->host[host];
+
+	if (!is_voter(t) || t->state != HOST_RUNNING || h->stopping ||
+	    !can_spare_disk(h, host))
+		return;
+	t->wipe = true;
+	t->replace = true;
+	if (told)
+		host_terminate(h, host, 1, 0);
+	else
+		host_kill(h, host, 0);
+}
+
 void host_terminate(hosts_t *h, unsigned int host, unsigned int times,
 		    int64_t down_us)
 {
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -239,6 +239,7 @@
 	gint64 seed = 1;
 	gboolean strict = FALSE;
 	gboolean power_losses = FALSE;
+	gboolean replacements = FALSE;
 	g_autofree char *daemon = NULL;
 	g_autofree char *dir = NULL;
 	const GOptionEntry options[] = {
@@ -254,6 +255,8 @@
 		 "length of the plan", "N"},
 		{"strict", 0, 0, G_OPTION_ARG_NONE, &strict,
 		 "also judge what depends on time", NULL},
+		{"replace", 0, 0, G_OPTION_ARG_NONE, &replacements,
+		 "Hosts with a disk are replaced for good", NULL},
 		{"power-losses", 0, 0, G_OPTION_ARG_NONE, &power_losses,
 		 "the only faults: all daemons are killed at once", NULL},
 		G_OPTION_ENTRY_NULL};
@@ -279,6 +282,7 @@
 		.n_callers = (unsigned int)(callers ? callers : 4 * hosts),
 		.duration_us = seconds * USEC_PER_SEC,
 		.power_losses = power_losses,
+		.replacements = replacements,
 	};
 	choose_ports(&m.s.cfg);
 	return run(&m, strict);
--- a/tests/soak/plan.c
+++ b/tests/soak/plan.c
@@ -21,6 +21,9 @@
 /* In a plan of losses of power: between two of them, and until hosts come back. */
 #define POWER_PERIOD_US (5 * USEC_PER_SEC)
 #define POWER_BACK_MAX_MS 1000
+/* Between two hosts that are replaced: catchup_s of the settings, and a little more. */
+#define REPLACE_GAP_MIN_MS 4100
+#define REPLACE_GAP_MAX_MS 4600
 /* Share of the seeds whose faults leave the voters alone. */
 #define SPARE_VOTERS_SHARE 0.4
 
@@ -35,6 +38,7 @@
 	X(KILL_ALL, "kill_all", 1)         \
 	X(WIPE, "wipe", 3)                 \
 	X(LONE_VOTER, "lone_voter", 2)     \
+	X(REPLACE, "replace", 0)           \
 	X(RUNNER, "runner", 40)            \
 	X(RUNNER_CRASH, "runner_crash", 6) \
 	X(RUNNER_LEAVE, "runner_leave", 6)
@@ -135,6 +139,28 @@
 	}
 }
 
+/* Hosts with a disk in turn; each is told to stop, or killed. */
+static void add_replacements(plan_t *p)
+{
+	GRand *rng = soak_rand(p->s, "replace");
+	int64_t at_us = 0;
+
+	for (unsigned int i = 0;; i++) {
+		fault_t f = {.kind = PLAN_REPLACE,
+			     .host = i % p->s->cfg.n_voters,
+			     .signal = chance(rng, 0.5)};
+
+		at_us += g_rand_int_range(rng, REPLACE_GAP_MIN_MS,
+					  REPLACE_GAP_MAX_MS) *
+			 USEC_PER_MSEC;
+		if (at_us >= p->s->cfg.duration_us - CALM_END_US)
+			break;
+		f.at_us = at_us;
+		g_array_append_val(p->faults, f);
+	}
+	g_rand_free(rng);
+}
+
 static gint compare_faults(gconstpointer a, gconstpointer b)
 {
 	int64_t x = ((const fault_t *)a)->at_us;
@@ -162,12 +188,14 @@
 	GRand *rng = soak_rand(s, "plan");
 	int64_t at_us = 0;
 	bool spares = s->cfg.n_hosts > s->cfg.n_voters &&
-		      chance(rng, SPARE_VOTERS_SHARE);
+		      (chance(rng, SPARE_VOTERS_SHARE) || s->cfg.replacements);
 
 	p->s = s;
 	p->faults = g_array_new(FALSE, FALSE, sizeof(fault_t));
 	if (s->cfg.power_losses)
 		add_power_losses(p);
+	if (s->cfg.replacements)
+		add_replacements(p);
 	while (!s->cfg.power_losses &&
 	       at_us < s->cfg.duration_us - CALM_END_US) {
 		fault_t f = draw_fault(s, rng, at_us);
@@ -274,6 +302,9 @@
 	case PLAN_WIPE:
 		host_wipe(s->hosts, f->host, f->for_us);
 		break;
+	case PLAN_REPLACE:
+		host_replace(s->hosts, f->host, f->signal);
+		break;
 	case PLAN_LONE_VOTER:
 		freeze_other_voters(p, f);
 		break;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -37,6 +37,8 @@
 	unsigned int n_callers;
 	int64_t duration_us;
 	bool power_losses; /* the only faults: all daemons end at once */
+	/* Hosts with a disk are replaced for good; no other fault meets one. */
+	bool replacements;
 	/* Ports of the daemons, which have an address each, and of the rest. */
 	uint16_t front, ready, control, directory, peer, list, runner;
 } soak_cfg_t;
@@ -446,6 +448,11 @@
 void host_kill(hosts_t *h, unsigned int host, int64_t down_us);
 /* As host_kill(), with an empty disk, if the others can spare this one now. */
 void host_wipe(hosts_t *h, unsigned int host, int64_t down_us);
+/*
+ * Ends a host for good, told by SIGTERM or not; one with another address and an empty disk
+ * starts as it ends. Nothing happens where another host with a disk counts as lost.
+ */
+void host_replace(hosts_t *h, unsigned int host, bool told);
 /* SIGTERM, sent times in a row; it starts again after it has ended. */
 void host_terminate(hosts_t *h, unsigned int host, unsigned int times,
 		    int64_t down_us);
