rlog: what is known of silent voters is in a file of its own

No change of behaviour; a comment of rlog_recover.h that the formatter broke is mended.

Measured: state_test 34 passed.

--- a/src/rlog.c
+++ b/src/rlog.c
@@ -107,27 +107,6 @@
 	return n;
 }
 
-/* Fills rows and ptrs with the voters that have been silent; returns how many. */
-static size_t pick_silent(const rlog_t *l, int64_t now_us,
-			  Peer__SilentVoter *rows, Peer__SilentVoter **ptrs)
-{
-	size_t n = 0;
-
-	for (size_t i = 0; i < l->members.n; i++) {
-		host_id_t id = l->members.v[i].id;
-		int64_t silent_us = rlog_peer_silent_us(l, id, now_us);
-
-		if (silent_us < l->cfg.heartbeat_us * RESEND_HEARTBEATS)
-			continue;
-		peer__silent_voter__init(&rows[n]);
-		rows[n].id = id;
-		rows[n].silent_us = (uint64_t)silent_us;
-		ptrs[n] = &rows[n];
-		n++;
-	}
-	return n;
-}
-
 /*
  * Sends the records from p->next on. Sends an empty message, which serves
  * as a heartbeat, where there are none, and a snapshot chunk where the records
@@ -163,7 +142,7 @@
 	pb.prev_term = prev_term;
 	pb.commit = l->commit;
 	pb.round = l->round;
-	pb.n_silent = pick_silent(l, now_us, silent, silent_ptrs);
+	pb.n_silent = rlog_pick_silent(l, now_us, silent, silent_ptrs);
 	pb.silent = silent_ptrs;
 	rlog_send(l, p->id, PEER__MSG__BODY_APPEND, &pb);
 	p->next += pb.n_records;
@@ -566,27 +545,6 @@
 	return true;
 }
 
-/*
- * Keeps what the leader knows of silent voters, so that their silence does not begin
- * anew should this host become the leader.
- */
-static void note_silent_voters(rlog_t *l, const Peer__Append *a, int64_t now_us)
-{
-	for (size_t i = 0; i < l->members.n; i++) {
-		peer_t *p = rlog_peer(l, l->members.v[i].id);
-
-		if (p)
-			p->last_heard_us = now_us;
-	}
-	for (size_t i = 0; i < a->n_silent; i++) {
-		peer_t *p = rlog_peer(l, a->silent[i]->id);
-
-		if (p && a->silent[i]->silent_us <= (uint64_t)now_us)
-			p->last_heard_us =
-				now_us - (int64_t)a->silent[i]->silent_us;
-	}
-}
-
 static void on_append(rlog_t *l, host_id_t from, const Peer__Append *a,
 		      int64_t now_us)
 {
@@ -595,7 +553,7 @@
 
 	if (!accept_leader(l, from, a->term, a->log_id, a->round, now_us))
 		return;
-	note_silent_voters(l, a, now_us);
+	rlog_note_silent(l, a, now_us);
 	if (a->prev_index > rlog_last_index(l)) {
 		send_append_res(l, from, a->round, false, rlog_last_index(l));
 		return;
--- a/src/rlog_int.h
+++ b/src/rlog_int.h
@@ -199,8 +199,19 @@
 /* Leader: removes peers that are no members and have been silent for long. */
 void rlog_remove_silent_peers(rlog_t *l, int64_t now_us);
 
-/* rlog_loss.c: a log that has no leader for long. */
+/* rlog_silence.c: voters from which nothing comes, and a log without a leader. */
 
+/*
+ * Leader: fills rows and ptrs, of RLOG_VOTERS_MAX each, with the voters that have been
+ * silent for some heartbeats; returns how many.
+ */
+size_t rlog_pick_silent(const rlog_t *l, int64_t now_us,
+			Peer__SilentVoter *rows, Peer__SilentVoter **ptrs);
+/*
+ * Keeps what the leader knows of silent voters, so that their silence does not begin
+ * anew should this host become the leader.
+ */
+void rlog_note_silent(rlog_t *l, const Peer__Append *a, int64_t now_us);
 /* Logs that there is no leader, once, and when there is one again. */
 void rlog_note_leader(rlog_t *l, int64_t now_us);
 
--- a/src/rlog_members.c
+++ b/src/rlog_members.c
@@ -344,19 +344,6 @@
 	}
 }
 
-int64_t rlog_peer_silent_us(const rlog_t *l, host_id_t id, int64_t now_us)
-{
-	const peer_t *p = rlog_peer((rlog_t *)l, id);
-	int64_t answer_us = l->cfg.heartbeat_us * RESEND_HEARTBEATS;
-	int64_t heard_us = l->started_us;
-
-	if (id == l->cfg.self || now_us - l->leader_since_us < answer_us)
-		return 0;
-	if (p && p->last_heard_us > heard_us)
-		heard_us = p->last_heard_us;
-	return now_us - heard_us;
-}
-
 int64_t rlog_members_age_us(const rlog_t *l, int64_t now_us)
 {
 	return now_us - l->members_since_us;
--- a/src/rlog_recover.h
+++ b/src/rlog_recover.h
@@ -14,9 +14,9 @@
 typedef struct rlog_summary {
 	host_id_t host;
 	uint64_t log_id;
-	uint64_t term; /* of the last record: the higher one is the newer log */
-	uint64_t
-		index; /* the last one; of two logs of one term the higher is newer */
+	uint64_t term; /* of the last record: the higher one is the newer */
+	/* Of the last record: of two logs of one term the higher one is newer. */
+	uint64_t index;
 	bool votes;
 	host_id_t voters[RLOG_VOTERS_MAX];
 	size_t n_voters;
