An empty buffer of a connection gives back all of its memory again

Change: buf_trim() frees an empty buffer above what may be kept, as before, and cuts one that holds something.

Found by reading; no test holds it, and the memory of 4,000 idle connections was not measured.

--- a/src/http1.c
+++ b/src/http1.c
@@ -16,7 +16,7 @@
 #include "socket.h"
 
 #define READ_BYTES 16384u
-/* A buffer of a larger capacity is cut or freed once it holds less. */
+/* A buffer of a larger capacity is freed once it is empty, and cut before. */
 #define KEEP_BYTES 32768u
 /*
  * Reading stops above so many bytes of pipelined requests, which a caller has
--- a/src/util.c
+++ b/src/util.c
@@ -184,6 +184,10 @@
 {
 	size_t need = b->n + 1 > keep ? b->n + 1 : keep;
 
+	if (!b->n && b->cap > keep) {
+		buf_free(b);
+		return;
+	}
 	if (b->cap / 2 < need)
 		return;
 	b->p = xrealloc(b->p, need);
--- a/src/util.h
+++ b/src/util.h
@@ -81,7 +81,10 @@
 void buf_consume(buf_t *b, size_t n);
 /* Empties the buffer and keeps its memory. */
 void buf_reset(buf_t *b);
-/* Gives back memory beyond keep bytes, where more than half of it is not used. */
+/*
+ * Gives back memory beyond keep bytes, where more than half of it is not used; all of it
+ * where the buffer is empty.
+ */
 void buf_trim(buf_t *b, size_t keep);
 void buf_free(buf_t *b);
 str_t buf_str(const buf_t *b);
