Relay: one bound of what is held of a request's response in place of three

Change: held_max() with HELD_MAX and HELD_MIN serves all three. The values are as they were.

Measured: gateway, faulty_target and slow_reader tests: 89 passed.

--- a/src/relay.c
+++ b/src/relay.c
@@ -18,21 +18,18 @@
 #include "hist.h"
 #include "log.h"
 
-/* A larger success is sent piece by piece; a larger failure ends the attempt. */
-#define BUFFERED_RESPONSE_MAX (256u << 10)
-/* A larger event is sent to the caller in pieces. */
-#define BUFFERED_EVENT_MAX (256u << 10)
-/* The same, and of a failure, where buffers for all callers are at their limit. */
-#define BUFFERED_MIN (16u << 10)
+/*
+ * Bytes of one request's response that are held: an event or a response that is not whole,
+ * and what waits for a slow caller. A larger event or success is sent in pieces, a larger
+ * failure ends the attempt, and the target is not read while more waits.
+ */
+#define HELD_MAX (256u << 10)
+/* The same where what is held of all responses is at its limit. */
+#define HELD_MIN (16u << 10)
 /* A buffer keeps so much memory once its bytes are sent. */
 #define BUFFER_KEPT (4u << 10)
 /* Longest end of an event, CR LF CR LF; it is never split between two pieces. */
 #define EVENT_END_MAX 4u
-/* The target is not read while a slow caller has more unsent bytes than this. */
-#define CALLER_UNSENT_MAX (256u << 10)
-/* The same where buffers for all callers together are at their limit. */
-#define CALLER_UNSENT_MIN (16u << 10)
-
 static bool is_stream(const request_t *r)
 {
 	return r->route->kind == ROUTE_STREAMING &&
@@ -172,10 +169,10 @@
 	       g->heads.bytes;
 }
 
-static size_t caller_unsent_max(const gateway_t *g)
+static size_t held_max(const gateway_t *g)
 {
-	return buffer_share(gateway_unsent_bytes(g), g->unsent_max,
-			    CALLER_UNSENT_MAX, CALLER_UNSENT_MIN);
+	return buffer_share(gateway_unsent_bytes(g), g->unsent_max, HELD_MAX,
+			    HELD_MIN);
 }
 
 void relay_count_held(request_t *r)
@@ -206,7 +203,7 @@
 	}
 	append_body(r, &out, piece);
 	http1_send(to, out.p, out.n);
-	if (!r->conn || http1_unsent_bytes(to) <= caller_unsent_max(r->gw))
+	if (!r->conn || http1_unsent_bytes(to) <= held_max(r->gw))
 		return;
 	counter_add(CTR_STREAMS_HELD_BACK, !r->held_back);
 	r->held_back = true;
@@ -263,13 +260,6 @@
 	}
 }
 
-/* Bytes of an event without end that wait for it. */
-static size_t event_buffer_max(const request_t *r)
-{
-	return buffer_share(gateway_unsent_bytes(r->gw), r->gw->unsent_max,
-			    BUFFERED_EVENT_MAX, BUFFERED_MIN);
-}
-
 static void note_split(request_t *r)
 {
 	if (r->event_split)
@@ -288,7 +278,7 @@
 	buf_put(&r->body_out, piece.p, piece.n);
 	relay_count_held(r);
 	n = complete_events_len(buf_str(&r->body_out));
-	if (!n && r->body_out.n > event_buffer_max(r)) {
+	if (!n && r->body_out.n > held_max(r->gw)) {
 		/*
 		 * Bounds the memory for one request. A stream with a split
 		 * event cannot be resumed.
@@ -310,13 +300,6 @@
 	relay_count_held(r);
 }
 
-/* Less where buffers for all are near their limit. */
-static size_t response_buffer_max(const request_t *r)
-{
-	return buffer_share(gateway_unsent_bytes(r->gw), r->gw->unsent_max,
-			    BUFFERED_RESPONSE_MAX, BUFFERED_MIN);
-}
-
 void relay_body(request_t *r, str_t piece)
 {
 	if (!r->body_started) {
@@ -340,7 +323,7 @@
 	}
 	buf_put(&r->body_out, piece.p, piece.n);
 	relay_count_held(r);
-	if (r->body_out.n <= response_buffer_max(r))
+	if (r->body_out.n <= held_max(r->gw))
 		return;
 	if (r->response_head.status / 100 != 2) {
 		attempt_end(r, PLACE_FAILED, true, REASON_TARGET_ERROR);
