Scripts of site daemons: the operator's calls for a manifest are in one place

Cause: voters.sh and recover.sh came with the same manifest and the same calls to put and read it.

Change: both call config(), manifest(), is_taken() and is_read() of lib_site.sh. What they check is as it was.

--- a/tests/scripts/lib_site.sh
+++ b/tests/scripts/lib_site.sh
@@ -24,3 +24,20 @@
 		>>"$dir/site-$1.log" 2>&1 &
 	pid_of[site-$1]=$!
 }
+
+# HOST CALL OPTIONS...: a call of the operator for the manifest.
+config() { curl -s -m 3 "http://$(ip "$1"):$CONTROL/damasklug/config/$2" "${@:3}"; }
+manifest() { # VERSION
+	cat <<EOF
+{"version":$1,"routes":[
+ {"name":"look","host":"x.example","path_prefix":"/look/","kind":"idempotent","timeout_ms":3000,"slo_ms":150,"priority":2,"service":"app","attempts":2}],
+ "services":[{"name":"app","health_path":"/h","max_conns":100}],
+ "limits":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":15000}}
+EOF
+}
+is_taken() { # VERSION HOST
+	[ "$(manifest "$1" | config "$2" put -o /dev/null -w '%{http_code}' --data-binary @-)" = 200 ]
+}
+is_read() { # VERSION HOST
+	[ "$(config "$2" get | jq .version 2>/dev/null)" = "$1" ]
+}
--- a/tests/scripts/recover.sh
+++ b/tests/scripts/recover.sh
@@ -9,25 +9,12 @@
 net=127.0.60
 . tests/scripts/lib_site.sh
 
-control() { curl -s -m 3 "http://$(ip "$1"):$CONTROL/damasklug/config/$2" "${@:3}"; }
-put_ok() { # VERSION HOST
-	[ "$(sed "s/VERSION/$1/" "$dir/manifest.json" | control "$2" put -o /dev/null -w '%{http_code}' --data-binary @-)" = 200 ]
-}
-is_read() { # VERSION HOST
-	[ "$(control "$2" get | jq .version 2>/dev/null)" = "$1" ]
-}
 stop() { kill -9 "${pid_of[site-$1]}"; wait "${pid_of[site-$1]}" 2>/dev/null; }
 restart() { settings "$1" false; start_site "$1"; }
 log_of() { "$O/damasklug" log "$@"; }
 
-cat >"$dir/manifest.json" <<'EOF2'
-{"version":VERSION,"routes":[
- {"name":"look","host":"x.example","path_prefix":"/look/","kind":"idempotent","timeout_ms":3000,"slo_ms":150,"priority":2,"service":"app","attempts":2}],
- "services":[{"name":"app","health_path":"/h","max_conns":100}],
- "limits":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":15000}}
-EOF2
 for i in 1 2 3; do settings "$i"; start_site "$i"; done
-eventually put_ok 3 2 || fail recover-starts
+eventually is_taken 3 2 || fail recover-starts
 eventually is_read 3 3 || fail recover-starts
 log_of recover "$dir/site-data-3" --yes 2>"$dir/err"
 [ $? = 2 ] && grep -q 'another process uses' "$dir/err" && pass recover-refuses-a-running-daemon || fail recover-refuses-a-running-daemon
@@ -46,14 +33,14 @@
 log_of recover "$dir/site-data-3" --yes && pass recover-done || fail recover-done
 [ "$(log_of show "$dir/site-data-3" --json | jq -c 'map([.votes, (.voters | length)])')" = '[[true,1]]' ] && pass recover-one-voter || fail recover-one-voter
 restart 3
-if eventually is_read 3 3 && eventually put_ok 6 3; then pass recover-decides; else fail recover-decides; fi
+if eventually is_read 3 3 && eventually is_taken 6 3; then pass recover-decides; else fail recover-decides; fi
 
 # Both old voters are back with their folders: a quorum of the log before.
 restart 1
 restart 2
 replaced() { grep -q 'event=log_failed .*recovered from another' "$dir/site-$1.log"; }
 if eventually replaced 1 && eventually replaced 2; then pass recover-old-voters-stop; else fail recover-old-voters-stop; fi
-if eventually put_ok 7 1 && eventually is_read 7 2 && is_read 7 3; then pass recover-one-log; else fail recover-one-log; fi
+if eventually is_taken 7 1 && eventually is_read 7 2 && is_read 7 3; then pass recover-one-log; else fail recover-one-log; fi
 
 # With empty folders they vote again.
 for i in 1 2; do
@@ -62,4 +49,4 @@
 	restart "$i"
 done
 voted() { [ "$(grep -c 'event=voter_added' "$dir/site-3.log")" -ge 2 ]; }
-if eventually voted && eventually put_ok 8 1; then pass recover-votes-again; else fail recover-votes-again; fi
+if eventually voted && eventually is_taken 8 1; then pass recover-votes-again; else fail recover-votes-again; fi
--- a/tests/scripts/voters.sh
+++ b/tests/scripts/voters.sh
@@ -41,21 +41,6 @@
 . tests/scripts/lib_site.sh
 TRIES=10 # of calls that take up to 3 s each
 
-control() { curl -s -m 3 "http://$(ip "$1"):$CONTROL/damasklug/config/$2" "${@:3}"; }
-manifest() {
-	cat <<END
-{"version":$1,"routes":[
- {"name":"look","host":"x.example","path_prefix":"/look/","kind":"idempotent","timeout_ms":3000,"slo_ms":150,"priority":2,"service":"app","attempts":2}],
- "services":[{"name":"app","health_path":"/h","max_conns":100}],
- "limits":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":15000}}
-END
-}
-put_ok() { # VERSION HOST
-	[ "$(manifest "$1" | control "$2" put -o /dev/null -w '%{http_code}' --data-binary @-)" = 200 ]
-}
-is_read() { # VERSION HOST
-	[ "$(control "$2" get | jq .version 2>/dev/null)" = "$1" ]
-}
 start() { # BOOTSTRAP HOST...
 	local i
 	for i in "${@:2}"; do
@@ -69,7 +54,7 @@
 }
 
 start true 1 2 3
-eventually put_ok 3 2 || fail "voters-$name the first manifest was not taken"
+eventually is_taken 3 2 || fail "voters-$name the first manifest was not taken"
 sleep 1
 if [ "$successors" = ready ]; then
 	start false 4 5
@@ -86,7 +71,7 @@
 fi
 left=0
 for i in 3 4 5; do
-	eventually put_ok $((10 + i)) "$i" && eventually is_read $((10 + i)) 3 || break
+	eventually is_taken $((10 + i)) "$i" && eventually is_read $((10 + i)) 3 || break
 	left=$((left + 1))
 done
 if [ "$left" = 3 ]; then pass "voters-$name"; else
