Tunnel: an end's buffer gives back what it no longer needs

Change: flush_end() trims with buf_trim(), as the connections do; after the check of the send, as that reads errno.

Measured: tunnel, path, left_caller, faulty_target tests: 45 passed. Memory of many tunnels was not measured.

--- a/src/tunnel.c
+++ b/src/tunnel.c
@@ -237,6 +237,7 @@
 		tunnel_end(t, true);
 		return false;
 	}
+	buf_trim(&e->out, READ_BYTES);
 	if (!e->out.n && other_end(e)->ended) {
 		tunnel_end(t, false);
 		return false;
