State tests: spare hosts and the first change are set up in one place

Cause: three tests of replaced voters began with the same options and the same first change.

Change: with_spares() and decide_first_change(). What the tests assert is as it was.

Measured: state_test 34 passed.

--- a/tests/state_test.cc
+++ b/tests/state_test.cc
@@ -102,21 +102,32 @@
 	net.stop(net.at(id));
 }
 
+// Three voters, three more hosts with a disk and two learners, which choose the voters.
+static Net::Options with_spares(uint64_t seed)
+{
+	Net::Options o;
+
+	o.seed = seed;
+	o.spare_voters = 3;
+	o.auto_voters = 3;
+	return o;
+}
+
+static void decide_first_change(Net &net)
+{
+	net.run_until(5000000, [&] { return net.leader(); });
+	ASSERT_EQ(CHANGE_DECIDED, submit(net, 7, "a", publish("a", 0)).status);
+	net.run(4000000);
+}
+
 TEST(State, VotersReplacedOneAfterTheOtherLeaveAQuorum)
 {
 	for (uint64_t seed = 1; seed <= 60; seed++) {
-		Net::Options o;
-		o.seed = seed;
-		o.spare_voters = 3;
-		o.auto_voters = 3;
-		Net net(o);
+		Net net(with_spares(seed));
 		std::vector<host_id_t> old = {1, 2, 3};
 
 		net.start_all();
-		net.run_until(5000000, [&] { return net.leader(); });
-		ASSERT_EQ(CHANGE_DECIDED,
-			  submit(net, 7, "a", publish("a", 0)).status);
-		net.run(4000000);
+		decide_first_change(net);
 		std::shuffle(old.begin(), old.end(), net.rng);
 		for (size_t i = 0; i < 3; i++) {
 			std::string id = "b" + std::to_string(i);
@@ -140,18 +151,13 @@
 	for (auto &d : net.daemons)
 		if (d->id <= 3 || !d->voter)
 			net.start(*d);
-	net.run_until(5000000, [&] { return net.leader(); });
-	ASSERT_EQ(CHANGE_DECIDED, submit(net, 7, "a", publish("a", 0)).status);
-	net.run(4000000);
+	decide_first_change(net);
 }
 
 TEST(State, SilentVotersReplacedOneCatchUpTimeApartLeaveAQuorum)
 {
 	for (uint64_t seed = 1; seed <= 90; seed++) {
-		Net::Options o;
-		o.seed = seed;
-		o.spare_voters = 3;
-		o.auto_voters = 3;
+		Net::Options o = with_spares(seed);
 		o.catch_up_us = seed % 3 == 0 ? 2000000 : seed % 3 * 4000000;
 		Net net(o);
 
@@ -181,11 +187,7 @@
 TEST(State, TheSilenceOfAVoterDoesNotBeginAnewWithALeader)
 {
 	for (uint64_t seed = 1; seed <= 30; seed++) {
-		Net::Options o;
-		o.seed = seed;
-		o.spare_voters = 3;
-		o.auto_voters = 3;
-		Net net(o);
+		Net net(with_spares(seed));
 		host_id_t lost;
 
 		start_without_spares(net);
