--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,3 +4,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 make -j8 O=target target/tests/site_platform
+make -j8 -f review/standin-2.mk O=target target/review/standin-2/runners
