--- a/review/standin-2/runners.c
+++ b/review/standin-2/runners.c
@@ -1,8 +1,12 @@
 /*
  * runners.c - a stand-in of the users' platform: the list of runners, and four runners of
- * the plain service "app" that send streams, which may be resumed by Last-Event-Id.
+ * the plain service "app" that send streams, which may be resumed by Last-Event-Id; what
+ * is asked for under /look/ is answered at once.
  *
- *   runners LIST_PORT FIRST_RUNNER_PORT
+ *   runners LIST_PORT FIRST_RUNNER_PORT [OTHERS [SLOTS]]
+ *
+ * The last OTHERS runners are of the service "app2", with version v2 of its software. A
+ * runner has SLOTS slots, else 16.
  *
  * On standard input, a line "crash N MS VERSION": runner N ends, its connections are reset,
  * and it starts again after MS milliseconds under its id and address, with that version of
@@ -30,6 +34,7 @@
 typedef struct runner {
 	int index;
 	char id[16], addr[32];
+	const char *service;
 	boot_t now, listed;
 	int64_t started_us;
 	http1_listener_t *listener;
@@ -50,6 +55,7 @@
 static loop_t *loop;
 static runner_t runners[RUNNERS];
 static struct cds_list_head list_conns;
+static int slots = 16;
 
 static long long wall_ms(void)
 {
@@ -88,10 +94,10 @@
 		if (r->listener && now - r->started_us >= LIST_LAG_US)
 			r->listed = r->now;
 		buf_printf(&out,
-			   "%s{\"id\":\"%s\",\"service\":\"app\",\"addr\":\"%s\",\"zone\":\"z1\","
-			   "\"version\":\"%s\",\"born\":%lld,\"slots\":16,\"state\":\"ready\","
+			   "%s{\"id\":\"%s\",\"service\":\"%s\",\"addr\":\"%s\",\"zone\":\"z1\","
+			   "\"version\":\"%s\",\"born\":%lld,\"slots\":%d,\"state\":\"ready\","
 			   "\"cold_left_ms\":0,\"seq\":0,\"models\":[]}",
-			   i ? "," : "", r->id, r->addr, r->listed.version, r->listed.born_ms);
+			   i ? "," : "", r->id, r->service, r->addr, r->listed.version, r->listed.born_ms, slots);
 	}
 	buf_puts(&out, "],\"next\":null}");
 	respond(c, 200, "Content-Type: application/json\r\n", out.p);
@@ -125,6 +131,15 @@
 		timer_svc_arm(timers, &c->timer, now + EVENT_GAP_US);
 }
 
+static void respond_look(conn_t *c)
+{
+	AUTO_BUF buf_t fields = {0};
+
+	buf_printf(&fields, "Response-Signature: %s.%lld\r\nInstance-Id: %s\r\n", c->r->id,
+		   c->r->now.born_ms, c->r->id);
+	respond(c, 200, fields.p, c->r->now.version);
+}
+
 static void begin_stream(conn_t *c)
 {
 	AUTO_BUF buf_t out = {0};
@@ -167,6 +182,8 @@
 		respond(c, 421, "Not-Executed: 1\r\n", "");
 	else if (strcmp(c->target, "/damasklug/report") == 0)
 		respond_report(c);
+	else if (strncmp(c->target, "/look/", 6) == 0)
+		respond_look(c);
 	else
 		begin_stream(c);
 }
@@ -263,7 +280,11 @@
 	static loop_watch_t commands = {.fn = on_command};
 	char addr[32];
 
-	if (argc != 3)
+	int others = argc >= 4 ? atoi(argv[3]) : 0;
+
+	if (argc == 5)
+		slots = atoi(argv[4]);
+	if (argc < 3 || argc > 5)
 		return 2;
 	timers = timer_svc_new_polled();
 	loop = loop_new(timers, NULL);
@@ -277,7 +298,9 @@
 		r->index = i;
 		snprintf(r->id, sizeof(r->id), "i-%d", i + 1);
 		snprintf(r->addr, sizeof(r->addr), "127.0.0.1:%d", atoi(argv[2]) + i);
-		snprintf(r->now.version, sizeof(r->now.version), "v1");
+		r->service = i < RUNNERS - others ? "app" : "app2";
+		snprintf(r->now.version, sizeof(r->now.version), "%s",
+			 i < RUNNERS - others ? "v1" : "v2");
 		CDS_INIT_LIST_HEAD(&r->conns);
 		timer_sub_init(&r->restart, on_restart, r);
 		start(r);
