A status line that is not HTTP/1.1 is no answer

Seen by callers: a runner in trouble answered with status 000, and the caller got "HTTP/1.1 0 <unknown>" with the runner's body. So it was with 099, 600, 999, "2 X", "20 OK", "0200 OK" (passed on as a 200), two blanks, another version, control bytes in the reason, an empty line before, and with 101, which was skipped as if it were an interim answer, though nothing of what follows it is HTTP.

Cause: http_parser reads any digits as the status and any bytes as the reason; nothing between it and the relay asked whether they were a status.

Change: http1_check.c, a new module, holds what the protocol asks for and the parser does not. Each head of a response, interim ones too, has a status line of version 1.x, three digits from 100 to 599, one space after them and no control byte in the reason; else the connection ends as malformed, as for any other head that cannot be read. It sits where all responses over http1.c are read: runners' on both ways, resumed streams, probes, lists, reports, orders, pages of other hosts. http1_lines_are_strict() moved there.

Evidence: broken_answer_test plays 28 lines on the own connection and by a tunnel, for plain, idempotent and streaming requests, as the first answer, an interim one and the one that takes a stream up. Way and cut() moved to a header that two tests share.

--- a/src/http1.c
+++ b/src/http1.c
@@ -13,6 +13,7 @@
 #include <http_parser.h>
 
 #include "buffer_share.h"
+#include "http1_check.h"
 #include "socket.h"
 
 #define READ_BYTES 16384u
@@ -452,10 +453,13 @@
 	return end ? (size_t)(end - in->p) + 4 : 0;
 }
 
+/* Clients may send empty lines between requests; no response begins with one. */
 static void skip_empty_lines(http1_conn_t *c)
 {
 	size_t n = 0;
 
+	if (!c->incoming)
+		return;
 	while (c->in.n - n >= 2 && c->in.p[n] == '\r' && c->in.p[n + 1] == '\n')
 		n += 2;
 	buf_consume(&c->in, n);
@@ -471,6 +475,17 @@
 		c->ops.message_end(c->ctx);
 }
 
+static bool head_lines_are_valid(const http1_conn_t *c)
+{
+	str_t head = buf_str(&c->head_bytes);
+	const char *end = memmem(head.p, head.n, "\r\n", 2);
+
+	if (!http1_lines_are_strict(head))
+		return false;
+	return c->incoming || http1_status_line_is_valid(
+				      str_n(head.p, (size_t)(end - head.p)));
+}
+
 /* True where the rest of the input can be processed now. */
 static bool parse_head(http1_conn_t *c)
 {
@@ -500,7 +515,7 @@
 			 c->incoming ? HTTP_REQUEST : HTTP_RESPONSE);
 	c->parser.data = c;
 	c->message_complete = false;
-	if (!http1_lines_are_strict(buf_str(&c->head_bytes)) ||
+	if (!head_lines_are_valid(c) ||
 	    http_parser_execute(&c->parser, &parser_settings, c->head_bytes.p,
 				n) != n ||
 	    !fields_are_strict(c)) {
--- a/src/http1.h
+++ b/src/http1.h
@@ -52,11 +52,6 @@
 /* Whether two field names are equal, in any case. */
 bool http1_name_eq(str_t a, str_t b);
 
-/*
- * Refuses bare CR or LF, folded lines and fields without a name: other HTTP
- * implementations read these differently, which permits request smuggling.
- */
-bool http1_lines_are_strict(str_t head);
 /* Value of "Keep-Alive: timeout=SECONDS"; -1 where there is none. */
 int64_t http1_read_keep_alive_us(const http1_head_t *h);
 
--- /dev/null
+++ b/src/http1_check.c
@@ -0,0 +1,74 @@
+/* http1_check.c - the parts of HTTP/1.1 in which parsers are lenient. */
+#include "http1_check.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+#define VERSION_PREFIX "HTTP/1."
+/* "HTTP/1.1 200 " */
+#define STATUS_AT 9u
+#define REASON_AT 13u
+#define SWITCHING_PROTOCOLS 101
+
+/* A byte of a field's value or of a reason phrase. */
+static bool is_text_byte(char ch)
+{
+	return ch == '\t' || !g_ascii_iscntrl(ch);
+}
+
+static bool is_text(str_t s)
+{
+	for (size_t i = 0; i < s.n; i++)
+		if (!is_text_byte(s.p[i]))
+			return false;
+	return true;
+}
+
+/* A status of three digits; -1: it is none. */
+static int read_status(const char *digits)
+{
+	int status = 0;
+
+	for (size_t i = 0; i < 3; i++) {
+		if (!g_ascii_isdigit(digits[i]))
+			return -1;
+		status = status * 10 + g_ascii_digit_value(digits[i]);
+	}
+	return status >= 100 && status <= 599 ? status : -1;
+}
+
+bool http1_status_line_is_valid(str_t line)
+{
+	size_t minor_at = strlen(VERSION_PREFIX);
+	int status;
+
+	if (line.n < REASON_AT || memcmp(line.p, VERSION_PREFIX, minor_at) != 0)
+		return false;
+	if (!g_ascii_isdigit(line.p[minor_at]) ||
+	    line.p[STATUS_AT - 1] != ' ' || line.p[REASON_AT - 1] != ' ')
+		return false;
+	status = read_status(line.p + STATUS_AT);
+	if (status < 0 || status == SWITCHING_PROTOCOLS)
+		return false;
+	return is_text(str_n(line.p + REASON_AT, line.n - REASON_AT));
+}
+
+bool http1_lines_are_strict(str_t head)
+{
+	for (size_t i = 0; i < head.n; i++) {
+		char ch = head.p[i];
+
+		if (ch == '\0')
+			return false;
+		if (ch == '\r' && (i + 1 == head.n || head.p[i + 1] != '\n'))
+			return false;
+		if (ch != '\n')
+			continue;
+		if (!i || head.p[i - 1] != '\r')
+			return false;
+		if (i + 1 < head.n && strchr(" \t:", head.p[i + 1]))
+			return false;
+	}
+	return true;
+}
--- /dev/null
+++ b/src/http1_check.h
@@ -0,0 +1,26 @@
+/*
+ * http1_check.h - refuses messages that are not HTTP/1.1 (RFC 9112) though http_parser or
+ * libcurl read them: the next reader may read something else, or find another end.
+ */
+#ifndef DK_HTTP1_CHECK_H
+#define DK_HTTP1_CHECK_H
+
+#include "util.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/*
+ * Whether a line, without its CR LF, is the status line of a response: version 1.x, a
+ * status of three digits from 100 to 599, a reason without control bytes. 101 is refused,
+ * as this daemon never asks for another protocol.
+ */
+bool http1_status_line_is_valid(str_t line);
+/* Refuses bare CR or LF, folded lines and fields without a name, in a whole head. */
+bool http1_lines_are_strict(str_t head);
+
+#ifdef __cplusplus
+}
+#endif
+#endif
--- a/src/http1_head.c
+++ b/src/http1_head.c
@@ -53,25 +53,6 @@
 	return inet_pton(AF_INET, ip, &out->sin_addr) == 1 ? 0 : -1;
 }
 
-bool http1_lines_are_strict(str_t head)
-{
-	for (size_t i = 0; i < head.n; i++) {
-		char ch = head.p[i];
-
-		if (ch == '\0')
-			return false;
-		if (ch == '\r' && (i + 1 == head.n || head.p[i + 1] != '\n'))
-			return false;
-		if (ch != '\n')
-			continue;
-		if (!i || head.p[i - 1] != '\r')
-			return false;
-		if (i + 1 < head.n && strchr(" \t:", head.p[i + 1]))
-			return false;
-	}
-	return true;
-}
-
 int64_t http1_read_keep_alive_us(const http1_head_t *h)
 {
 	str_t value = http1_field(h, STR("Keep-Alive"));
--- /dev/null
+++ b/tests/broken_answer_test.cc
@@ -0,0 +1,144 @@
+// Answers that are no HTTP/1.1 never reach a caller as answers, on either way to a
+// target, whichever part of the answer is broken.
+#include "broken_answers.h"
+#include "target_ways.h"
+
+namespace
+{
+
+const std::string FIELDS = "Response-Signature: s\r\nRequest-Id: r1\r\n"
+			   "Content-Type: text/event-stream\r\n";
+const std::string BODY = "Content-Length: 15\r\n\r\nid: 2\ndata: b\n\n";
+
+// What callers get where each of these answers comes first and a sound one next.
+class Answers
+{
+      public:
+	Answers(bool by_peer, const std::vector<std::string> &answers)
+	{
+		for (const std::string &bytes : answers)
+			actions.push_back({bytes, true});
+		target = std::make_unique<Target>(actions);
+		sound = std::make_unique<Target>(
+			std::deque<Action>(answers.size(), ok_response()));
+		for (size_t i = 0; i < answers.size(); i++)
+			order.insert(order.end(), {target.get(), sound.get()});
+		way = std::make_unique<Way>(by_peer, order);
+	}
+	std::string next(const std::string &path)
+	{
+		std::string got = way->ask(path);
+
+		// The sound target is for the second attempt alone.
+		way->fixture->n_replied_asks +=
+			way->fixture->n_replied_asks % 2;
+		return got;
+	}
+
+      private:
+	std::deque<Action> actions;
+	std::vector<Target *> order;
+	std::unique_ptr<Target> target, sound;
+	std::unique_ptr<Way> way;
+};
+
+// No caller gets these answers; what may run again is answered by the next target.
+void expect_refused(const std::vector<std::string> &answers)
+{
+	for (bool by_peer : {false, true})
+		for (const char *path : {"/once/x", "/stream/x", "/again/x"}) {
+			Answers a(by_peer, answers);
+			bool again = std::string(path) == "/again/x";
+
+			for (const std::string &bytes : answers) {
+				std::string got = a.next(path);
+
+				EXPECT_EQ(0u, got.find("HTTP/1.1 ")) << got;
+				EXPECT_EQ(again ? 200 : 502, status(got))
+					<< path << name_of(by_peer) << bytes;
+				EXPECT_EQ(again, has(got, "\r\n\r\nfine"));
+				EXPECT_FALSE(has(got, "data: b")) << bytes;
+			}
+		}
+}
+
+void expect_relayed(const std::vector<std::string> &answers)
+{
+	for (bool by_peer : {false, true}) {
+		Answers a(by_peer, answers);
+
+		for (const std::string &bytes : answers) {
+			std::string got = a.next("/once/x");
+
+			EXPECT_EQ(2, status(got) / 100) << bytes;
+			EXPECT_TRUE(has(got, "\r\n\r\nid: 2\ndata: b\n\n"))
+				<< name_of(by_peer) << bytes;
+		}
+	}
+}
+
+// A stream has begun: no broken answer of the next target is a part or an end of it.
+void expect_not_resumed(const std::vector<std::string> &answers)
+{
+	for (bool by_peer : {false, true}) {
+		std::deque<Action> first, next;
+		std::vector<Target *> order;
+
+		for (const std::string &bytes : answers) {
+			first.push_back(
+				cut(STREAM_HEAD + chunk(EVENT_1), 999, false));
+			next.push_back({bytes, true});
+		}
+		Target a(first), b(next);
+		for (size_t i = 0; i < answers.size(); i++)
+			order.insert(order.end(), {&a, &b});
+		Way way(by_peer, order);
+		for (const std::string &bytes : answers) {
+			std::string got = way.ask("/resume/x");
+
+			EXPECT_TRUE(has(got, EVENT_1)) << bytes;
+			EXPECT_FALSE(has(got, "data: b"))
+				<< name_of(by_peer) << bytes;
+			EXPECT_FALSE(has(got, "0\r\n\r\n")) << bytes;
+		}
+	}
+}
+
+std::vector<std::string> with_lines(const std::string &before,
+				    const std::vector<std::string> &lines,
+				    const std::string &after)
+{
+	std::vector<std::string> out;
+
+	for (const std::string &line : lines)
+		out.push_back(before + line + "\r\n" + after);
+	return out;
+}
+
+// Guards against statuses such as 000 that callers got as an answer.
+TEST(BrokenAnswer, StatusLineThatIsNoneIsNoAnswer)
+{
+	auto answers = with_lines("", BROKEN_STATUS_LINES, FIELDS + BODY);
+
+	expect_refused(answers);
+	expect_not_resumed(answers);
+	expect_relayed(with_lines("", SOUND_STATUS_LINES, FIELDS + BODY));
+}
+
+TEST(BrokenAnswer, StatusLineOfAnInterimAnswerThatIsNoneIsNoAnswer)
+{
+	std::string sound = "HTTP/1.1 200 OK\r\n" + FIELDS + BODY;
+	auto answers = with_lines("",
+				  {"HTTP/1.1 099 X", "HTTP/1.1 10 X",
+				   "HTTP/1.1 0100 X", "HTTP/1.1 101 X",
+				   "HTTP/1.1 100", "HTTP/1.1 103 \x01"},
+				  "\r\n" + sound);
+
+	expect_refused(answers);
+	expect_not_resumed(answers);
+	expect_relayed(with_lines("",
+				  {"HTTP/1.1 100 ", "HTTP/1.1 103 Early Hints"},
+				  "Link: </a>\r\n\r\n" + sound));
+}
+
+} // namespace
--- /dev/null
+++ b/tests/broken_answers.h
@@ -0,0 +1,47 @@
+// Answers that are no HTTP/1.1 (RFC 9112), and lines that are, though rare.
+#ifndef TESTS_BROKEN_ANSWERS_H
+#define TESTS_BROKEN_ANSWERS_H
+
+#include <string>
+#include <vector>
+
+inline std::string with_zero(const char *before, const char *after)
+{
+	return std::string(before) + '\0' + after;
+}
+
+inline const std::vector<std::string> BROKEN_STATUS_LINES = {
+	"HTTP/1.1 000 X",
+	"HTTP/1.1 099 X",
+	"HTTP/1.1 600 X",
+	"HTTP/1.1 999 X",
+	"HTTP/1.1 2 X",
+	"HTTP/1.1 20 OK",
+	"HTTP/1.1 0200 OK",
+	"HTTP/1.1 2000 OK",
+	"HTTP/1.1 2x0 OK",
+	"HTTP/1.1 -20 OK",
+	"HTTP/1.1  200 OK",
+	"HTTP/1.1\t200 OK",
+	"HTTP/1.1 200\tOK",
+	"HTTP/1.1 200",
+	"HTTP/1.1 200OK",
+	"HTTP/2.0 200 OK",
+	"HTTP/0.9 200 OK",
+	"HTTP/1. 200 OK",
+	"HTTP/1.10 200 OK",
+	"HTTP/01.1 200 OK",
+	"http/1.1 200 OK",
+	" HTTP/1.1 200 OK",
+	"\r\nHTTP/1.1 200 OK",
+	"HTTP/1.1 200 O\x01K",
+	"HTTP/1.1 200 O\x7fK",
+	"HTTP/1.1 200 O\rK",
+	with_zero("HTTP/1.1 200 ", "K"),
+	"HTTP/1.1 101 Switching Protocols",
+};
+
+inline const std::vector<std::string> SOUND_STATUS_LINES = {
+	"HTTP/1.1 200 ", "HTTP/1.0 200 OK", "HTTP/1.1 299 \xc3\xa4\t(b)"};
+
+#endif
--- a/tests/faulty_target_test.cc
+++ b/tests/faulty_target_test.cc
@@ -1,54 +1,13 @@
 // What callers get from targets that write bytes of other answers, break off, or
 // fail after another has begun, on both ways to a target: a connection of this
 // host's own, and a tunnel through another daemon.
-#include "gateway_world.h"
+#include "target_ways.h"
 
 namespace
 {
 
-// A gateway whose requests all take one way to their targets.
-class Way
-{
-      public:
-	Way(bool by_peer, std::vector<Target *> order) : by_peer(by_peer)
-	{
-		targets = {&lost_a, &lost_b, &lost_a, &lost_b};
-		if (!by_peer)
-			targets.clear();
-		targets.insert(targets.end(), order.begin(), order.end());
-		fixture = std::make_unique<GatewayFixture>(targets);
-		if (by_peer)
-			fixture->lose_own_path();
-	}
-
-	std::string ask(const std::string &path, const std::string &fields = "")
-	{
-		std::string got = fixture->ask(path, fields, "", "r1");
-
-		reset = fixture->reset;
-		return got;
-	}
-
-	const bool by_peer;
-	std::unique_ptr<GatewayFixture> fixture;
-	bool reset = false; // the last ask() ended by a TCP reset
-
-      private:
-	Target lost_a{std::deque<Action>(4, ok_response())};
-	Target lost_b{std::deque<Action>(4, ok_response())};
-	std::vector<Target *> targets;
-};
-
-std::string name_of(bool by_peer)
-{
-	return by_peer ? "by a tunnel" : "on its own connection";
-}
-
 const char *const REJECTION = "HTTP/1.1 503 X\r\nNot-Executed: 1\r\n"
 			      "Content-Length: 0\r\n\r\n";
-const char *const EVENT_1 = "id: 1\ndata: a\n\n";
-const char *const EVENT_2 = "id: 2\ndata: b\n\n";
-
 const size_t KB = 1024;
 const size_t MANY = 24;
 const size_t LIMIT_OF_ALL = 256 * KB;
@@ -185,15 +144,6 @@
 const std::string PLAIN_HEAD = "HTTP/1.1 200 OK\r\nResponse-Signature: s\r\n"
 			       "Request-Id: r1\r\nContent-Length: 4\r\n\r\n";
 
-Action cut(const std::string &bytes, size_t n, bool by_reset)
-{
-	Action a = {bytes.substr(0, n)};
-
-	a.close = !by_reset;
-	a.reset_connection = by_reset;
-	return a;
-}
-
 TEST(FaultyTarget, HeadCutAtAnyByteIsNoSuccess)
 {
 	for (bool by_peer : {false, true})
