A field whose value begins with a control byte is no HTTP/1.1

Seen by callers: an answer with the line "A: <01>" was passed on, that line included.

Cause: http_parser checks all bytes of a value but its first one.

Change: each line of a head is checked against the protocol, in one place, http1_head_is_valid(): the first one as a status line, the others as a field with a name of token bytes directly before its colon and a value without control bytes but tabs. It takes the place of http1_lines_are_strict() and of the check for blanks in names, which were parts of it, and holds for requests as for responses.

--- a/src/http1.c
+++ b/src/http1.c
@@ -405,8 +405,6 @@
 		str_t name = c->head.fields[i].name;
 		str_t value = c->head.fields[i].value;
 
-		if (memchr(name.p, ' ', name.n) || memchr(name.p, '\t', name.n))
-			return false;
 		if (http1_name_eq(name, STR("Content-Length"))) {
 			if (c->parser.content_length > INT64_MAX)
 				return false;
@@ -475,17 +473,6 @@
 		c->ops.message_end(c->ctx);
 }
 
-static bool head_lines_are_valid(const http1_conn_t *c)
-{
-	str_t head = buf_str(&c->head_bytes);
-	const char *end = memmem(head.p, head.n, "\r\n", 2);
-
-	if (!http1_lines_are_strict(head))
-		return false;
-	return c->incoming || http1_status_line_is_valid(
-				      str_n(head.p, (size_t)(end - head.p)));
-}
-
 /* True where the rest of the input can be processed now. */
 static bool parse_head(http1_conn_t *c)
 {
@@ -515,7 +502,7 @@
 			 c->incoming ? HTTP_REQUEST : HTTP_RESPONSE);
 	c->parser.data = c;
 	c->message_complete = false;
-	if (!head_lines_are_valid(c) ||
+	if (!http1_head_is_valid(buf_str(&c->head_bytes), !c->incoming) ||
 	    http_parser_execute(&c->parser, &parser_settings, c->head_bytes.p,
 				n) != n ||
 	    !fields_are_strict(c)) {
--- a/src/http1_check.c
+++ b/src/http1_check.c
@@ -10,6 +10,8 @@
 #define STATUS_AT 9u
 #define REASON_AT 13u
 #define SWITCHING_PROTOCOLS 101
+/* Beside letters and digits, in the name of a field. */
+#define TOKEN_MARKS "!#$%&'*+-.^_`|~"
 
 /* A byte of a field's value or of a reason phrase. */
 static bool is_text_byte(char ch)
@@ -54,21 +56,48 @@
 	return is_text(str_n(line.p + REASON_AT, line.n - REASON_AT));
 }
 
-bool http1_lines_are_strict(str_t head)
+static bool is_token(str_t s)
 {
-	for (size_t i = 0; i < head.n; i++) {
-		char ch = head.p[i];
-
-		if (ch == '\0')
-			return false;
-		if (ch == '\r' && (i + 1 == head.n || head.p[i + 1] != '\n'))
-			return false;
-		if (ch != '\n')
-			continue;
-		if (!i || head.p[i - 1] != '\r')
+	for (size_t i = 0; i < s.n; i++)
+		if (!g_ascii_isalnum(s.p[i]) &&
+		    !memchr(TOKEN_MARKS, s.p[i], strlen(TOKEN_MARKS)))
 			return false;
-		if (i + 1 < head.n && strchr(" \t:", head.p[i + 1]))
+	return s.n > 0;
+}
+
+bool http1_field_line_is_valid(str_t line)
+{
+	str_t name, value;
+
+	return str_split(line, ':', &name, &value) && is_token(name) &&
+	       is_text(value);
+}
+
+/* Takes the next line off a head, without its CR LF. */
+static str_t take_line(str_t *head)
+{
+	const char *end = memmem(head->p, head->n, "\r\n", 2);
+	str_t line = *head;
+
+	if (!end) {
+		*head = str_n(NULL, 0);
+		return line;
+	}
+	line.n = (size_t)(end - head->p);
+	*head = str_n(end + 2, head->n - line.n - 2);
+	return line;
+}
+
+bool http1_head_is_valid(str_t head, bool is_response)
+{
+	str_t line = take_line(&head);
+
+	if (is_response ? !http1_status_line_is_valid(line) : !is_text(line))
+		return false;
+	while (head.n) {
+		line = take_line(&head);
+		if (line.n && !http1_field_line_is_valid(line))
 			return false;
 	}
-	return true;
+	return !line.n;
 }
--- a/src/http1_check.h
+++ b/src/http1_check.h
@@ -17,8 +17,14 @@
  * as this daemon never asks for another protocol.
  */
 bool http1_status_line_is_valid(str_t line);
-/* Refuses bare CR or LF, folded lines and fields without a name, in a whole head. */
-bool http1_lines_are_strict(str_t head);
+/*
+ * Whether a line, without its CR LF, is a field: a name without blanks or other bytes that
+ * no name may hold, directly before its colon, and a value without control bytes but tabs.
+ * A folded line is none.
+ */
+bool http1_field_line_is_valid(str_t line);
+/* Whether all lines of a head, up to its empty line, end with CR LF and are valid. */
+bool http1_head_is_valid(str_t head, bool is_response);
 
 #ifdef __cplusplus
 }
--- a/tests/broken_answer_test.cc
+++ b/tests/broken_answer_test.cc
@@ -141,4 +141,27 @@
 				  "Link: </a>\r\n\r\n" + sound));
 }
 
+// Guards against lines that callers or other parsers read as something else, such as
+// another length of the body.
+TEST(BrokenAnswer, FieldLineThatIsNoneIsNoAnswer)
+{
+	std::string line = "HTTP/1.1 200 OK\r\n";
+	auto answers = with_lines(line, BROKEN_FIELD_LINES, FIELDS + BODY);
+
+	expect_refused(answers);
+	expect_not_resumed(answers);
+	expect_relayed(with_lines(line, SOUND_FIELD_LINES, FIELDS + BODY));
+}
+
+TEST(BrokenAnswer, FieldLineOfAnInterimAnswerThatIsNoneIsNoAnswer)
+{
+	std::string interim = "HTTP/1.1 103 X\r\n";
+	std::string sound = "HTTP/1.1 200 OK\r\n" + FIELDS + BODY;
+	auto answers = with_lines(interim, BROKEN_FIELD_LINES, "\r\n" + sound);
+
+	expect_refused(answers);
+	expect_not_resumed(answers);
+	expect_relayed(with_lines(interim, SOUND_FIELD_LINES, "\r\n" + sound));
+}
+
 } // namespace
--- a/tests/broken_answers.h
+++ b/tests/broken_answers.h
@@ -44,4 +44,39 @@
 inline const std::vector<std::string> SOUND_STATUS_LINES = {
 	"HTTP/1.1 200 ", "HTTP/1.0 200 OK", "HTTP/1.1 299 \xc3\xa4\t(b)"};
 
+inline const std::vector<std::string> BROKEN_FIELD_LINES = {
+	"A b: 1",
+	"A : 1",
+	"A\t: 1",
+	" A: 1",
+	"\tA: 1",
+	": 1",
+	"A",
+	"A\x01: 1",
+	"A\x0b: 1",
+	"A\x7f: 1",
+	"A\x80: 1",
+	"A\r: 1",
+	"A\n: 1",
+	"A(b): 1",
+	"\"A\": 1",
+	"A@b: 1",
+	with_zero("A", ": 1"),
+	"A: \x01",
+	"A:\x01",
+	"A: b\x0b",
+	"A: b\x7f",
+	"A: b\rc",
+	"A: b\nc",
+	with_zero("A: ", ""),
+	with_zero("A: b", "c"),
+	"Content-Length : 4",
+	"Content-Length\x0b: 4",
+	"Transfer-Encoding : chunked",
+	"Transfer\x01-Encoding: chunked",
+};
+
+inline const std::vector<std::string> SOUND_FIELD_LINES = {
+	"A:", "A: ", "A:b", "A: \t b\tc \t", "!#$%&'*+-.^_`|~9: \xff\"(,;"};
+
 #endif
