A chunked body whose framing or trailers are broken is not whole

Seen by callers: a target whose chunk was two bytes longer than its size said ("f", 15 bytes, "XY") sent a whole answer, without those two bytes; so did one with "f X", "f<CR>X" or "0 X" as the line of a size, and one whose trailers had blanks in their names or were folded. A success with a body that was not the target's.

Cause: Debian's http_parser is built without its strict checks, and takes any two bytes for the end of a chunk's data, any byte behind a CR, anything behind a size, and blanks in the names of trailers. Our checks of lines saw heads only. Trailers were also added to the fields of the head, by pointers into a buffer that is reused; nothing read them there.

Change: http1_chunks.c follows the framing byte by byte, and the parser gets only what is valid; the rest ends the connection as malformed, which breaks a stream off and lets another target answer where that is safe. Requests are read the same way (a chunk that was smuggled into one is refused). Trailers are dropped, as they were in effect.

Four sound bodies go through, with extensions, trailers and leading zeros. The checker gives the same verdict byte by byte, by twos and at once.

--- a/src/http1.c
+++ b/src/http1.c
@@ -14,6 +14,7 @@
 
 #include "buffer_share.h"
 #include "http1_check.h"
+#include "http1_chunks.h"
 #include "socket.h"
 
 #define READ_BYTES 16384u
@@ -72,6 +73,7 @@
 	/* Empty lines and informational heads before the head under way. */
 	size_t preamble_bytes;
 	http_parser parser;
+	http1_chunks_t chunks; /* of a chunked body */
 	buf_t in;
 	buf_t out;
 	buf_t head_bytes; /* the texts of head point into it */
@@ -312,6 +314,9 @@
 {
 	http1_conn_t *c = p->data;
 
+	/* Trailers are dropped. */
+	if (c->state != CONN_AWAIT_HEAD)
+		return 0;
 	if (c->head.n_fields == HTTP1_FIELDS_MAX)
 		return -1;
 	c->head.fields[c->head.n_fields].name = str_n(at, n);
@@ -323,6 +328,8 @@
 {
 	http1_conn_t *c = p->data;
 
+	if (c->state != CONN_AWAIT_HEAD)
+		return 0;
 	if (!c->head.n_fields)
 		return -1;
 	c->head.fields[c->head.n_fields - 1].value = str_n(at, n);
@@ -516,6 +523,7 @@
 	c->preamble_bytes = 0;
 	fill_head(c);
 	timer_svc_cancel(loop_timers(c->loop), &c->timer);
+	memset(&c->chunks, 0, sizeof(c->chunks));
 	c->state = CONN_READ_BODY;
 	if (c->owned && c->ops.head)
 		c->ops.head(c->ctx, &c->head);
@@ -524,18 +532,28 @@
 	return c->state != CONN_CLOSED && !c->closing;
 }
 
+/* Bytes of the body at the start of the input; fewer than all: then it is malformed or ends. */
+static size_t body_size(http1_conn_t *c)
+{
+	return c->head.chunked ? http1_chunks_read(&c->chunks, buf_str(&c->in))
+			       : c->in.n;
+}
+
 static bool parse_body(http1_conn_t *c)
 {
-	size_t n = c->in.n;
+	size_t size = c->in.n;
+	size_t n = body_size(c);
 	size_t done;
 	enum http_errno err;
 	buf_t in = c->in;
 
-	if (!n)
+	if (!size)
 		return false;
 	/* The owner may close the connection in a callback of the parser. */
 	memset(&c->in, 0, sizeof(c->in));
-	done = http_parser_execute(&c->parser, &parser_settings, in.p, n);
+	/* Without bytes, the parser would take it for the end of the connection. */
+	done = n ? http_parser_execute(&c->parser, &parser_settings, in.p, n)
+		 : 0;
 	if (c->state == CONN_CLOSED) {
 		buf_free(&in);
 		return false;
@@ -547,7 +565,7 @@
 		finish_message(c);
 		return c->state != CONN_CLOSED && !c->closing;
 	}
-	if (err != HPE_OK || done != n)
+	if (err != HPE_OK || done != size)
 		close_malformed(c);
 	return false;
 }
--- a/src/http1_check.c
+++ b/src/http1_check.c
@@ -13,16 +13,21 @@
 /* Beside letters and digits, in the name of a field. */
 #define TOKEN_MARKS "!#$%&'*+-.^_`|~"
 
-/* A byte of a field's value or of a reason phrase. */
-static bool is_text_byte(char ch)
+bool http1_is_text_byte(char ch)
 {
 	return ch == '\t' || !g_ascii_iscntrl(ch);
 }
 
+bool http1_is_token_byte(char ch)
+{
+	return g_ascii_isalnum(ch) ||
+	       memchr(TOKEN_MARKS, ch, strlen(TOKEN_MARKS));
+}
+
 static bool is_text(str_t s)
 {
 	for (size_t i = 0; i < s.n; i++)
-		if (!is_text_byte(s.p[i]))
+		if (!http1_is_text_byte(s.p[i]))
 			return false;
 	return true;
 }
@@ -59,8 +64,7 @@
 static bool is_token(str_t s)
 {
 	for (size_t i = 0; i < s.n; i++)
-		if (!g_ascii_isalnum(s.p[i]) &&
-		    !memchr(TOKEN_MARKS, s.p[i], strlen(TOKEN_MARKS)))
+		if (!http1_is_token_byte(s.p[i]))
 			return false;
 	return s.n > 0;
 }
--- a/src/http1_check.h
+++ b/src/http1_check.h
@@ -11,6 +11,11 @@
 extern "C" {
 #endif
 
+/* A byte of a field's value or of a reason phrase: no control byte but a tab. */
+bool http1_is_text_byte(char ch);
+/* A byte of a field's name. */
+bool http1_is_token_byte(char ch);
+
 /*
  * Whether a line, without its CR LF, is the status line of a response: version 1.x, a
  * status of three digits from 100 to 599, a reason without control bytes. 101 is refused,
--- a/tests/broken_answer_test.cc
+++ b/tests/broken_answer_test.cc
@@ -1,6 +1,7 @@
 // Answers that are no HTTP/1.1 never reach a caller as answers, on either way to a
 // target, whichever part of the answer is broken.
 #include "broken_answers.h"
+#include "http1_chunks.h"
 #include "target_ways.h"
 
 namespace
@@ -8,6 +9,9 @@
 
 const std::string FIELDS = "Response-Signature: s\r\nRequest-Id: r1\r\n"
 			   "Content-Type: text/event-stream\r\n";
+const std::string CHUNKED =
+	"HTTP/1.1 200 OK\r\n" + FIELDS + "Transfer-Encoding: chunked\r\n\r\n";
+const char *const LAST_CHUNK = "\r\n0\r\n\r\n";
 const std::string BODY = "Content-Length: 15\r\n\r\nid: 2\ndata: b\n\n";
 
 // What callers get where each of these answers comes first and a sound one next.
@@ -77,9 +81,13 @@
 	}
 }
 
-// A stream has begun: no broken answer of the next target is a part or an end of it.
-void expect_not_resumed(const std::vector<std::string> &answers)
+// A stream has begun: broken answers of the next target are no end of it. Returns what
+// callers get.
+std::vector<std::string>
+expect_not_ended(const std::vector<std::string> &answers)
 {
+	std::vector<std::string> all;
+
 	for (bool by_peer : {false, true}) {
 		std::deque<Action> first, next;
 		std::vector<Target *> order;
@@ -97,11 +105,19 @@
 			std::string got = way.ask("/resume/x");
 
 			EXPECT_TRUE(has(got, EVENT_1)) << bytes;
-			EXPECT_FALSE(has(got, "data: b"))
+			EXPECT_FALSE(has(got, LAST_CHUNK))
 				<< name_of(by_peer) << bytes;
-			EXPECT_FALSE(has(got, "0\r\n\r\n")) << bytes;
+			all.push_back(got);
 		}
 	}
+	return all;
+}
+
+// They are no part of it either.
+void expect_not_resumed(const std::vector<std::string> &answers)
+{
+	for (const std::string &got : expect_not_ended(answers))
+		EXPECT_FALSE(has(got, "data: b")) << got;
 }
 
 std::vector<std::string> with_lines(const std::string &before,
@@ -164,4 +180,99 @@
 	expect_relayed(with_lines(interim, SOUND_FIELD_LINES, "\r\n" + sound));
 }
 
+// No caller may take these for whole answers, whatever of them it has got.
+void expect_not_complete(const std::vector<std::string> &answers)
+{
+	for (bool by_peer : {false, true})
+		for (const char *path : {"/once/x", "/stream/x"}) {
+			Answers a(by_peer, answers);
+
+			for (const std::string &bytes : answers) {
+				std::string got = a.next(path);
+
+				EXPECT_FALSE(has(got, LAST_CHUNK))
+					<< path << name_of(by_peer) << bytes;
+				EXPECT_TRUE(status(got) == 502 ||
+					    std::string(path) == "/stream/x")
+					<< name_of(by_peer) << bytes;
+			}
+		}
+}
+
+// Guards against bodies that are not the target's, and against answers that seem
+// whole though what ends them is broken.
+TEST(BrokenAnswer, ChunksThatAreBrokenEndNoAnswer)
+{
+	std::vector<std::string> broken, sound;
+
+	for (const std::string &chunks : BROKEN_CHUNKS)
+		broken.push_back(CHUNKED + chunks);
+	for (const std::string &chunks : SOUND_CHUNKS)
+		sound.push_back(CHUNKED + chunks);
+	expect_not_complete(broken);
+	expect_not_ended(broken);
+	expect_relayed(sound);
+}
+
+TEST(BrokenAnswer, TrailerLineThatIsNoneEndsNoAnswer)
+{
+	std::string body = CHUNKED + chunk(EVENT_2) + "0\r\n";
+	auto answers = with_lines(body, BROKEN_FIELD_LINES, "\r\n");
+
+	expect_not_complete(answers);
+	expect_not_ended(answers);
+	expect_relayed(with_lines(body, SOUND_FIELD_LINES, "\r\n"));
+}
+
+// How much of a chunked body is read, byte by byte or at once.
+size_t read_chunks(const std::string &bytes, size_t step, bool *ended)
+{
+	http1_chunks_t c = {};
+	size_t n = 0, got = step;
+
+	while (n < bytes.size() && got == step) {
+		step = std::min(step, bytes.size() - n);
+		got = http1_chunks_read(&c, str_n(bytes.data() + n, step));
+		n += got;
+	}
+	*ended = http1_chunks_ended(&c);
+	return n;
+}
+
+void expect_chunks_read(const std::string &chunks, bool sound)
+{
+	for (size_t step : {(size_t)1, (size_t)2, chunks.size()}) {
+		bool ended;
+		size_t n = read_chunks(chunks, step, &ended);
+
+		EXPECT_EQ(sound, n == chunks.size()) << chunks << step;
+		EXPECT_EQ(sound, ended) << chunks << step;
+	}
+}
+
+TEST(BrokenAnswer, ChunksAreReadTheSameInAnyPieces)
+{
+	for (const std::string &chunks : BROKEN_CHUNKS)
+		expect_chunks_read(chunks, false);
+	for (const std::string &chunks : SOUND_CHUNKS)
+		expect_chunks_read(chunks, true);
+}
+
+// Guards against a target that is read until the deadline, to no end.
+TEST(BrokenAnswer, TrailersAndExtensionsWithoutEndEndTheAnswer)
+{
+	for (const char *begun : {"f\r\nid: 2\ndata: b\n\n\r\n0\r\n", "f;"}) {
+		Action endless = {CHUNKED + begun};
+		int64_t begun_us;
+
+		endless.repeated = begun[1] == ';' ? "a" : "A: b\r\n";
+		Target target({endless});
+		Way way(false, {&target});
+		begun_us = timer_svc_now(way.fixture->l.timers);
+		EXPECT_EQ(502, status(way.ask("/long/x"))) << begun;
+		EXPECT_LT(timer_svc_now(way.fixture->l.timers) - begun_us,
+			  5 * USEC_PER_SEC);
+	}
+}
+
 } // namespace
--- a/tests/broken_answers.h
+++ b/tests/broken_answers.h
@@ -79,4 +79,37 @@
 inline const std::vector<std::string> SOUND_FIELD_LINES = {
 	"A:", "A: ", "A:b", "A: \t b\tc \t", "!#$%&'*+-.^_`|~9: \xff\"(,;"};
 
+inline const std::vector<std::string> BROKEN_CHUNKS = {
+	// Behind the bytes of a chunk.
+	"f\r\nid: 2\ndata: b\n\nXY0\r\n\r\n",
+	"f\r\nid: 2\ndata: b\n\n\rX0\r\n\r\n",
+	"f\r\nid: 2\ndata: b\n\nX\n0\r\n\r\n",
+	"d\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n",
+	"f\r\nid: 2\ndata: b\n\n0\r\n\r\n",
+	// The line with its size.
+	"f\n"
+	"id: 2\ndata: b\n\n\r\n0\r\n\r\n",
+	"f\rXid: 2\ndata: b\n\n\r\n0\r\n\r\n",
+	"f X\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n",
+	"f;a\x01\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n",
+	"f;a\nb\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n",
+	" f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n",
+	"0xf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n",
+	"-f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n",
+	"1000000000000000f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n",
+	"\r\n\r\n",
+	// The last one.
+	"f\r\nid: 2\ndata: b\n\n\r\n0\n\n",
+	"f\r\nid: 2\ndata: b\n\n\r\n0\r\n\rX",
+	"f\r\nid: 2\ndata: b\n\n\r\n0\r\n\n",
+	"f\r\nid: 2\ndata: b\n\n\r\n0 X\r\n\r\n",
+};
+
+inline const std::vector<std::string> SOUND_CHUNKS = {
+	"f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n",
+	"00F;a=b;c=\"d e\"\r\nid: 2\ndata: b\n\n\r\n000\r\n\r\n",
+	"f \t; a = b\r\nid: 2\ndata: b\n\n\r\n0;a\r\n\r\n",
+	"6\r\nid: 2\n\r\n9\r\ndata: b\n\n\r\n0\r\nA: b\r\nB:\r\n\r\n",
+};
+
 #endif
--- a/tests/http1_test.cc
+++ b/tests/http1_test.cc
@@ -160,6 +160,10 @@
 		"GET / HTTP/1.1\r\nX: a\r\n b\r\n\r\n",
 		"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
 		"zz\r\nabc\r\n0\r\n\r\n",
+		"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+		"3\r\nabcXY0\r\n\r\n",
+		"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+		"0\r\nA b: 1\r\n\r\n",
 		"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
 		"POST / HTTP/1.1\r\nContent-Length: "
 		"9223372036854775808\r\n\r\n",
