Blanks behind a field's value are no part of it

Seen by callers: a target answered "Content-Length: 307200 " with so many bytes, which HTTP/1.1 allows. The caller got "Content-Length: 0" and then the body: a success with a body that was not the target's, and bytes behind it that are no answer. With "Transfer-Encoding: chunked " it got a 502.

Cause: http_parser skips the blanks in front of a value only. It read the length, but we read it once more from the text, where a number with a blank is none, and ignored that; the coding was compared as it stood. Only bodies over 256 KB were hurt, as smaller ones are held and counted.

Change: the blanks are cut off where a field is read, and the length is the parser's own number.

A tab behind a length is still refused by the parser, as a 502.

--- a/src/http1.c
+++ b/src/http1.c
@@ -332,6 +332,9 @@
 		return 0;
 	if (!c->head.n_fields)
 		return -1;
+	/* Blanks in front are skipped by the parser, those behind are not. */
+	while (n && (at[n - 1] == ' ' || at[n - 1] == '\t'))
+		n--;
 	c->head.fields[c->head.n_fields - 1].value = str_n(at, n);
 	return 0;
 }
@@ -450,14 +453,10 @@
 	h->status = c->parser.status_code;
 	h->chunked = (c->parser.flags & F_CHUNKED) != 0;
 	h->body_length = -1;
-	if (c->parser.flags & F_CONTENTLENGTH) {
-		uint64_t n = 0;
-
-		str_to_u64(http1_field(h, STR("Content-Length")), &n);
-		h->body_length = (int64_t)n;
-	} else if (c->incoming && !h->chunked) {
+	if (c->parser.flags & F_CONTENTLENGTH)
+		h->body_length = (int64_t)c->parser.content_length;
+	else if (c->incoming && !h->chunked)
 		h->body_length = 0;
-	}
 	h->keep_alive = http_should_keep_alive(&c->parser);
 	h->keep_alive_timeout_us = http1_read_keep_alive_us(h);
 }
--- a/tests/broken_answer_test.cc
+++ b/tests/broken_answer_test.cc
@@ -328,4 +328,25 @@
 	}
 }
 
+// A blank behind a value is no part of it.
+TEST(BrokenAnswer, BlanksAroundFramingFieldsAreNoPartOfThem)
+{
+	std::string body(300 << 10, 'z');
+	std::string line = "HTTP/1.1 200 OK\r\n" + FIELDS;
+
+	for (const std::string &bytes :
+	     {line + "Content-Length: \t" + std::to_string(body.size()) +
+		      "  \r\n\r\n" + body,
+	      line + "Transfer-Encoding:\tchunked \r\n\r\n" + chunk(body) +
+		      "0\r\n\r\n"}) {
+		Answers a(false, {bytes});
+		std::string got = a.next("/once/x");
+
+		EXPECT_EQ(200, status(got)) << got.substr(0, 300);
+		EXPECT_EQ(body.size(), std::count(got.begin(), got.end(), 'z'));
+		EXPECT_FALSE(has(got, "Content-Length: 0"))
+			<< got.substr(0, 300);
+	}
+}
+
 } // namespace
