serve: heads of targets' answers that are not HTTP/1.1 are no answers

Seen by callers of `serve`: answers with the status 600 or 999, with "200OK", "200" and nothing behind it, "HTTP/2.0 200 OK", two blanks or a tab before the status, control bytes in the reason or in a name ("A<01>: 1"), and with blanks in names. "Transfer-Encoding : chunked" is then no coding, and the body ends where the bytes do.

Cause: libcurl reads status lines and names of fields as leniently as it can, and target.c took all that it reads. It also read the fields of interim answers and trailers as if they were the answer's (a type, a boot id).

Change: http1_lines_read() takes a head line by line, which is how libcurl gives it, and holds all rules of a head: those of http1_head_is_valid(), and the ones on framing that http1.c kept apart, so that both ways read by the same rules. A transfer whose line it refuses fails as REASON_TARGET_ERROR, "malformed response" in the log. Fields are read from the answer alone.

--- a/src/http1.c
+++ b/src/http1.c
@@ -408,41 +408,6 @@
 	refuse_message(c, "400 Bad Request", HTTP1_MALFORMED);
 }
 
-/* A 304 tells the length that another answer has; the others have none to tell. */
-static bool announces_no_body(const http1_conn_t *c, size_t lengths,
-			      size_t codings)
-{
-	if (c->incoming || c->parser.status_code == HTTP_STATUS_NOT_MODIFIED ||
-	    http1_status_has_body((int)c->parser.status_code))
-		return true;
-	return !codings && (!lengths || !c->parser.content_length);
-}
-
-static bool fields_are_strict(const http1_conn_t *c)
-{
-	size_t lengths = 0;
-	size_t codings = 0;
-
-	for (size_t i = 0; i < c->head.n_fields; i++) {
-		str_t name = c->head.fields[i].name;
-		str_t value = c->head.fields[i].value;
-
-		if (http1_name_eq(name, STR("Content-Length"))) {
-			if (c->parser.content_length > INT64_MAX)
-				return false;
-			lengths++;
-		}
-		if (!http1_name_eq(name, STR("Transfer-Encoding")))
-			continue;
-		codings++;
-		if (!http1_name_eq(value, STR("chunked")))
-			return false;
-	}
-	if (codings && c->parser.http_major == 1 && c->parser.http_minor == 0)
-		return false;
-	return lengths + codings <= 1 && announces_no_body(c, lengths, codings);
-}
-
 static void fill_head(http1_conn_t *c)
 {
 	http1_head_t *h = &c->head;
@@ -522,12 +487,12 @@
 	c->message_complete = false;
 	if (!http1_head_is_valid(buf_str(&c->head_bytes), !c->incoming) ||
 	    http_parser_execute(&c->parser, &parser_settings, c->head_bytes.p,
-				n) != n ||
-	    !fields_are_strict(c)) {
+				n) != n) {
 		close_malformed(c);
 		return false;
 	}
-	if (!c->incoming && c->parser.status_code / 100 == 1) {
+	if (!c->incoming &&
+	    http1_status_is_interim((int)c->parser.status_code)) {
 		c->preamble_bytes += n;
 		return true;
 	}
--- a/src/http1.h
+++ b/src/http1.h
@@ -47,10 +47,17 @@
 	return !h->chunked && h->body_length < 0;
 }
 
+/* Another response follows it. */
+static inline bool http1_status_is_interim(int status)
+{
+	return status / 100 == 1;
+}
+
 /* Whether a response of this status can have a body; one that has none ends with its head. */
 static inline bool http1_status_has_body(int status)
 {
-	return status / 100 != 1 && status != 204 && status != 304;
+	return !http1_status_is_interim(status) && status != 204 &&
+	       status != 304;
 }
 
 /* What delimits the body: "length", "chunks" or, of a response, "close". */
--- a/src/http1_check.c
+++ b/src/http1_check.c
@@ -5,11 +5,15 @@
 
 #include <glib.h>
 
+#include "http1.h"
+
 #define VERSION_PREFIX "HTTP/1."
 /* "HTTP/1.1 200 " */
 #define STATUS_AT 9u
 #define REASON_AT 13u
 #define SWITCHING_PROTOCOLS 101
+#define NOT_MODIFIED 304
+#define BLANKS " \t"
 /* Beside letters and digits, in the name of a field. */
 #define TOKEN_MARKS "!#$%&'*+-.^_`|~"
 
@@ -45,20 +49,37 @@
 	return status >= 100 && status <= 599 ? status : -1;
 }
 
-bool http1_status_line_is_valid(str_t line)
+/* Reads "HTTP/1.x STATUS REASON", without its CR LF. */
+static int read_status_line(http1_lines_t *l, str_t line)
 {
 	size_t minor_at = strlen(VERSION_PREFIX);
-	int status;
 
 	if (line.n < REASON_AT || memcmp(line.p, VERSION_PREFIX, minor_at) != 0)
-		return false;
+		return -1;
 	if (!g_ascii_isdigit(line.p[minor_at]) ||
 	    line.p[STATUS_AT - 1] != ' ' || line.p[REASON_AT - 1] != ' ')
-		return false;
-	status = read_status(line.p + STATUS_AT);
-	if (status < 0 || status == SWITCHING_PROTOCOLS)
-		return false;
-	return is_text(str_n(line.p + REASON_AT, line.n - REASON_AT));
+		return -1;
+	l->is_1_0 = line.p[minor_at] == '0';
+	l->status = read_status(line.p + STATUS_AT);
+	if (l->status < 0 || l->status == SWITCHING_PROTOCOLS)
+		return -1;
+	if (!is_text(str_n(line.p + REASON_AT, line.n - REASON_AT)))
+		return -1;
+	l->at = HTTP1_AT_FIELD;
+	return 0;
+}
+
+/* The parser reads the rest of it. */
+static int read_request_line(http1_lines_t *l, str_t line)
+{
+	const str_t version = STR(" " VERSION_PREFIX "0");
+
+	if (!is_text(line))
+		return -1;
+	l->is_1_0 = line.n > version.n && memcmp(line.p + line.n - version.n,
+						 version.p, version.n) == 0;
+	l->at = HTTP1_AT_FIELD;
+	return 0;
 }
 
 static bool is_token(str_t s)
@@ -69,39 +90,90 @@
 	return s.n > 0;
 }
 
-bool http1_field_line_is_valid(str_t line)
+/* Splits a field, without its CR LF; the value has no blanks around it. */
+static int split_field(str_t line, str_t *name, str_t *value)
+{
+	if (!str_split(line, ':', name, value) || !is_token(*name) ||
+	    !is_text(*value))
+		return -1;
+	while (value->n && strchr(BLANKS, value->p[0]))
+		*value = str_n(value->p + 1, value->n - 1);
+	while (value->n && strchr(BLANKS, value->p[value->n - 1]))
+		value->n--;
+	return 0;
+}
+
+static int read_field(http1_lines_t *l, str_t line)
 {
 	str_t name, value;
 
-	return str_split(line, ':', &name, &value) && is_token(name) &&
-	       is_text(value);
+	if (split_field(line, &name, &value) < 0)
+		return -1;
+	if (l->at == HTTP1_AT_TRAILER)
+		return 0;
+	if (http1_name_eq(name, STR("Content-Length"))) {
+		l->n_framing++;
+		if (str_to_u64(value, &l->length) < 0 || l->length > INT64_MAX)
+			return -1;
+	}
+	if (http1_name_eq(name, STR("Transfer-Encoding"))) {
+		l->n_framing++;
+		l->chunked = true;
+		if (!http1_name_eq(value, STR("chunked")))
+			return -1;
+	}
+	return 0;
+}
+
+/* A 304 tells the length that another answer has. */
+static bool may_announce_body(const http1_lines_t *l)
+{
+	return !l->status || l->status == NOT_MODIFIED ||
+	       http1_status_has_body(l->status);
 }
 
-/* Takes the next line off a head, without its CR LF. */
-static str_t take_line(str_t *head)
+static int end_head(http1_lines_t *l)
 {
-	const char *end = memmem(head->p, head->n, "\r\n", 2);
-	str_t line = *head;
+	if (l->n_framing > 1 || (l->chunked && l->is_1_0))
+		return -1;
+	if ((l->chunked || l->length) && !may_announce_body(l))
+		return -1;
+	l->at = HTTP1_AT_TRAILER;
+	if (l->status && http1_status_is_interim(l->status))
+		memset(l, 0, sizeof(*l));
+	return 0;
+}
 
-	if (!end) {
-		*head = str_n(NULL, 0);
-		return line;
+int http1_lines_read(http1_lines_t *l, str_t line)
+{
+	if (line.n < 2 || memcmp(line.p + line.n - 2, "\r\n", 2) != 0)
+		return -1;
+	line.n -= 2;
+	switch (l->at) {
+	case HTTP1_AT_STATUS:
+		return read_status_line(l, line);
+	case HTTP1_AT_REQUEST:
+		return read_request_line(l, line);
+	case HTTP1_AT_FIELD:
+		return line.n ? read_field(l, line) : end_head(l);
+	case HTTP1_AT_TRAILER:
+		return line.n ? read_field(l, line) : 0;
 	}
-	line.n = (size_t)(end - head->p);
-	*head = str_n(end + 2, head->n - line.n - 2);
-	return line;
+	return -1;
 }
 
 bool http1_head_is_valid(str_t head, bool is_response)
 {
-	str_t line = take_line(&head);
+	http1_lines_t l = {.at = is_response ? HTTP1_AT_STATUS
+					     : HTTP1_AT_REQUEST};
 
-	if (is_response ? !http1_status_line_is_valid(line) : !is_text(line))
-		return false;
 	while (head.n) {
-		line = take_line(&head);
-		if (line.n && !http1_field_line_is_valid(line))
+		const char *end = memmem(head.p, head.n, "\r\n", 2);
+		size_t n = end ? (size_t)(end - head.p) + 2 : head.n;
+
+		if (http1_lines_read(&l, str_n(head.p, n)) < 0)
 			return false;
+		head = str_n(head.p + n, head.n - n);
 	}
-	return !line.n;
+	return true;
 }
--- a/src/http1_check.h
+++ b/src/http1_check.h
@@ -16,19 +16,42 @@
 /* A byte of a field's name. */
 bool http1_is_token_byte(char ch);
 
+/* What the next line of a message is. */
+typedef enum http1_line_kind {
+	HTTP1_AT_STATUS,
+	HTTP1_AT_REQUEST,
+	HTTP1_AT_FIELD,
+	HTTP1_AT_TRAILER,
+} http1_line_kind_t;
+
+/* The lines of a message up to now; zero before the first one of a response. */
+typedef struct http1_lines {
+	http1_line_kind_t at;
+	int status; /* of a response */
+	bool is_1_0;
+	bool chunked;
+	unsigned int n_framing; /* fields that delimit the body */
+	uint64_t length;	/* of the body; 0: not stated */
+} http1_lines_t;
+
 /*
- * Whether a line, without its CR LF, is the status line of a response: version 1.x, a
- * status of three digits from 100 to 599, a reason without control bytes. 101 is refused,
- * as this daemon never asks for another protocol.
- */
-bool http1_status_line_is_valid(str_t line);
-/*
- * Whether a line, without its CR LF, is a field: a name without blanks or other bytes that
- * no name may hold, directly before its colon, and a value without control bytes but tabs.
- * A folded line is none.
+ * Reads the next line, with its CR LF. Returns -1 where it is no HTTP/1.1:
+ * - a status line: version 1.x, a status of three digits from 100 to 599, one space, and a
+ *   reason without control bytes. 101 is none, as this daemon never asks for another
+ *   protocol;
+ * - a field: a name that is a token, directly before its colon, and a value without control
+ *   bytes but tabs. A folded line is none;
+ * - the empty line: of a head whose framing is clear, by one length or by chunks alone, and
+ *   which announces no body where its status has none.
  */
-bool http1_field_line_is_valid(str_t line);
-/* Whether all lines of a head, up to its empty line, end with CR LF and are valid. */
+int http1_lines_read(http1_lines_t *l, str_t line);
+/* The line that is read next is a field of an answer that is not an interim one. */
+static inline bool http1_lines_in_answer(const http1_lines_t *l)
+{
+	return l->at == HTTP1_AT_FIELD && l->status >= 200;
+}
+
+/* Whether all lines of a head are valid. */
 bool http1_head_is_valid(str_t head, bool is_response);
 
 #ifdef __cplusplus
--- a/src/target.c
+++ b/src/target.c
@@ -16,6 +16,7 @@
 #include <jansson.h>
 #include <urcu/list.h>
 
+#include "http1_check.h"
 #include "log.h"
 
 #define COMPLETIONS_PATH "/v1/completions"
@@ -46,9 +47,11 @@
 	bool no_events; /* reports no events: an ORDER_CANCEL */
 	bool sent;	/* a byte of the request may have left this host */
 	/* The response. */
-	bool framed;	   /* has a Content-Length or a Transfer-Encoding */
-	bool is_sse;	   /* Content-Type is text/event-stream */
-	bool head_emitted; /* EVENT_HEAD has been reported */
+	http1_lines_t lines; /* of its heads and trailers */
+	bool malformed;	     /* it is no HTTP/1.1, though libcurl reads it */
+	bool framed;	     /* has a Content-Length or a Transfer-Encoding */
+	bool is_sse;	     /* Content-Type is text/event-stream */
+	bool head_emitted;   /* EVENT_HEAD has been reported */
 	bool done_seen;
 	int status;
 	uint64_t boot_id;
@@ -345,16 +348,10 @@
 	return true;
 }
 
-static size_t on_header(char *p, size_t size, size_t n, void *arg)
+static void read_field(transfer_t *t, str_t line)
 {
-	transfer_t *t = arg;
-	str_t line = str_n(p, size * n);
-	long status = 0;
 	str_t value;
 
-	t->last_byte_us = now_us();
-	curl_easy_getinfo(t->easy, CURLINFO_RESPONSE_CODE, &status);
-	t->status = (int)status;
 	if (match_header(line, "X-Boot-Id", &value))
 		str_to_u64(value, &t->boot_id);
 	else if (match_header(line, "Content-Type", &value))
@@ -363,6 +360,23 @@
 	else if (match_header(line, "Content-Length", &value) ||
 		 match_header(line, "Transfer-Encoding", &value))
 		t->framed = true;
+}
+
+static size_t on_header(char *p, size_t size, size_t n, void *arg)
+{
+	transfer_t *t = arg;
+	str_t line = str_n(p, size * n);
+	bool in_answer = http1_lines_in_answer(&t->lines);
+
+	t->last_byte_us = now_us();
+	if (http1_lines_read(&t->lines, line) < 0) {
+		t->malformed = true;
+		return 0; /* curl fails the transfer */
+	}
+	if (t->lines.status)
+		t->status = t->lines.status;
+	if (in_answer)
+		read_field(t, line);
 	return line.n;
 }
 
@@ -807,7 +821,8 @@
 		log_event(LOG_INFO, "target_transfer_failed",
 			  kv_u("target", t->order.target),
 			  kv_u("order", t->order.id),
-			  KV_C("error", curl_easy_strerror(rc)),
+			  KV_C("error", t->malformed ? "malformed response"
+						     : curl_easy_strerror(rc)),
 			  kv_u("sent", t->sent));
 	transfer_free(t);
 }
--- a/tests/target_test.cc
+++ b/tests/target_test.cc
@@ -18,6 +18,7 @@
 #include <unistd.h>
 #include <vector>
 
+#include "broken_answers.h"
 #include "hostlist.h"
 #include "log.h"
 #include "target.h"
@@ -471,6 +472,67 @@
 		EXPECT_EQ(e.reason, REASON_SHUTDOWN);
 }
 
+// No run takes these for an answer, nor for a part of one.
+class TargetBrokenAnswer : public TargetClient
+{
+      protected:
+	void expect_refused(const std::string &bytes, const char *path)
+	{
+		Server s({bytes});
+		engine_order_t o = order(s, ORDER_RUN);
+
+		o.path = str_c(path);
+		seen.clear();
+		SeenEvent last = run(o);
+
+		EXPECT_EQ(last.kind, EVENT_FAILED) << path << bytes;
+		EXPECT_TRUE(last.sent) << bytes;
+		EXPECT_EQ(relayed(), "") << path << bytes;
+	}
+	void expect_all_refused(const std::vector<std::string> &answers)
+	{
+		for (const std::string &bytes : answers)
+			for (const char *path : {"/do", "/v1/completions"})
+				expect_refused(bytes, path);
+	}
+	void expect_relayed(const std::string &bytes)
+	{
+		Server s({bytes});
+		engine_order_t o = order(s, ORDER_RUN);
+
+		o.path = STR("/do");
+		seen.clear();
+		EXPECT_EQ(run(o).kind, EVENT_DONE) << bytes;
+		EXPECT_EQ(relayed(), "{}") << bytes;
+	}
+};
+
+const std::string JSON_BODY = "Content-Length: 2\r\n\r\n{}";
+
+TEST_F(TargetBrokenAnswer, StatusLineThatIsNoneIsNoAnswer)
+{
+	const std::string sound = "HTTP/1.1 200 OK\r\n" + JSON_BODY;
+
+	for (const std::string &line : BROKEN_STATUS_LINES)
+		expect_all_refused(
+			{line + "\r\n" + JSON_BODY, line + "\r\n\r\n" + sound});
+	for (const std::string &line : SOUND_STATUS_LINES)
+		expect_relayed(line + "\r\n" + JSON_BODY);
+	expect_relayed("HTTP/1.1 103 \r\nLink: </a>\r\n\r\n" + sound);
+}
+
+TEST_F(TargetBrokenAnswer, FieldLineThatIsNoneIsNoAnswer)
+{
+	const std::string line = "HTTP/1.1 200 OK\r\n";
+
+	for (const std::string &field : BROKEN_FIELD_LINES)
+		expect_all_refused({line + field + "\r\n" + JSON_BODY,
+				    "HTTP/1.1 103 X\r\n" + field + "\r\n\r\n" +
+					    line + JSON_BODY});
+	for (const std::string &field : SOUND_FIELD_LINES)
+		expect_relayed(line + field + "\r\n" + JSON_BODY);
+}
+
 TEST(HostList, ReportsOnlyNamedRowsWithKnownStates)
 {
 	std::string rows;
