serve: chunked bodies that are broken are not whole

Seen by callers of `serve`: a service answered with a chunk of the size "0x2", and the caller got an empty answer as a whole one: a success with a body that was not the target's. "2 X", "2<CR>X", "2;a<01>", a blank before the size and a line that ends with LF alone were taken for sound sizes.

Cause: libcurl reads hexadecimal digits and skips what follows, to the next LF.

Change: curl_response.c receives for libcurl: it gives heads to http1_lines_read() and takes chunks apart by http1_chunks_next(), so that all answers are read by one set of rules; libcurl is told to leave chunks as they are. target.c subscribes to lines and data. A transfer that ends before the last chunk fails as truncated.

--- /dev/null
+++ b/src/curl_response.h
@@ -0,0 +1,37 @@
+/*
+ * curl_response.h - a response that libcurl receives, held to the same rules as those that
+ * http1.c reads: libcurl takes many heads and chunks that are no HTTP/1.1.
+ */
+#ifndef DK_CURL_RESPONSE_H
+#define DK_CURL_RESPONSE_H
+
+#include <curl/curl.h>
+
+#include "http1_check.h"
+#include "http1_chunks.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/* A response under way. Zero but for the callbacks before each transfer. */
+typedef struct curl_response {
+	/* Gets each line of heads and trailers once it is read; may be NULL. */
+	void (*line)(void *ctx, str_t line);
+	/* Gets the body in pieces; -1 ends the transfer. */
+	int (*data)(void *ctx, str_t piece);
+	void *ctx;
+	http1_lines_t lines;
+	http1_chunks_t chunks;
+	bool malformed;
+} curl_response_t;
+
+/* The next transfer of the handle receives into r, which outlives it. */
+void curl_response_attach(curl_response_t *r, CURL *curl);
+/* After a transfer that ended well: whether the response has come to its end. */
+bool curl_response_is_whole(const curl_response_t *r);
+
+#ifdef __cplusplus
+}
+#endif
+#endif
--- a/src/http1_chunks.c
+++ b/src/http1_chunks.c
@@ -89,30 +89,41 @@
 	return -1;
 }
 
-/* Skips data of the chunk; returns how many bytes. */
-static size_t skip_data(http1_chunks_t *c, size_t n)
+/* Takes data of the chunk off the bytes. */
+static str_t take_data(http1_chunks_t *c, str_t *bytes)
 {
-	if (n > c->left)
-		n = (size_t)c->left;
+	size_t n = c->left < bytes->n ? (size_t)c->left : bytes->n;
+	str_t data = str_n(bytes->p, n);
+
+	*bytes = str_n(bytes->p + n, bytes->n - n);
 	c->left -= n;
 	if (!c->left)
 		c->state = CHUNKS_DATA_CR;
-	return n;
+	return data;
 }
 
-size_t http1_chunks_read(http1_chunks_t *c, str_t bytes)
+int http1_chunks_next(http1_chunks_t *c, str_t *bytes, str_t *data)
 {
-	size_t i = 0;
-
-	while (i < bytes.n) {
-		if (c->state == CHUNKS_DATA)
-			i += skip_data(c, bytes.n - i);
-		else if (take_byte(c, bytes.p[i]) == 0)
-			i++;
-		else
-			break;
+	while (bytes->n && c->state != CHUNKS_ENDED) {
+		if (c->state == CHUNKS_DATA) {
+			*data = take_data(c, bytes);
+			return 1;
+		}
+		if (take_byte(c, bytes->p[0]) < 0)
+			return -1;
+		*bytes = str_n(bytes->p + 1, bytes->n - 1);
 	}
-	return i;
+	return 0;
+}
+
+size_t http1_chunks_read(http1_chunks_t *c, str_t bytes)
+{
+	size_t n = bytes.n;
+	str_t data;
+
+	while (http1_chunks_next(c, &bytes, &data) > 0)
+		;
+	return n - bytes.n;
 }
 
 bool http1_chunks_ended(const http1_chunks_t *c)
--- a/src/http1_chunks.h
+++ b/src/http1_chunks.h
@@ -34,6 +34,12 @@
 	uint64_t left; /* bytes of the chunk's data to come */
 } http1_chunks_t;
 
+/*
+ * Takes bytes of a body off the front of *bytes, up to the end of the next piece of its data.
+ * Returns 1 with that piece; 0 where no bytes are left or the body has ended; -1 where the
+ * next byte is not valid.
+ */
+int http1_chunks_next(http1_chunks_t *c, str_t *bytes, str_t *data);
 /*
  * Reads the next bytes of a body. Returns how many of them are valid: fewer than all where
  * the next one is not, or where the body has ended before it.
--- a/src/target.c
+++ b/src/target.c
@@ -16,7 +16,7 @@
 #include <jansson.h>
 #include <urcu/list.h>
 
-#include "http1_check.h"
+#include "curl_response.h"
 #include "log.h"
 
 #define COMPLETIONS_PATH "/v1/completions"
@@ -47,11 +47,10 @@
 	bool no_events; /* reports no events: an ORDER_CANCEL */
 	bool sent;	/* a byte of the request may have left this host */
 	/* The response. */
-	http1_lines_t lines; /* of its heads and trailers */
-	bool malformed;	     /* it is no HTTP/1.1, though libcurl reads it */
-	bool framed;	     /* has a Content-Length or a Transfer-Encoding */
-	bool is_sse;	     /* Content-Type is text/event-stream */
-	bool head_emitted;   /* EVENT_HEAD has been reported */
+	curl_response_t response;
+	bool framed;	   /* has a Content-Length or a Transfer-Encoding */
+	bool is_sse;	   /* Content-Type is text/event-stream */
+	bool head_emitted; /* EVENT_HEAD has been reported */
 	bool done_seen;
 	int status;
 	uint64_t boot_id;
@@ -307,10 +306,9 @@
 	return is_run(t) && t->is_service_call && t->framed && t->status != 503;
 }
 
-static size_t on_body(char *p, size_t size, size_t n, void *arg)
+static int on_data(void *ctx, str_t data)
 {
-	transfer_t *t = arg;
-	str_t data = str_n(p, size * n);
+	transfer_t *t = ctx;
 	size_t max = t->worker->client->cfg.json_max;
 
 	t->last_byte_us = now_us();
@@ -325,9 +323,9 @@
 	} else if (t->held.n + data.n <= max) {
 		buf_put(&t->held, data.p, data.n);
 	} else {
-		return 0; /* too large: curl fails the transfer */
+		return -1; /* too large */
 	}
-	return data.n;
+	return 0;
 }
 
 /* Sets *value, trimmed, and returns true if line is the header called name. */
@@ -362,22 +360,16 @@
 		t->framed = true;
 }
 
-static size_t on_header(char *p, size_t size, size_t n, void *arg)
+static void on_line(void *ctx, str_t line)
 {
-	transfer_t *t = arg;
-	str_t line = str_n(p, size * n);
-	bool in_answer = http1_lines_in_answer(&t->lines);
+	transfer_t *t = ctx;
+	const http1_lines_t *lines = &t->response.lines;
 
 	t->last_byte_us = now_us();
-	if (http1_lines_read(&t->lines, line) < 0) {
-		t->malformed = true;
-		return 0; /* curl fails the transfer */
-	}
-	if (t->lines.status)
-		t->status = t->lines.status;
-	if (in_answer)
+	if (lines->status)
+		t->status = lines->status;
+	if (http1_lines_in_answer(lines))
 		read_field(t, line);
-	return line.n;
 }
 
 /* Called by curl when it has a connection, before it sends the first byte. */
@@ -563,10 +555,10 @@
 	CURL *e = t->easy;
 
 	curl_easy_setopt(e, CURLOPT_PRIVATE, t);
-	curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body);
-	curl_easy_setopt(e, CURLOPT_WRITEDATA, t);
-	curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
-	curl_easy_setopt(e, CURLOPT_HEADERDATA, t);
+	t->response.line = on_line;
+	t->response.data = on_data;
+	t->response.ctx = t;
+	curl_response_attach(&t->response, e);
 	curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, on_connected);
 	curl_easy_setopt(e, CURLOPT_PREREQDATA, t);
 }
@@ -811,8 +803,10 @@
 static void finish_transfer(worker_t *w, transfer_t *t, CURLcode rc)
 {
 	detach(w, t);
-	if (rc == CURLE_OK)
+	if (rc == CURLE_OK && curl_response_is_whole(&t->response))
 		finish_answer(t);
+	else if (rc == CURLE_OK)
+		emit_failed(t, REASON_STREAM_TRUNCATED, true);
 	else if (rc == CURLE_WRITE_ERROR)
 		emit_failed(t, REASON_TARGET_ERROR, true);
 	else
@@ -821,8 +815,9 @@
 		log_event(LOG_INFO, "target_transfer_failed",
 			  kv_u("target", t->order.target),
 			  kv_u("order", t->order.id),
-			  KV_C("error", t->malformed ? "malformed response"
-						     : curl_easy_strerror(rc)),
+			  KV_C("error", t->response.malformed
+						? "malformed response"
+						: curl_easy_strerror(rc)),
 			  kv_u("sent", t->sent));
 	transfer_free(t);
 }
--- a/tests/target_test.cc
+++ b/tests/target_test.cc
@@ -533,6 +533,29 @@
 		expect_relayed(line + field + "\r\n" + JSON_BODY);
 }
 
+// What of a broken body has come may be passed on, but not as a whole one.
+TEST_F(TargetBrokenAnswer, ChunksAndTrailersThatAreBrokenEndNoAnswer)
+{
+	const std::string head = "HTTP/1.1 200 OK\r\n"
+				 "Transfer-Encoding: chunked\r\n\r\n";
+	std::vector<std::string> bodies = BROKEN_CHUNKS;
+
+	for (const char *size_line : {"2 X", "2;a\x01", "0x2", "2\rX"})
+		bodies.push_back(size_line +
+				 std::string("\r\n{}\r\n0\r\n\r\n"));
+	for (const std::string &line : BROKEN_FIELD_LINES)
+		bodies.push_back("2\r\n{}\r\n0\r\n" + line + "\r\n\r\n");
+	for (const std::string &body : bodies)
+		for (const char *path : {"/do", "/v1/completions"}) {
+			Server s({head + body});
+			engine_order_t o = order(s, ORDER_RUN);
+
+			o.path = str_c(path);
+			EXPECT_EQ(run(o).kind, EVENT_FAILED) << path << body;
+		}
+	expect_relayed(head + "1;a=b\r\n{\r\n01\r\n}\r\n0\r\nA: b\r\n\r\n");
+}
+
 TEST(HostList, ReportsOnlyNamedRowsWithKnownStates)
 {
 	std::string rows;
