A folded line in an answer ends neither `serve` nor the command line

Seen: nothing by callers yet; found by the tests of this issue. A host list whose head begins with a folded line, behind any other answer, ended the daemon of `serve` with SIGSEGV, and all its requests with it; a reply of that kind to the operators' command line aborted that.

Cause: libcurl 7.88.1, which Debian ships, joins a folded line to the last field that the handle has read.

Change: each poll and each request has a handle of its own, as target.c had all along. A connection is then not kept for the next poll.

--- a/src/cli_int.h
+++ b/src/cli_int.h
@@ -87,7 +87,7 @@
 /* Prints that no server could be reached; returns CLI_UNREACHABLE. */
 int cli_report_unreachable(const cli_t *cli);
 /* Appends s escaped for use in a URL. */
-void cli_append_escaped(const cli_t *cli, const char *s, buf_t *out);
+void cli_append_escaped(const char *s, buf_t *out);
 /*
  * Sends a GET request; path is relative to CLI_ROOT. Returns an exit code; on
  * CLI_OK *reply is a new reference.
--- a/src/cli_read.c
+++ b/src/cli_read.c
@@ -81,9 +81,9 @@
 	return rc;
 }
 
-void cli_append_escaped(const cli_t *cli, const char *s, buf_t *out)
+void cli_append_escaped(const char *s, buf_t *out)
 {
-	char *escaped = curl_easy_escape(cli->client.curl, s, 0);
+	char *escaped = curl_easy_escape(NULL, s, 0);
 
 	buf_puts(out, escaped ? escaped : "");
 	curl_free(escaped);
@@ -197,7 +197,7 @@
 
 		buf_printf(&query, "%s?limit=%s&after=%lld&prefix=", path,
 			   PAGE_ROWS, (long long)after);
-		cli_append_escaped(cli, prefix ? prefix : "", &query);
+		cli_append_escaped(prefix ? prefix : "", &query);
 		rc = cli_get(cli, query.p, &page);
 		if (rc)
 			return rc;
@@ -250,7 +250,7 @@
 	int rc;
 
 	buf_printf(&full_path, "%s/", path);
-	cli_append_escaped(cli, name, &full_path);
+	cli_append_escaped(name, &full_path);
 	rc = cli_get(cli, full_path.p, &row);
 	if (rc)
 		return rc;
@@ -389,7 +389,7 @@
 	if (argc != 1)
 		return cli_usage_error(cli, "one adapter is needed");
 	buf_puts(&path, "explain?model=");
-	cli_append_escaped(cli, argv[0], &path);
+	cli_append_escaped(argv[0], &path);
 	rc = cli_get(cli, path.p, &j);
 	if (rc)
 		return rc;
--- a/src/client.c
+++ b/src/client.c
@@ -17,10 +17,7 @@
 int client_init(client_t *c)
 {
 	c->timeout_ms = TIMEOUT_MS;
-	if (curl_global_init(CURL_GLOBAL_NOTHING))
-		return -1;
-	c->curl = curl_easy_init();
-	return c->curl ? 0 : -1;
+	return curl_global_init(CURL_GLOBAL_NOTHING) ? -1 : 0;
 }
 
 void client_free(client_t *c)
@@ -28,8 +25,6 @@
 	for (size_t i = 0; i < c->n_servers; i++)
 		free(c->servers[i]);
 	free(c->token);
-	if (c->curl)
-		curl_easy_cleanup(c->curl);
 	curl_global_cleanup();
 	memset(c, 0, sizeof(*c));
 }
@@ -64,42 +59,54 @@
 	return rc == CURLE_COULDNT_CONNECT || rc == CURLE_COULDNT_RESOLVE_HOST;
 }
 
+static struct curl_slist *make_headers(const client_t *c)
+{
+	AUTO_BUF buf_t auth = {0};
+	struct curl_slist *headers;
+
+	buf_printf(&auth, "Authorization: Bearer %s", c->token ? c->token : "");
+	headers = curl_slist_append(NULL, auth.p);
+	headers = curl_slist_append(headers, "Content-Type: application/json");
+	return curl_slist_append(headers, "Expect:");
+}
+
+/*
+ * Each request has a handle of its own: libcurl 7.88 continues a field of the handle's last
+ * transfer, which is freed, where a response begins with a folded line.
+ */
 static client_result_t send_request(client_t *c, const char *addr,
 				    const char *path, const char *post_body,
 				    json_t **reply)
 {
 	AUTO_BUF buf_t url = {0};
-	AUTO_BUF buf_t auth = {0};
 	AUTO_BUF buf_t body = {0};
-	struct curl_slist *headers = NULL;
+	struct curl_slist *headers = make_headers(c);
+	CURL *curl = curl_easy_init();
 	CURLcode rc;
 
 	*reply = NULL;
 	buf_printf(&url, "http://%s%s", addr, path);
-	buf_printf(&auth, "Authorization: Bearer %s", c->token ? c->token : "");
-	headers = curl_slist_append(headers, auth.p);
-	headers = curl_slist_append(headers, "Content-Type: application/json");
-	headers = curl_slist_append(headers, "Expect:");
-	curl_easy_reset(c->curl);
-	curl_easy_setopt(c->curl, CURLOPT_URL, url.p);
-	curl_easy_setopt(c->curl, CURLOPT_HTTPHEADER, headers);
-	curl_easy_setopt(c->curl, CURLOPT_WRITEFUNCTION, on_data);
-	curl_easy_setopt(c->curl, CURLOPT_WRITEDATA, &body);
-	curl_easy_setopt(c->curl, CURLOPT_ERRORBUFFER, c->error);
-	curl_easy_setopt(c->curl, CURLOPT_NOSIGNAL, 1L);
-	curl_easy_setopt(c->curl, CURLOPT_PROXY, "");
-	curl_easy_setopt(c->curl, CURLOPT_CONNECTTIMEOUT_MS,
-			 CONNECT_TIMEOUT_MS);
-	curl_easy_setopt(c->curl, CURLOPT_TIMEOUT_MS, c->timeout_ms);
+	curl_easy_setopt(curl, CURLOPT_URL, url.p);
+	curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers);
+	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, on_data);
+	curl_easy_setopt(curl, CURLOPT_WRITEDATA, &body);
+	curl_easy_setopt(curl, CURLOPT_ERRORBUFFER, c->error);
+	curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(curl, CURLOPT_PROXY, "");
+	curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
+	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, c->timeout_ms);
 	if (post_body)
-		curl_easy_setopt(c->curl, CURLOPT_POSTFIELDS, post_body);
-	rc = curl_easy_perform(c->curl);
-	curl_slist_free_all(headers);
+		curl_easy_setopt(curl, CURLOPT_POSTFIELDS, post_body);
 	c->http_status = 0;
+	rc = curl_easy_perform(curl);
+	if (rc == CURLE_OK)
+		curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE,
+				  &c->http_status);
+	curl_easy_cleanup(curl);
+	curl_slist_free_all(headers);
 	if (rc != CURLE_OK)
 		return was_not_sent(rc) ? CLIENT_UNREACHABLE
 					: CLIENT_REPLY_LOST;
-	curl_easy_getinfo(c->curl, CURLINFO_RESPONSE_CODE, &c->http_status);
 	*reply = json_loadb(body.p ? body.p : "", body.n, 0, NULL);
 	return CLIENT_OK;
 }
--- a/src/client.h
+++ b/src/client.h
@@ -28,8 +28,7 @@
 	size_t n_servers;
 	size_t current; /* index of the server that replied last; tried first */
 	char *token;	/* owned */
-	long timeout_ms; /* of one request to one server */
-	CURL *curl;
+	long timeout_ms;	     /* of one request to one server */
 	long http_status;	     /* of the last request; 0: no reply */
 	char error[CURL_ERROR_SIZE]; /* libcurl's text of the last error */
 } client_t;
--- a/src/hostlist.c
+++ b/src/hostlist.c
@@ -19,7 +19,6 @@
 	int64_t poll_ms;
 	hostlist_fn_t fn;
 	void *ctx;
-	CURL *curl;
 	pthread_t thread;
 	pthread_mutex_t lock;
 	pthread_cond_t wake;
@@ -58,16 +57,37 @@
 	return size * n;
 }
 
+/* Reads the list; the status, where the answer has one, and the body. */
+static CURLcode fetch_list(const hostlist_t *h, long *status, buf_t *body)
+{
+	CURL *curl = curl_easy_init();
+	CURLcode rc;
+
+	if (!curl)
+		return CURLE_FAILED_INIT;
+	curl_easy_setopt(curl, CURLOPT_URL, h->url);
+	curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(curl, CURLOPT_PROXY, "");
+	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, POLL_TIMEOUT_MS);
+	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, on_response_data);
+	curl_easy_setopt(curl, CURLOPT_WRITEDATA, body);
+	rc = curl_easy_perform(curl);
+	curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, status);
+	curl_easy_cleanup(curl);
+	return rc;
+}
+
+/*
+ * Each poll has a handle of its own: libcurl 7.88 continues a field of the handle's last
+ * transfer, which is freed, where a response begins with a folded line.
+ */
 static void poll_once(hostlist_t *h)
 {
 	AUTO_BUF buf_t body = {0};
 	const char *error = NULL;
 	long status = 0;
-	CURLcode rc;
+	CURLcode rc = fetch_list(h, &status, &body);
 
-	curl_easy_setopt(h->curl, CURLOPT_WRITEDATA, &body);
-	rc = curl_easy_perform(h->curl);
-	curl_easy_getinfo(h->curl, CURLINFO_RESPONSE_CODE, &status);
 	if (rc != CURLE_OK)
 		error = curl_easy_strerror(rc);
 	else if (status != 200)
@@ -111,8 +131,6 @@
 
 static void hostlist_free(hostlist_t *h)
 {
-	if (h->curl)
-		curl_easy_cleanup(h->curl);
 	pthread_cond_destroy(&h->wake);
 	pthread_mutex_destroy(&h->lock);
 	free(h->url);
@@ -134,19 +152,9 @@
 	pthread_cond_init(&h->wake, &attr);
 	pthread_condattr_destroy(&attr);
 	pthread_mutex_init(&h->lock, NULL);
-	h->curl = curl_easy_init();
-	if (!h->curl)
-		goto fail;
-	curl_easy_setopt(h->curl, CURLOPT_URL, h->url);
-	curl_easy_setopt(h->curl, CURLOPT_NOSIGNAL, 1L);
-	curl_easy_setopt(h->curl, CURLOPT_PROXY, "");
-	curl_easy_setopt(h->curl, CURLOPT_TIMEOUT_MS, POLL_TIMEOUT_MS);
-	curl_easy_setopt(h->curl, CURLOPT_WRITEFUNCTION, on_response_data);
 	errno = pthread_create(&h->thread, NULL, hostlist_thread, h);
-	if (errno)
-		goto fail;
-	return h;
-fail:
+	if (!errno)
+		return h;
 	log_event(LOG_ERR, "host_list_start_failed",
 		  KV_C("error", strerror(errno)));
 	hostlist_free(h);
--- a/tests/target_test.cc
+++ b/tests/target_test.cc
@@ -19,6 +19,7 @@
 #include <vector>
 
 #include "broken_answers.h"
+#include "client.h"
 #include "hostlist.h"
 #include "log.h"
 #include "target.h"
@@ -556,6 +557,37 @@
 	expect_relayed(head + "1;a=b\r\n{\r\n01\r\n}\r\n0\r\nA: b\r\n\r\n");
 }
 
+const std::string NO_ANSWER = "HTTP/1.1 500 X\r\nB: 1\r\n" + JSON_BODY;
+const std::string FOLDED = "HTTP/1.1 500 X\r\n A: 1\r\n" + JSON_BODY;
+
+// Guards against a daemon that ends, as libcurl reads memory that is freed.
+TEST(HostList, FoldedLinesBehindAStatusAreReadAgainAndAgain)
+{
+	Server s({NO_ANSWER, FOLDED, NO_ANSWER, FOLDED, NO_ANSWER, FOLDED});
+	hostlist_t *h = hostlist_start(
+		str_c(s.url.c_str()), 1, [](void *, str_t, bool) {}, nullptr);
+
+	for (int i = 0; i < 1000 && s.requests().size() < 8; i++)
+		usleep(5000);
+	hostlist_stop(h);
+	EXPECT_GE(s.requests().size(), 8u);
+}
+
+TEST(Client, FoldedLinesBehindAStatusAreReadAgainAndAgain)
+{
+	Server s({NO_ANSWER, FOLDED, NO_ANSWER, FOLDED, NO_ANSWER, FOLDED});
+	client_t c = {};
+	json_t *reply = nullptr;
+
+	ASSERT_EQ(0, client_init(&c));
+	for (int i = 0; i < 6; i++) {
+		client_get_from(&c, s.url.substr(7).c_str(), "/x", &reply);
+		json_decref(reply);
+	}
+	client_free(&c);
+	EXPECT_EQ(s.requests().size(), 6u);
+}
+
 TEST(HostList, ReportsOnlyNamedRowsWithKnownStates)
 {
 	std::string rows;
