serve: a host list or a reply that is not HTTP/1.1 is none

Seen: nothing by callers; the same cause on the last two paths that read by libcurl. A platform in trouble could name hosts that leave, and a daemon in trouble give an operator a reply, by answers whose lines or chunks are broken.

Cause: hostlist.c and client.c took what libcurl reads.

Change: curl_body_t, a response whose body is kept, in place of two functions of the same content; both files receive by it. A broken reply to an operator is lost, not unreachable: the daemon may have acted on it.

--- a/src/client.c
+++ b/src/client.c
@@ -1,11 +1,13 @@
 /* client.c - HTTP client of the operators' interface over libcurl. */
 #include "client.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <time.h>
 
 #include "change.h"
+#include "curl_response.h"
 
 #define TIMEOUT_MS 15000L
 #define CONNECT_TIMEOUT_MS 2000L
@@ -43,16 +45,6 @@
 	return 0;
 }
 
-static size_t on_data(char *p, size_t size, size_t n, void *ctx)
-{
-	buf_t *body = ctx;
-
-	if (body->n + size * n > REPLY_MAX)
-		return 0;
-	buf_put(body, p, size * n);
-	return size * n;
-}
-
 /* Whether the error means that no byte of the request was sent. */
 static bool was_not_sent(CURLcode rc)
 {
@@ -79,17 +71,17 @@
 				    json_t **reply)
 {
 	AUTO_BUF buf_t url = {0};
-	AUTO_BUF buf_t body = {0};
+	AUTO_CURL_BODY curl_body_t body = {.max = REPLY_MAX};
 	struct curl_slist *headers = make_headers(c);
 	CURL *curl = curl_easy_init();
+	const char *error;
 	CURLcode rc;
 
 	*reply = NULL;
 	buf_printf(&url, "http://%s%s", addr, path);
 	curl_easy_setopt(curl, CURLOPT_URL, url.p);
 	curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers);
-	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, on_data);
-	curl_easy_setopt(curl, CURLOPT_WRITEDATA, &body);
+	curl_body_attach(&body, curl);
 	curl_easy_setopt(curl, CURLOPT_ERRORBUFFER, c->error);
 	curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(curl, CURLOPT_PROXY, "");
@@ -99,15 +91,20 @@
 		curl_easy_setopt(curl, CURLOPT_POSTFIELDS, post_body);
 	c->http_status = 0;
 	rc = curl_easy_perform(curl);
-	if (rc == CURLE_OK)
+	error = curl_response_error(&body.response, rc);
+	if (!error)
 		curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE,
 				  &c->http_status);
 	curl_easy_cleanup(curl);
 	curl_slist_free_all(headers);
-	if (rc != CURLE_OK)
+	/* Of other errors, libcurl has written more than this. */
+	if (error && (rc == CURLE_OK || rc == CURLE_WRITE_ERROR))
+		snprintf(c->error, sizeof(c->error), "%s", error);
+	if (error)
 		return was_not_sent(rc) ? CLIENT_UNREACHABLE
 					: CLIENT_REPLY_LOST;
-	*reply = json_loadb(body.p ? body.p : "", body.n, 0, NULL);
+	*reply = json_loadb(body.bytes.p ? body.bytes.p : "", body.bytes.n, 0,
+			    NULL);
 	return CLIENT_OK;
 }
 
--- a/src/curl_response.c
+++ b/src/curl_response.c
@@ -49,3 +49,34 @@
 {
 	return !r->lines.chunked || http1_chunks_ended(&r->chunks);
 }
+
+const char *curl_response_error(const curl_response_t *r, CURLcode rc)
+{
+	if (r->malformed)
+		return "malformed response";
+	if (rc != CURLE_OK)
+		return curl_easy_strerror(rc);
+	return curl_response_is_whole(r) ? NULL : "incomplete response";
+}
+
+static int keep_piece(void *ctx, str_t piece)
+{
+	curl_body_t *b = ctx;
+
+	if (b->bytes.n + piece.n > b->max)
+		return -1;
+	buf_put(&b->bytes, piece.p, piece.n);
+	return 0;
+}
+
+void curl_body_attach(curl_body_t *b, CURL *curl)
+{
+	b->response.data = keep_piece;
+	b->response.ctx = b;
+	curl_response_attach(&b->response, curl);
+}
+
+void curl_body_free(curl_body_t *b)
+{
+	buf_free(&b->bytes);
+}
--- a/src/curl_response.h
+++ b/src/curl_response.h
@@ -30,6 +30,20 @@
 void curl_response_attach(curl_response_t *r, CURL *curl);
 /* After a transfer that ended well: whether the response has come to its end. */
 bool curl_response_is_whole(const curl_response_t *r);
+/* Why a transfer that ended so brought no whole response; NULL: it did. */
+const char *curl_response_error(const curl_response_t *r, CURLcode rc);
+
+/* A response whose body is kept. Zero but for max before each transfer. */
+typedef struct curl_body {
+	curl_response_t response;
+	buf_t bytes; /* owned */
+	size_t max;  /* a larger body ends the transfer */
+} curl_body_t;
+
+/* The next transfer of the handle receives into b, which outlives it. */
+void curl_body_attach(curl_body_t *b, CURL *curl);
+void curl_body_free(curl_body_t *b);
+#define AUTO_CURL_BODY __attribute__((cleanup(curl_body_free)))
 
 #ifdef __cplusplus
 }
--- a/src/hostlist.c
+++ b/src/hostlist.c
@@ -8,6 +8,8 @@
 #include <time.h>
 
 #include <curl/curl.h>
+
+#include "curl_response.h"
 #include "json.h"
 #include "log.h"
 
@@ -47,52 +49,40 @@
 	return json_is_array(hosts) ? 0 : -1;
 }
 
-static size_t on_response_data(char *p, size_t size, size_t n, void *arg)
-{
-	buf_t *body = arg;
-
-	if (body->n + size * n > RESPONSE_MAX)
-		return 0;
-	buf_put(body, p, size * n);
-	return size * n;
-}
-
-/* Reads the list; the status, where the answer has one, and the body. */
-static CURLcode fetch_list(const hostlist_t *h, long *status, buf_t *body)
+/*
+ * Reads the list. Returns why it has not come, or NULL; *status is that of the answer, 0 where
+ * it has none. Each poll has a handle of its own: libcurl 7.88 continues a field of the
+ * handle's last transfer, which is freed, where a response begins with a folded line.
+ */
+static const char *fetch_list(const hostlist_t *h, long *status,
+			      curl_body_t *body)
 {
 	CURL *curl = curl_easy_init();
 	CURLcode rc;
 
 	if (!curl)
-		return CURLE_FAILED_INIT;
+		return curl_easy_strerror(CURLE_FAILED_INIT);
 	curl_easy_setopt(curl, CURLOPT_URL, h->url);
 	curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(curl, CURLOPT_PROXY, "");
 	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, POLL_TIMEOUT_MS);
-	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, on_response_data);
-	curl_easy_setopt(curl, CURLOPT_WRITEDATA, body);
+	curl_body_attach(body, curl);
 	rc = curl_easy_perform(curl);
 	curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, status);
 	curl_easy_cleanup(curl);
-	return rc;
+	return curl_response_error(&body->response, rc);
 }
 
-/*
- * Each poll has a handle of its own: libcurl 7.88 continues a field of the handle's last
- * transfer, which is freed, where a response begins with a folded line.
- */
 static void poll_once(hostlist_t *h)
 {
-	AUTO_BUF buf_t body = {0};
-	const char *error = NULL;
+	AUTO_CURL_BODY curl_body_t body = {.max = RESPONSE_MAX};
 	long status = 0;
-	CURLcode rc = fetch_list(h, &status, &body);
+	const char *error = fetch_list(h, &status, &body);
 
-	if (rc != CURLE_OK)
-		error = curl_easy_strerror(rc);
-	else if (status != 200)
+	if (!error && status != 200)
 		error = "the HTTP status is not 200";
-	else if (hostlist_parse(buf_str(&body), h->fn, h->ctx) < 0)
+	else if (!error &&
+		 hostlist_parse(buf_str(&body.bytes), h->fn, h->ctx) < 0)
 		error = "the response is not a list of hosts";
 	if (error)
 		log_event(LOG_INFO, "host_list_failed", KV_C("error", error),
--- a/src/target.c
+++ b/src/target.c
@@ -802,8 +802,10 @@
 
 static void finish_transfer(worker_t *w, transfer_t *t, CURLcode rc)
 {
+	const char *error = curl_response_error(&t->response, rc);
+
 	detach(w, t);
-	if (rc == CURLE_OK && curl_response_is_whole(&t->response))
+	if (!error)
 		finish_answer(t);
 	else if (rc == CURLE_OK)
 		emit_failed(t, REASON_STREAM_TRUNCATED, true);
@@ -811,13 +813,10 @@
 		emit_failed(t, REASON_TARGET_ERROR, true);
 	else
 		emit_failed(t, REASON_TARGET_LOST, t->sent);
-	if (rc != CURLE_OK)
+	if (error)
 		log_event(LOG_INFO, "target_transfer_failed",
 			  kv_u("target", t->order.target),
-			  kv_u("order", t->order.id),
-			  KV_C("error", t->response.malformed
-						? "malformed response"
-						: curl_easy_strerror(rc)),
+			  kv_u("order", t->order.id), KV_C("error", error),
 			  kv_u("sent", t->sent));
 	transfer_free(t);
 }
--- a/tests/target_test.cc
+++ b/tests/target_test.cc
@@ -557,6 +557,66 @@
 	expect_relayed(head + "1;a=b\r\n{\r\n01\r\n}\r\n0\r\nA: b\r\n\r\n");
 }
 
+// Broken answers with a sound body behind broken lines or chunks.
+std::vector<std::string> broken_answers(const std::string &body)
+{
+	const std::string length =
+		"Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+	std::vector<std::string> all;
+
+	for (const std::string &line : BROKEN_STATUS_LINES)
+		all.push_back(line + "\r\n" + length + body);
+	for (const std::string &line : BROKEN_FIELD_LINES)
+		all.push_back("HTTP/1.1 200 OK\r\n" + line + "\r\n" + length +
+			      body);
+	for (const std::string &chunks : BROKEN_CHUNKS)
+		all.push_back("HTTP/1.1 200 OK\r\nTransfer-Encoding: "
+			      "chunked\r\n\r\n" +
+			      chunks);
+	return all;
+}
+
+// Guards against hosts that are named by a list which is no answer.
+TEST(HostList, BrokenAnswersNameNoHosts)
+{
+	const std::string list =
+		"{\"hosts\":[{\"name\":\"a\",\"state\":\"live\"}]}";
+	std::vector<std::string> answers = broken_answers(list);
+	const size_t n_broken = answers.size();
+
+	answers.push_back("HTTP/1.1 200 OK\r\n\r\n" + list);
+	Server s(answers);
+	std::atomic<size_t> asked{0};
+	auto note = [&] { asked = s.requests().size(); };
+	hostlist_t *h = hostlist_start(
+		str_c(s.url.c_str()), 1,
+		[](void *ctx, str_t, bool) { (*(decltype(note) *)ctx)(); },
+		&note);
+
+	for (int i = 0; i < 2000 && !asked; i++)
+		usleep(5000);
+	hostlist_stop(h);
+	EXPECT_GT(asked, n_broken);
+}
+
+// Guards against replies to an operator that no daemon gave.
+TEST(Client, BrokenAnswersAreNoReplies)
+{
+	for (const std::string &bytes : broken_answers("{\"ok\":1}")) {
+		Server s({bytes});
+		client_t c = {};
+		json_t *reply = nullptr;
+
+		ASSERT_EQ(0, client_init(&c));
+		EXPECT_EQ(CLIENT_REPLY_LOST,
+			  client_get_from(&c, s.url.substr(7).c_str(), "/x",
+					  &reply))
+			<< bytes;
+		EXPECT_EQ(nullptr, reply);
+		client_free(&c);
+	}
+}
+
 const std::string NO_ANSWER = "HTTP/1.1 500 X\r\nB: 1\r\n" + JSON_BODY;
 const std::string FOLDED = "HTTP/1.1 500 X\r\n A: 1\r\n" + JSON_BODY;
 
