Tests: calls of a host's own, and its tries of targets, hear no broken answers

Change: a test for calls with the 76 broken answers of broken_answers.h, which end as calls without an answer (an order may then have been accepted), and one for a host that is cut off, which goes on to try its own path. broken_answers() moved to the header that target_test shares.

Measured: on both fail: calls ended with statuses such as 99, 600, 2 and 200, and the host took its own path again at the first answer of status 000.

--- a/tests/broken_answer_test.cc
+++ b/tests/broken_answer_test.cc
@@ -3,6 +3,7 @@
 #include "broken_answers.h"
 #include "http1_chunks.h"
 #include "target_ways.h"
+#include "upstream.h"
 
 namespace
 {
@@ -349,4 +350,75 @@
 	}
 }
 
+// Answers to calls of this host's own, such as lists, reports, orders and pages of other
+// hosts: the statuses that they end with, 0 for none.
+std::vector<int> call_each(const std::vector<std::string> &answers)
+{
+	std::deque<Action> actions;
+	std::vector<int> statuses;
+	upstream_request_t req = {};
+	Loop l;
+	upstream_t *u = upstream_new(l.loop, {});
+
+	for (const std::string &bytes : answers)
+		actions.push_back({bytes, true});
+	Target target(actions);
+	std::string addr = target.addr();
+	req.addr = str_c(addr.c_str());
+	req.target = STR("/x");
+	req.response_max = 1024;
+	req.timeout_us = 3 * USEC_PER_SEC;
+	l.start();
+	for (size_t n = 0, done = 0; n < answers.size(); n++) {
+		l.call([&] {
+			upstream_call(
+				u, &req,
+				[](void *ctx, const call_result_t *res) {
+					((std::vector<int> *)ctx)
+						->push_back(res->status);
+				},
+				&statuses);
+		});
+		for (int i = 0; i < 1000 && done <= n; i++) {
+			usleep(1000);
+			l.call([&] { done = statuses.size(); });
+		}
+	}
+	l.call([&] { upstream_free(u); });
+	l.stop();
+	return statuses;
+}
+
+TEST(BrokenAnswer, CallsOfThisHostEndWithoutAnAnswer)
+{
+	std::vector<std::string> answers = broken_answers("{}");
+	std::vector<int> expected(answers.size(), 0);
+
+	answers.push_back("HTTP/1.1 202 \r\n" + BODY);
+	expected.push_back(202);
+	EXPECT_EQ(expected, call_each(answers));
+}
+
+// Guards against a host that takes its own path again by what is no target's answer: it
+// goes on to try whether a target answers it.
+TEST(BrokenAnswer, HostThatIsCutOffHearsNoTargetByIt)
+{
+	for (const char *bytes :
+	     {"HTTP/1.1 000 X\r\n\r\n", "HTTP/1.1 200 X\r\nA: \x01\r\n\r\n"}) {
+		Target a(std::deque<Action>(20, {bytes, true}));
+		Target b(std::deque<Action>(20, {bytes, true}));
+		GatewayFixture f({&a, &b, &a, &b});
+		auto n_received = [&] {
+			return a.received().size() + b.received().size();
+		};
+
+		f.lose_own_path();
+		size_t before = n_received();
+		a.only_from = b.only_from = 0;
+		for (int i = 0; i < 400 && n_received() < before + 3; i++)
+			usleep(10000);
+		EXPECT_GE(n_received(), before + 3) << bytes;
+	}
+}
+
 } // namespace
--- a/tests/target_test.cc
+++ b/tests/target_test.cc
@@ -557,25 +557,6 @@
 	expect_relayed(head + "1;a=b\r\n{\r\n01\r\n}\r\n0\r\nA: b\r\n\r\n");
 }
 
-// Broken answers with a sound body behind broken lines or chunks.
-std::vector<std::string> broken_answers(const std::string &body)
-{
-	const std::string length =
-		"Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
-	std::vector<std::string> all;
-
-	for (const std::string &line : BROKEN_STATUS_LINES)
-		all.push_back(line + "\r\n" + length + body);
-	for (const std::string &line : BROKEN_FIELD_LINES)
-		all.push_back("HTTP/1.1 200 OK\r\n" + line + "\r\n" + length +
-			      body);
-	for (const std::string &chunks : BROKEN_CHUNKS)
-		all.push_back("HTTP/1.1 200 OK\r\nTransfer-Encoding: "
-			      "chunked\r\n\r\n" +
-			      chunks);
-	return all;
-}
-
 // Guards against hosts that are named by a list which is no answer.
 TEST(HostList, BrokenAnswersNameNoHosts)
 {
