serve: an answer whose status has no body ends with its head

Seen by callers of `serve`: a service answered 204 with a length of 0, or 304, and the caller got a head that announces chunks and "0<CR><LF><CR><LF>" behind it. A 204 and a 304 have no body, so those bytes are no answer: the next answer on that connection is broken. A 204 without a length, the usual one, was taken for an answer that broke off.

Cause: http.c began each answer as a chunked one, whatever its status, and target.c looked for a length or chunks alone to tell that an answer is whole.

Change: both ask http1_status_has_body(), as the relay of `site` does.

Evidence: a test for each file.

--- a/src/http.c
+++ b/src/http.c
@@ -14,6 +14,7 @@
 #include <urcu/list.h>
 
 #include "counter.h"
+#include "http1.h"
 #include "log.h"
 
 #define SHARDS 64u
@@ -82,7 +83,8 @@
 	json_t *doc; /* the parsed completion, until core_body is made */
 	bool stream; /* the response is SSE */
 	bool head_sent;
-	int fd; /* the connection's socket; -1: not looked up yet */
+	bool has_body; /* the response, once its head is sent */
+	int fd;	       /* the connection's socket; -1: not looked up yet */
 	char id[REQUEST_ID_MAX + 1];
 } request_t;
 
@@ -461,13 +463,17 @@
 static int send_head(request_t *rq, const answer_t *answer)
 {
 	AUTO_BUF buf_t headers = {0};
+	int status = answer->status ? answer->status : 200;
+	const char *type =
+		rq->stream ? "text/event-stream" : "application/json";
 
 	rq->head_sent = true;
+	rq->has_body = http1_status_has_body(status);
 	put_answer_headers(rq, answer, &headers);
-	return httpd_begin_chunked(
-		rq->conn, answer->status ? answer->status : 200,
-		rq->stream ? "text/event-stream" : "application/json",
-		buf_str(&headers));
+	if (!rq->has_body)
+		return httpd_send_head(rq->conn, status, type,
+				       buf_str(&headers));
+	return httpd_begin_chunked(rq->conn, status, type, buf_str(&headers));
 }
 
 /*
@@ -529,7 +535,8 @@
 			  KV_C("request", rq->id));
 		httpd_abort(rq->conn);
 	} else if (answer->reason == REASON_NONE) {
-		httpd_send_chunk(rq->conn, str_n(NULL, 0));
+		if (rq->has_body)
+			httpd_send_chunk(rq->conn, str_n(NULL, 0));
 	} else if (rq->head_sent) {
 		send_error_after_head(rq, answer);
 	} else {
@@ -558,7 +565,7 @@
 		pthread_mutex_unlock(&s->lock);
 		if (ok && has_head && !rq->head_sent)
 			ok = send_head(rq, answer) == 0;
-		if (ok && data.n)
+		if (ok && data.n && rq->has_body)
 			ok = httpd_send_chunk(rq->conn, buf_str(&data)) == 0;
 	}
 	return ok;
--- a/src/httpd.c
+++ b/src/httpd.c
@@ -254,6 +254,16 @@
 	return write_all(conn, buf_str(&out));
 }
 
+int httpd_send_head(struct mg_connection *conn, int status, const char *type,
+		    str_t headers)
+{
+	AUTO_BUF buf_t out = {0};
+
+	put_head(&out, status, type, headers);
+	buf_puts(&out, "\r\n");
+	return write_all(conn, buf_str(&out));
+}
+
 int httpd_begin_chunked(struct mg_connection *conn, int status,
 			const char *type, str_t headers)
 {
--- a/src/httpd.h
+++ b/src/httpd.h
@@ -58,6 +58,9 @@
  */
 int httpd_send_response(struct mg_connection *conn, int status,
 			const char *type, str_t headers, str_t body);
+/* Sends a response whose status has no body. */
+int httpd_send_head(struct mg_connection *conn, int status, const char *type,
+		    str_t headers);
 /*
  * Sends the head of a chunked response. httpd_send_chunk() then sends each part
  * of the body; empty data ends the response.
--- a/src/target.c
+++ b/src/target.c
@@ -17,6 +17,7 @@
 #include <urcu/list.h>
 
 #include "curl_response.h"
+#include "http1.h"
 #include "log.h"
 
 #define COMPLETIONS_PATH "/v1/completions"
@@ -297,13 +298,20 @@
 	return t->order.kind == ORDER_RUN || t->order.kind == ORDER_RESUME;
 }
 
+/* Whether the head tells where the body ends. */
+static bool is_framed(const transfer_t *t)
+{
+	return t->framed || !http1_status_has_body(t->status);
+}
+
 /*
  * Whether body bytes are passed on unparsed as they arrive. A 503 is buffered,
  * because its body may say that the call was not run.
  */
 static bool relays_unparsed(const transfer_t *t)
 {
-	return is_run(t) && t->is_service_call && t->framed && t->status != 503;
+	return is_run(t) && t->is_service_call && is_framed(t) &&
+	       t->status != 503;
 }
 
 static int on_data(void *ctx, str_t data)
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -223,12 +223,12 @@
 			post("/v1/completions", body, extra_headers));
 	}
 	void reply(uint64_t handle, reply_kind_t kind, const std::string &data,
-		   reason_t reason = REASON_NONE)
+		   reason_t reason = REASON_NONE, int status = 200)
 	{
 		serve_reply_t r = {};
 
 		r.kind = kind;
-		r.http_status = 200;
+		r.http_status = status;
 		r.data = str_n(data.data(), data.size());
 		r.adapter = STR("notice@1");
 		r.attempt = 1;
@@ -491,6 +491,23 @@
 	EXPECT_FALSE(submitted[1].not_repeatable);
 }
 
+// Guards against bytes behind a head that no body follows: they are no answer.
+TEST_F(Http, AnswersWithoutABodyEndWithTheirHeads)
+{
+	for (int status : {204, 304}) {
+		on_submit = [&](const SubmittedRequest &rq) {
+			reply(rq.handle, REPLY_HEAD, "", REASON_NONE, status);
+			reply(rq.handle, REPLY_DONE, "");
+		};
+		std::string all = send_request(post("/v1/call/records", "{}"));
+
+		EXPECT_TRUE(
+			contains(all, "HTTP/1.1 " + std::to_string(status)));
+		EXPECT_EQ(all.size(), all.find("\r\n\r\n") + 4) << all;
+		EXPECT_FALSE(contains(all, "Transfer-Encoding")) << all;
+	}
+}
+
 TEST_F(Http, StopFailsWaitingRequestsWithShutdown)
 {
 	h = start(&port);
--- a/tests/target_test.cc
+++ b/tests/target_test.cc
@@ -534,6 +534,29 @@
 		expect_relayed(line + field + "\r\n" + JSON_BODY);
 }
 
+TEST_F(TargetBrokenAnswer, AnswersWithoutABodyEndWithTheirHeads)
+{
+	for (const char *bytes :
+	     {"HTTP/1.1 204 X\r\n\r\n",
+	      "HTTP/1.1 204 X\r\nContent-Length: 0\r\n\r\n",
+	      "HTTP/1.1 304 X\r\n\r\n",
+	      "HTTP/1.1 304 X\r\nContent-Length: 2\r\n\r\n"}) {
+		Server s({bytes});
+		engine_order_t o = order(s, ORDER_RUN);
+
+		o.path = STR("/do");
+		EXPECT_EQ(run(o).kind, EVENT_DONE) << bytes;
+		EXPECT_EQ(relayed(), "") << bytes;
+	}
+	for (const char *first : {"HTTP/1.1 204 X\r\n", "HTTP/1.1 103 X\r\n"}) {
+		std::string head = first;
+
+		expect_all_refused(
+			{head + "Content-Length: 2\r\n\r\n{}" + head,
+			 head + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"});
+	}
+}
+
 // What of a broken body has come may be passed on, but not as a whole one.
 TEST_F(TargetBrokenAnswer, ChunksAndTrailersThatAreBrokenEndNoAnswer)
 {
