--- a/src/client.c
+++ b/src/client.c
@@ -71,7 +71,7 @@
 				    json_t **reply)
 {
 	AUTO_BUF buf_t url = {0};
-	AUTO_CURL_BODY curl_body_t body = {.max = REPLY_MAX};
+	CLEANUP(curl_body_free) curl_body_t body = {.max = REPLY_MAX};
 	struct curl_slist *headers = make_headers(c);
 	CURL *curl = curl_easy_init();
 	const char *error;
--- a/src/curl_response.h
+++ b/src/curl_response.h
@@ -43,7 +43,6 @@
 /* The next transfer of the handle receives into b, which outlives it. */
 void curl_body_attach(curl_body_t *b, CURL *curl);
 void curl_body_free(curl_body_t *b);
-#define AUTO_CURL_BODY __attribute__((cleanup(curl_body_free)))
 
 #ifdef __cplusplus
 }
--- a/src/hostlist.c
+++ b/src/hostlist.c
@@ -75,7 +75,7 @@
 
 static void poll_once(hostlist_t *h)
 {
-	AUTO_CURL_BODY curl_body_t body = {.max = RESPONSE_MAX};
+	CLEANUP(curl_body_free) curl_body_t body = {.max = RESPONSE_MAX};
 	long status = 0;
 	const char *error = fetch_list(h, &status, &body);
 
--- a/src/http1.c
+++ b/src/http1.c
@@ -508,7 +508,7 @@
 	return c->state != CONN_CLOSED && !c->closing;
 }
 
-/* Bytes of the body at the start of the input; fewer than all: then it is malformed or ends. */
+/* Bytes of the body in the input; behind them it is malformed, or has ended. */
 static size_t body_size(http1_conn_t *c)
 {
 	return c->head.chunked ? http1_chunks_read(&c->chunks, buf_str(&c->in))
--- a/src/http1.h
+++ b/src/http1.h
@@ -1,7 +1,8 @@
 /*
  * http1.h - HTTP/1.1 connections on an event loop: incoming ones, opened by
- * callers, and outgoing ones, opened to targets. http_parser checks the syntax;
- * framing, limits, timeouts and closing are done here.
+ * callers, and outgoing ones, opened to targets. http_parser reads the syntax, and
+ * http1_check.h and http1_chunks.h refuse what it should not let pass; limits,
+ * timeouts and closing are done here.
  *
  * Callbacks run on the loop's thread, and may call any function of the
  * connection, which stays valid until its closed callback has returned.
