--- a/tests/left_caller_test.cc
+++ b/tests/left_caller_test.cc
@@ -371,6 +371,27 @@
 	EXPECT_EQ(4u, t.received().size());
 }
 
+// Guards against a run that goes on, as what its target answered is no answer.
+TEST(LeftCaller, RunIsOrderedToStopOnceMoreWhereTheAnswerIsBroken)
+{
+	Action broken = STOPPED;
+
+	broken.bytes.replace(0, strlen("HTTP/1.1 200"), "HTTP/1.1 000");
+	broken.close = true;
+	Target t({BEGUN, broken, STOPPED, ok_response()});
+	GatewayFixture f({&t});
+
+	let_targets_stop_runs(f);
+	{
+		Caller c(f);
+
+		c.ask_and_wait(t, "/stream/x");
+	}
+	await_received(t, 4);
+	ASSERT_EQ(4u, t.received().size());
+	EXPECT_TRUE(has(t.received()[3], "DELETE ")) << t.received()[3];
+}
+
 TEST(LeftCaller, RunThatNobodyReachesIsGivenUpAndCounted)
 {
 	Target t({BEGUN, STOPPED});
