The fields of a head are read once

Trailers went through the callbacks, too, only to be dropped by a look at the connection's state.

Change: http1_lines_t tells the field of the line that it has read, and http1.c takes its fields from there; http1_lines_next() replaces http1_head_is_valid(). The two callbacks, their check for trailers and the second trimming go. The parser still reads versions, lengths, chunks and what closes a connection. Two statuses that had constants of their own are named by http_parser, a status that is refused is no longer stored, and a condition that another one includes is gone. Behaviour stays as it is.

--- a/src/http1.c
+++ b/src/http1.c
@@ -310,35 +310,6 @@
 	return 0;
 }
 
-static int on_field(http_parser *p, const char *at, size_t n)
-{
-	http1_conn_t *c = p->data;
-
-	/* Trailers are dropped. */
-	if (c->state != CONN_AWAIT_HEAD)
-		return 0;
-	if (c->head.n_fields == HTTP1_FIELDS_MAX)
-		return -1;
-	c->head.fields[c->head.n_fields].name = str_n(at, n);
-	c->head.fields[c->head.n_fields++].value = str_n("", 0);
-	return 0;
-}
-
-static int on_value(http_parser *p, const char *at, size_t n)
-{
-	http1_conn_t *c = p->data;
-
-	if (c->state != CONN_AWAIT_HEAD)
-		return 0;
-	if (!c->head.n_fields)
-		return -1;
-	/* Blanks in front are skipped by the parser, those behind are not. */
-	while (n && (at[n - 1] == ' ' || at[n - 1] == '\t'))
-		n--;
-	c->head.fields[c->head.n_fields - 1].value = str_n(at, n);
-	return 0;
-}
-
 static int on_headers_complete(http_parser *p)
 {
 	const http1_conn_t *c = p->data;
@@ -368,8 +339,6 @@
 
 static const http_parser_settings parser_settings = {
 	.on_url = on_target,
-	.on_header_field = on_field,
-	.on_header_value = on_value,
 	.on_headers_complete = on_headers_complete,
 	.on_body = on_body,
 	.on_message_complete = on_message_end,
@@ -456,6 +425,25 @@
 		c->ops.message_end(c->ctx);
 }
 
+/* Fills the fields of the head; -1: it is not valid, or has too many. */
+static int read_fields(http1_conn_t *c)
+{
+	http1_lines_t l = {.at = c->incoming ? HTTP1_AT_REQUEST
+					     : HTTP1_AT_STATUS};
+	str_t rest = buf_str(&c->head_bytes);
+	http1_head_t *h = &c->head;
+	int rc;
+
+	while ((rc = http1_lines_next(&l, &rest)) > 0) {
+		if (!l.name.n)
+			continue;
+		if (h->n_fields == HTTP1_FIELDS_MAX)
+			return -1;
+		h->fields[h->n_fields++] = (http1_field_t){l.name, l.value};
+	}
+	return rc;
+}
+
 /* True where the rest of the input can be processed now. */
 static bool parse_head(http1_conn_t *c)
 {
@@ -485,7 +473,7 @@
 			 c->incoming ? HTTP_REQUEST : HTTP_RESPONSE);
 	c->parser.data = c;
 	c->message_complete = false;
-	if (!http1_head_is_valid(buf_str(&c->head_bytes), !c->incoming) ||
+	if (read_fields(c) < 0 ||
 	    http_parser_execute(&c->parser, &parser_settings, c->head_bytes.p,
 				n) != n) {
 		close_malformed(c);
--- a/src/http1_check.c
+++ b/src/http1_check.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include <glib.h>
+#include <http_parser.h>
 
 #include "http1.h"
 
@@ -11,8 +12,6 @@
 /* "HTTP/1.1 200 " */
 #define STATUS_AT 9u
 #define REASON_AT 13u
-#define SWITCHING_PROTOCOLS 101
-#define NOT_MODIFIED 304
 #define BLANKS " \t"
 /* Beside letters and digits, in the name of a field. */
 #define TOKEN_MARKS "!#$%&'*+-.^_`|~"
@@ -53,18 +52,20 @@
 static int read_status_line(http1_lines_t *l, str_t line)
 {
 	size_t minor_at = strlen(VERSION_PREFIX);
+	int status;
 
 	if (line.n < REASON_AT || memcmp(line.p, VERSION_PREFIX, minor_at) != 0)
 		return -1;
 	if (!g_ascii_isdigit(line.p[minor_at]) ||
 	    line.p[STATUS_AT - 1] != ' ' || line.p[REASON_AT - 1] != ' ')
 		return -1;
-	l->is_1_0 = line.p[minor_at] == '0';
-	l->status = read_status(line.p + STATUS_AT);
-	if (l->status < 0 || l->status == SWITCHING_PROTOCOLS)
+	status = read_status(line.p + STATUS_AT);
+	if (status < 0 || status == HTTP_STATUS_SWITCHING_PROTOCOLS)
 		return -1;
 	if (!is_text(str_n(line.p + REASON_AT, line.n - REASON_AT)))
 		return -1;
+	l->status = status;
+	l->is_1_0 = line.p[minor_at] == '0';
 	l->at = HTTP1_AT_FIELD;
 	return 0;
 }
@@ -90,36 +91,38 @@
 	return s.n > 0;
 }
 
-/* Splits a field, without its CR LF; the value has no blanks around it. */
-static int split_field(str_t line, str_t *name, str_t *value)
+/* Splits a field, without its CR LF. */
+static int split_field(http1_lines_t *l, str_t line)
 {
-	if (!str_split(line, ':', name, value) || !is_token(*name) ||
-	    !is_text(*value))
+	str_t value;
+
+	if (!str_split(line, ':', &l->name, &value) || !is_token(l->name) ||
+	    !is_text(value))
 		return -1;
-	while (value->n && strchr(BLANKS, value->p[0]))
-		*value = str_n(value->p + 1, value->n - 1);
-	while (value->n && strchr(BLANKS, value->p[value->n - 1]))
-		value->n--;
+	while (value.n && strchr(BLANKS, value.p[0]))
+		value = str_n(value.p + 1, value.n - 1);
+	while (value.n && strchr(BLANKS, value.p[value.n - 1]))
+		value.n--;
+	l->value = value;
 	return 0;
 }
 
 static int read_field(http1_lines_t *l, str_t line)
 {
-	str_t name, value;
-
-	if (split_field(line, &name, &value) < 0)
+	if (split_field(l, line) < 0)
 		return -1;
 	if (l->at == HTTP1_AT_TRAILER)
 		return 0;
-	if (http1_name_eq(name, STR("Content-Length"))) {
+	if (http1_name_eq(l->name, STR("Content-Length"))) {
 		l->n_framing++;
-		if (str_to_u64(value, &l->length) < 0 || l->length > INT64_MAX)
+		if (str_to_u64(l->value, &l->length) < 0 ||
+		    l->length > INT64_MAX)
 			return -1;
 	}
-	if (http1_name_eq(name, STR("Transfer-Encoding"))) {
+	if (http1_name_eq(l->name, STR("Transfer-Encoding"))) {
 		l->n_framing++;
 		l->chunked = true;
-		if (!http1_name_eq(value, STR("chunked")))
+		if (!http1_name_eq(l->value, STR("chunked")))
 			return -1;
 	}
 	return 0;
@@ -128,7 +131,7 @@
 /* A 304 tells the length that another answer has. */
 static bool may_announce_body(const http1_lines_t *l)
 {
-	return !l->status || l->status == NOT_MODIFIED ||
+	return !l->status || l->status == HTTP_STATUS_NOT_MODIFIED ||
 	       http1_status_has_body(l->status);
 }
 
@@ -139,7 +142,7 @@
 	if ((l->chunked || l->length) && !may_announce_body(l))
 		return -1;
 	l->at = HTTP1_AT_TRAILER;
-	if (l->status && http1_status_is_interim(l->status))
+	if (http1_status_is_interim(l->status))
 		memset(l, 0, sizeof(*l));
 	return 0;
 }
@@ -149,6 +152,7 @@
 	if (line.n < 2 || memcmp(line.p + line.n - 2, "\r\n", 2) != 0)
 		return -1;
 	line.n -= 2;
+	l->name = str_n(NULL, 0);
 	switch (l->at) {
 	case HTTP1_AT_STATUS:
 		return read_status_line(l, line);
@@ -162,18 +166,14 @@
 	return -1;
 }
 
-bool http1_head_is_valid(str_t head, bool is_response)
+int http1_lines_next(http1_lines_t *l, str_t *head)
 {
-	http1_lines_t l = {.at = is_response ? HTTP1_AT_STATUS
-					     : HTTP1_AT_REQUEST};
-
-	while (head.n) {
-		const char *end = memmem(head.p, head.n, "\r\n", 2);
-		size_t n = end ? (size_t)(end - head.p) + 2 : head.n;
+	const char *end = memmem(head->p, head->n, "\r\n", 2);
+	size_t n = end ? (size_t)(end - head->p) + 2 : head->n;
+	str_t line = str_n(head->p, n);
 
-		if (http1_lines_read(&l, str_n(head.p, n)) < 0)
-			return false;
-		head = str_n(head.p + n, head.n - n);
-	}
-	return true;
+	if (!n)
+		return 0;
+	*head = str_n(head->p + n, head->n - n);
+	return http1_lines_read(l, line) < 0 ? -1 : 1;
 }
--- a/src/http1_check.h
+++ b/src/http1_check.h
@@ -32,6 +32,9 @@
 	bool chunked;
 	unsigned int n_framing; /* fields that delimit the body */
 	uint64_t length;	/* of the body; 0: not stated */
+	/* Of the line read last, into its bytes; name is empty where it is no field. */
+	str_t name;
+	str_t value; /* without the blanks around it */
 } http1_lines_t;
 
 /*
@@ -45,14 +48,14 @@
  *   which announces no body where its status has none.
  */
 int http1_lines_read(http1_lines_t *l, str_t line);
-/* The line that is read next is a field of an answer that is not an interim one. */
+/* The line read last is a field of an answer that is not an interim one. */
 static inline bool http1_lines_in_answer(const http1_lines_t *l)
 {
-	return l->at == HTTP1_AT_FIELD && l->status >= 200;
+	return l->at == HTTP1_AT_FIELD && l->status >= 200 && l->name.n;
 }
 
-/* Whether all lines of a head are valid. */
-bool http1_head_is_valid(str_t head, bool is_response);
+/* Reads the next line off the front of *head. Returns 1; 0 where none is left; or -1. */
+int http1_lines_next(http1_lines_t *l, str_t *head);
 
 #ifdef __cplusplus
 }
