What libcurl receives is split and set up in one place

Cause: target.c split each line of a head once more for its fields, beside http1_lines_read(), and kept a status and a "framed" that follow from what that has read. hostlist.c and client.c set up and ended their handles alike, each with the same note on libcurl 7.88.

Change: the callback for a line takes none: the field stands in http1_lines_t. match_header(), transfer_t.status and .framed go. curl_body_handle() and curl_body_perform() make, run and free a handle for both files; the note is at the declaration, and the status is the one that was checked. Nobody outside asked curl_response_is_whole(): static now. In target.c, is_framed() is the former `framed`, and the question with statuses that have no body is has_known_end().

Behaviour stays as it is, but for the status that events and the log of host lists name where an answer broke off behind an interim one: 0 in place of the interim one's. Nothing compares it with one.

--- a/src/client.c
+++ b/src/client.c
@@ -62,10 +62,6 @@
 	return curl_slist_append(headers, "Expect:");
 }
 
-/*
- * Each request has a handle of its own: libcurl 7.88 continues a field of the handle's last
- * transfer, which is freed, where a response begins with a folded line.
- */
 static client_result_t send_request(client_t *c, const char *addr,
 				    const char *path, const char *post_body,
 				    json_t **reply)
@@ -73,36 +69,26 @@
 	AUTO_BUF buf_t url = {0};
 	CLEANUP(curl_body_free) curl_body_t body = {.max = REPLY_MAX};
 	struct curl_slist *headers = make_headers(c);
-	CURL *curl = curl_easy_init();
 	const char *error;
-	CURLcode rc;
+	CURL *curl;
 
 	*reply = NULL;
 	buf_printf(&url, "http://%s%s", addr, path);
-	curl_easy_setopt(curl, CURLOPT_URL, url.p);
+	curl = curl_body_handle(&body, url.p, c->timeout_ms);
 	curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers);
-	curl_body_attach(&body, curl);
 	curl_easy_setopt(curl, CURLOPT_ERRORBUFFER, c->error);
-	curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
-	curl_easy_setopt(curl, CURLOPT_PROXY, "");
 	curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
-	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, c->timeout_ms);
 	if (post_body)
 		curl_easy_setopt(curl, CURLOPT_POSTFIELDS, post_body);
-	c->http_status = 0;
-	rc = curl_easy_perform(curl);
-	error = curl_response_error(&body.response, rc);
-	if (!error)
-		curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE,
-				  &c->http_status);
-	curl_easy_cleanup(curl);
+	error = curl_body_perform(&body, curl);
 	curl_slist_free_all(headers);
+	c->http_status = error ? 0 : body.response.lines.status;
 	/* Of other errors, libcurl has written more than this. */
-	if (error && (rc == CURLE_OK || rc == CURLE_WRITE_ERROR))
+	if (error && (body.rc == CURLE_OK || body.rc == CURLE_WRITE_ERROR))
 		snprintf(c->error, sizeof(c->error), "%s", error);
 	if (error)
-		return was_not_sent(rc) ? CLIENT_UNREACHABLE
-					: CLIENT_REPLY_LOST;
+		return was_not_sent(body.rc) ? CLIENT_UNREACHABLE
+					     : CLIENT_REPLY_LOST;
 	*reply = json_loadb(body.bytes.p ? body.bytes.p : "", body.bytes.n, 0,
 			    NULL);
 	return CLIENT_OK;
--- a/src/curl_response.c
+++ b/src/curl_response.c
@@ -1,38 +1,36 @@
-/* curl_response.c - libcurl's callbacks for a response. */
+/*
+ * curl_response.c - libcurl's callbacks for a response. It fails a transfer where one of them
+ * returns another number of bytes than it was given.
+ */
 #include "curl_response.h"
 
-/* curl fails a transfer whose callback returns another number than it was given. */
-static size_t fail(curl_response_t *r, bool malformed)
-{
-	r->malformed = malformed;
-	return 0;
-}
-
 static size_t on_header(char *p, size_t size, size_t n, void *ctx)
 {
 	curl_response_t *r = ctx;
-	str_t line = str_n(p, size * n);
 
-	if (http1_lines_read(&r->lines, line) < 0)
-		return fail(r, true);
+	if (http1_lines_read(&r->lines, str_n(p, size * n)) < 0) {
+		r->malformed = true;
+		return 0;
+	}
 	if (r->line)
-		r->line(r->ctx, line);
-	return line.n;
+		r->line(r->ctx);
+	return size * n;
 }
 
 static size_t on_body(char *p, size_t size, size_t n, void *ctx)
 {
 	curl_response_t *r = ctx;
 	str_t bytes = str_n(p, size * n);
-	str_t piece = bytes;
+	str_t piece;
 	int rc;
 
 	if (!r->lines.chunked)
-		return r->data(r->ctx, bytes) < 0 ? fail(r, false) : bytes.n;
+		return r->data(r->ctx, bytes) < 0 ? 0 : bytes.n;
 	while ((rc = http1_chunks_next(&r->chunks, &bytes, &piece)) > 0)
 		if (r->data(r->ctx, piece) < 0)
-			return fail(r, false);
-	return rc < 0 ? fail(r, true) : size * n;
+			return 0;
+	r->malformed = rc < 0;
+	return r->malformed ? 0 : size * n;
 }
 
 void curl_response_attach(curl_response_t *r, CURL *curl)
@@ -45,7 +43,7 @@
 	curl_easy_setopt(curl, CURLOPT_HTTP_TRANSFER_DECODING, 0L);
 }
 
-bool curl_response_is_whole(const curl_response_t *r)
+static bool is_whole(const curl_response_t *r)
 {
 	return !r->lines.chunked || http1_chunks_ended(&r->chunks);
 }
@@ -56,7 +54,7 @@
 		return "malformed response";
 	if (rc != CURLE_OK)
 		return curl_easy_strerror(rc);
-	return curl_response_is_whole(r) ? NULL : "incomplete response";
+	return is_whole(r) ? NULL : "incomplete response";
 }
 
 static int keep_piece(void *ctx, str_t piece)
@@ -69,11 +67,27 @@
 	return 0;
 }
 
-void curl_body_attach(curl_body_t *b, CURL *curl)
+CURL *curl_body_handle(curl_body_t *b, const char *url, long timeout_ms)
 {
+	CURL *curl = curl_easy_init();
+
+	if (!curl)
+		return NULL;
+	curl_easy_setopt(curl, CURLOPT_URL, url);
+	curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(curl, CURLOPT_PROXY, "");
+	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, timeout_ms);
 	b->response.data = keep_piece;
 	b->response.ctx = b;
 	curl_response_attach(&b->response, curl);
+	return curl;
+}
+
+const char *curl_body_perform(curl_body_t *b, CURL *curl)
+{
+	b->rc = curl ? curl_easy_perform(curl) : CURLE_FAILED_INIT;
+	curl_easy_cleanup(curl);
+	return curl_response_error(&b->response, b->rc);
 }
 
 void curl_body_free(curl_body_t *b)
--- a/src/curl_response.h
+++ b/src/curl_response.h
@@ -16,8 +16,8 @@
 
 /* A response under way. Zero but for the callbacks before each transfer. */
 typedef struct curl_response {
-	/* Gets each line of heads and trailers once it is read; may be NULL. */
-	void (*line)(void *ctx, str_t line);
+	/* Each line of heads and trailers, once it is in lines; may be NULL. */
+	void (*line)(void *ctx);
 	/* Gets the body in pieces; -1 ends the transfer. */
 	int (*data)(void *ctx, str_t piece);
 	void *ctx;
@@ -28,20 +28,25 @@
 
 /* The next transfer of the handle receives into r, which outlives it. */
 void curl_response_attach(curl_response_t *r, CURL *curl);
-/* After a transfer that ended well: whether the response has come to its end. */
-bool curl_response_is_whole(const curl_response_t *r);
 /* Why a transfer that ended so brought no whole response; NULL: it did. */
 const char *curl_response_error(const curl_response_t *r, CURLcode rc);
 
-/* A response whose body is kept. Zero but for max before each transfer. */
+/* A response whose body is kept. Zero but for max before its transfer. */
 typedef struct curl_body {
 	curl_response_t response;
 	buf_t bytes; /* owned */
 	size_t max;  /* a larger body ends the transfer */
+	CURLcode rc; /* of the transfer */
 } curl_body_t;
 
-/* The next transfer of the handle receives into b, which outlives it. */
-void curl_body_attach(curl_body_t *b, CURL *curl);
+/*
+ * A handle for one transfer, which receives into b; curl_body_perform() frees it. NULL: out of
+ * memory. No handle is used again: libcurl 7.88 continues a field of the handle's last transfer,
+ * which is freed, where a response begins with a folded line.
+ */
+CURL *curl_body_handle(curl_body_t *b, const char *url, long timeout_ms);
+/* Runs the transfer. Returns why it has brought no whole response; NULL: it has. */
+const char *curl_body_perform(curl_body_t *b, CURL *curl);
 void curl_body_free(curl_body_t *b);
 
 #ifdef __cplusplus
--- a/src/hostlist.c
+++ b/src/hostlist.c
@@ -49,35 +49,12 @@
 	return json_is_array(hosts) ? 0 : -1;
 }
 
-/*
- * Reads the list. Returns why it has not come, or NULL; *status is that of the answer, 0 where
- * it has none. Each poll has a handle of its own: libcurl 7.88 continues a field of the
- * handle's last transfer, which is freed, where a response begins with a folded line.
- */
-static const char *fetch_list(const hostlist_t *h, long *status,
-			      curl_body_t *body)
-{
-	CURL *curl = curl_easy_init();
-	CURLcode rc;
-
-	if (!curl)
-		return curl_easy_strerror(CURLE_FAILED_INIT);
-	curl_easy_setopt(curl, CURLOPT_URL, h->url);
-	curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
-	curl_easy_setopt(curl, CURLOPT_PROXY, "");
-	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, POLL_TIMEOUT_MS);
-	curl_body_attach(body, curl);
-	rc = curl_easy_perform(curl);
-	curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, status);
-	curl_easy_cleanup(curl);
-	return curl_response_error(&body->response, rc);
-}
-
 static void poll_once(hostlist_t *h)
 {
 	CLEANUP(curl_body_free) curl_body_t body = {.max = RESPONSE_MAX};
-	long status = 0;
-	const char *error = fetch_list(h, &status, &body);
+	CURL *curl = curl_body_handle(&body, h->url, POLL_TIMEOUT_MS);
+	const char *error = curl_body_perform(&body, curl);
+	int status = body.response.lines.status;
 
 	if (!error && status != 200)
 		error = "the HTTP status is not 200";
--- a/src/target.c
+++ b/src/target.c
@@ -49,11 +49,9 @@
 	bool sent;	/* a byte of the request may have left this host */
 	/* The response. */
 	curl_response_t response;
-	bool framed;	   /* has a Content-Length or a Transfer-Encoding */
 	bool is_sse;	   /* Content-Type is text/event-stream */
 	bool head_emitted; /* EVENT_HEAD has been reported */
 	bool done_seen;
-	int status;
 	uint64_t boot_id;
 	/* Body bytes passed on, with those before the point of resumption. */
 	uint64_t offset;
@@ -156,6 +154,12 @@
 	return t;
 }
 
+/* Status of the response; 0 before its head, interim ones aside. */
+static int status_of(const transfer_t *t)
+{
+	return t->response.lines.status;
+}
+
 static engine_event_t new_event(const transfer_t *t, engine_event_kind_t kind)
 {
 	engine_event_t ev = {0};
@@ -163,7 +167,7 @@
 	ev.order_id = t->order.id;
 	ev.target = t->order.target;
 	ev.kind = kind;
-	ev.http_status = t->status;
+	ev.http_status = status_of(t);
 	ev.boot_id = t->boot_id;
 	return ev;
 }
@@ -290,7 +294,7 @@
 
 static bool is_success(const transfer_t *t)
 {
-	return t->status >= 200 && t->status < 300;
+	return status_of(t) >= 200 && status_of(t) < 300;
 }
 
 static bool is_run(const transfer_t *t)
@@ -298,10 +302,16 @@
 	return t->order.kind == ORDER_RUN || t->order.kind == ORDER_RESUME;
 }
 
-/* Whether the head tells where the body ends. */
+/* Whether the response has a Content-Length or a Transfer-Encoding. */
 static bool is_framed(const transfer_t *t)
 {
-	return t->framed || !http1_status_has_body(t->status);
+	return t->response.lines.n_framing > 0;
+}
+
+/* Whether its head tells where the body ends, or that it has none. */
+static bool has_known_end(const transfer_t *t)
+{
+	return is_framed(t) || !http1_status_has_body(status_of(t));
 }
 
 /*
@@ -310,8 +320,8 @@
  */
 static bool relays_unparsed(const transfer_t *t)
 {
-	return is_run(t) && t->is_service_call && is_framed(t) &&
-	       t->status != 503;
+	return is_run(t) && t->is_service_call && has_known_end(t) &&
+	       status_of(t) != 503;
 }
 
 static int on_data(void *ctx, str_t data)
@@ -336,48 +346,25 @@
 	return 0;
 }
 
-/* Sets *value, trimmed, and returns true if line is the header called name. */
-static bool match_header(str_t line, const char *name, str_t *value)
-{
-	size_t n = strlen(name);
-
-	if (line.n <= n || line.p[n] != ':' ||
-	    g_ascii_strncasecmp(line.p, name, n) != 0)
-		return false;
-	*value = str_n(line.p + n + 1, line.n - n - 1);
-	while (value->n && g_ascii_isspace(value->p[0])) {
-		value->p++;
-		value->n--;
-	}
-	while (value->n && g_ascii_isspace(value->p[value->n - 1]))
-		value->n--;
-	return true;
-}
-
-static void read_field(transfer_t *t, str_t line)
+static void read_field(transfer_t *t, str_t name, str_t value)
 {
-	str_t value;
+	const str_t sse = STR("text/event-stream");
 
-	if (match_header(line, "X-Boot-Id", &value))
+	if (http1_name_eq(name, STR("X-Boot-Id")))
 		str_to_u64(value, &t->boot_id);
-	else if (match_header(line, "Content-Type", &value))
-		t->is_sse = value.n >= 17 &&
-			    memcmp(value.p, "text/event-stream", 17) == 0;
-	else if (match_header(line, "Content-Length", &value) ||
-		 match_header(line, "Transfer-Encoding", &value))
-		t->framed = true;
+	else if (http1_name_eq(name, STR("Content-Type")))
+		t->is_sse =
+			value.n >= sse.n && memcmp(value.p, sse.p, sse.n) == 0;
 }
 
-static void on_line(void *ctx, str_t line)
+static void on_line(void *ctx)
 {
 	transfer_t *t = ctx;
 	const http1_lines_t *lines = &t->response.lines;
 
 	t->last_byte_us = now_us();
-	if (lines->status)
-		t->status = lines->status;
 	if (http1_lines_in_answer(lines))
-		read_field(t, line);
+		read_field(t, lines->name, lines->value);
 }
 
 /* Called by curl when it has a connection, before it sends the first byte. */
@@ -664,7 +651,7 @@
 	str_t error;
 	bool refused;
 
-	if (!t->is_service_call || t->status != 503)
+	if (!t->is_service_call || status_of(t) != 503)
 		return false;
 	doc = parse_held(t);
 	error = str_c(json_string_value(json_object_get(doc, "error")));
@@ -682,7 +669,7 @@
 	str_t error = str_c(json_string_value(json_object_get(doc, "error")));
 
 	ev.sent = true;
-	ev.old_fence = t->status == 409 && str_eq(error, STR("old_fence"));
+	ev.old_fence = status_of(t) == 409 && str_eq(error, STR("old_fence"));
 	ev.target_leaving = str_eq(error, STR("leaving"));
 	ev.reason = REASON_TARGET_ERROR;
 	if (t->order.kind == ORDER_LOAD)
@@ -691,7 +678,7 @@
 		ev.reason = REASON_TARGET_REFUSED;
 	log_event(LOG_INFO, "target_refused", kv_u("target", t->order.target),
 		  kv_u("order", t->order.id), kv_s("run", t->order.run_id),
-		  kv_i("status", t->status), kv_s("error", error));
+		  kv_i("status", status_of(t)), kv_s("error", error));
 	emit(t, &ev);
 	json_decref(doc);
 }
@@ -726,7 +713,7 @@
 	 * A plain service does not know this path; its 404 still shows that it
 	 * is up.
 	 */
-	if (doc || t->status == 404)
+	if (doc || status_of(t) == 404)
 		emit(t, &ev);
 	else
 		emit_failed(t, REASON_TARGET_ERROR, true);
@@ -742,7 +729,7 @@
 	str_t rest = buf_str(&t->held);
 	size_t n = strlen(SSE_DONE_EVENT);
 
-	return t->order.kind == ORDER_RESUME && t->framed && rest.n <= n &&
+	return t->order.kind == ORDER_RESUME && is_framed(t) && rest.n <= n &&
 	       (!rest.n ||
 		memcmp(SSE_DONE_EVENT + n - rest.n, rest.p, rest.n) == 0);
 }
@@ -773,7 +760,7 @@
 	 * others are complete only if the body parses as JSON.
 	 */
 	bool framed =
-		t->framed && (t->is_service_call || t->order.resume_offset);
+		is_framed(t) && (t->is_service_call || t->order.resume_offset);
 
 	t->tokens = (uint32_t)json_integer_value(
 		json_object_get(usage, "completion_tokens"));
@@ -790,7 +777,7 @@
 static void finish_answer(transfer_t *t)
 {
 	if (t->order.kind == ORDER_STATE &&
-	    (is_success(t) || t->status == 404)) {
+	    (is_success(t) || status_of(t) == 404)) {
 		finish_state_order(t);
 	} else if (relays_unparsed(t)) {
 		if (!t->head_emitted)
