Tests: one set-up for answers to runs, for streams that are left, and for lines

Cause: the read-through found the same set-up in two tests of left_caller_test, in four of target_test, and lines that are made into answers in two ways.

Change: leave_stream(), TargetBrokenAnswer::answer(), and with_lines() in the header that both files share. Each assertion and each case stays.

--- a/tests/broken_answer_test.cc
+++ b/tests/broken_answer_test.cc
@@ -121,17 +121,6 @@
 		EXPECT_FALSE(has(got, "data: b")) << got;
 }
 
-std::vector<std::string> with_lines(const std::string &before,
-				    const std::vector<std::string> &lines,
-				    const std::string &after)
-{
-	std::vector<std::string> out;
-
-	for (const std::string &line : lines)
-		out.push_back(before + line + "\r\n" + after);
-	return out;
-}
-
 // Guards against statuses such as 000 that callers got as an answer.
 TEST(BrokenAnswer, StatusLineThatIsNoneIsNoAnswer)
 {
--- a/tests/broken_answers.h
+++ b/tests/broken_answers.h
@@ -112,21 +112,31 @@
 	"6\r\nid: 2\n\r\n9\r\ndata: b\n\n\r\n0\r\nA: b\r\nB:\r\n\r\n",
 };
 
+// One answer for each line.
+inline std::vector<std::string>
+with_lines(const std::string &before, const std::vector<std::string> &lines,
+	   const std::string &after)
+{
+	std::vector<std::string> out;
+
+	for (const std::string &line : lines)
+		out.push_back(before + line + "\r\n" + after);
+	return out;
+}
+
 // Broken answers with a sound body behind broken lines or chunks.
 inline std::vector<std::string> broken_answers(const std::string &body)
 {
 	const std::string length =
 		"Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
-	std::vector<std::string> all;
+	const std::string ok = "HTTP/1.1 200 OK\r\n";
+	std::vector<std::string> all, more;
 
-	for (const std::string &line : BROKEN_STATUS_LINES)
-		all.push_back(line + "\r\n" + length + body);
-	for (const std::string &line : BROKEN_FIELD_LINES)
-		all.push_back("HTTP/1.1 200 OK\r\n" + line + "\r\n" + length +
-			      body);
+	all = with_lines("", BROKEN_STATUS_LINES, length + body);
+	more = with_lines(ok, BROKEN_FIELD_LINES, length + body);
+	all.insert(all.end(), more.begin(), more.end());
 	for (const std::string &chunks : BROKEN_CHUNKS)
-		all.push_back("HTTP/1.1 200 OK\r\nTransfer-Encoding: "
-			      "chunked\r\n\r\n" +
+		all.push_back(ok + "Transfer-Encoding: chunked\r\n\r\n" +
 			      chunks);
 	return all;
 }
--- a/tests/left_caller_test.cc
+++ b/tests/left_caller_test.cc
@@ -278,6 +278,20 @@
 		usleep(5000);
 }
 
+// A caller begins a stream and leaves; until the target has received so many requests.
+void leave_stream(Target &t, size_t n_received)
+{
+	GatewayFixture f({&t});
+
+	let_targets_stop_runs(f);
+	{
+		Caller c(f);
+
+		c.ask_and_wait(t, "/stream/x");
+	}
+	await_received(t, n_received);
+}
+
 TEST(LeftCaller, RunOnASilentPathIsStoppedByWayOfAnotherDaemon)
 {
 	Target t({BEGUN, STOPPED, ok_response()});
@@ -359,15 +373,8 @@
 TEST(LeftCaller, RunThatGoesOnForWantOfRoomIsOrderedToStopOnceMore)
 {
 	Target t({BEGUN, response(503, "", ""), STOPPED, ok_response()});
-	GatewayFixture f({&t});
 
-	let_targets_stop_runs(f);
-	{
-		Caller c(f);
-
-		c.ask_and_wait(t, "/stream/x");
-	}
-	await_received(t, 4);
+	leave_stream(t, 4);
 	EXPECT_EQ(4u, t.received().size());
 }
 
@@ -379,15 +386,8 @@
 	broken.bytes.replace(0, strlen("HTTP/1.1 200"), "HTTP/1.1 000");
 	broken.close = true;
 	Target t({BEGUN, broken, STOPPED, ok_response()});
-	GatewayFixture f({&t});
 
-	let_targets_stop_runs(f);
-	{
-		Caller c(f);
-
-		c.ask_and_wait(t, "/stream/x");
-	}
-	await_received(t, 4);
+	leave_stream(t, 4);
 	ASSERT_EQ(4u, t.received().size());
 	EXPECT_TRUE(has(t.received()[3], "DELETE ")) << t.received()[3];
 }
--- a/tests/target_test.cc
+++ b/tests/target_test.cc
@@ -477,14 +477,19 @@
 class TargetBrokenAnswer : public TargetClient
 {
       protected:
-	void expect_refused(const std::string &bytes, const char *path)
+	// The last event of a run that gets this answer.
+	SeenEvent answer(const std::string &bytes, const char *path = "/do")
 	{
 		Server s({bytes});
 		engine_order_t o = order(s, ORDER_RUN);
 
 		o.path = str_c(path);
 		seen.clear();
-		SeenEvent last = run(o);
+		return run(o);
+	}
+	void expect_refused(const std::string &bytes, const char *path)
+	{
+		SeenEvent last = answer(bytes, path);
 
 		EXPECT_EQ(last.kind, EVENT_FAILED) << path << bytes;
 		EXPECT_TRUE(last.sent) << bytes;
@@ -496,15 +501,11 @@
 			for (const char *path : {"/do", "/v1/completions"})
 				expect_refused(bytes, path);
 	}
-	void expect_relayed(const std::string &bytes)
+	void expect_relayed(const std::string &bytes,
+			    const std::string &body = "{}")
 	{
-		Server s({bytes});
-		engine_order_t o = order(s, ORDER_RUN);
-
-		o.path = STR("/do");
-		seen.clear();
-		EXPECT_EQ(run(o).kind, EVENT_DONE) << bytes;
-		EXPECT_EQ(relayed(), "{}") << bytes;
+		EXPECT_EQ(answer(bytes).kind, EVENT_DONE) << bytes;
+		EXPECT_EQ(relayed(), body) << bytes;
 	}
 };
 
@@ -540,14 +541,8 @@
 	     {"HTTP/1.1 204 X\r\n\r\n",
 	      "HTTP/1.1 204 X\r\nContent-Length: 0\r\n\r\n",
 	      "HTTP/1.1 304 X\r\n\r\n",
-	      "HTTP/1.1 304 X\r\nContent-Length: 2\r\n\r\n"}) {
-		Server s({bytes});
-		engine_order_t o = order(s, ORDER_RUN);
-
-		o.path = STR("/do");
-		EXPECT_EQ(run(o).kind, EVENT_DONE) << bytes;
-		EXPECT_EQ(relayed(), "") << bytes;
-	}
+	      "HTTP/1.1 304 X\r\nContent-Length: 2\r\n\r\n"})
+		expect_relayed(bytes, "");
 	for (const char *first : {"HTTP/1.1 204 X\r\n", "HTTP/1.1 103 X\r\n"}) {
 		std::string head = first;
 
@@ -570,13 +565,9 @@
 	for (const std::string &line : BROKEN_FIELD_LINES)
 		bodies.push_back("2\r\n{}\r\n0\r\n" + line + "\r\n\r\n");
 	for (const std::string &body : bodies)
-		for (const char *path : {"/do", "/v1/completions"}) {
-			Server s({head + body});
-			engine_order_t o = order(s, ORDER_RUN);
-
-			o.path = str_c(path);
-			EXPECT_EQ(run(o).kind, EVENT_FAILED) << path << body;
-		}
+		for (const char *path : {"/do", "/v1/completions"})
+			EXPECT_EQ(answer(head + body, path).kind, EVENT_FAILED)
+				<< path << body;
 	expect_relayed(head + "1;a=b\r\n{\r\n01\r\n}\r\n0\r\nA: b\r\n\r\n");
 }
 
