--- a/review/standin-3/lab.h
+++ b/review/standin-3/lab.h
@@ -10,7 +10,8 @@
 #include <stdint.h>
 #include <sys/types.h>
 
-#define HOSTS 3
+#define HOSTS_MAX 8
+#define DISKS 3 /* the first hosts have one, and are the core */
 #define FIELDS_MAX 48
 
 /* A message's first line, its fields, and its body. */
@@ -36,7 +37,8 @@
 	char net[20]; /* first three numbers of all addresses */
 	char bin[256];
 	int front, ready, control, directory, peer, list;
-	pid_t pid[HOSTS + 1]; /* by number, from 1 */
+	int n; /* daemons; set before lab_init() */
+	pid_t pid[HOSTS_MAX + 1]; /* by number, from 1 */
 	/* The host that read the platform's list last: it dispatches. */
 	_Atomic int reader;
 } lab_t;
@@ -69,6 +71,8 @@
 void lab_init(lab_t *l, const char *bin, const char *dir);
 void lab_start(lab_t *l, int host);
 void lab_stop_all(lab_t *l);
+/* Kills the host; wipe: its disk is lost, too, and it is no first start any more. */
+void lab_kill(lab_t *l, int host, bool wipe);
 /* Until all hosts are ready and the manifest is confirmed; false: not in time. */
 bool lab_wait_ready(lab_t *l, const char *manifest);
 /* Serves the platform's list, whose rows the function writes. */
