--- a/review/standin-3/budget.c
+++ b/review/standin-3/budget.c
@@ -19,7 +19,9 @@
 #define HOSTS 3
 #define RUNNERS 3
 #define CALLERS 60
-#define PERIOD_S 0.4 /* between two requests of a caller */
+#define PERIOD_S 0.4 /* between two lookups of a caller */
+#define DEADLINE_S 1.5 /* time limit of a lookup */
+#define TRIES 2 /* one retry, as SYSTEM.md has for lookups */
 #define WORK_S 0.008
 #define FAIL_PER_100 45
 #define EVENTS_MAX 40000
@@ -218,57 +220,101 @@
 	return id;
 }
 
-/* One request on the connection; false: the connection is of no use any more. */
-static bool ask(conn_t *c, msg_t *m, int host)
+/* A consumer, with its open channel. */
+typedef struct consumer {
+	int host;
+	conn_t c;
+	msg_t m;
+} consumer_t;
+
+static void close_channel(consumer_t *u)
+{
+	if (u->c.fd >= 0)
+		close(u->c.fd);
+	u->c.fd = -1;
+}
+
+static void next_host(consumer_t *u)
+{
+	do
+		u->host = u->host % HOSTS + 1;
+	while (u->host == dead_host);
+	close_channel(u);
+}
+
+static void open_channel(consumer_t *u)
+{
+	char ip[32];
+
+	if (u->host == dead_host)
+		next_host(u);
+	host_ip(&lab, u->host, ip, sizeof(ip));
+	u->c.n = 0;
+	u->c.fd = connect_to(ip, lab.front, 1.0);
+}
+
+/* One request on the channel. wait: the answer's Retry-After, or 0. */
+static bool ask(consumer_t *u, double until, double *wait)
 {
-	unsigned int id = note_sent(host);
+	unsigned int id = note_sent(u->host);
 	char out[512];
 	int status = 0;
 	int n = snprintf(out, sizeof(out),
 			 "GET /look/%x HTTP/1.1\r\nHost: x.example\r\n"
-			 "Request-Id: %x\r\nDeadline-Ms: 1500\r\n\r\n",
-			 id, id);
-	bool kept = send_all(c->fd, out, (size_t)n) &&
-		    read_msg(c, m, true, &status);
-	const char *connection = kept ? msg_field(m, "Connection") : NULL;
+			 "Request-Id: %x\r\nDeadline-Ms: %d\r\n\r\n",
+			 id, id, (int)((until - now_s()) * 1000));
+	bool kept = send_all(u->c.fd, out, (size_t)n) &&
+		    read_msg(&u->c, &u->m, true, &status);
+	const char *field;
 
+	*wait = 0;
 	n_answers[status / 100]++;
 	record("answered id=%x status=%d", id, status);
-	if (connection && !strcmp(connection, "close"))
-		kept = false;
-	msg_free(m);
-	return kept;
+	if (kept) {
+		field = msg_field(&u->m, "Retry-After");
+		*wait = field ? atof(field) : 0;
+		field = msg_field(&u->m, "Connection");
+		kept = !field || strcmp(field, "close") != 0;
+	}
+	msg_free(&u->m);
+	if (!kept)
+		close_channel(u);
+	return status / 100 == 2;
+}
+
+/* A lookup: after any failure it is tried again, on a new channel to another host. */
+static void look_up(consumer_t *u)
+{
+	double until = now_s() + DEADLINE_S, wait;
+
+	for (int i = 0; i < TRIES && now_s() < until - WORK_S; i++) {
+		double most;
+
+		if (u->c.fd < 0)
+			open_channel(u);
+		wait = 0;
+		if (u->c.fd >= 0 && ask(u, until, &wait))
+			return;
+		most = (until - now_s()) / 3;
+		sleep_s(wait < most ? wait : most);
+		next_host(u);
+	}
 }
 
 static void *caller(void *arg)
 {
 	int number = (int)(intptr_t)arg;
-	conn_t *c = calloc(1, sizeof(*c));
-	msg_t *m = calloc(1, sizeof(*m));
-	int host = number % HOSTS + 1;
+	consumer_t *u = calloc(1, sizeof(*u));
 	double due = began + PERIOD_S * number / CALLERS;
 
-	c->fd = -1;
+	u->host = number % HOSTS + 1;
+	u->c.fd = -1;
 	for (; !over; due += PERIOD_S) {
-		char ip[32];
-
 		sleep_s(due - now_s());
-		while (host == dead_host)
-			host = host % HOSTS + 1;
-		host_ip(&lab, host, ip, sizeof(ip));
-		if (c->fd < 0) {
-			c->n = 0;
-			c->fd = connect_to(ip, lab.front, 2.0);
-		}
-		if (c->fd >= 0 && !ask(c, m, host)) {
-			close(c->fd);
-			c->fd = -1;
-		}
+		look_up(u);
 	}
-	if (c->fd >= 0)
-		close(c->fd);
-	free(m);
-	free(c);
+	close_channel(u);
+	free(u);
 	return NULL;
 }
 
