--- a/review/standin-3/budget.c
+++ b/review/standin-3/budget.c
@@ -19,9 +19,9 @@
 #define HOSTS 3
 #define RUNNERS 3
 #define CALLERS 60
-#define PERIOD_S 0.4 /* between two lookups of a caller */
+#define PERIOD_S 0.4   /* between two lookups of a caller */
 #define DEADLINE_S 1.5 /* time limit of a lookup */
-#define TRIES 2 /* one retry, as SYSTEM.md has for lookups */
+#define TRIES 2	       /* one retry, as SYSTEM.md has for lookups */
 #define WORK_S 0.008
 #define FAIL_PER_100 45
 #define EVENTS_MAX 40000
--- a/review/standin-3/lab.c
+++ b/review/standin-3/lab.c
@@ -352,7 +352,8 @@
 		host_ip(l, i + 1, seed[i], sizeof(seed[i]));
 	fprintf(f,
 		"{\"node\":\"host-%d\",\"role\":\"site\",\"class\":\"front\","
-		"\"serves\":[\"front\",\"control\",\"directory\"],\"ip\":\"%s\","
+		"\"serves\":[\"front\",\"control\",\"directory\"],\"ip\":\"%"
+		"s\","
 		"\"zone\":\"z1\",\"region\":\"r\","
 		"\"zones\":{\"z1\":\"r\"},"
 		"\"listen\":{\"front\":\"%s:%d\",\"ready\":\"%s:%d\","
@@ -364,7 +365,8 @@
 		"\"max_fds\":4100,\"link_mbps\":1000.0,\"disk_mb\":64},"
 		"\"data_dir\":\"%s\",\"discovery\":\"cloud_api\","
 		"\"entry\":\"directory\",\"heartbeat_ms\":1200,"
-		"\"contracts\":[\"base\",\"drain\",\"config\",\"cost\",\"retry\","
+		"\"contracts\":[\"base\",\"drain\",\"config\",\"cost\","
+		"\"retry\","
 		"\"recover\",\"fleet\",\"stream\",\"engine\"],"
 		"\"tolerate\":{\"machines\":1,\"zones\":0,\"regions\":0},"
 		"\"bounds\":{\"seed_lag_s\":3,\"reuse_after_s\":2,"
@@ -409,8 +411,7 @@
 	snprintf(l->bin, sizeof(l->bin), "%s", bin);
 	snprintf(l->dir, sizeof(l->dir), "%s", dir);
 	snprintf(l->net, sizeof(l->net), "127.%d.%d",
-		 100 + getpid() / 250 % 100,
-		 getpid() % 250);
+		 100 + getpid() / 250 % 100, getpid() % 250);
 	signal(SIGPIPE, SIG_IGN);
 	l->front = free_port(l);
 	l->ready = free_port(l);
@@ -484,8 +485,8 @@
 				   "/damasklug/config/put", manifest) == 200;
 		for (int k = 1; k <= l->n; k++) {
 			host_ip(l, k, ip, sizeof(ip));
-			n_ready += call(ip, l->ready, "GET",
-					"/damasklug/ready", "") == 200;
+			n_ready += call(ip, l->ready, "GET", "/damasklug/ready",
+					"") == 200;
 		}
 		if (put && n_ready == l->n) {
 			record("all hosts are ready");
--- a/review/standin-3/lab.h
+++ b/review/standin-3/lab.h
@@ -37,7 +37,7 @@
 	char net[20]; /* first three numbers of all addresses */
 	char bin[256];
 	int front, ready, control, directory, peer, list;
-	int n; /* daemons; set before lab_init() */
+	int n;			  /* daemons; set before lab_init() */
 	pid_t pid[HOSTS_MAX + 1]; /* by number, from 1 */
 	/* The host that read the platform's list last: it dispatches. */
 	_Atomic int reader;
--- a/review/standin-3/restarts.c
+++ b/review/standin-3/restarts.c
@@ -25,14 +25,14 @@
 #define CALLERS 120
 #define LOOK_S 0.6
 #define PERIOD_CALLER_S 0.65 /* between two requests of a caller */
-#define DEADLINE_S 2.5 /* time limit of a lookup */
-#define TRIES 2 /* one retry, as SYSTEM.md has for lookups */
+#define DEADLINE_S 2.5	     /* time limit of a lookup */
+#define TRIES 2		     /* one retry, as SYSTEM.md has for lookups */
 #define REQUESTS_A_CHANNEL 4
 #define TTL_S 2.0 /* consumers ask for the addresses again so often */
 /* Seconds from the start of the traffic; for the first runner, the next PERIOD_S later. */
 #define LEAVE_AT 7.0
 #define SAYS_SO_S 0.05 /* after the list has it as draining */
-#define DRAIN_S 3.2 /* drain_ms is 3,000 */
+#define DRAIN_S 3.2    /* drain_ms is 3,000 */
 #define DOWN_S 0.5
 #define PERIOD_S 4.2
 #define LIST_LAG_S 0.4 /* of a start; max_lag_ms is 800 */
@@ -109,7 +109,7 @@
 	runner_t *r;
 	conn_t c;
 	char id[24]; /* of the runner as the connection was made */
-	int start; /* the same: runner_t.starts */
+	int start;   /* the same: runner_t.starts */
 } served_t;
 
 static void keep(runner_t *r, int fd, bool add)
@@ -168,10 +168,10 @@
 			     "\"running\":0,\"kv_used\":0,\"kv_total\":0,"
 			     "\"handles\":0,\"state\":\"%s\",\"born\":%lld}",
 			     s->r->leaving ? "draining" : "ready", s->r->born);
-		n = snprintf(out, sizeof(out),
-			     "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s",
-			     s->r->leaving ? "Server-Leaving: 1\r\n" : "", n,
-			     body);
+		n = snprintf(
+			out, sizeof(out),
+			"HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s",
+			s->r->leaving ? "Server-Leaving: 1\r\n" : "", n, body);
 		return send_all(s->c.fd, out, (size_t)n);
 	}
 	if (!id || (expected && strcmp(expected, s->id))) {
@@ -329,7 +329,7 @@
 	bool failed[HOSTS + 1];
 	double listed_at; /* when it last asked for the addresses */
 	unsigned int seed;
-	int host; /* of the channel */
+	int host;   /* of the channel */
 	int n_sent; /* on the channel */
 	conn_t c;
 	msg_t m;
